--- /dev/null
+++ b/daemon/verbenapulley-celld.c
@@ -0,0 +1,112 @@
+/* The daemon of one entry VM on the platform. Exit codes: 0 after a graceful stop or a successful
+ * check, 1 if it can't start, 2 if the settings are not valid, 64 (EX_USAGE) for wrong arguments.
+ */
+#include "vp-pf-run.h"
+
+#include <argp.h>
+#include <signal.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <unistd.h>
+
+enum {
+  EXIT_START = 1,
+  EXIT_SETTINGS = 2,
+};
+
+const char *argp_program_version = "verbenapulley-celld 0.2";
+
+typedef struct {
+  const char *settings;
+  bool is_check;
+} Arguments;
+
+static const struct argp_option options[] = {
+  { "settings", 's', "FILE", 0,
+    "read the settings from FILE instead of the one that the platform names", 0 },
+  { "check", 'c', NULL, 0, "validate the settings and exit", 0 },
+  { 0 },
+};
+
+/* Read by the signal handlers. */
+static VpPfRun *_run;
+
+static error_t
+_parse_option (int key, char *text, struct argp_state *state)
+{
+  Arguments *arguments = state->input;
+
+  switch (key) {
+  case 's':
+    arguments->settings = text;
+    return 0;
+  case 'c':
+    arguments->is_check = true;
+    return 0;
+  case ARGP_KEY_ARG:
+    argp_error (state, "unexpected argument '%s'", text);
+    return 0;
+  case ARGP_KEY_END:
+    if (arguments->settings == NULL)
+      arguments->settings = vp_pf_settings_path ();
+    if (arguments->settings == NULL)
+      argp_error (state, "--settings FILE is required here");
+    return 0;
+  default:
+    return ARGP_ERR_UNKNOWN;
+  }
+}
+
+static void
+_on_signal (int number)
+{
+  if (_run == NULL)
+    return;
+  if (number == SIGHUP)
+    vp_pf_run_reload (_run);
+  else
+    vp_pf_run_stop (_run);
+}
+
+static void
+_catch_signals (void)
+{
+  struct sigaction action = { .sa_handler = _on_signal };
+
+  sigemptyset (&action.sa_mask);
+  sigaction (SIGTERM, &action, NULL);
+  sigaction (SIGINT, &action, NULL);
+  sigaction (SIGHUP, &action, NULL);
+  signal (SIGPIPE, SIG_IGN);
+}
+
+int
+main (int argc, char **argv)
+{
+  static const struct argp parser = {
+    options, _parse_option, NULL, "Node of the verbenapulley cluster scheduler on the platform.",
+    NULL,    NULL,          NULL
+  };
+  g_autoptr (GError) error = NULL;
+  Arguments arguments = { 0 };
+  VpPfSettings settings;
+
+  argp_parse (&parser, argc, argv, 0, NULL, &arguments);
+  if (!vp_pf_settings_load (&settings, arguments.settings, &error)) {
+    fprintf (stderr, "verbenapulley-celld: %s\n", error->message);
+    return EXIT_SETTINGS;
+  }
+  if (arguments.is_check)
+    return EXIT_SUCCESS;
+  _catch_signals ();
+  _run = vp_pf_run_setup (arguments.settings, &error);
+  if (_run == NULL) {
+    fprintf (stderr, "verbenapulley-celld: can't start: %s\n", error->message);
+    return EXIT_START;
+  }
+  vp_pf_run_loop (_run);
+  vp_pf_run_shutdown (_run);
+  fflush (NULL);
+  /* Threads that still stand in a call must not run through exit handlers. */
+  _exit (EXIT_SUCCESS);
+}
--- /dev/null
+++ b/src/vp-cell.h
@@ -0,0 +1,82 @@
+/* Scheduler of a cell: runs the tasks of accepted jobs on its workers.
+ *
+ *   VpCell *cell = vp_cell_setup (&(VpCellDesc){ .fence = 7, .hold_max_ms = 6000 }, now_ms);
+ *   vp_cell_set_conf (cell, conf);
+ *   vp_cell_worker (cell, &entry, now_ms);
+ *   VpJob *job = vp_joblist_add (vp_cell_jobs (cell), spec, now_ms, now_ms);
+ *   job->is_durable = true;
+ *   vp_cell_decide (cell, now_ms, effects);       // GArray of VpCellEffect
+ *   vp_cell_order_result (cell, &result, now_ms);
+ *   vp_cell_shutdown (cell);
+ *
+ * A reducer without I/O: calls bring in what happened, vp_cell_decide() appends what is to be done.
+ * Every order carries the fence of this term; a worker that has seen it carries out nothing of an
+ * earlier scheduler. A task is started again only when its last run can't be running any more: the
+ * worker lists its end or doesn't list it, has started anew, or its lease is over.
+ */
+#pragma once
+
+#include "vp-cellconf.h"
+#include "vp-joblist.h"
+
+typedef struct _VpCell VpCell;
+
+typedef struct {
+  uint64_t fence;
+  int64_t hold_max_ms; /* longest lease that workers grant */
+  int64_t gone_ms;   /* a draining worker that was heard this long ago and left the list is gone */
+  double far_factor; /* how much longer tasks run away from their data */
+  bool is_clean;     /* what is known of the jobs is complete: the last scheduler handed over */
+} VpCellDesc;
+
+/* One call to the advice service. */
+typedef struct {
+  uint64_t serial;
+  VpTaskName step;     /* its index is not used */
+  GPtrArray *workers;  /* ids; owned */
+  int64_t expected_ms; /* time of the call */
+} VpAdviceAsk;
+
+typedef enum { VP_CELL_ORDER, VP_CELL_ADVISE } VpCellEffectKind;
+
+typedef struct {
+  VpCellEffectKind kind;
+  union {
+    VpOrder order;
+    VpAdviceAsk ask;
+  };
+} VpCellEffect;
+
+VpCell *vp_cell_setup (const VpCellDesc *desc, int64_t now_ms);
+void vp_cell_shutdown (VpCell *cell);
+void vp_cell_set_conf (VpCell *cell, VpCellConf *conf);
+VpJobList *vp_cell_jobs (VpCell *cell);
+const VpRoster *vp_cell_roster (const VpCell *cell);
+
+/* The platform lists the worker. */
+void vp_cell_worker (VpCell *cell, const VpWorkerEntry *entry, int64_t now_ms);
+/* The platform doesn't list it any more. */
+void vp_cell_worker_gone (VpCell *cell, const char *id, int64_t now_ms);
+/* All workers that the platform lists have been told since the scheduler started. */
+void vp_cell_list_complete (VpCell *cell);
+void vp_cell_order_result (VpCell *cell, const VpOrderResult *result, int64_t now_ms);
+/* @rows: VpAdviceRow, for the allowed workers only; NULL: the call failed. */
+void vp_cell_advice (VpCell *cell, uint64_t serial, const GArray *rows, int64_t now_ms);
+/* True if a worker has turned an order away for a higher fence. */
+bool vp_cell_is_fenced (const VpCell *cell);
+/* Cancels; false if the job has ended. */
+bool vp_cell_cancel (VpCell *cell, uint64_t id, int64_t now_ms);
+/* The commit that is built now covers all ends noted so far; once it is durable they may be
+ * forgotten by their workers. */
+void vp_cell_stage_ends (VpCell *cell);
+void vp_cell_ends_durable (VpCell *cell, int64_t now_ms);
+bool vp_cell_has_unstaged_ends (const VpCell *cell);
+/* Starts, stops, leases, advice: appends VpCellEffect. */
+void vp_cell_decide (VpCell *cell, int64_t now_ms, GArray *effects);
+/* When vp_cell_decide() has something to do without news. */
+int64_t vp_cell_next_ms (const VpCell *cell, int64_t now_ms);
+/* Stops placing; leases are still held. Before a hand-over. */
+void vp_cell_pause (VpCell *cell);
+void vp_cell_effect_clear (VpCellEffect *effect);
+/* Fails an assertion if sums disagree; for tests. */
+void vp_cell_check (const VpCell *cell);
--- a/src/vp-client.c
+++ b/src/vp-client.c
@@ -185,6 +185,8 @@
   ne_set_read_timeout (client->session, (int)((timeout_ms + 999) / 1000));
   request = ne_request_create (client->session, call->method, call->path);
   ne_set_request_flag (request, NE_REQFLAG_IDEMPOTENT, call->is_repeatable ? 1 : 0);
+  if (call->extra_name != NULL)
+    ne_add_request_header (request, call->extra_name, call->extra_value);
   if (call->body != NULL) {
     ne_add_request_header (request, "Content-Type",
                            call->body_type == NULL ? "application/json" : call->body_type);
--- a/src/vp-client.h
+++ b/src/vp-client.h
@@ -35,6 +35,8 @@
   int64_t timeout_ms;     /* longest silence of the server; 0: 1,000; rounded up to seconds */
   int64_t valid_until_ms; /* the body must not leave after this time; 0: no bound */
   const char *header;     /* answer header to return as a number; NULL: none */
+  const char *extra_name; /* one more request header; NULL: none */
+  const char *extra_value;
 } VpClientCall;
 
 typedef struct {
--- /dev/null
+++ b/src/vp-durations.c
@@ -0,0 +1,57 @@
+#include "vp-durations.h"
+
+/* Ends that must have been seen before a limit is derived from them. */
+#define VP_DURATIONS_SAMPLES_MIN 20
+/* The longest time seen fades by this part with each end, so that one outlier does not last. */
+#define VP_DURATIONS_FADE 0.002
+/* Room above the longest time seen: workers of different speed and tasks far from their data. */
+#define VP_DURATIONS_FACTOR 2.0
+#define VP_DURATIONS_ADD_MS 1000
+
+typedef struct {
+  double longest_ms;
+  uint32_t count;
+} VpDuration;
+
+struct _VpDurations {
+  GHashTable *queues; /* name -> VpDuration */
+};
+
+VpDurations *
+vp_durations_setup (void)
+{
+  VpDurations *durations = g_new0 (VpDurations, 1);
+
+  durations->queues = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
+  return durations;
+}
+
+void
+vp_durations_shutdown (VpDurations *durations)
+{
+  g_hash_table_unref (durations->queues);
+  g_free (durations);
+}
+
+void
+vp_durations_note (VpDurations *durations, const char *queue, int64_t ran_ms)
+{
+  VpDuration *duration = g_hash_table_lookup (durations->queues, queue);
+
+  if (duration == NULL) {
+    duration = g_new0 (VpDuration, 1);
+    g_hash_table_insert (durations->queues, g_strdup (queue), duration);
+  }
+  duration->count++;
+  duration->longest_ms = MAX (duration->longest_ms * (1 - VP_DURATIONS_FADE), (double)ran_ms);
+}
+
+int64_t
+vp_durations_limit_ms (const VpDurations *durations, const char *queue)
+{
+  const VpDuration *duration = g_hash_table_lookup (durations->queues, queue);
+
+  if (duration == NULL || duration->count < VP_DURATIONS_SAMPLES_MIN)
+    return INT64_MAX;
+  return (int64_t)(duration->longest_ms * VP_DURATIONS_FACTOR) + VP_DURATIONS_ADD_MS;
+}
--- /dev/null
+++ b/src/vp-front.h
@@ -0,0 +1,40 @@
+/* Callers' requests of one node, from arrival to reply.
+ *
+ *   VpFront *front = vp_front_setup ("nadi-1");
+ *   vp_front_call (front, &call, conf, now_ms, effects);       // takes over call.spec
+ *   vp_front_tick (front, "nadi-2", term, now_ms, requests, effects);
+ *   vp_front_answer (front, &message, now_ms, effects);
+ *   vp_front_shutdown (front);
+ *
+ * Checks queue and key against the node's configuration and passes the request to the leader. A
+ * request is sent again to a new leader, or if no answer comes; requests are idempotent by the
+ * job's identity. It is rejected as not done only if it was sent to nobody or the leader says so.
+ */
+#pragma once
+
+#include "vp-nodeio.h"
+
+typedef struct _VpFront VpFront;
+
+VpFront *vp_front_setup (const char *name);
+void vp_front_shutdown (VpFront *front);
+/* @conf NULL: none yet. */
+void vp_front_call (VpFront *front,
+                    VpCall *call,
+                    const VpCellConf *conf,
+                    int64_t now_ms,
+                    VpNodeEffects *effects);
+/* The caller closed its connection. */
+void vp_front_gone (VpFront *front, uint64_t handle);
+void
+vp_front_answer (VpFront *front, const VpNodeMsg *message, int64_t now_ms, VpNodeEffects *effects);
+/* Appends the requests to be sent to the leader (VpNodeMsg with floating bodies) and replies to
+ * callers whose time is up. @leader NULL: not known. */
+void vp_front_tick (VpFront *front,
+                    const char *leader,
+                    uint64_t term,
+                    int64_t now_ms,
+                    GArray *requests,
+                    VpNodeEffects *effects);
+uint32_t vp_front_open_count (const VpFront *front);
+int64_t vp_front_next_ms (const VpFront *front);
--- a/src/vp-http.c
+++ b/src/vp-http.c
@@ -50,6 +50,8 @@
   struct MHD_Response *response;
   uint32_t status;
   VpHttpRoute route;
+  const char *method; /* these two are owned by MHD */
+  const char *path;
   bool is_refused; /* by path, header or size; the body is dropped */
   GByteArray *body;
   uint64_t dropped; /* bytes of the body that were not kept */
@@ -240,10 +242,14 @@
                                                  MHD_HTTP_HEADER_AUTHORIZATION);
   uint64_t size = length == NULL ? 0 : g_ascii_strtoull (length, NULL, 10);
 
-  if (!vp_http_route (method, path, _vp_http_query, call->connection, &call->route)
-      || !vp_http_route_key (&call->route, key))
+  call->method = method;
+  call->path = path;
+  if (http->desc.take_raw != NULL)
+    call->route.has_body = true;
+  else if (!vp_http_route (method, path, _vp_http_query, call->connection, &call->route)
+           || !vp_http_route_key (&call->route, key))
     _vp_http_refuse (call, call->route.status, call->route.reason, call->route.detail);
-  else if (size > http->desc.body_max)
+  if (!call->is_refused && size > http->desc.body_max)
     _vp_http_refuse (call, 413, VP_REASON_TOO_LARGE, "");
   /* Refused before the body comes if it is too long to drop, or if the caller asks first. */
   if (call->is_refused
@@ -272,30 +278,67 @@
   return MHD_YES;
 }
 
-/* Suspends the connection and posts its request. The peer is watched only after the post, so that
- * VP_EVENT_REQUEST_GONE never comes before VP_EVENT_REQUEST. The call stays valid meanwhile: only
- * this thread ends it. */
+static void
+_vp_http_hand_over (VpHttp *http, VpHttpCall *call, VpRequest *request)
+{
+  VpEvent event = { .kind = VP_EVENT_REQUEST, .handle = call->handle, .request = request };
+
+  http->desc.post (&event, http->desc.data);
+}
+
+static const char *
+_vp_http_header (const VpHttpCall *call, const char *name)
+{
+  return name == NULL ? NULL
+                      : MHD_lookup_connection_value (call->connection, MHD_HEADER_KIND, name);
+}
+
+static void
+_vp_http_hand_over_raw (VpHttp *http, VpHttpCall *call, const GByteArray *body)
+{
+  const char *deadline = _vp_http_header (call, http->desc.deadline_header);
+  VpHttpRaw raw = {
+    .handle = call->handle,
+    .method = call->method,
+    .path = call->path,
+    .host = _vp_http_header (call, MHD_HTTP_HEADER_HOST),
+    .authorization = _vp_http_header (call, MHD_HTTP_HEADER_AUTHORIZATION),
+    .body = body == NULL ? "" : (const char *)body->data,
+    .body_size = body == NULL ? 0 : body->len,
+  };
+
+  if (deadline != NULL)
+    raw.deadline_ms = g_ascii_strtoll (deadline, NULL, 10);
+  http->desc.take_raw (&raw, http->desc.data);
+}
+
+/* Suspends the connection and hands its request over; @request is NULL for a raw one. The peer is
+ * watched only afterwards, so that VP_EVENT_REQUEST_GONE never comes before the request. The call
+ * stays valid meanwhile: only this thread ends it. */
 static enum MHD_Result
 _vp_http_post (VpHttp *http, VpHttpCall *call, VpRequest *request)
 {
   struct epoll_event watch = { .events = EPOLLRDHUP | EPOLLONESHOT };
-  VpEvent event = { .kind = VP_EVENT_REQUEST, .request = request };
+  g_autoptr (GByteArray) body = g_steal_pointer (&call->body);
 
   pthread_mutex_lock (&http->lock);
   if (http->is_stopping) {
     pthread_mutex_unlock (&http->lock);
-    vp_request_unref (request);
+    if (request != NULL)
+      vp_request_unref (request);
     return MHD_NO;
   }
   call->arrived_us = g_get_monotonic_time ();
   call->state = VP_HTTP_WAITING;
   call->handle = ++http->last_handle;
-  event.handle = call->handle;
   watch.data.u64 = call->handle;
   MHD_suspend_connection (call->connection);
   g_hash_table_insert (http->waiting, &call->handle, call);
   pthread_mutex_unlock (&http->lock);
-  http->desc.post (&event, http->desc.data);
+  if (request == NULL)
+    _vp_http_hand_over_raw (http, call, body);
+  else
+    _vp_http_hand_over (http, call, request);
   pthread_mutex_lock (&http->lock);
   if (call->state == VP_HTTP_WAITING
       && epoll_ctl (http->epoll_fd, EPOLL_CTL_ADD, call->conn->fd, &watch) != 0)
@@ -316,6 +359,8 @@
   _vp_http_conn_stop_reading (http, call->conn);
   if (call->is_refused)
     return _vp_http_queue_refusal (http, call);
+  if (http->desc.take_raw != NULL)
+    return _vp_http_post (http, call, NULL);
   request = vp_http_route_finish (&call->route, data, size, &error);
   if (request == NULL) {
     _vp_http_refuse (call, 400, VP_REASON_BAD_REQUEST, error->message);
--- a/src/vp-http.h
+++ b/src/vp-http.h
@@ -14,14 +14,31 @@
 
 typedef struct _VpHttp VpHttp;
 
+/* A request as it arrived, for users of the server that route requests themselves. The texts and
+ * the body are valid during the call that hands it over. */
+typedef struct {
+  uint64_t handle;
+  const char *method;
+  const char *path;          /* without its query */
+  const char *host;          /* Host header; NULL: none */
+  const char *authorization; /* NULL: none */
+  int64_t deadline_ms;       /* how long the caller waits; 0: not told */
+  const char *body;
+  size_t body_size; /* bytes */
+} VpHttpRaw;
+
 typedef struct {
   const char *address;                             /* IP:port */
   void (*post) (const VpEvent *event, void *data); /* called on HTTP threads */
   void *data;
-  uint32_t body_max;         /* bytes; 0: 262,144 */
-  uint32_t connections_max;  /* 0: 4,096 */
-  int64_t client_timeout_ms; /* 0: 10,000 */
-  uint32_t thread_count;     /* 0: 2 */
+  /* Takes every request instead of the paths of docs/api.md; called on HTTP threads, the handle
+   * can be answered from within. NULL: the own paths. */
+  void (*take_raw) (const VpHttpRaw *raw, void *data);
+  const char *deadline_header; /* of the caller's time-out in milliseconds; NULL: none */
+  uint32_t body_max;           /* bytes; 0: 262,144 */
+  uint32_t connections_max;    /* 0: 4,096 */
+  int64_t client_timeout_ms;   /* 0: 10,000 */
+  uint32_t thread_count;       /* 0: 2 */
 } VpHttpDesc;
 
 VpHttp *vp_http_setup (const VpHttpDesc *desc, GError **error);
--- /dev/null
+++ b/src/vp-joblist.c
@@ -0,0 +1,623 @@
+#include "vp-joblist.h"
+
+#include <string.h>
+
+/* A task whose attempt failed waits this long, doubled with each failure, so that a fault that
+ * lasts for a moment does not use up all attempts. */
+#define VP_JOB_RETRY_MS 50
+
+/* Progress of a task in 16 bits. */
+#define VP_PACKED_DONE           0x8000U
+#define VP_PACKED_FAILURES_SHIFT 11
+#define VP_PACKED_FAILURES_MAX   0xfU
+#define VP_PACKED_RUN_MAX        0x7ffU
+
+static void
+_vp_job_free (gpointer data)
+{
+  VpJob *job = data;
+
+  for (uint32_t k = 0; job->runs != NULL && k < job->spec->run_count; k++) {
+    VpJobStep *steps = job->runs[k].steps;
+    for (uint32_t s = 0; steps != NULL && s < job->spec->step_count; s++) {
+      g_clear_pointer (&steps[s].advice, g_hash_table_unref);
+      g_free (steps[s].tasks);
+    }
+    g_free (steps);
+  }
+  g_free (job->runs);
+  vp_jobspec_unref (job->spec);
+  g_free (job);
+}
+
+VpJobList *
+vp_joblist_setup (void)
+{
+  VpJobList *list = g_new0 (VpJobList, 1);
+
+  list->jobs = g_hash_table_new_full (g_int64_hash, g_int64_equal, NULL, _vp_job_free);
+  list->open_steps = g_ptr_array_new ();
+  list->timed = g_ptr_array_new ();
+  list->teams = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
+  g_queue_init (&list->dirty);
+  return list;
+}
+
+void
+vp_joblist_shutdown (VpJobList *list)
+{
+  g_ptr_array_unref (list->open_steps);
+  g_ptr_array_unref (list->timed);
+  g_hash_table_unref (list->jobs);
+  g_hash_table_unref (list->teams);
+  g_queue_clear (&list->dirty);
+  g_free (list);
+}
+
+bool
+vp_job_is_ended (const VpJob *job)
+{
+  return job->state >= VP_JOB_COMPLETED;
+}
+
+const char *
+vp_job_state_token (VpJobState state)
+{
+  static const char *const tokens[] = { "queued", "running", "completed", "failed", "cancelled" };
+
+  return tokens[state];
+}
+
+VpJob *
+vp_joblist_find (const VpJobList *list, uint64_t id)
+{
+  return g_hash_table_lookup (list->jobs, &id);
+}
+
+VpTeamUse *
+vp_joblist_team (VpJobList *list, const char *name)
+{
+  VpTeamUse *use = g_hash_table_lookup (list->teams, name);
+
+  if (use == NULL) {
+    use = g_new0 (VpTeamUse, 1);
+    g_hash_table_insert (list->teams, g_strdup (name), use);
+  }
+  return use;
+}
+
+void
+vp_joblist_touch (VpJobList *list, VpJob *job)
+{
+  if (job->is_dirty)
+    return;
+  job->is_dirty = true;
+  g_queue_push_tail (&list->dirty, job);
+}
+
+VpJob *
+vp_joblist_take_dirty (VpJobList *list)
+{
+  VpJob *job = g_queue_pop_head (&list->dirty);
+
+  if (job != NULL)
+    job->is_dirty = false;
+  return job;
+}
+
+static bool
+_vp_step_is_ready (const VpJobStep *step)
+{
+  const GArray *after = step->spec->after;
+
+  for (guint i = 0; after != NULL && i < after->len; i++) {
+    const VpJobStep *before = &step->run->steps[g_array_index (after, uint32_t, i)];
+    if (before->done_count < before->spec->task_count)
+      return false;
+  }
+  return true;
+}
+
+/* Opens the steps of an occurrence whose predecessors are done. */
+static void
+_vp_run_open_steps (VpJobList *list, VpJobRun *run, int64_t now_ms)
+{
+  for (uint32_t s = 0; s < run->job->spec->step_count; s++) {
+    VpJobStep *step = &run->steps[s];
+    if (step->is_open || !_vp_step_is_ready (step))
+      continue;
+    step->is_open = true;
+    step->opened_ms = now_ms;
+    if (step->done_count < step->spec->task_count)
+      g_ptr_array_add (list->open_steps, step);
+  }
+}
+
+static void
+_vp_run_create (VpJobRun *run)
+{
+  const VpJobSpec *spec = run->job->spec;
+
+  run->steps = g_new0 (VpJobStep, spec->step_count);
+  for (uint32_t s = 0; s < spec->step_count; s++) {
+    VpJobStep *step = &run->steps[s];
+    step->run = run;
+    step->spec = &spec->steps[s];
+    step->index = s;
+    step->rack = -1;
+    step->waiting_count = step->spec->task_count;
+    step->tasks = g_new0 (VpJobTask, step->spec->task_count);
+    for (uint32_t i = 0; i < step->spec->task_count; i++) {
+      step->tasks[i].step = step;
+      step->tasks[i].index = i;
+      step->tasks[i].percent = step->tasks[i].percent_sent = 100;
+    }
+  }
+}
+
+static void
+_vp_job_open_due (VpJobList *list, VpJob *job, int64_t now_ms)
+{
+  while (job->next_run < job->spec->run_count && job->runs[job->next_run].due_ms <= now_ms) {
+    VpJobRun *run = &job->runs[job->next_run++];
+    if (run->steps == NULL)
+      _vp_run_create (run);
+    _vp_run_open_steps (list, run, now_ms);
+  }
+}
+
+void
+vp_joblist_open_due (VpJobList *list, int64_t now_ms)
+{
+  for (guint i = 0; i < list->timed->len;) {
+    VpJob *job = list->timed->pdata[i];
+    if (!vp_job_is_ended (job))
+      _vp_job_open_due (list, job, now_ms);
+    if (vp_job_is_ended (job) || job->next_run == job->spec->run_count)
+      g_ptr_array_remove_index_fast (list->timed, i);
+    else
+      i++;
+  }
+}
+
+int64_t
+vp_joblist_next_due_ms (const VpJobList *list)
+{
+  int64_t next_ms = INT64_MAX;
+
+  for (guint i = 0; i < list->timed->len; i++) {
+    const VpJob *job = list->timed->pdata[i];
+    next_ms = MIN (next_ms, job->runs[job->next_run].due_ms);
+  }
+  return next_ms;
+}
+
+VpJob *
+vp_joblist_add (VpJobList *list, VpJobSpec *spec, int64_t arrived_ms, int64_t now_ms)
+{
+  VpJob *job = g_new0 (VpJob, 1);
+
+  job->spec = vp_jobspec_ref (spec);
+  job->arrived_ms = arrived_ms;
+  job->objective_ms = INT64_MAX;
+  job->runs = g_new0 (VpJobRun, spec->run_count);
+  for (uint32_t k = 0; k < spec->run_count; k++) {
+    job->runs[k].job = job;
+    job->runs[k].number = k;
+    job->runs[k].due_ms = spec->first_ms == 0 ? 0 : spec->first_ms + k * spec->interval_ms;
+  }
+  g_hash_table_insert (list->jobs, &job->spec->id, job);
+  list->live_count++;
+  vp_joblist_team (list, spec->team)->job_count++;
+  _vp_job_open_due (list, job, now_ms);
+  if (job->next_run < spec->run_count)
+    g_ptr_array_add (list->timed, job);
+  return job;
+}
+
+VpJob *
+vp_joblist_add_ended (VpJobList *list,
+                      uint64_t id,
+                      const char *queue,
+                      VpJobState state,
+                      int64_t ended_ms)
+{
+  VpJob *job = g_new0 (VpJob, 1);
+
+  job->spec = vp_jobspec_new (0);
+  job->spec->id = id;
+  g_strlcpy (job->spec->queue, queue, sizeof job->spec->queue);
+  job->state = state;
+  job->ended_ms = ended_ms;
+  job->is_durable = job->is_end_durable = job->is_started = true;
+  g_hash_table_replace (list->jobs, &job->spec->id, job);
+  return job;
+}
+
+static void
+_vp_job_close_steps (VpJobList *list, const VpJob *job)
+{
+  for (guint i = 0; i < list->open_steps->len;) {
+    const VpJobStep *step = list->open_steps->pdata[i];
+    if (step->run->job == job)
+      g_ptr_array_remove_index_fast (list->open_steps, i);
+    else
+      i++;
+  }
+}
+
+void
+vp_joblist_remove (VpJobList *list, VpJob *job)
+{
+  if (job->is_dirty)
+    g_queue_remove (&list->dirty, job);
+  _vp_job_close_steps (list, job);
+  g_ptr_array_remove_fast (list->timed, job);
+  if (!vp_job_is_ended (job)) {
+    list->live_count--;
+    vp_joblist_team (list, job->spec->team)->job_count--;
+  }
+  g_hash_table_remove (list->jobs, &job->spec->id);
+}
+
+static void
+_vp_job_end (VpJobList *list, VpJob *job, VpJobState state, int64_t now_ms)
+{
+  job->state = state;
+  job->ended_ms = now_ms;
+  list->live_count--;
+  vp_joblist_team (list, job->spec->team)->job_count--;
+  _vp_job_close_steps (list, job);
+  vp_joblist_touch (list, job);
+}
+
+bool
+vp_joblist_cancel (VpJobList *list, VpJob *job, int64_t now_ms)
+{
+  if (vp_job_is_ended (job))
+    return false;
+  _vp_job_end (list, job, VP_JOB_CANCELLED, now_ms);
+  return true;
+}
+
+uint32_t
+vp_joblist_pending (const VpJobList *list, const char *queue)
+{
+  GHashTableIter iter;
+  gpointer value;
+  uint32_t count = 0;
+
+  g_hash_table_iter_init (&iter, list->jobs);
+  while (g_hash_table_iter_next (&iter, NULL, &value)) {
+    const VpJob *job = value;
+    if (!vp_job_is_ended (job) && !job->is_started && strcmp (job->spec->queue, queue) == 0)
+      count++;
+  }
+  return count;
+}
+
+VpJobTask *
+vp_joblist_task (const VpJobList *list, const VpTaskName *name)
+{
+  VpJob *job = vp_joblist_find (list, name->job);
+  VpJobStep *steps;
+
+  if (job == NULL || job->runs == NULL || name->occurrence >= job->spec->run_count
+      || name->step >= job->spec->step_count)
+    return NULL;
+  steps = job->runs[name->occurrence].steps;
+  if (steps == NULL || name->index >= steps[name->step].spec->task_count)
+    return NULL;
+  return &steps[name->step].tasks[name->index];
+}
+
+void
+vp_jobtask_name (const VpJobTask *task, VpTaskName *out)
+{
+  *out = (VpTaskName){ .job = task->step->run->job->spec->id,
+                       .occurrence = task->step->run->number,
+                       .step = task->step->index,
+                       .index = task->index };
+}
+
+VpSize
+vp_jobtask_room (const VpJobTask *task)
+{
+  VpSize room = task->step->spec->size;
+
+  if (task->step->spec->is_filling)
+    room.cpu_milli = 0;
+  return room;
+}
+
+void
+vp_jobtask_assign (VpJobList *list,
+                   VpJobTask *task,
+                   VpRosterWorker *worker,
+                   uint32_t run,
+                   int64_t now_ms)
+{
+  VpJobStep *step = task->step;
+  VpJob *job = step->run->job;
+  VpSize room = vp_jobtask_room (task);
+
+  g_assert (task->phase == VP_PHASE_WAITING && task->worker == NULL);
+  task->phase = VP_PHASE_STARTING;
+  task->run = run;
+  task->worker = worker;
+  task->start_tries = 0;
+  task->is_unanswered = false;
+  task->started_ms = now_ms;
+  task->confirmed_ms = task->stop_sent_ms = 0;
+  task->percent = task->percent_sent = 100;
+  task->gauge = 0;
+  task->last_worker[0] = '\0';
+  step->waiting_count--;
+  step->out_count++;
+  job->out_count++;
+  job->is_started = true;
+  if (job->state == VP_JOB_QUEUED)
+    job->state = VP_JOB_RUNNING;
+  vp_size_add (&worker->used, &room);
+  if (step->spec->is_filling) {
+    worker->filling_cpu_milli += step->spec->size.cpu_milli;
+    worker->filling_count++;
+  }
+  worker->serving_count += step->spec->tail_target_ms > 0 ? 1 : 0;
+  g_hash_table_add (worker->tasks, task);
+  vp_size_add (&vp_joblist_team (list, job->spec->team)->used, &step->spec->size);
+  vp_joblist_touch (list, job);
+}
+
+void
+vp_jobtask_release (VpJobList *list, VpJobTask *task)
+{
+  VpJobStep *step = task->step;
+  VpJob *job = step->run->job;
+  VpRosterWorker *worker = task->worker;
+  VpSize room = vp_jobtask_room (task);
+
+  g_assert (worker != NULL);
+  task->phase = VP_PHASE_WAITING;
+  task->worker = NULL;
+  step->waiting_count++;
+  step->out_count--;
+  job->out_count--;
+  vp_size_sub (&worker->used, &room);
+  if (step->spec->is_filling) {
+    worker->filling_cpu_milli -= step->spec->size.cpu_milli;
+    worker->filling_count--;
+  }
+  worker->serving_count -= step->spec->tail_target_ms > 0 ? 1 : 0;
+  g_hash_table_remove (worker->tasks, task);
+  vp_size_sub (&vp_joblist_team (list, job->spec->team)->used, &step->spec->size);
+  vp_joblist_touch (list, job);
+}
+
+static void
+_vp_step_finish (VpJobList *list, VpJobStep *step, int64_t now_ms)
+{
+  VpJobRun *run = step->run;
+  VpJob *job = run->job;
+
+  g_ptr_array_remove_fast (list->open_steps, step);
+  if (++run->done_count < job->spec->step_count) {
+    _vp_run_open_steps (list, run, now_ms);
+    return;
+  }
+  if (++job->done_count == job->spec->run_count)
+    _vp_job_end (list, job, VP_JOB_COMPLETED, now_ms);
+}
+
+void
+vp_jobtask_done (VpJobList *list, VpJobTask *task, int64_t now_ms)
+{
+  VpJobStep *step = task->step;
+  VpJob *job = step->run->job;
+
+  if (task->phase == VP_PHASE_DONE)
+    return;
+  if (task->worker != NULL)
+    vp_jobtask_release (list, task);
+  task->phase = VP_PHASE_DONE;
+  step->waiting_count--;
+  step->done_count++;
+  job->is_started = true;
+  vp_joblist_touch (list, job);
+  if (!vp_job_is_ended (job) && step->done_count == step->spec->task_count)
+    _vp_step_finish (list, step, now_ms);
+}
+
+/* The members of a gang end together; one that is done speaks for all. */
+static void
+_vp_gang_done (VpJobList *list, VpJobStep *step, int64_t now_ms)
+{
+  for (uint32_t i = 0; i < step->spec->task_count; i++)
+    vp_jobtask_done (list, &step->tasks[i], now_ms);
+}
+
+static void
+_vp_task_failed (VpJobList *list, VpJobTask *task, uint32_t attempts_max, int64_t now_ms)
+{
+  VpJob *job = task->step->run->job;
+
+  task->failures++;
+  task->not_before_ms = now_ms + (VP_JOB_RETRY_MS << MIN (task->failures - 1, 5U));
+  if (task->step->spec->is_lasting || vp_job_is_ended (job))
+    return;
+  if (task->failures >= attempts_max)
+    _vp_job_end (list, job, VP_JOB_FAILED, now_ms);
+}
+
+void
+vp_jobtask_end (VpJobList *list,
+                VpJobTask *task,
+                VpRunEnd end,
+                uint32_t attempts_max,
+                int64_t now_ms)
+{
+  VpJobStep *step = task->step;
+
+  if (end == VP_RUN_DONE && !step->spec->is_lasting) {
+    if (step->spec->is_gang)
+      _vp_gang_done (list, step, now_ms);
+    else
+      vp_jobtask_done (list, task, now_ms);
+    return;
+  }
+  if (task->worker != NULL)
+    vp_jobtask_release (list, task);
+  if (end == VP_RUN_FAILED)
+    _vp_task_failed (list, task, attempts_max, now_ms);
+  vp_joblist_touch (list, step->run->job);
+}
+
+GVariant *
+vp_job_encode (const VpJob *job)
+{
+  return g_variant_new ("(@" VP_JOBSPEC_TYPE "x)", vp_jobspec_encode (job->spec), job->arrived_ms);
+}
+
+VpJob *
+vp_joblist_decode (VpJobList *list, GVariant *value, int64_t now_ms)
+{
+  g_autoptr (GVariant) inner = NULL;
+  g_autoptr (VpJobSpec) spec = NULL;
+  int64_t arrived_ms;
+  VpJob *job;
+
+  if (!g_variant_is_of_type (value, G_VARIANT_TYPE (VP_JOB_TYPE)))
+    return NULL;
+  g_variant_get (value, "(@" VP_JOBSPEC_TYPE "x)", &inner, &arrived_ms);
+  spec = vp_jobspec_decode (inner);
+  if (spec == NULL || vp_joblist_find (list, spec->id) != NULL)
+    return NULL;
+  job = vp_joblist_add (list, spec, arrived_ms, now_ms);
+  job->is_inherited = job->is_durable = true;
+  return job;
+}
+
+static void
+_vp_step_encode (const VpJobStep *step, GVariantBuilder *out)
+{
+  g_autofree uint16_t *packed = g_new0 (uint16_t, step->spec->task_count);
+  GVariantBuilder assigned;
+
+  g_variant_builder_init (&assigned, G_VARIANT_TYPE ("a(us)"));
+  for (uint32_t i = 0; i < step->spec->task_count; i++) {
+    const VpJobTask *task = &step->tasks[i];
+    packed[i]
+        = (uint16_t)((task->phase == VP_PHASE_DONE ? VP_PACKED_DONE : 0)
+                     | MIN (task->failures, VP_PACKED_FAILURES_MAX) << VP_PACKED_FAILURES_SHIFT
+                     | MIN (task->run, VP_PACKED_RUN_MAX));
+    if (task->worker != NULL)
+      g_variant_builder_add (&assigned, "(us)", i, task->worker->entry.id);
+    else if (task->last_worker[0] != '\0')
+      g_variant_builder_add (&assigned, "(us)", i, task->last_worker);
+  }
+  g_variant_builder_add (out, "(uu@aqa(us))", step->run->number, step->index,
+                         g_variant_new_fixed_array (G_VARIANT_TYPE_UINT16, packed,
+                                                    step->spec->task_count, sizeof (uint16_t)),
+                         &assigned);
+}
+
+GVariant *
+vp_job_encode_progress (const VpJob *job)
+{
+  GVariantBuilder steps;
+
+  g_variant_builder_init (&steps, G_VARIANT_TYPE ("a(uuaqa(us))"));
+  for (uint32_t k = 0; k < job->spec->run_count; k++) {
+    for (uint32_t s = 0; job->runs[k].steps != NULL && s < job->spec->step_count; s++)
+      _vp_step_encode (&job->runs[k].steps[s], &steps);
+  }
+  return g_variant_new ("(tba(uuaqa(us)))", job->spec->id, (gboolean)job->is_started, &steps);
+}
+
+static void
+_vp_task_restore (VpJobList *list, VpJobTask *task, uint16_t packed, int64_t now_ms)
+{
+  task->run = packed & VP_PACKED_RUN_MAX;
+  task->failures = packed >> VP_PACKED_FAILURES_SHIFT & VP_PACKED_FAILURES_MAX;
+  if ((packed & VP_PACKED_DONE) != 0)
+    vp_jobtask_done (list, task, now_ms);
+}
+
+static void
+_vp_step_restore (VpJobList *list,
+                  VpJobStep *step,
+                  GVariant *packed,
+                  GVariantIter *assigned,
+                  int64_t now_ms)
+{
+  const uint16_t *items;
+  const char *worker;
+  gsize count;
+  uint32_t index;
+
+  items = g_variant_get_fixed_array (packed, &count, sizeof (uint16_t));
+  for (uint32_t i = 0; i < MIN (count, step->spec->task_count); i++)
+    _vp_task_restore (list, &step->tasks[i], items[i], now_ms);
+  while (g_variant_iter_next (assigned, "(u&s)", &index, &worker)) {
+    if (index < step->spec->task_count)
+      g_strlcpy (step->tasks[index].last_worker, worker, VP_NAME_MAX);
+  }
+}
+
+bool
+vp_joblist_decode_progress (VpJobList *list, GVariant *value, int64_t now_ms)
+{
+  g_autoptr (GVariantIter) steps = NULL;
+  GVariant *packed;
+  GVariantIter *assigned;
+  uint64_t id;
+  gboolean is_started;
+  uint32_t number, index;
+  VpJob *job;
+
+  if (!g_variant_is_of_type (value, G_VARIANT_TYPE (VP_PROGRESS_TYPE)))
+    return false;
+  g_variant_get (value, "(tba(uuaqa(us)))", &id, &is_started, &steps);
+  job = vp_joblist_find (list, id);
+  if (job == NULL || job->runs == NULL)
+    return false;
+  job->is_progress_kept = true;
+  if (is_started) {
+    job->is_started = true;
+    job->state = MAX (job->state, VP_JOB_RUNNING);
+  }
+  while (g_variant_iter_next (steps, "(uu@aqa(us))", &number, &index, &packed, &assigned)) {
+    if (number < job->spec->run_count && index < job->spec->step_count) {
+      VpJobRun *run = &job->runs[number];
+      if (run->steps == NULL)
+        _vp_run_create (run);
+      _vp_step_restore (list, &run->steps[index], packed, assigned, now_ms);
+    }
+    g_variant_unref (packed);
+    g_variant_iter_free (assigned);
+  }
+  return true;
+}
+
+GVariant *
+vp_job_encode_end (const VpJob *job)
+{
+  return g_variant_new (VP_JOB_END_TYPE, job->spec->id, job->spec->queue, (guchar)job->state,
+                        job->ended_ms);
+}
+
+VpJob *
+vp_joblist_decode_end (VpJobList *list, GVariant *value)
+{
+  uint64_t id;
+  const char *queue;
+  guchar state;
+  int64_t ended_ms;
+
+  if (!g_variant_is_of_type (value, G_VARIANT_TYPE (VP_JOB_END_TYPE)))
+    return NULL;
+  g_variant_get (value, "(t&syx)", &id, &queue, &state, &ended_ms);
+  if (state < VP_JOB_COMPLETED || state > VP_JOB_CANCELLED)
+    return NULL;
+  return vp_joblist_add_ended (list, id, queue, (VpJobState)state, ended_ms);
+}
--- /dev/null
+++ b/src/vp-jobspec.c
@@ -0,0 +1,169 @@
+#include "vp-jobspec.h"
+
+#include <string.h>
+
+VpJobSpec *
+vp_jobspec_new (uint32_t step_count)
+{
+  VpJobSpec *spec = g_new0 (VpJobSpec, 1);
+
+  spec->refs = 1;
+  spec->run_count = 1;
+  spec->step_count = step_count;
+  spec->steps = g_new0 (VpStepSpec, MAX (step_count, 1));
+  return spec;
+}
+
+VpJobSpec *
+vp_jobspec_ref (VpJobSpec *spec)
+{
+  __atomic_add_fetch (&spec->refs, 1, __ATOMIC_RELAXED);
+  return spec;
+}
+
+void
+vp_jobspec_unref (VpJobSpec *spec)
+{
+  if (__atomic_sub_fetch (&spec->refs, 1, __ATOMIC_ACQ_REL) != 0)
+    return;
+  for (uint32_t i = 0; i < spec->step_count; i++)
+    g_clear_pointer (&spec->steps[i].after, g_array_unref);
+  g_free (spec->steps);
+  g_free (spec->text);
+  g_free (spec->origin);
+  g_free (spec);
+}
+
+static const char *
+_vp_jobspec_check_step (const VpStepSpec *step, uint32_t index)
+{
+  if (step->task_count == 0 || step->task_count > VP_JOBSPEC_TASKS_MAX)
+    return "count of tasks out of range";
+  if (!vp_size_is_valid (&step->size))
+    return "negative size";
+  for (guint i = 0; step->after != NULL && i < step->after->len; i++) {
+    if (g_array_index (step->after, uint32_t, i) >= index)
+      return "a step waits for a later one";
+  }
+  return NULL;
+}
+
+const char *
+vp_jobspec_check (const VpJobSpec *spec)
+{
+  const char *wrong = NULL;
+
+  if (spec->step_count == 0 || spec->step_count > VP_JOBSPEC_STEPS_MAX)
+    return "count of steps out of range";
+  if (spec->run_count == 0 || spec->run_count > VP_JOBSPEC_RUNS_MAX)
+    return "count of occurrences out of range";
+  if (spec->text == NULL || strlen (spec->text) > VP_JOBSPEC_TEXT_MAX)
+    return "text too long";
+  for (uint32_t i = 0; wrong == NULL && i < spec->step_count; i++)
+    wrong = _vp_jobspec_check_step (&spec->steps[i], i);
+  return wrong;
+}
+
+GVariant *
+vp_jobspec_encode (const VpJobSpec *spec)
+{
+  GVariantBuilder steps;
+
+  g_variant_builder_init (&steps, G_VARIANT_TYPE ("a(u(xxx)xauubbbbbsssuxu)"));
+  for (uint32_t i = 0; i < spec->step_count; i++) {
+    const VpStepSpec *step = &spec->steps[i];
+    GVariant *after = g_variant_new_fixed_array (
+        G_VARIANT_TYPE_UINT32, step->after == NULL ? NULL : step->after->data,
+        step->after == NULL ? 0 : step->after->len, sizeof (uint32_t));
+    uint32_t flags = (step->is_filling ? 1U : 0U);
+    g_variant_builder_add (&steps, "(u(xxx)x@auubbbbbsssuxu)", step->task_count,
+                           step->size.cpu_milli, step->size.mem_mib, step->size.accel_count,
+                           step->estimate_ms, after, step->spread_max, (gboolean)step->is_gang,
+                           (gboolean)step->is_one_rack, (gboolean)step->is_saving,
+                           (gboolean)step->is_copyable, (gboolean)step->is_lasting, step->label,
+                           step->rack, step->image, flags, step->tail_target_ms, step->may_miss);
+  }
+  return g_variant_new ("(tssssuxxa(u(xxx)xauubbbbbsssuxu))", spec->id, spec->queue, spec->team,
+                        spec->text == NULL ? "" : spec->text,
+                        spec->origin == NULL ? "" : spec->origin, spec->run_count, spec->first_ms,
+                        spec->interval_ms, &steps);
+}
+
+static bool
+_vp_jobspec_decode_step (GVariantIter *iter, VpStepSpec *step)
+{
+  const char *label, *rack, *image;
+  gboolean is_gang, is_one_rack, is_saving, is_copyable, is_lasting;
+  g_autoptr (GVariant) after = NULL;
+  uint32_t flags;
+  const uint32_t *items;
+  gsize count;
+
+  if (!g_variant_iter_next (iter, "(u(xxx)x@auubbbbb&s&s&suxu)", &step->task_count,
+                            &step->size.cpu_milli, &step->size.mem_mib, &step->size.accel_count,
+                            &step->estimate_ms, &after, &step->spread_max, &is_gang, &is_one_rack,
+                            &is_saving, &is_copyable, &is_lasting, &label, &rack, &image, &flags,
+                            &step->tail_target_ms, &step->may_miss))
+    return false;
+  step->is_gang = is_gang;
+  step->is_one_rack = is_one_rack;
+  step->is_saving = is_saving;
+  step->is_copyable = is_copyable;
+  step->is_lasting = is_lasting;
+  step->is_filling = (flags & 1) != 0;
+  items = g_variant_get_fixed_array (after, &count, sizeof (uint32_t));
+  if (count > 0) {
+    step->after = g_array_sized_new (FALSE, FALSE, sizeof (uint32_t), (guint)count);
+    g_array_append_vals (step->after, items, (guint)count);
+  }
+  return vp_name_copy (step->label, sizeof step->label, label)
+         && vp_name_copy (step->rack, sizeof step->rack, rack)
+         && vp_name_copy (step->image, sizeof step->image, image);
+}
+
+VpJobSpec *
+vp_jobspec_decode (GVariant *value)
+{
+  g_autoptr (GVariantIter) steps = NULL;
+  const char *queue, *team, *text, *origin;
+  uint64_t id;
+  uint32_t run_count;
+  int64_t first_ms, interval_ms;
+  VpJobSpec *spec;
+  bool ok;
+
+  if (!g_variant_is_of_type (value, G_VARIANT_TYPE (VP_JOBSPEC_TYPE)))
+    return NULL;
+  g_variant_get (value, "(t&s&s&s&suxxa(u(xxx)xauubbbbbsssuxu))", &id, &queue, &team, &text,
+                 &origin, &run_count, &first_ms, &interval_ms, &steps);
+  spec = vp_jobspec_new ((uint32_t)g_variant_iter_n_children (steps));
+  spec->id = id;
+  spec->text = g_strdup (text);
+  spec->origin = g_strdup (origin);
+  spec->run_count = run_count;
+  spec->first_ms = first_ms;
+  spec->interval_ms = interval_ms;
+  ok = vp_name_copy (spec->queue, sizeof spec->queue, queue)
+       && vp_name_copy (spec->team, sizeof spec->team, team);
+  for (uint32_t i = 0; ok && i < spec->step_count; i++)
+    ok = _vp_jobspec_decode_step (steps, &spec->steps[i]);
+  if (ok && vp_jobspec_check (spec) == NULL)
+    return spec;
+  vp_jobspec_unref (spec);
+  return NULL;
+}
+
+void
+vp_job_id_format (uint64_t id, char out[17])
+{
+  g_snprintf (out, 17, "%016" G_GINT64_MODIFIER "x", id);
+}
+
+bool
+vp_job_id_parse (const char *text, uint64_t *out)
+{
+  if (strlen (text) != 16 || strspn (text, "0123456789abcdef") != 16)
+    return false;
+  *out = g_ascii_strtoull (text, NULL, 16);
+  return true;
+}
--- a/src/vp-json.c
+++ b/src/vp-json.c
@@ -272,6 +272,27 @@
   return fallback_value;
 }
 
+double
+vp_json_number (VpJson *json, const char *field, double min, double max, double fallback)
+{
+  JsonNode *node = _vp_json_node (json, field, false);
+  g_autofree char *range = NULL;
+  double value;
+
+  if (node == NULL)
+    return fallback;
+  if (!_vp_json_holds (node, G_TYPE_INT64) && !_vp_json_holds (node, G_TYPE_DOUBLE)) {
+    _vp_json_set_error (json, VP_JSON_ERROR_TYPE, field, "must be a number");
+    return fallback;
+  }
+  value = json_node_get_double (node);
+  if (value >= min && value <= max)
+    return value;
+  range = g_strdup_printf ("must be from %g to %g", min, max);
+  _vp_json_set_error (json, VP_JSON_ERROR_RANGE, field, range);
+  return fallback;
+}
+
 bool
 vp_json_bool (VpJson *json, const char *field, bool fallback)
 {
--- a/src/vp-json.h
+++ b/src/vp-json.h
@@ -72,6 +72,8 @@
 void vp_json_size (VpJson *json, const char *field, VpSize *out);
 /* Integer within [min, max]. @fallback VP_JSON_REQUIRED_INT makes it required. */
 int64_t vp_json_int (VpJson *json, const char *field, int64_t min, int64_t max, int64_t fallback);
+/* As vp_json_int(), for numbers with a fraction; @fallback is used if the field is missing. */
+double vp_json_number (VpJson *json, const char *field, double min, double max, double fallback);
 bool vp_json_bool (VpJson *json, const char *field, bool fallback);
 /* Opens a nested object; false if it is missing (an error only if @is_required). Each opened
  * child is closed with vp_json_close_child(). */
--- /dev/null
+++ b/src/vp-log.c
@@ -0,0 +1,133 @@
+#include "vp-log.h"
+
+#include <poll.h>
+#include <stdarg.h>
+#include <stdio.h>
+#include <string.h>
+#include <unistd.h>
+
+#define VP_LOG_EVENTS   64  /* kinds of lines whose rate is bounded */
+#define VP_LOG_LINE_MAX 512 /* bytes; longer lines are cut */
+/* A pipe that polls writable takes this many bytes without blocking (PIPE_BUF). */
+#define VP_LOG_CHUNK 4096
+
+typedef struct {
+  const char *event;
+  int64_t second;
+  uint32_t lines;
+  uint32_t dropped;
+} VpLogRate;
+
+static struct {
+  char node[64];
+  char buffer[VP_LOG_BUFFER_BYTES];
+  uint32_t size;
+  VpLogRate rates[VP_LOG_EVENTS];
+  uint32_t rate_count;
+  uint64_t dropped;
+} _log;
+
+void
+vp_log_setup (const char *node)
+{
+  memset (&_log, 0, sizeof _log);
+  g_strlcpy (_log.node, node, sizeof _log.node);
+}
+
+static VpLogRate *
+_vp_log_rate (const char *event)
+{
+  for (uint32_t i = 0; i < _log.rate_count; i++) {
+    if (_log.rates[i].event == event)
+      return &_log.rates[i];
+  }
+  if (_log.rate_count == VP_LOG_EVENTS)
+    return &_log.rates[VP_LOG_EVENTS - 1];
+  _log.rates[_log.rate_count].event = event;
+  return &_log.rates[_log.rate_count++];
+}
+
+static bool
+_vp_log_append (const char *line, size_t size)
+{
+  if (_log.size + size > sizeof _log.buffer)
+    return false;
+  memcpy (_log.buffer + _log.size, line, size);
+  _log.size += (uint32_t)size;
+  return true;
+}
+
+static bool
+_vp_log_admit (VpLogRate *rate, int64_t now_ms)
+{
+  int64_t second = now_ms / 1000;
+  char line[160];
+  int size;
+
+  if (rate->second != second) {
+    if (rate->dropped > 0) {
+      size = g_snprintf (line, sizeof line,
+                         "t=%" G_GINT64_FORMAT " node=%s event=dropped kind=%s lines=%u\n", now_ms,
+                         _log.node, rate->event, rate->dropped);
+      _vp_log_append (line, (size_t)size);
+    }
+    rate->second = second;
+    rate->lines = rate->dropped = 0;
+  }
+  return rate->lines++ < VP_LOG_LINES_PER_S;
+}
+
+void
+vp_log (int64_t now_ms, const char *event, const char *format, ...)
+{
+  VpLogRate *rate = _vp_log_rate (event);
+  char line[VP_LOG_LINE_MAX];
+  size_t size;
+  va_list arguments;
+
+  if (_log.node[0] == '\0')
+    return;
+  if (_vp_log_admit (rate, now_ms)) {
+    size = (size_t)g_snprintf (line, sizeof line, "t=%" G_GINT64_FORMAT " node=%s event=%s ",
+                               now_ms, _log.node, event);
+    va_start (arguments, format);
+    size += (size_t)g_vsnprintf (line + size, sizeof line - size, format, arguments);
+    va_end (arguments);
+    size = MIN (size, sizeof line - 2);
+    line[size++] = '\n';
+    if (_vp_log_append (line, size))
+      return;
+  }
+  rate->dropped++;
+  _log.dropped++;
+}
+
+void
+vp_log_flush (void)
+{
+  struct pollfd out = { .fd = STDOUT_FILENO, .events = POLLOUT };
+  uint32_t done = 0;
+
+  while (done < _log.size && poll (&out, 1, 0) == 1 && (out.revents & POLLOUT) != 0) {
+    ssize_t count = write (STDOUT_FILENO, _log.buffer + done, MIN (_log.size - done, VP_LOG_CHUNK));
+    if (count <= 0)
+      break;
+    done += (uint32_t)count;
+  }
+  if (done > 0) {
+    memmove (_log.buffer, _log.buffer + done, _log.size - done);
+    _log.size -= done;
+  }
+}
+
+uint32_t
+vp_log_pending (void)
+{
+  return _log.size;
+}
+
+uint64_t
+vp_log_dropped (void)
+{
+  return _log.dropped;
+}
--- /dev/null
+++ b/src/vp-node.c
@@ -0,0 +1,839 @@
+#include "vp-node.h"
+#include "vp-broker.h"
+#include "vp-counters.h"
+#include "vp-front.h"
+#include "vp-keeper.h"
+#include "vp-lead.h"
+#include "vp-log.h"
+
+#include <string.h>
+
+/* The leader's pings tell that it lives; those of the others carry what they hear. */
+#define VP_NODE_PING_LEADER_MS 200
+#define VP_NODE_PING_MS        400
+/* A process that was not heard for this long gets no advice calls and has no say. */
+#define VP_NODE_HEARD_MS 1200
+/* A process that is unlisted and silent is forgotten after this. */
+#define VP_NODE_FORGET_MS 10000
+/* The configuration is asked for again from a process with a newer one after this. */
+#define VP_NODE_CONF_ASK_MS 300
+/* Reading all jobs is tried again after this. */
+#define VP_NODE_LOAD_RETRY_MS 200
+/* A leader that stops hands over after this even if its last commit is not known. */
+#define VP_NODE_HANDOVER_MS 1500
+/* A stopping process serves open connections for this part of its grace time. */
+#define VP_NODE_STOP_SHARE 0.8
+/* The platform sends no new connections after two looks a second apart. */
+#define VP_NODE_STOP_MIN_MS 2500
+
+#define VP_NODE_ASK_TYPE  "(tuuxas)"
+#define VP_NODE_ROWS_TYPE "a(ssx)"
+
+typedef struct {
+  char name[VP_NAME_MAX];
+  char address[VP_ADDRESS_MAX];
+  bool is_listed;
+  int64_t heard_ms;
+  bool hears_leader;
+  uint64_t conf_version;
+  int64_t busy_until_ms; /* its advice calls are expected to be done */
+} VpNodeMember;
+
+struct _VpNode {
+  VpNodeDesc desc;
+  char name[VP_NAME_MAX];
+  VpLead lead;
+  VpFront *front;
+  VpCellConf *conf;
+  GBytes *conf_text;
+  GHashTable *members; /* name -> VpNodeMember, without this one */
+  int64_t ping_next_ms;
+  int64_t conf_ask_next_ms;
+  int64_t busy_until_ms; /* own advice calls */
+  bool is_ready;
+  bool is_stopping;
+  bool is_exiting;
+  int64_t stop_ms;
+  /* While it leads. */
+  VpCell *cell;
+  VpKeeper *keeper;
+  VpBroker *broker;
+  uint64_t load_serial; /* 0: loaded */
+  int64_t load_next_ms;
+  int64_t led_ms;
+  bool is_load_out;
+  GArray *answers; /* VpBrokerAnswer */
+};
+
+VpNode *
+vp_node_setup (const VpNodeDesc *desc, int64_t now_ms)
+{
+  VpNode *node = g_new0 (VpNode, 1);
+
+  node->desc = *desc;
+  g_strlcpy (node->name, desc->name, sizeof node->name);
+  node->desc.name = node->name;
+  vp_lead_setup (&node->lead, node->name, now_ms);
+  node->front = vp_front_setup (node->name);
+  node->members = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, g_free);
+  node->answers = g_array_new (FALSE, FALSE, sizeof (VpBrokerAnswer));
+  return node;
+}
+
+static void
+_vp_node_drop_cell (VpNode *node)
+{
+  vp_broker_shutdown (node->broker);
+  vp_keeper_shutdown (node->keeper);
+  vp_cell_shutdown (node->cell);
+  node->broker = NULL;
+  node->keeper = NULL;
+  node->cell = NULL;
+}
+
+void
+vp_node_shutdown (VpNode *node)
+{
+  _vp_node_drop_cell (node);
+  vp_front_shutdown (node->front);
+  g_hash_table_unref (node->members);
+  g_array_unref (node->answers);
+  g_clear_pointer (&node->conf, vp_cellconf_unref);
+  g_clear_pointer (&node->conf_text, g_bytes_unref);
+  g_free (node);
+}
+
+bool
+vp_node_is_leading (const VpNode *node)
+{
+  return node->cell != NULL && node->load_serial == 0;
+}
+
+VpCell *
+vp_node_cell (VpNode *node)
+{
+  return node->cell;
+}
+
+/* Messages. */
+
+static void
+_vp_node_send (VpNode *node, const char *to, VpNodeMsg *message, VpNodeEffects *effects)
+{
+  VpNodeEffect *effect = vp_node_effects_add (effects, VP_NODE_SEND);
+
+  g_strlcpy (message->from, node->name, sizeof message->from);
+  g_strlcpy (effect->send.peer, to, sizeof effect->send.peer);
+  effect->send.bytes = vp_nodemsg_encode (message);
+}
+
+static void
+_vp_node_ping (VpNode *node, int64_t now_ms, VpNodeEffects *effects)
+{
+  GHashTableIter iter;
+  gpointer value;
+  bool is_leader = node->lead.state == VP_LEAD_LEADING;
+
+  if (now_ms < node->ping_next_ms)
+    return;
+  node->ping_next_ms = now_ms + (is_leader ? VP_NODE_PING_LEADER_MS : VP_NODE_PING_MS);
+  g_hash_table_iter_init (&iter, node->members);
+  while (g_hash_table_iter_next (&iter, NULL, &value)) {
+    VpNodeMember *member = value;
+    VpNodeMsg ping = { .kind = VP_NODEMSG_PING,
+                       .term = node->lead.term,
+                       .is_leader = is_leader,
+                       .hears_leader = vp_lead_is_known (&node->lead, now_ms),
+                       .conf_version = node->conf == NULL ? 0 : node->conf->version };
+    if (!member->is_listed && now_ms - member->heard_ms > VP_NODE_FORGET_MS) {
+      g_hash_table_iter_remove (&iter);
+      continue;
+    }
+    if (node->keeper != NULL)
+      ping.store_age_ms = vp_keeper_age_ms (node->keeper, now_ms);
+    _vp_node_send (node, member->name, &ping, effects);
+  }
+}
+
+static VpNodeMember *
+_vp_node_member (VpNode *node, const char *name)
+{
+  VpNodeMember *member = g_hash_table_lookup (node->members, name);
+
+  if (member == NULL) {
+    member = g_new0 (VpNodeMember, 1);
+    g_strlcpy (member->name, name, sizeof member->name);
+    g_hash_table_insert (node->members, member->name, member);
+  }
+  return member;
+}
+
+static void
+_vp_node_take_member (VpNode *node,
+                      const char *name,
+                      const char *address,
+                      int64_t now_ms,
+                      VpNodeEffects *effects)
+{
+  VpNodeMember *member;
+  VpNodeEffect *effect;
+
+  if (strcmp (name, node->name) == 0)
+    return;
+  member = _vp_node_member (node, name);
+  member->is_listed = address[0] != '\0';
+  if (!member->is_listed || strcmp (member->address, address) == 0)
+    return;
+  vp_log (now_ms, "member", "name=%s address=%s", name, address);
+  g_strlcpy (member->address, address, sizeof member->address);
+  effect = vp_node_effects_add (effects, VP_NODE_CONNECT);
+  g_strlcpy (effect->send.peer, name, sizeof effect->send.peer);
+  g_strlcpy (effect->send.address, address, sizeof effect->send.address);
+  node->ping_next_ms = now_ms;
+}
+
+static void
+_vp_node_take_ping (VpNode *node, const VpNodeMsg *ping, int64_t now_ms, VpNodeEffects *effects)
+{
+  VpNodeMember *member = _vp_node_member (node, ping->from);
+  VpNodeMsg ask = { .kind = VP_NODEMSG_CONF_ASK };
+
+  member->heard_ms = now_ms;
+  member->hears_leader = ping->hears_leader;
+  member->conf_version = ping->conf_version;
+  if (ping->is_leader)
+    vp_lead_heard (&node->lead, ping->from, ping->term, ping->store_age_ms, now_ms);
+  if (now_ms >= node->conf_ask_next_ms
+      && ping->conf_version > (node->conf == NULL ? 0 : node->conf->version)) {
+    node->conf_ask_next_ms = now_ms + VP_NODE_CONF_ASK_MS;
+    _vp_node_send (node, ping->from, &ask, effects);
+  }
+}
+
+static void
+_vp_node_view (const VpNode *node, int64_t now_ms, VpLeadView *view)
+{
+  GHashTableIter iter;
+  gpointer value;
+
+  memset (view, 0, sizeof *view);
+  g_hash_table_iter_init (&iter, node->members);
+  while (g_hash_table_iter_next (&iter, NULL, &value)) {
+    const VpNodeMember *member = value;
+    bool is_heard = now_ms - member->heard_ms < VP_NODE_HEARD_MS;
+    view->member_count += member->is_listed || is_heard ? 1 : 0;
+    view->heard_count += is_heard ? 1 : 0;
+    view->deaf_count += is_heard && !member->hears_leader ? 1 : 0;
+  }
+}
+
+/* Configuration. */
+
+static void
+_vp_node_take_conf (VpNode *node, VpCellConf *conf, GBytes *text, int64_t now_ms)
+{
+  if (node->conf != NULL && conf->version <= node->conf->version)
+    return;
+  vp_log (now_ms, "conf",
+          "version=%" G_GUINT64_FORMAT " before=%" G_GUINT64_FORMAT " queues=%u teams=%u",
+          conf->version, node->conf == NULL ? 0 : node->conf->version, conf->queues->len,
+          conf->teams->len);
+  g_clear_pointer (&node->conf, vp_cellconf_unref);
+  g_clear_pointer (&node->conf_text, g_bytes_unref);
+  node->conf = vp_cellconf_ref (conf);
+  node->conf_text = g_bytes_ref (text);
+  if (node->cell != NULL)
+    vp_cell_set_conf (node->cell, conf);
+  vp_counters_set (VP_GAUGE_CONFIG_REVISION, (int64_t)conf->version);
+}
+
+static void
+_vp_node_send_conf (VpNode *node, const char *to, VpNodeEffects *effects)
+{
+  VpNodeMsg message = { .kind = VP_NODEMSG_CONF };
+
+  if (node->conf_text == NULL)
+    return;
+  message.conf_version = node->conf->version;
+  message.body = g_variant_new_from_bytes (G_VARIANT_TYPE_BYTESTRING, node->conf_text, TRUE);
+  _vp_node_send (node, to, &message, effects);
+}
+
+static void
+_vp_node_decode_conf (const VpNode *node, const VpNodeMsg *message, VpNodeEffects *effects)
+{
+  if (message->body == NULL || !g_variant_is_of_type (message->body, G_VARIANT_TYPE_BYTESTRING)
+      || (node->conf != NULL && message->conf_version <= node->conf->version))
+    return;
+  vp_node_effects_add (effects, VP_NODE_DECODE_CONF)->send.bytes
+      = g_variant_get_data_as_bytes (message->body);
+}
+
+/* Advice calls, made by whichever process is least busy with them. */
+
+static void
+_vp_node_call_advice (VpNode *node, VpAdviceAsk *ask, const char *asker, VpNodeEffects *effects)
+{
+  VpNodeEffect *effect = vp_node_effects_add (effects, VP_NODE_ASK);
+
+  (void)node;
+  effect->ask.ask = *ask;
+  effect->ask.ask.workers = g_ptr_array_ref (ask->workers);
+  g_strlcpy (effect->ask.asker, asker, sizeof effect->ask.asker);
+}
+
+static void
+_vp_node_pass_ask (VpNode *node, VpAdviceAsk *ask, int64_t now_ms, VpNodeEffects *effects)
+{
+  VpNodeMember *best = NULL;
+  int64_t best_ms = MAX (node->busy_until_ms, now_ms);
+  VpNodeMsg message = { .kind = VP_NODEMSG_ASK, .serial = ask->serial };
+  GVariantBuilder ids;
+  GHashTableIter iter;
+  gpointer value;
+
+  g_hash_table_iter_init (&iter, node->members);
+  while (g_hash_table_iter_next (&iter, NULL, &value)) {
+    VpNodeMember *member = value;
+    int64_t free_ms = MAX (member->busy_until_ms, now_ms);
+    if (now_ms - member->heard_ms < VP_NODE_HEARD_MS && free_ms < best_ms) {
+      best = member;
+      best_ms = free_ms;
+    }
+  }
+  if (best == NULL) {
+    node->busy_until_ms = best_ms + ask->expected_ms;
+    _vp_node_call_advice (node, ask, node->name, effects);
+    return;
+  }
+  best->busy_until_ms = best_ms + ask->expected_ms;
+  g_variant_builder_init (&ids, G_VARIANT_TYPE ("as"));
+  for (guint i = 0; i < ask->workers->len; i++)
+    g_variant_builder_add (&ids, "s", (const char *)ask->workers->pdata[i]);
+  message.body = g_variant_new (VP_NODE_ASK_TYPE, ask->step.job, ask->step.occurrence,
+                                ask->step.step, ask->expected_ms, &ids);
+  _vp_node_send (node, best->name, &message, effects);
+}
+
+static void
+_vp_node_take_ask (VpNode *node, const VpNodeMsg *message, VpNodeEffects *effects)
+{
+  VpAdviceAsk ask = { .serial = message->serial };
+  g_autoptr (GVariantIter) ids = NULL;
+  const char *id;
+
+  if (message->body == NULL
+      || !g_variant_is_of_type (message->body, G_VARIANT_TYPE (VP_NODE_ASK_TYPE)))
+    return;
+  g_variant_get (message->body, VP_NODE_ASK_TYPE, &ask.step.job, &ask.step.occurrence,
+                 &ask.step.step, &ask.expected_ms, &ids);
+  ask.workers = g_ptr_array_new_with_free_func (g_free);
+  while (g_variant_iter_next (ids, "&s", &id))
+    g_ptr_array_add (ask.workers, g_strdup (id));
+  _vp_node_call_advice (node, &ask, message->from, effects);
+  g_ptr_array_unref (ask.workers);
+}
+
+static void
+_vp_node_send_advice (VpNode *node,
+                      const char *to,
+                      uint64_t serial,
+                      const GArray *rows,
+                      int64_t now_ms,
+                      VpNodeEffects *effects)
+{
+  VpNodeMsg message = { .kind = VP_NODEMSG_ADVICE, .serial = serial };
+  GVariantBuilder builder;
+
+  if (rows != NULL) {
+    g_variant_builder_init (&builder, G_VARIANT_TYPE (VP_NODE_ROWS_TYPE));
+    for (guint i = 0; i < rows->len; i++) {
+      const VpAdviceRow *row = &g_array_index (rows, VpAdviceRow, i);
+      g_variant_builder_add (&builder, "(ssx)", row->worker, row->ticket,
+                             row->valid_until_ms - now_ms);
+    }
+    message.body = g_variant_builder_end (&builder);
+  }
+  _vp_node_send (node, to, &message, effects);
+}
+
+static void
+_vp_node_take_rows (VpNode *node, const VpNodeMsg *message, int64_t now_ms)
+{
+  g_autoptr (GArray) rows = NULL;
+  GVariantIter iter;
+  const char *worker, *ticket;
+  int64_t left_ms;
+
+  if (node->cell == NULL)
+    return;
+  if (message->body != NULL
+      && g_variant_is_of_type (message->body, G_VARIANT_TYPE (VP_NODE_ROWS_TYPE))) {
+    rows = g_array_new (FALSE, FALSE, sizeof (VpAdviceRow));
+    g_variant_iter_init (&iter, message->body);
+    while (g_variant_iter_next (&iter, "(&s&sx)", &worker, &ticket, &left_ms)) {
+      VpAdviceRow row = { .valid_until_ms = now_ms + left_ms };
+      g_strlcpy (row.worker, worker, sizeof row.worker);
+      g_strlcpy (row.ticket, ticket, sizeof row.ticket);
+      g_array_append_val (rows, row);
+    }
+  }
+  vp_cell_advice (node->cell, message->serial, rows, now_ms);
+}
+
+/* Leading. */
+
+static void
+_vp_node_begin_term (VpNode *node, int64_t now_ms, VpNodeEffects *effects)
+{
+  VpCellDesc desc = { .fence = node->lead.term,
+                      .hold_max_ms = node->desc.hold_max_ms,
+                      .gone_ms = node->desc.gone_ms,
+                      .far_factor = node->desc.far_factor,
+                      .is_clean = node->lead.is_after_clean };
+
+  node->cell = vp_cell_setup (&desc, now_ms);
+  node->keeper = vp_keeper_setup (&(VpKeeperDesc){ .lead = &node->lead,
+                                                   .cell = node->cell,
+                                                   .retention_ms = node->desc.retention_ms },
+                                  now_ms);
+  node->broker = vp_broker_setup (node->cell, node->keeper);
+  if (node->conf != NULL)
+    vp_cell_set_conf (node->cell, node->conf);
+  node->load_serial = node->lead.term;
+  node->load_next_ms = node->led_ms = now_ms;
+  node->is_load_out = false;
+  node->ping_next_ms = now_ms;
+  vp_node_effects_add (effects, VP_NODE_WATCH_WORKERS)->is_on = true;
+  vp_log (now_ms, "lead", "term=%" G_GUINT64_FORMAT " revision=%" G_GUINT64_FORMAT " clean=%d",
+          node->lead.term, node->lead.record_revision, node->lead.is_after_clean);
+  vp_counters_add (VP_COUNT_OWNER_ACQUIRED, 1);
+  vp_counters_set (VP_GAUGE_OWNER_EPOCH, (int64_t)node->lead.term);
+}
+
+static void
+_vp_node_end_term (VpNode *node, const char *why, int64_t now_ms, VpNodeEffects *effects)
+{
+  if (node->cell == NULL)
+    return;
+  vp_log (now_ms, "follow", "why=%s term=%" G_GUINT64_FORMAT " leader=%s", why, node->lead.term,
+          node->lead.leader[0] == '\0' ? "-" : node->lead.leader);
+  _vp_node_drop_cell (node);
+  vp_node_effects_add (effects, VP_NODE_WATCH_WORKERS)->is_on = false;
+  vp_counters_add (VP_COUNT_OWNER_LAPSED, 1);
+  vp_counters_set (VP_GAUGE_OWNER_EPOCH, 0);
+}
+
+static void
+_vp_node_step_down (VpNode *node, const char *why, int64_t now_ms, VpNodeEffects *effects)
+{
+  vp_lead_step_down (&node->lead, now_ms);
+  _vp_node_end_term (node, why, now_ms, effects);
+}
+
+static void
+_vp_node_take_loaded (VpNode *node, const VpStoreLoaded *loaded, int64_t now_ms)
+{
+  uint32_t bad_count;
+
+  if (node->cell == NULL || node->load_serial == 0 || loaded->serial != node->load_serial)
+    return;
+  node->is_load_out = false;
+  node->load_next_ms = now_ms + VP_NODE_LOAD_RETRY_MS;
+  if (!loaded->is_ok)
+    return;
+  bad_count = vp_keeper_load (node->keeper, loaded, now_ms);
+  node->load_serial = 0;
+  vp_log (now_ms, "loaded", "jobs=%u ended=%u unreadable=%u took_ms=%" G_GINT64_FORMAT,
+          loaded->jobs->len, loaded->ended->len, bad_count, now_ms - node->led_ms);
+}
+
+static void
+_vp_node_take_workers (VpNode *node, const GArray *entries, int64_t now_ms)
+{
+  g_autoptr (GHashTable) listed = g_hash_table_new (g_str_hash, g_str_equal);
+  const VpRoster *roster;
+
+  if (node->cell == NULL)
+    return;
+  for (guint i = 0; i < entries->len; i++) {
+    const VpWorkerEntry *entry = &g_array_index (entries, VpWorkerEntry, i);
+    g_hash_table_add (listed, (gpointer)entry->id);
+    vp_cell_worker (node->cell, entry, now_ms);
+  }
+  roster = vp_cell_roster (node->cell);
+  for (guint i = 0; i < roster->workers->len; i++) {
+    const VpRosterWorker *worker = roster->workers->pdata[i];
+    if (!g_hash_table_contains (listed, worker->entry.id))
+      vp_cell_worker_gone (node->cell, worker->entry.id, now_ms);
+  }
+  vp_cell_list_complete (node->cell);
+}
+
+static void
+_vp_node_request (VpNode *node, const VpNodeMsg *message, int64_t now_ms)
+{
+  VpBrokerAnswer answer = { .message = { .kind = VP_NODEMSG_ANSWER,
+                                         .serial = message->serial,
+                                         .answer = VP_ANSWER_NOT_LEADER } };
+
+  if (vp_node_is_leading (node)) {
+    vp_broker_request (node->broker, message, now_ms, node->answers);
+    return;
+  }
+  g_strlcpy (answer.to, message->from, sizeof answer.to);
+  g_array_append_val (node->answers, answer);
+}
+
+static void
+_vp_node_deliver_answers (VpNode *node, int64_t now_ms, VpNodeEffects *effects)
+{
+  for (guint i = 0; i < node->answers->len; i++) {
+    VpBrokerAnswer *answer = &g_array_index (node->answers, VpBrokerAnswer, i);
+    if (strcmp (answer->to, node->name) == 0)
+      vp_front_answer (node->front, &answer->message, now_ms, effects);
+    else
+      _vp_node_send (node, answer->to, &answer->message, effects);
+  }
+  g_array_set_size (node->answers, 0);
+}
+
+static void
+_vp_node_take_written (VpNode *node,
+                       const VpStoreWritten *written,
+                       int64_t now_ms,
+                       VpNodeEffects *effects)
+{
+  g_autoptr (GArray) kept = g_array_new (FALSE, FALSE, sizeof (uint64_t));
+
+  /* Claims have the serial 0, commits count from 1. */
+  if (written->serial == 0) {
+    vp_lead_claimed (&node->lead, written->outcome == VP_WRITE_OK, written->revision, now_ms);
+    return;
+  }
+  if (node->keeper == NULL)
+    return;
+  if (!vp_keeper_written (node->keeper, written, kept, now_ms)) {
+    _vp_node_step_down (node, "record-claimed", now_ms, effects);
+    return;
+  }
+  vp_broker_kept (node->broker, kept, now_ms, node->answers);
+}
+
+static void
+_vp_node_take_record (VpNode *node, const VpRecordRead *read, int64_t now_ms)
+{
+  g_autoptr (GVariant) value = vp_node_parse (read->record, VP_LEAD_RECORD_TYPE);
+  VpLeadRecord record;
+  bool has_record = value != NULL && vp_lead_record_decode (value, &record);
+
+  vp_lead_read (&node->lead, read->is_ok, read->revision, has_record ? &record : NULL, now_ms);
+}
+
+static void
+_vp_node_stop (VpNode *node, int64_t now_ms)
+{
+  if (node->is_stopping)
+    return;
+  node->is_stopping = true;
+  node->stop_ms = now_ms;
+  vp_log (now_ms, "stop", "open=%u leading=%d", vp_front_open_count (node->front),
+          vp_node_is_leading (node));
+  if (node->cell == NULL)
+    return;
+  vp_cell_pause (node->cell);
+  vp_broker_pause (node->broker);
+  vp_keeper_finish (node->keeper);
+}
+
+static void
+_vp_node_take_message (VpNode *node, VpNodeMsg *message, int64_t now_ms, VpNodeEffects *effects)
+{
+  switch (message->kind) {
+  case VP_NODEMSG_PING:
+    _vp_node_take_ping (node, message, now_ms, effects);
+    break;
+  case VP_NODEMSG_SUBMIT:
+  case VP_NODEMSG_QUERY:
+  case VP_NODEMSG_CANCEL:
+  case VP_NODEMSG_PENDING:
+    _vp_node_request (node, message, now_ms);
+    break;
+  case VP_NODEMSG_ANSWER:
+    vp_front_answer (node->front, message, now_ms, effects);
+    break;
+  case VP_NODEMSG_ASK:
+    _vp_node_take_ask (node, message, effects);
+    break;
+  case VP_NODEMSG_ADVICE:
+    _vp_node_take_rows (node, message, now_ms);
+    break;
+  case VP_NODEMSG_CONF_ASK:
+    _vp_node_send_conf (node, message->from, effects);
+    break;
+  case VP_NODEMSG_CONF:
+    _vp_node_decode_conf (node, message, effects);
+    break;
+  case VP_NODEMSG_HANDOVER:
+    if (!node->is_stopping)
+      vp_lead_invite (&node->lead, message->term, now_ms);
+    break;
+  default:
+    break;
+  }
+}
+
+static void
+_vp_node_take_advice (VpNode *node,
+                      const VpNodeEvent *event,
+                      int64_t now_ms,
+                      VpNodeEffects *effects)
+{
+  if (strcmp (event->advice.asker, node->name) != 0)
+    _vp_node_send_advice (node, event->advice.asker, event->advice.serial, event->advice.rows,
+                          now_ms, effects);
+  else if (node->cell != NULL)
+    vp_cell_advice (node->cell, event->advice.serial, event->advice.rows, now_ms);
+}
+
+void
+vp_node_apply (VpNode *node, VpNodeEvent *event, int64_t now_ms, VpNodeEffects *effects)
+{
+  switch (event->kind) {
+  case VP_NODE_TICK:
+    break;
+  case VP_NODE_CALL:
+    vp_front_call (node->front, &event->call, node->conf, now_ms, effects);
+    break;
+  case VP_NODE_CALL_GONE:
+    vp_front_gone (node->front, event->handle);
+    break;
+  case VP_NODE_MESSAGE:
+    _vp_node_take_message (node, &event->message, now_ms, effects);
+    break;
+  case VP_NODE_WRITTEN:
+    _vp_node_take_written (node, &event->written, now_ms, effects);
+    break;
+  case VP_NODE_RECORD:
+    _vp_node_take_record (node, &event->record, now_ms);
+    break;
+  case VP_NODE_LOADED:
+    _vp_node_take_loaded (node, &event->loaded, now_ms);
+    break;
+  case VP_NODE_ORDER_RESULT:
+    if (node->cell != NULL)
+      vp_cell_order_result (node->cell, &event->order, now_ms);
+    break;
+  case VP_NODE_ADVICE:
+    _vp_node_take_advice (node, event, now_ms, effects);
+    break;
+  case VP_NODE_CONF:
+    _vp_node_take_conf (node, event->conf.conf, event->conf.text, now_ms);
+    break;
+  case VP_NODE_MEMBER:
+    _vp_node_take_member (node, event->member.name, event->member.address, now_ms, effects);
+    break;
+  case VP_NODE_WORKERS:
+    _vp_node_take_workers (node, event->workers, now_ms);
+    break;
+  case VP_NODE_WORKER:
+    if (node->cell != NULL)
+      vp_cell_worker (node->cell, &event->worker, now_ms);
+    break;
+  case VP_NODE_WORKER_GONE:
+    if (node->cell != NULL)
+      vp_cell_worker_gone (node->cell, event->worker_id, now_ms);
+    break;
+  case VP_NODE_STOP:
+    _vp_node_stop (node, now_ms);
+    break;
+  }
+}
+
+/* Steps. */
+
+static void
+_vp_node_claim (VpNode *node, int64_t now_ms, VpNodeEffects *effects)
+{
+  VpStoreWrite *write = &vp_node_effects_add (effects, VP_NODE_WRITE)->write;
+
+  vp_log (now_ms, "claim",
+          "term=%" G_GUINT64_FORMAT " revision=%" G_GUINT64_FORMAT
+          " before=%s silent_ms=%" G_GINT64_FORMAT " store_age_ms=%" G_GINT64_FORMAT
+          " still_ms=%" G_GINT64_FORMAT,
+          node->lead.claim.term, node->lead.record_revision,
+          node->lead.record.leader[0] == '\0' ? "-" : node->lead.record.leader,
+          now_ms - node->lead.heard_ms, node->lead.store_age_ms,
+          now_ms - node->lead.still_since_ms);
+  write->record_revision = node->lead.record_revision;
+  write->keys = g_ptr_array_new_with_free_func (g_free);
+  write->values = g_ptr_array_new_with_free_func ((GDestroyNotify)g_bytes_unref);
+  write->removed = g_ptr_array_new_with_free_func (g_free);
+  g_ptr_array_add (write->keys, g_strdup ("lead"));
+  g_ptr_array_add (write->values, vp_node_serialise (vp_lead_record_encode (&node->lead.claim)));
+}
+
+static void
+_vp_node_step_lead (VpNode *node, int64_t now_ms, VpNodeEffects *effects)
+{
+  VpLeadView view;
+
+  if (node->lead.state != VP_LEAD_LEADING)
+    _vp_node_end_term (node, "other-leader", now_ms, effects);
+  /* A stopping process does not take the place. */
+  if (!node->is_stopping && node->lead.state == VP_LEAD_FOLLOWING) {
+    _vp_node_view (node, now_ms, &view);
+    switch (vp_lead_tick (&node->lead, &view, now_ms)) {
+    case VP_LEAD_READ:
+      vp_node_effects_add (effects, VP_NODE_READ_RECORD);
+      break;
+    case VP_LEAD_CLAIM:
+      _vp_node_claim (node, now_ms, effects);
+      break;
+    case VP_LEAD_NOTHING:
+      break;
+    }
+  }
+  if (node->lead.state == VP_LEAD_LEADING && node->cell == NULL)
+    _vp_node_begin_term (node, now_ms, effects);
+}
+
+static void
+_vp_node_pass_cell_effects (VpNode *node,
+                            GArray *cell_effects,
+                            int64_t now_ms,
+                            VpNodeEffects *effects)
+{
+  for (guint i = 0; i < cell_effects->len; i++) {
+    VpCellEffect *effect = &g_array_index (cell_effects, VpCellEffect, i);
+    if (effect->kind == VP_CELL_ORDER) {
+      vp_node_effects_add (effects, VP_NODE_ORDER)->order = effect->order;
+      continue;
+    }
+    _vp_node_pass_ask (node, &effect->ask, now_ms, effects);
+    vp_cell_effect_clear (effect);
+  }
+}
+
+static void
+_vp_node_hand_over (VpNode *node, int64_t now_ms, VpNodeEffects *effects)
+{
+  VpNodeMsg message = { .kind = VP_NODEMSG_HANDOVER, .term = node->lead.term };
+  const VpNodeMember *best = NULL;
+  GHashTableIter iter;
+  gpointer value;
+
+  if (!vp_keeper_is_finished (node->keeper) && now_ms - node->stop_ms < VP_NODE_HANDOVER_MS)
+    return;
+  g_hash_table_iter_init (&iter, node->members);
+  while (g_hash_table_iter_next (&iter, NULL, &value)) {
+    const VpNodeMember *member = value;
+    if (member->is_listed && (best == NULL || member->heard_ms > best->heard_ms))
+      best = member;
+  }
+  vp_log (now_ms, "hand-over", "to=%s clean=%d", best == NULL ? "-" : best->name,
+          vp_keeper_is_finished (node->keeper));
+  if (best != NULL)
+    _vp_node_send (node, best->name, &message, effects);
+  _vp_node_step_down (node, "stopping", now_ms, effects);
+}
+
+static void
+_vp_node_step_cell (VpNode *node, int64_t now_ms, VpNodeEffects *effects)
+{
+  g_autoptr (GArray) cell_effects = NULL;
+
+  if (node->cell == NULL)
+    return;
+  if (node->load_serial != 0) {
+    if (!node->is_load_out && now_ms >= node->load_next_ms) {
+      node->is_load_out = true;
+      vp_node_effects_add (effects, VP_NODE_LOAD)->serial = node->load_serial;
+    }
+    return;
+  }
+  cell_effects = g_array_new (FALSE, FALSE, sizeof (VpCellEffect));
+  if (!node->is_stopping)
+    vp_cell_decide (node->cell, now_ms, cell_effects);
+  _vp_node_pass_cell_effects (node, cell_effects, now_ms, effects);
+  vp_broker_tick (node->broker, now_ms, node->answers);
+  vp_keeper_decide (node->keeper, now_ms, effects);
+  if (node->is_stopping)
+    _vp_node_hand_over (node, now_ms, effects);
+}
+
+static void
+_vp_node_step_front (VpNode *node, int64_t now_ms, VpNodeEffects *effects)
+{
+  g_autoptr (GArray) requests = g_array_new (FALSE, FALSE, sizeof (VpNodeMsg));
+  bool is_known = vp_lead_is_known (&node->lead, now_ms);
+
+  vp_front_tick (node->front, is_known ? node->lead.leader : NULL, node->lead.term, now_ms,
+                 requests, effects);
+  for (guint i = 0; i < requests->len; i++) {
+    VpNodeMsg *request = &g_array_index (requests, VpNodeMsg, i);
+    if (strcmp (node->lead.leader, node->name) != 0) {
+      _vp_node_send (node, node->lead.leader, request, effects);
+      continue;
+    }
+    if (request->body != NULL)
+      g_variant_ref_sink (request->body);
+    _vp_node_request (node, request, now_ms);
+    vp_nodemsg_clear (request);
+  }
+}
+
+static void
+_vp_node_step_ready (VpNode *node, int64_t now_ms, VpNodeEffects *effects)
+{
+  bool is_ready
+      = node->conf != NULL && !node->is_stopping && vp_lead_is_known (&node->lead, now_ms);
+
+  if (is_ready == node->is_ready)
+    return;
+  node->is_ready = is_ready;
+  vp_log (now_ms, "ready", "is_ready=%d conf=%d leader=%s stopping=%d", is_ready,
+          node->conf != NULL, node->lead.leader[0] == '\0' ? "-" : node->lead.leader,
+          node->is_stopping);
+  vp_node_effects_add (effects, VP_NODE_READY)->is_on = is_ready;
+}
+
+static int64_t
+_vp_node_exit_ms (const VpNode *node)
+{
+  return node->stop_ms
+         + MAX (VP_NODE_STOP_MIN_MS, (int64_t)((double)node->desc.grace_ms * VP_NODE_STOP_SHARE));
+}
+
+void
+vp_node_step (VpNode *node, int64_t now_ms, VpNodeEffects *effects)
+{
+  _vp_node_step_lead (node, now_ms, effects);
+  _vp_node_step_front (node, now_ms, effects);
+  _vp_node_step_cell (node, now_ms, effects);
+  _vp_node_deliver_answers (node, now_ms, effects);
+  _vp_node_ping (node, now_ms, effects);
+  _vp_node_step_ready (node, now_ms, effects);
+  if (node->is_stopping && !node->is_exiting && node->cell == NULL
+      && now_ms >= _vp_node_exit_ms (node)) {
+    node->is_exiting = true;
+    vp_log (now_ms, "exit", "open=%u", vp_front_open_count (node->front));
+    vp_node_effects_add (effects, VP_NODE_EXIT);
+  }
+}
+
+int64_t
+vp_node_next_ms (const VpNode *node, int64_t now_ms)
+{
+  int64_t next_ms = MIN (node->ping_next_ms, vp_front_next_ms (node->front));
+
+  next_ms = MIN (next_ms, vp_lead_next_ms (&node->lead, now_ms));
+  if (node->is_stopping)
+    next_ms = MIN (next_ms, _vp_node_exit_ms (node));
+  if (node->cell == NULL)
+    return next_ms;
+  if (node->load_serial != 0)
+    return node->is_load_out ? next_ms : MIN (next_ms, node->load_next_ms);
+  next_ms = MIN (next_ms, vp_keeper_next_ms (node->keeper, now_ms));
+  return node->is_stopping ? next_ms : MIN (next_ms, vp_cell_next_ms (node->cell, now_ms));
+}
--- /dev/null
+++ b/src/vp-nodemsg.c
@@ -0,0 +1,75 @@
+#include "vp-nodemsg.h"
+
+#include <string.h>
+
+#define VP_NODEMSG_TYPE    "(yysttbbxttsuuuumv)"
+#define VP_NODEMSG_VERSION 1
+/* A configuration of some hundred queues or a job of 64 steps is below this. */
+#define VP_NODEMSG_BYTES_MAX (4U * 1024 * 1024)
+
+GBytes *
+vp_nodemsg_encode (const VpNodeMsg *message)
+{
+  GVariant *body = message->body == NULL ? NULL : g_variant_new_variant (message->body);
+  GVariant *value = g_variant_new (
+      "(yysttbbxttsuuuu@mv)", (guchar)VP_NODEMSG_VERSION, (guchar)message->kind, message->from,
+      message->serial, message->term, (gboolean)message->is_leader, (gboolean)message->hears_leader,
+      message->store_age_ms, message->conf_version, message->job, message->queue,
+      (guint32)message->answer, message->state, message->count, message->retry_after_ms,
+      g_variant_new_maybe (G_VARIANT_TYPE_VARIANT, body));
+  GBytes *wire;
+
+  g_variant_ref_sink (value);
+  wire = g_variant_get_data_as_bytes (value);
+  g_variant_unref (value);
+  return wire;
+}
+
+bool
+vp_nodemsg_decode (GBytes *wire, VpNodeMsg *out)
+{
+  g_autoptr (GVariant) value = NULL;
+  g_autoptr (GVariant) maybe = NULL;
+  g_autoptr (GVariant) boxed = NULL;
+  guchar version, kind;
+  guint32 answer;
+  const char *from, *queue;
+  gboolean is_leader, hears_leader;
+
+  memset (out, 0, sizeof *out);
+  if (g_bytes_get_size (wire) > VP_NODEMSG_BYTES_MAX)
+    return false;
+  value = g_variant_ref_sink (
+      g_variant_new_from_bytes (G_VARIANT_TYPE (VP_NODEMSG_TYPE), wire, FALSE));
+  if (!g_variant_is_normal_form (value))
+    return false;
+  g_variant_get (value, "(yy&sttbbxtt&suuuu@mv)", &version, &kind, &from, &out->serial, &out->term,
+                 &is_leader, &hears_leader, &out->store_age_ms, &out->conf_version, &out->job,
+                 &queue, &answer, &out->state, &out->count, &out->retry_after_ms, &maybe);
+  if (version != VP_NODEMSG_VERSION || kind >= VP_NODEMSG_KIND_COUNT || answer >= VP_ANSWER_COUNT_OF
+      || !vp_name_copy (out->from, sizeof out->from, from)
+      || !vp_name_copy (out->queue, sizeof out->queue, queue))
+    return false;
+  out->kind = (VpNodeMsgKind)kind;
+  out->answer = (VpAnswerKind)answer;
+  out->is_leader = is_leader;
+  out->hears_leader = hears_leader;
+  boxed = g_variant_get_maybe (maybe);
+  out->body = boxed == NULL ? NULL : g_variant_get_variant (boxed);
+  return true;
+}
+
+void
+vp_nodemsg_clear (VpNodeMsg *message)
+{
+  g_clear_pointer (&message->body, g_variant_unref);
+}
+
+const char *
+vp_nodemsg_kind_token (VpNodeMsgKind kind)
+{
+  static const char *const tokens[] = { "ping", "submit", "query",    "cancel", "pending", "answer",
+                                        "ask",  "advice", "conf-ask", "conf",   "handover" };
+
+  return tokens[kind];
+}
--- /dev/null
+++ b/src/vp-order.c
@@ -0,0 +1,67 @@
+#include "vp-order.h"
+#include "vp-jobspec.h"
+
+#include <string.h>
+
+void
+vp_task_name_format (const VpTaskName *name, char out[VP_TASK_NAME_MAX])
+{
+  g_snprintf (out, VP_TASK_NAME_MAX, "%016" G_GINT64_MODIFIER "x.%u.%u.%u", name->job,
+              name->occurrence, name->step, name->index);
+}
+
+/* Reads ".NUMBER" at *@text and moves past it. */
+static bool
+_vp_task_name_number (const char **text, uint32_t *out)
+{
+  char *end;
+  guint64 value;
+
+  if ((*text)[0] != '.' || !g_ascii_isdigit ((*text)[1]))
+    return false;
+  value = g_ascii_strtoull (*text + 1, &end, 10);
+  *text = end;
+  *out = (uint32_t)value;
+  return value <= UINT32_MAX;
+}
+
+bool
+vp_task_name_parse (const char *text, VpTaskName *out)
+{
+  char id[17];
+  const char *rest = text + 16;
+
+  if (strlen (text) < 16 || strlen (text) >= VP_TASK_NAME_MAX)
+    return false;
+  memcpy (id, text, 16);
+  id[16] = '\0';
+  return vp_job_id_parse (id, &out->job) && _vp_task_name_number (&rest, &out->occurrence)
+         && _vp_task_name_number (&rest, &out->step) && _vp_task_name_number (&rest, &out->index)
+         && *rest == '\0';
+}
+
+void
+vp_order_result_clear (VpOrderResult *result)
+{
+  g_clear_pointer (&result->running, g_array_unref);
+  g_clear_pointer (&result->ended, g_array_unref);
+}
+
+const char *
+vp_order_outcome_token (VpOrderOutcome outcome)
+{
+  static const char *const tokens[]
+      = { "ok",         "fenced",  "superseded", "late",        "no-room",  "bad-ticket",
+          "other-life", "refused", "invalid",    "unreachable", "uncertain" };
+
+  return tokens[outcome];
+}
+
+const char *
+vp_run_end_token (VpRunEnd end)
+{
+  static const char *const tokens[]
+      = { "done", "failed", "stopped", "lapsed", "broken", "alone", "other" };
+
+  return tokens[end];
+}
--- a/src/vp-peer.c
+++ b/src/vp-peer.c
@@ -101,7 +101,7 @@
 
 /* Sends without waiting; drops the message if the peer is not connected or its queue is full. */
 static void
-_vp_peer_send_wire (VpPeer *peer, VpPeerJob *job)
+_vp_peer_send_job (VpPeer *peer, VpPeerJob *job)
 {
   VpPeerLink *link = g_hash_table_lookup (peer->links, job->name);
   zmq_msg_t message;
@@ -154,7 +154,7 @@
     if (job->wire == NULL)
       _vp_peer_connect_job (peer, job);
     else
-      _vp_peer_send_wire (peer, job);
+      _vp_peer_send_job (peer, job);
     _vp_peer_job_free (job);
   }
   return !is_stopping;
@@ -181,7 +181,10 @@
     more = zmq_msg_more (&frame);
     zmq_msg_close (&frame);
   } while (more);
-  if (frame_count == 2 && wire != NULL && vp_msg_decode (wire, &event.peer)) {
+  if (frame_count == 2 && wire != NULL && peer->desc.take_wire != NULL) {
+    vp_counters_add (VP_COUNT_PEER_RECEIVED, 1);
+    peer->desc.take_wire (wire, peer->desc.data);
+  } else if (frame_count == 2 && wire != NULL && vp_msg_decode (wire, &event.peer)) {
     vp_counters_add (VP_COUNT_PEER_RECEIVED, 1);
     peer->desc.post (&event, peer->desc.data);
   } else {
@@ -293,16 +296,25 @@
 }
 
 void
-vp_peer_send (VpPeer *peer, const char *name, const VpPeerMessage *message)
+vp_peer_send_wire (VpPeer *peer, const char *name, GBytes *wire)
 {
   VpPeerJob *job = g_new0 (VpPeerJob, 1);
+
+  g_strlcpy (job->name, name, sizeof job->name);
+  job->wire = g_bytes_ref (wire);
+  _vp_peer_push (peer, job);
+}
+
+void
+vp_peer_send (VpPeer *peer, const char *name, const VpPeerMessage *message)
+{
   VpPeerMessage signed_message = *message;
+  g_autoptr (GBytes) wire = NULL;
 
   if (signed_message.from[0] == '\0')
     g_strlcpy (signed_message.from, peer->member, sizeof signed_message.from);
-  g_strlcpy (job->name, name, sizeof job->name);
-  job->wire = vp_msg_encode (&signed_message);
-  _vp_peer_push (peer, job);
+  wire = vp_msg_encode (&signed_message);
+  vp_peer_send_wire (peer, name, wire);
 }
 
 uint16_t
--- /dev/null
+++ b/src/vp-place.c
@@ -0,0 +1,291 @@
+#include "vp-place.h"
+
+#include <string.h>
+
+/* A ticket must be good on arrival at the worker: a few hops and a wait for the connection. */
+#define VP_PLACE_TICKET_MARGIN_MS 100
+/* A task whose data lies on one rack goes elsewhere after waiting for this part of its estimate. */
+#define VP_PLACE_FAR_WAIT_SHARE 0.5
+/* A step that keeps to one rack gives up its choice while nothing of it runs there for this long.
+ */
+#define VP_PLACE_RACK_WAIT_MS 2000
+/* Tasks that use what is left take a crowded worker after waiting this long. */
+#define VP_PLACE_FILL_WAIT_MS 2000
+/* Most workers that one advice call may name (platform). */
+#define VP_PLACE_ASK_MAX 100
+/* Fewest worth a call, as each call has a fixed cost. */
+#define VP_PLACE_ASK_MIN 8
+/* Asked about beyond the expected need. */
+#define VP_PLACE_ASK_FACTOR 1.5
+
+const char *
+vp_place_ticket (const VpJobStep *step, const VpRosterWorker *worker, int64_t now_ms)
+{
+  const VpAdviceRow *row
+      = step->advice == NULL ? NULL : g_hash_table_lookup (step->advice, worker->entry.id);
+
+  if (row == NULL || row->ticket[0] == '\0' || row->born_ms != worker->born_ms
+      || now_ms + VP_PLACE_TICKET_MARGIN_MS > row->valid_until_ms)
+    return NULL;
+  return row->ticket;
+}
+
+/* True if the advice service has ruled the worker out. */
+static bool
+_vp_place_is_ruled_out (const VpJobStep *step, const VpRosterWorker *worker)
+{
+  const VpAdviceRow *row
+      = step->advice == NULL ? NULL : g_hash_table_lookup (step->advice, worker->entry.id);
+
+  return row != NULL && row->ticket[0] == '\0' && row->born_ms == worker->born_ms;
+}
+
+static uint32_t
+_vp_place_count_here (const VpJobStep *step, const VpRosterWorker *worker)
+{
+  uint32_t count = 0;
+
+  for (uint32_t i = 0; i < step->spec->task_count; i++)
+    count += step->tasks[i].worker == worker ? 1 : 0;
+  return count;
+}
+
+/* Whether the worker may run tasks of the step at all, room and advice aside. */
+static bool
+_vp_place_is_eligible (const VpJobStep *step,
+                       const VpQueueConf *queue,
+                       const VpRosterWorker *worker,
+                       int64_t now_ms)
+{
+  const VpStepSpec *spec = step->spec;
+
+  if (!vp_roster_is_usable (worker, now_ms) || strcmp (worker->entry.service, queue->service) != 0)
+    return false;
+  if (spec->label[0] != '\0' && strcmp (spec->label, worker->entry.kind) != 0
+      && strcmp (spec->label, worker->entry.rack) != 0)
+    return false;
+  return !spec->is_one_rack || step->rack < 0 || (uint32_t)step->rack == worker->rack_index;
+}
+
+static VpSize
+_vp_place_room (const VpJobStep *step)
+{
+  return vp_jobtask_room (&step->tasks[0]);
+}
+
+static bool
+_vp_place_is_far (const VpStepSpec *spec, const VpRosterWorker *worker)
+{
+  return spec->rack[0] != '\0' && strcmp (spec->rack, worker->entry.rack) != 0;
+}
+
+/* Lower is better. */
+static double
+_vp_place_score (const VpJobStep *step, const VpRosterWorker *worker, const VpSize *free)
+{
+  const VpStepSpec *spec = step->spec;
+  VpSize left = *free;
+  VpSize room = _vp_place_room (step);
+  double score = 0;
+
+  if (spec->is_filling) {
+    int64_t spare = free->cpu_milli - worker->filling_cpu_milli;
+    return (double)worker->serving_count
+           - (double)spare / (double)MAX (worker->entry.capacity.cpu_milli, 1);
+  }
+  if (spec->tail_target_ms > 0)
+    score += worker->filling_count;
+  if (_vp_place_is_far (spec, worker))
+    score += 100;
+  vp_size_sub (&left, &room);
+  /* Best fit: keeps large gaps for large tasks. Accelerators stay free for those that need them. */
+  score += vp_size_dominant (&left, &worker->entry.capacity);
+  if (spec->size.accel_count == 0 && free->accel_count > 0)
+    score += 1;
+  return score;
+}
+
+static bool
+_vp_place_may_wait (const VpJobStep *step,
+                    const VpRosterWorker *worker,
+                    const VpSize *free,
+                    int64_t now_ms)
+{
+  const VpStepSpec *spec = step->spec;
+  int64_t waited_ms = now_ms - step->opened_ms;
+
+  if (_vp_place_is_far (spec, worker)
+      && waited_ms < (int64_t)((double)spec->estimate_ms * VP_PLACE_FAR_WAIT_SHARE))
+    return true;
+  return spec->is_filling && waited_ms < VP_PLACE_FILL_WAIT_MS
+         && free->cpu_milli - worker->filling_cpu_milli < spec->size.cpu_milli / 2;
+}
+
+/* Room that is left on the worker with @taken on top of what is committed. */
+static bool
+_vp_place_fits (const VpJobStep *step,
+                const VpQueueConf *queue,
+                const VpRosterWorker *worker,
+                const VpSize *taken,
+                uint32_t taken_count,
+                int64_t now_ms,
+                VpSize *free)
+{
+  VpSize room = _vp_place_room (step);
+
+  *free = vp_roster_free (worker);
+  if (taken != NULL)
+    vp_size_sub (free, taken);
+  if (!vp_size_fits (&room, free))
+    return false;
+  if (queue->has_advice && vp_place_ticket (step, worker, now_ms) == NULL)
+    return false;
+  return step->spec->spread_max == 0
+         || _vp_place_count_here (step, worker) + taken_count < step->spec->spread_max;
+}
+
+VpRosterWorker *
+vp_place_pick (const VpRoster *roster,
+               const VpJobStep *step,
+               const VpQueueConf *queue,
+               int64_t now_ms)
+{
+  VpRosterWorker *best = NULL;
+  double best_score = 0;
+
+  for (guint i = 0; i < roster->workers->len; i++) {
+    VpRosterWorker *worker = roster->workers->pdata[i];
+    VpSize free;
+    double score;
+    if (!_vp_place_is_eligible (step, queue, worker, now_ms)
+        || !_vp_place_fits (step, queue, worker, NULL, 0, now_ms, &free)
+        || _vp_place_may_wait (step, worker, &free, now_ms))
+      continue;
+    score = _vp_place_score (step, worker, &free);
+    if (best == NULL || score < best_score) {
+      best = worker;
+      best_score = score;
+    }
+  }
+  return best;
+}
+
+/* Places all tasks of the step within the rack, or anywhere if @rack is negative. */
+static bool
+_vp_place_gang_in (const VpRoster *roster,
+                   const VpJobStep *step,
+                   const VpQueueConf *queue,
+                   int32_t rack,
+                   int64_t now_ms,
+                   VpRosterWorker **out)
+{
+  VpSize room = _vp_place_room (step);
+  uint32_t placed = 0;
+
+  for (guint i = 0; i < roster->workers->len && placed < step->spec->task_count; i++) {
+    VpRosterWorker *worker = roster->workers->pdata[i];
+    VpSize taken = { 0 };
+    VpSize free;
+    uint32_t here = 0;
+    if ((rack >= 0 && worker->rack_index != (uint32_t)rack)
+        || !_vp_place_is_eligible (step, queue, worker, now_ms))
+      continue;
+    while (placed < step->spec->task_count
+           && _vp_place_fits (step, queue, worker, &taken, here, now_ms, &free)) {
+      out[placed++] = worker;
+      vp_size_add (&taken, &room);
+      here++;
+    }
+  }
+  return placed == step->spec->task_count;
+}
+
+bool
+vp_place_gang (const VpRoster *roster,
+               const VpJobStep *step,
+               const VpQueueConf *queue,
+               int64_t now_ms,
+               VpRosterWorker **out)
+{
+  guint rack_count = g_hash_table_size (roster->racks);
+
+  for (guint rack = 0; rack < rack_count; rack++) {
+    if (_vp_place_gang_in (roster, step, queue, (int32_t)rack, now_ms, out))
+      return true;
+  }
+  return (!step->spec->is_one_rack || now_ms - step->opened_ms > VP_PLACE_RACK_WAIT_MS)
+         && _vp_place_gang_in (roster, step, queue, -1, now_ms, out);
+}
+
+/* How many tasks of the step the worker has room for now. */
+static uint32_t
+_vp_place_capacity (const VpJobStep *step, const VpRosterWorker *worker)
+{
+  VpSize room = _vp_place_room (step);
+  VpSize free = vp_roster_free (worker);
+  int64_t count = step->spec->task_count;
+
+  if (room.cpu_milli > 0)
+    count = MIN (count, free.cpu_milli / room.cpu_milli);
+  if (room.mem_mib > 0)
+    count = MIN (count, free.mem_mib / room.mem_mib);
+  if (room.accel_count > 0)
+    count = MIN (count, free.accel_count / room.accel_count);
+  if (step->spec->spread_max > 0)
+    count = MIN (count, (int64_t)step->spec->spread_max - _vp_place_count_here (step, worker));
+  return (uint32_t)MAX (count, 0);
+}
+
+typedef struct {
+  VpRosterWorker *worker;
+  uint32_t capacity;
+  bool is_known; /* allowed earlier; only its ticket has expired */
+  bool is_far;
+} VpPlaceOption;
+
+static gint
+_vp_place_compare (gconstpointer a, gconstpointer b)
+{
+  const VpPlaceOption *one = a;
+  const VpPlaceOption *two = b;
+
+  if (one->is_known != two->is_known)
+    return one->is_known ? -1 : 1;
+  if (one->is_far != two->is_far)
+    return one->is_far ? 1 : -1;
+  return one->capacity == two->capacity ? 0 : one->capacity > two->capacity ? -1 : 1;
+}
+
+void
+vp_place_candidates (const VpRoster *roster,
+                     const VpJobStep *step,
+                     const VpQueueConf *queue,
+                     double good_share,
+                     int64_t now_ms,
+                     GPtrArray *out)
+{
+  g_autoptr (GArray) options = g_array_new (FALSE, FALSE, sizeof (VpPlaceOption));
+  double wanted = (double)step->waiting_count * VP_PLACE_ASK_FACTOR;
+
+  for (guint i = 0; i < roster->workers->len; i++) {
+    VpRosterWorker *worker = roster->workers->pdata[i];
+    VpPlaceOption option = { .worker = worker };
+    if (!_vp_place_is_eligible (step, queue, worker, now_ms)
+        || _vp_place_is_ruled_out (step, worker) || vp_place_ticket (step, worker, now_ms) != NULL)
+      continue;
+    option.capacity = _vp_place_capacity (step, worker);
+    option.is_known
+        = step->advice != NULL && g_hash_table_contains (step->advice, worker->entry.id);
+    option.is_far = _vp_place_is_far (step->spec, worker);
+    if (option.capacity > 0)
+      g_array_append_val (options, option);
+  }
+  g_array_sort (options, _vp_place_compare);
+  for (guint i = 0; i < options->len && i < VP_PLACE_ASK_MAX; i++) {
+    const VpPlaceOption *option = &g_array_index (options, VpPlaceOption, i);
+    if (wanted <= 0 && i >= VP_PLACE_ASK_MIN)
+      break;
+    g_ptr_array_add (out, option->worker);
+    wanted -= option->capacity * (option->is_known ? 1.0 : good_share);
+  }
+}
--- /dev/null
+++ b/src/vp-roster.c
@@ -0,0 +1,180 @@
+#include "vp-roster.h"
+
+/* Failures of this many different jobs without a success in between put a worker aside. */
+#define VP_ROSTER_SUSPECT_JOBS 3
+/* First time aside; doubles up to VP_ROSTER_SUSPECT_STEPS times. */
+#define VP_ROSTER_SUSPECT_MS    2000
+#define VP_ROSTER_SUSPECT_STEPS 3
+/* Longest time for which an earlier scheduler that has lost its place goes on renewing leases. */
+#define VP_ROSTER_PREDECESSOR_MS 2000
+
+static void
+_vp_roster_worker_free (gpointer data)
+{
+  VpRosterWorker *worker = data;
+
+  g_hash_table_unref (worker->tasks);
+  g_free (worker);
+}
+
+VpRoster *
+vp_roster_setup (int64_t hold_max_ms)
+{
+  VpRoster *roster = g_new0 (VpRoster, 1);
+
+  roster->by_id = g_hash_table_new (g_str_hash, g_str_equal);
+  roster->workers = g_ptr_array_new_with_free_func (_vp_roster_worker_free);
+  roster->racks = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
+  roster->hold_max_ms = hold_max_ms;
+  return roster;
+}
+
+void
+vp_roster_shutdown (VpRoster *roster)
+{
+  g_hash_table_unref (roster->by_id);
+  g_ptr_array_unref (roster->workers);
+  g_hash_table_unref (roster->racks);
+  g_free (roster);
+}
+
+static uint32_t
+_vp_roster_rack (VpRoster *roster, const VpWorkerEntry *entry)
+{
+  g_autofree char *name = g_strdup_printf ("%s/%s", entry->dc, entry->rack);
+  guint index = GPOINTER_TO_UINT (g_hash_table_lookup (roster->racks, name));
+
+  if (index == 0) {
+    index = g_hash_table_size (roster->racks) + 1;
+    g_hash_table_insert (roster->racks, g_steal_pointer (&name), GUINT_TO_POINTER (index));
+  }
+  return index - 1;
+}
+
+VpRosterWorker *
+vp_roster_put (VpRoster *roster, const VpWorkerEntry *entry, int64_t now_ms)
+{
+  VpRosterWorker *worker = vp_roster_find (roster, entry->id);
+
+  if (worker == NULL) {
+    worker = g_new0 (VpRosterWorker, 1);
+    worker->tasks = g_hash_table_new (NULL, NULL);
+    worker->blind_until_ms = now_ms
+                             + (roster->hold_max_ms + VP_ROSTER_PREDECESSOR_MS) * 1000
+                                   / (1000 - VP_ROSTER_CLOCK_SLOW_MILLI)
+                             + VP_ROSTER_LAPSE_MARGIN_MS;
+    worker->pace_percent = 100;
+    worker->entry = *entry;
+    g_ptr_array_add (roster->workers, worker);
+    g_hash_table_insert (roster->by_id, worker->entry.id, worker);
+  }
+  worker->entry = *entry;
+  worker->rack_index = _vp_roster_rack (roster, entry);
+  worker->is_listed = true;
+  return worker;
+}
+
+VpRosterWorker *
+vp_roster_find (const VpRoster *roster, const char *id)
+{
+  return g_hash_table_lookup (roster->by_id, id);
+}
+
+void
+vp_roster_remove (VpRoster *roster, VpRosterWorker *worker)
+{
+  g_hash_table_remove (roster->by_id, worker->entry.id);
+  g_ptr_array_remove (roster->workers, worker);
+}
+
+void
+vp_roster_heard (VpRosterWorker *worker, int64_t clock_ms, int64_t received_ms)
+{
+  worker->heard_ms = MAX (worker->heard_ms, received_ms);
+  worker->is_reachable = true;
+  /* Answers on several connections overtake each other; the clock only runs forward. */
+  if (clock_ms > 0 && clock_ms >= worker->clock_ms) {
+    worker->clock_ms = clock_ms;
+    worker->clock_at_ms = received_ms;
+  }
+}
+
+void
+vp_roster_reborn (VpRosterWorker *worker, int64_t born_ms)
+{
+  worker->born_ms = born_ms;
+  worker->clock_ms = worker->clock_at_ms = worker->lease_end_ms = 0;
+  worker->seen = worker->seen_staged = worker->seen_durable = 0;
+  worker->failed_jobs = worker->suspect_level = 0;
+  worker->avoid_until_ms = 0;
+}
+
+int64_t
+vp_roster_clock_ms (const VpRosterWorker *worker, int64_t now_ms)
+{
+  if (worker->clock_at_ms == 0)
+    return 0;
+  return worker->clock_ms
+         + (now_ms - worker->clock_at_ms) * (1000 - VP_ROSTER_CLOCK_SLOW_MILLI) / 1000;
+}
+
+int64_t
+vp_roster_lease (const VpRoster *roster, VpRosterWorker *worker, int64_t now_ms)
+{
+  int64_t clock_ms = vp_roster_clock_ms (worker, now_ms);
+
+  if (clock_ms == 0)
+    return 0;
+  worker->lease_end_ms = MAX (worker->lease_end_ms, clock_ms + roster->hold_max_ms);
+  return clock_ms + roster->hold_max_ms;
+}
+
+bool
+vp_roster_is_lapsed (const VpRosterWorker *worker, int64_t now_ms)
+{
+  if (worker->clock_at_ms == 0)
+    return now_ms > worker->blind_until_ms;
+  return vp_roster_clock_ms (worker, now_ms) > worker->lease_end_ms + VP_ROSTER_LAPSE_MARGIN_MS;
+}
+
+VpSize
+vp_roster_free (const VpRosterWorker *worker)
+{
+  VpSize room = worker->entry.capacity;
+
+  vp_size_sub (&room, &worker->used);
+  return room;
+}
+
+bool
+vp_roster_is_usable (const VpRosterWorker *worker, int64_t now_ms)
+{
+  return worker->is_listed && worker->is_synced && worker->is_reachable
+         && !worker->entry.is_draining && worker->foreign_count == 0
+         && now_ms >= worker->avoid_until_ms;
+}
+
+bool
+vp_roster_note_failed (VpRosterWorker *worker, uint64_t job, int64_t now_ms)
+{
+  uint32_t steps;
+
+  if (job == worker->last_failed_job)
+    return false;
+  worker->last_failed_job = job;
+  if (++worker->failed_jobs < VP_ROSTER_SUSPECT_JOBS)
+    return false;
+  steps = MIN (worker->suspect_level, VP_ROSTER_SUSPECT_STEPS);
+  worker->suspect_level++;
+  /* One more failure after the time aside puts it aside again. */
+  worker->failed_jobs = VP_ROSTER_SUSPECT_JOBS - 1;
+  worker->avoid_until_ms = now_ms + (VP_ROSTER_SUSPECT_MS << steps);
+  return true;
+}
+
+void
+vp_roster_note_done (VpRosterWorker *worker)
+{
+  worker->failed_jobs = 0;
+  worker->suspect_level = 0;
+}
--- /dev/null
+++ b/src/vp-roster.h
@@ -0,0 +1,102 @@
+/* Workers of a cell as the scheduler sees them: room, contact, leases and health.
+ *
+ *   VpRoster *roster = vp_roster_setup (hold_max_ms);
+ *   VpRosterWorker *worker = vp_roster_put (roster, &entry, now_ms);
+ *   vp_roster_heard (worker, &result);            // any answer with a clock
+ *   if (vp_roster_is_lapsed (roster, worker, now_ms))
+ *     ... nothing can run there any more ...
+ *   vp_roster_shutdown (roster);
+ *
+ * No I/O. A worker is one life of a VM; its identity is new after most restarts, and its birth time
+ * after all of them.
+ */
+#pragma once
+
+#include "vp-jobspec.h"
+#include "vp-order.h"
+
+/* A worker's clock may be this much slower than ours, in thousandths (platform). */
+#define VP_ROSTER_CLOCK_SLOW_MILLI 20
+/* Added to the end of a lease before its tasks are taken as killed: rounding to milliseconds and
+ * the kill itself. */
+#define VP_ROSTER_LAPSE_MARGIN_MS 100
+
+/* What a worker tells of itself in the platform's list. */
+typedef struct {
+  char id[VP_NAME_MAX];
+  char address[VP_ADDRESS_MAX];
+  char service[VP_NAME_MAX];
+  char dc[VP_NAME_MAX];
+  char kind[VP_LABEL_MAX];
+  char rack[VP_LABEL_MAX];
+  VpSize capacity;
+  bool is_draining;
+  int64_t remaining_ms; /* while it drains: least time that is left; -1: not told */
+  int64_t born_ms;      /* Unix time of its start; 0: not told */
+  int64_t slow_ms;      /* it still warms up for this long */
+} VpWorkerEntry;
+
+typedef struct {
+  VpWorkerEntry entry;
+  uint32_t rack_index;       /* equal for workers of one rack */
+  VpSize used;               /* committed, also by what is being stopped */
+  int64_t filling_cpu_milli; /* wanted by tasks that use what is left */
+  uint32_t filling_count;
+  uint32_t serving_count;   /* lasting tasks with a response time target */
+  GHashTable *tasks;        /* committed tasks, by address */
+  uint32_t foreign_count;   /* listed runs that no known task accounts for */
+  bool is_listed;           /* in the platform's list now */
+  bool is_synced;           /* its runs are known since this scheduler took over */
+  bool is_reachable;        /* the last call was answered */
+  int64_t born_ms;          /* of the life that was last heard; 0: none */
+  int64_t clock_ms;         /* worker's clock, as told in an answer received at ... */
+  int64_t clock_at_ms;      /* ... this time; 0: never heard */
+  int64_t lease_end_ms;     /* latest lease that was ordered, on its clock */
+  int64_t blind_until_ms;   /* never heard: nothing of an earlier scheduler runs after this */
+  bool is_hold_out;         /* a HOLD is under way */
+  int64_t hold_next_ms;     /* earliest time of the next HOLD */
+  int64_t heard_ms;         /* last answer */
+  uint64_t seen;            /* highest end that was taken note of */
+  uint64_t seen_staged;     /* covered by the commit under way */
+  uint64_t seen_durable;    /* may be forgotten by the worker */
+  uint64_t last_failed_job; /* health: failures of different jobs since the last success */
+  uint32_t failed_jobs;
+  uint32_t suspect_level; /* times that it was put aside in a row */
+  int64_t avoid_until_ms; /* gets no work before */
+  int64_t paced_ms;       /* last change of pace */
+  uint32_t pace_percent;  /* of the tasks that use what is left */
+  int64_t over_since_ms;  /* a serving task has been near or over its target since; 0: none */
+} VpRosterWorker;
+
+typedef struct {
+  GHashTable *by_id;  /* id -> VpRosterWorker */
+  GPtrArray *workers; /* VpRosterWorker, in order of first appearance */
+  GHashTable *racks;  /* "dc/rack" -> index + 1 */
+  int64_t hold_max_ms;
+} VpRoster;
+
+VpRoster *vp_roster_setup (int64_t hold_max_ms);
+void vp_roster_shutdown (VpRoster *roster);
+/* Adds a worker or takes over what its entry says now. */
+VpRosterWorker *vp_roster_put (VpRoster *roster, const VpWorkerEntry *entry, int64_t now_ms);
+VpRosterWorker *vp_roster_find (const VpRoster *roster, const char *id);
+/* The worker must have no tasks. */
+void vp_roster_remove (VpRoster *roster, VpRosterWorker *worker);
+/* Notes the worker's clock. */
+void vp_roster_heard (VpRosterWorker *worker, int64_t clock_ms, int64_t received_ms);
+/* Forgets leases, ends and clock: the worker has started again. */
+void vp_roster_reborn (VpRosterWorker *worker, int64_t born_ms);
+/* Least value that the worker's clock can show now; 0 if it was never heard. */
+int64_t vp_roster_clock_ms (const VpRosterWorker *worker, int64_t now_ms);
+/* End of a lease that is ordered now, on the worker's clock; noted as the latest. 0 if its clock is
+ * not known. */
+int64_t vp_roster_lease (const VpRoster *roster, VpRosterWorker *worker, int64_t now_ms);
+/* True if every lease that was ordered is over for certain. */
+bool vp_roster_is_lapsed (const VpRosterWorker *worker, int64_t now_ms);
+/* Room that is not committed. */
+VpSize vp_roster_free (const VpRosterWorker *worker);
+/* True if it may be given work now. */
+bool vp_roster_is_usable (const VpRosterWorker *worker, int64_t now_ms);
+/* Health: an attempt of @job ended there. Returns true if the worker is put aside by it. */
+bool vp_roster_note_failed (VpRosterWorker *worker, uint64_t job, int64_t now_ms);
+void vp_roster_note_done (VpRosterWorker *worker);
--- a/src/vp-run.c
+++ b/src/vp-run.c
@@ -4,30 +4,14 @@
 #include "vp-counters.h"
 #include "vp-http.h"
 #include "vp-peer.h"
+#include "vp-queue.h"
 #include "vp-run-log.h"
 #include "vp-run-poll.h"
 #include "vp-run-store.h"
 #include "vp-run-worker.h"
 
-#include <errno.h>
-#include <linux/futex.h>
-#include <sched.h>
 #include <string.h>
-#include <sys/syscall.h>
-#include <time.h>
-#include <unistd.h>
 #include <urcu.h>
-#include <urcu/wfcqueue.h>
-
-#ifdef __SANITIZE_THREAD__
-#include <sanitizer/tsan_interface.h>
-/* liburcu is not instrumented, so the sanitizer is told of the hand-over by the queue. */
-#define VP_RUN_HAND_OVER(node) __tsan_release (node)
-#define VP_RUN_TAKE_OVER(node) __tsan_acquire (node)
-#else
-#define VP_RUN_HAND_OVER(node) (void)(node)
-#define VP_RUN_TAKE_OVER(node) (void)(node)
-#endif
 
 /* Least time between ticks, in case the reducer asks for one in the past. */
 #define VP_RUN_TICK_MIN_MS 1
@@ -45,10 +29,8 @@
   const VpSettings *settings;
   VpCore *core;
   VpEffects effects;
-  struct cds_wfcq_head head;
-  struct cds_wfcq_tail tail;
-  uint32_t is_sleeping; /* atomic and futex: 1 while the deciding thread sleeps or is about to */
-  uint32_t stop_count;  /* atomic */
+  VpQueue queue;
+  uint32_t stop_count; /* atomic */
   bool is_stop_seen;
   bool is_exiting;
   VpHttp *http;
@@ -59,31 +41,13 @@
   VpConfig *config; /* published by RCU */
 };
 
-static void
-_vp_run_futex_wake (uint32_t *word)
-{
-  syscall (SYS_futex, word, FUTEX_WAKE_PRIVATE, 1, NULL, NULL, 0);
-}
-
-/* Wakes the deciding thread if it sleeps. Safe in a signal handler. */
-static void
-_vp_run_wake (VpRun *run)
-{
-  if (__atomic_load_n (&run->is_sleeping, __ATOMIC_SEQ_CST) != 0
-      && __atomic_exchange_n (&run->is_sleeping, 0, __ATOMIC_SEQ_CST) != 0)
-    _vp_run_futex_wake (&run->is_sleeping);
-}
-
 void
 vp_run_post (VpRun *run, const VpEvent *event)
 {
   VpRunNode *node = g_new (VpRunNode, 1);
 
-  cds_wfcq_node_init (&node->node);
   node->event = *event;
-  VP_RUN_HAND_OVER (node);
-  cds_wfcq_enqueue (&run->head, &run->tail, &node->node);
-  _vp_run_wake (run);
+  vp_queue_post (&run->queue, &node->node);
 }
 
 static void
@@ -96,7 +60,7 @@
 vp_run_stop (VpRun *run)
 {
   __atomic_add_fetch (&run->stop_count, 1, __ATOMIC_SEQ_CST);
-  _vp_run_wake (run);
+  vp_queue_wake (&run->queue);
 }
 
 /* The next event; false if there is none. */
@@ -106,32 +70,15 @@
   struct cds_wfcq_node *taken;
   VpRunNode *node;
 
-  /* The blocking call of liburcu sleeps 10 ms when a thread was preempted halfway through an
-   * enqueue; yielding lets that thread finish. */
-  while ((taken = __cds_wfcq_dequeue_nonblocking (&run->head, &run->tail)) == CDS_WFCQ_WOULDBLOCK)
-    sched_yield ();
+  taken = vp_queue_take (&run->queue);
   if (taken == NULL)
     return false;
   node = caa_container_of (taken, VpRunNode, node);
-  VP_RUN_TAKE_OVER (node);
   *event = node->event;
   g_free (node);
   return true;
 }
 
-static void
-_vp_run_sleep (VpRun *run, int64_t sleep_ms)
-{
-  struct timespec timeout = { .tv_sec = sleep_ms / 1000, .tv_nsec = sleep_ms % 1000 * 1000000 };
-
-  __atomic_store_n (&run->is_sleeping, 1, __ATOMIC_SEQ_CST);
-  /* An event or a stop that came before the flag was set did not wake. */
-  if (cds_wfcq_empty (&run->head, &run->tail)
-      && (run->is_stop_seen || __atomic_load_n (&run->stop_count, __ATOMIC_SEQ_CST) == 0))
-    syscall (SYS_futex, &run->is_sleeping, FUTEX_WAIT_PRIVATE, 1, &timeout, NULL, 0);
-  __atomic_store_n (&run->is_sleeping, 0, __ATOMIC_SEQ_CST);
-}
-
 static void
 _vp_run_unregister_reader (gpointer registered)
 {
@@ -268,7 +215,8 @@
     } else if (_vp_run_take (run, &event)) {
       _vp_run_apply (run, &event);
     } else {
-      _vp_run_sleep (run, MIN (next_ms - now_ms, VP_RUN_SLEEP_MAX_MS));
+      vp_queue_sleep (&run->queue, MIN (next_ms - now_ms, VP_RUN_SLEEP_MAX_MS),
+                      run->is_stop_seen ? NULL : &run->stop_count);
     }
   }
 }
@@ -308,7 +256,7 @@
   VpRun *run = g_new0 (VpRun, 1);
 
   run->settings = settings;
-  cds_wfcq_init (&run->head, &run->tail);
+  vp_queue_setup (&run->queue);
   for (guint i = 0; i < settings->store_addresses->len; i++)
     g_ptr_array_add (addresses, settings->store_addresses->pdata[i]);
   g_ptr_array_add (addresses, NULL);
@@ -356,6 +304,6 @@
   _vp_run_publish (run, NULL);
   vp_core_shutdown (run->core);
   vp_effects_free (&run->effects);
-  cds_wfcq_destroy (&run->head, &run->tail);
+  vp_queue_shutdown (&run->queue);
   g_free (run);
 }
