Count the lease of an earlier scheduler when a worker is first heard

Ruled out: a missing adoption (event=adopt is there). Change: the first answer of a worker counts as a lease of the longest kind from that moment.

--- a/src/vp-cell.c
+++ b/src/vp-cell.c
@@ -487,7 +487,7 @@
   }
   if (worker->born_ms == 0)
     worker->born_ms = result->born_ms;
-  vp_roster_heard (worker, result->clock_ms, result->received_ms);
+  vp_roster_heard (cell->roster, worker, result->clock_ms, result->received_ms);
   seen_before = worker->seen;
   _vp_cell_take_ends (cell, worker, result->ended, now_ms);
   _vp_cell_take_running (cell, worker, result, listed, now_ms);
@@ -618,7 +618,7 @@
     return;
   }
   if (result->clock_ms > 0)
-    vp_roster_heard (worker, result->clock_ms, result->received_ms);
+    vp_roster_heard (cell->roster, worker, result->clock_ms, result->received_ms);
   task = vp_joblist_task (cell->jobs, &result->task);
   if (task == NULL || task->worker != worker || task->run != result->run)
     return;
--- a/src/vp-roster.c
+++ b/src/vp-roster.c
@@ -88,12 +88,20 @@
 }
 
 void
-vp_roster_heard (VpRosterWorker *worker, int64_t clock_ms, int64_t received_ms)
+vp_roster_heard (const VpRoster *roster,
+                 VpRosterWorker *worker,
+                 int64_t clock_ms,
+                 int64_t received_ms)
 {
   worker->heard_ms = MAX (worker->heard_ms, received_ms);
   worker->is_reachable = true;
   /* Answers on several connections overtake each other; the clock only runs forward. */
-  if (clock_ms > 0 && clock_ms >= worker->clock_ms) {
+  if (clock_ms <= 0)
+    return;
+  /* What an earlier scheduler started there has a lease of its own. */
+  if (worker->clock_at_ms == 0)
+    worker->lease_end_ms = MAX (worker->lease_end_ms, clock_ms + roster->hold_max_ms);
+  if (clock_ms >= worker->clock_ms) {
     worker->clock_ms = clock_ms;
     worker->clock_at_ms = received_ms;
   }
--- a/src/vp-roster.h
+++ b/src/vp-roster.h
@@ -2,7 +2,7 @@
  *
  *   VpRoster *roster = vp_roster_setup (hold_max_ms);
  *   VpRosterWorker *worker = vp_roster_put (roster, &entry, now_ms);
- *   vp_roster_heard (worker, &result);            // any answer with a clock
+ *   vp_roster_heard (roster, worker, clock_ms, received_ms);   // any answer with a clock
  *   if (vp_roster_is_lapsed (roster, worker, now_ms))
  *     ... nothing can run there any more ...
  *   vp_roster_shutdown (roster);
@@ -83,7 +83,10 @@
 /* The worker must have no tasks. */
 void vp_roster_remove (VpRoster *roster, VpRosterWorker *worker);
 /* Notes the worker's clock. */
-void vp_roster_heard (VpRosterWorker *worker, int64_t clock_ms, int64_t received_ms);
+void vp_roster_heard (const VpRoster *roster,
+                      VpRosterWorker *worker,
+                      int64_t clock_ms,
+                      int64_t received_ms);
 /* Forgets leases, ends and clock: the worker has started again. */
 void vp_roster_reborn (VpRosterWorker *worker, int64_t born_ms);
 /* Least value that the worker's clock can show now; 0 if it was never heard. */
