Give each connection one read time-out, and bound advice calls by what can be answered and placed

Ruled out: workers that hang (there were 3), the cap of a team (asks are not made above it). Change: the client reconnects for another time-out; holds wait 1 s under one time-out of 2 s. At most two advice calls under way for each process that makes them, the most urgent steps first, and only for steps that the free room is left for. A failing commit is logged once, and once when it works again.

--- a/src/vp-cell.c
+++ b/src/vp-cell.c
@@ -7,8 +7,8 @@
 
 #include <string.h>
 
-/* A worker answers a HOLD at the next end, or after this long (platform: at most 2,000). */
-#define VP_CELL_HOLD_WAIT_MS 2000
+/* A worker answers a HOLD at the next end, or after this long. */
+#define VP_CELL_HOLD_WAIT_MS 1000
 /* Next HOLD when ends wait to be durable, or after one that failed. */
 #define VP_CELL_HOLD_RETRY_MS 400
 #define VP_CELL_HOLD_LOST_MS  150
@@ -39,6 +39,10 @@
 /* A list with this many ends is cut; the rest follows (platform). */
 #define VP_CELL_ENDS_MAX 500
 
+/* Advice calls under way for each process that can make them: one is served, one waits. More would
+ * be answered after the state that they were asked for. */
+#define VP_CELL_ASKS_EACH 2
+
 typedef struct {
   VpTaskName step;
   int64_t expires_ms;
@@ -66,6 +70,7 @@
   uint64_t last_serial;
   int64_t started_ms;
   int64_t scan_next_ms;
+  uint32_t asker_count;
   bool is_fenced;
   bool is_paused;
   bool has_list; /* the platform's list of workers was read */
@@ -86,6 +91,7 @@
   cell->strays = g_array_new (FALSE, FALSE, sizeof (VpOrder));
   cell->good_shares = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
   cell->started_ms = now_ms;
+  cell->asker_count = 1;
   /* Answers to an earlier scheduler of this process must not be taken for this one's. */
   cell->last_serial = desc->fence << 24;
   return cell;
@@ -305,6 +311,12 @@
           cell->roster->workers->len);
 }
 
+void
+vp_cell_set_askers (VpCell *cell, uint32_t count)
+{
+  cell->asker_count = MAX (count, 1);
+}
+
 void
 vp_cell_list_complete (VpCell *cell)
 {
@@ -522,8 +534,10 @@
   case VP_ORDER_UNREACHABLE:
   case VP_ORDER_UNCERTAIN:
     if (worker->is_reachable)
-      vp_log (now_ms, "worker-silent", "worker=%s heard_ms_ago=%" G_GINT64_FORMAT, worker->entry.id,
-              now_ms - worker->heard_ms);
+      vp_log (now_ms, "worker-silent",
+              "worker=%s outcome=%s waited_ms=%" G_GINT64_FORMAT " heard_ms_ago=%" G_GINT64_FORMAT,
+              worker->entry.id, vp_order_outcome_token (result->outcome),
+              result->received_ms - result->sent_ms, now_ms - worker->heard_ms);
     worker->is_reachable = false;
     worker->hold_next_ms = now_ms + VP_CELL_HOLD_LOST_MS;
     break;
@@ -699,7 +713,8 @@
   VpCellEffect effect = { .kind = VP_CELL_ADVISE };
   VpCellAsk *ask;
 
-  if (step->ask_serial != 0 || now_ms < step->ask_next_ms)
+  if (step->ask_serial != 0 || now_ms < step->ask_next_ms
+      || g_hash_table_size (cell->asks) >= VP_CELL_ASKS_EACH * cell->asker_count)
     return;
   vp_place_candidates (cell->roster, step, queue, *_vp_cell_good_share (cell, queue->name), now_ms,
                        workers);
@@ -914,10 +929,50 @@
   return true;
 }
 
+/* Room of the workers of one service that no step in order before has a claim to. */
+typedef struct {
+  const char *service;
+  VpSize spare;
+} VpCellSpare;
+
+static VpSize *
+_vp_cell_spare (const VpCell *cell, GArray *spares, const char *service, int64_t now_ms)
+{
+  VpCellSpare spare = { .service = service };
+
+  for (guint i = 0; i < spares->len; i++) {
+    if (strcmp (g_array_index (spares, VpCellSpare, i).service, service) == 0)
+      return &g_array_index (spares, VpCellSpare, i).spare;
+  }
+  for (guint i = 0; i < cell->roster->workers->len; i++) {
+    const VpRosterWorker *worker = cell->roster->workers->pdata[i];
+    VpSize free = vp_roster_free (worker);
+    if (vp_roster_is_usable (worker, now_ms) && strcmp (worker->entry.service, service) == 0)
+      vp_size_add (&spare.spare, &free);
+  }
+  g_array_append_val (spares, spare);
+  return &g_array_index (spares, VpCellSpare, spares->len - 1).spare;
+}
+
+/* Takes what the step's waiting tasks need off the room that steps behind it may ask about; false
+ * if nothing was left of it. */
+static bool
+_vp_cell_claim_spare (VpSize *spare, const VpJobStep *step)
+{
+  VpSize need = vp_jobtask_room (&step->tasks[0]);
+
+  if (!vp_size_fits (&need, spare))
+    return false;
+  vp_size_scale (&need, step->waiting_count);
+  vp_size_sub (spare, &need);
+  return true;
+}
+
 static void
 _vp_cell_place_step (VpCell *cell,
                      VpJobStep *step,
                      const VpQueueConf *queue,
+                     GArray *spares,
                      int64_t now_ms,
                      GArray *effects)
 {
@@ -932,7 +987,8 @@
     is_placed = _vp_cell_place_gang (cell, step, queue, now_ms, effects);
   else
     is_placed = _vp_cell_place_tasks (cell, step, queue, now_ms, effects);
-  if (!is_placed && queue->has_advice)
+  if (!is_placed && queue->has_advice
+      && _vp_cell_claim_spare (_vp_cell_spare (cell, spares, queue->service, now_ms), step))
     _vp_cell_ask (cell, step, queue, now_ms, effects);
 }
 
@@ -989,6 +1045,7 @@
 _vp_cell_place (VpCell *cell, int64_t now_ms, GArray *effects)
 {
   g_autoptr (GArray) turns = g_array_new (FALSE, FALSE, sizeof (VpCellTurn));
+  g_autoptr (GArray) spares = g_array_new (FALSE, FALSE, sizeof (VpCellSpare));
 
   for (guint i = 0; i < cell->jobs->open_steps->len; i++) {
     VpCellTurn turn = { .step = cell->jobs->open_steps->pdata[i] };
@@ -1005,7 +1062,7 @@
   g_array_sort (turns, _vp_cell_compare_turns);
   for (guint i = 0; i < turns->len; i++) {
     const VpCellTurn *turn = &g_array_index (turns, VpCellTurn, i);
-    _vp_cell_place_step (cell, turn->step, turn->queue, now_ms, effects);
+    _vp_cell_place_step (cell, turn->step, turn->queue, spares, now_ms, effects);
   }
 }
 
--- a/src/vp-cell.h
+++ b/src/vp-cell.h
@@ -57,6 +57,8 @@
 void vp_cell_worker (VpCell *cell, const VpWorkerEntry *entry, int64_t now_ms);
 /* The platform doesn't list it any more. */
 void vp_cell_worker_gone (VpCell *cell, const char *id, int64_t now_ms);
+/* How many processes can make advice calls; 1 until it is told. */
+void vp_cell_set_askers (VpCell *cell, uint32_t count);
 /* All workers that the platform lists have been told since the scheduler started. */
 void vp_cell_list_complete (VpCell *cell);
 void vp_cell_order_result (VpCell *cell, const VpOrderResult *result, int64_t now_ms);
--- a/src/vp-client.c
+++ b/src/vp-client.c
@@ -18,6 +18,7 @@
 struct _VpClient {
   ne_session *session;
   ne_inet_addr *address;
+  int timeout_s;          /* of the present connection */
   bool is_connected;      /* as neon last told */
   uint32_t connect_count; /* connections established during the current call */
   /* Request body of the current call. */
@@ -182,7 +183,12 @@
   client->connect_count = 0;
   client->body_offset = 0;
   client->is_expired = false;
-  ne_set_read_timeout (client->session, (int)((timeout_ms + 999) / 1000));
+  /* neon applies the time-out when it connects, so another one needs another connection. */
+  if (client->timeout_s != (int)((timeout_ms + 999) / 1000)) {
+    client->timeout_s = (int)((timeout_ms + 999) / 1000);
+    ne_close_connection (client->session);
+    ne_set_read_timeout (client->session, client->timeout_s);
+  }
   request = ne_request_create (client->session, call->method, call->path);
   ne_set_request_flag (request, NE_REQFLAG_IDEMPOTENT, call->is_repeatable ? 1 : 0);
   if (call->extra_name != NULL)
--- a/src/vp-keeper.c
+++ b/src/vp-keeper.c
@@ -30,6 +30,7 @@
   bool is_sent;       /* an answer is awaited */
   bool is_uncertain;  /* an earlier sending may have reached the store */
   bool is_last;
+  bool is_failing; /* the last answer was no success */
   bool is_finishing;
   bool is_finished;
   uint64_t last_serial;
@@ -274,6 +275,9 @@
   if (keeper->covers_ends)
     vp_cell_ends_durable (keeper->desc.cell, now_ms);
   vp_counters_add (VP_COUNT_LEDGER_COMMITS, 1);
+  if (keeper->is_failing)
+    vp_log (now_ms, "commits-again", "after_ms=%" G_GINT64_FORMAT, now_ms - keeper->written_ms);
+  keeper->is_failing = false;
   keeper->is_finished = keeper->is_last;
   keeper->write.serial = 0;
   keeper->written_ms = now_ms;
@@ -332,6 +336,9 @@
   }
   keeper->next_ms = now_ms + VP_KEEPER_RETRY_MS;
   vp_counters_add (VP_COUNT_STORE_UNAVAILABLE, 1);
+  if (keeper->is_failing)
+    return true;
+  keeper->is_failing = true;
   vp_log (now_ms, "commit-failed",
           "serial=%" G_GUINT64_FORMAT " uncertain=%d age_ms=%" G_GINT64_FORMAT, written->serial,
           keeper->is_uncertain, now_ms - keeper->written_ms);
--- a/src/vp-node.c
+++ b/src/vp-node.c
@@ -742,6 +742,7 @@
 _vp_node_step_cell (VpNode *node, int64_t now_ms, VpNodeEffects *effects)
 {
   g_autoptr (GArray) cell_effects = NULL;
+  VpLeadView view;
 
   if (node->cell == NULL)
     return;
@@ -752,6 +753,8 @@
     }
     return;
   }
+  _vp_node_view (node, now_ms, &view);
+  vp_cell_set_askers (node->cell, view.heard_count + 1);
   cell_effects = g_array_new (FALSE, FALSE, sizeof (VpCellEffect));
   if (!node->is_stopping)
     vp_cell_decide (node->cell, now_ms, cell_effects);
