Wait for a left worker's last list, and count what an earlier scheduler had running against caps

Change: such a worker is gone once a call to it fails; tasks that were kept as running somewhere count as unseen use of their team until they are found or that worker has answered. Tests: cell/last-list and cell/unseen-counts fail before, pass after; cell/left.

--- a/src/vp-cell.c
+++ b/src/vp-cell.c
@@ -284,10 +284,12 @@
   vp_log (now_ms, "worker-unlisted", "worker=%s draining=%d heard_ms_ago=%" G_GINT64_FORMAT, id,
           worker->entry.is_draining, now_ms - worker->heard_ms);
   /* A silent worker leaves the list only after several heartbeats; one that drained and was heard
-   * since then has left by itself, and what ran there has ended. */
+   * since then has left by itself. Its last list may still be under way, so a call tells. */
   if (worker->entry.is_draining && worker->clock_at_ms != 0
-      && now_ms - worker->heard_ms < cell->desc.gone_ms)
-    _vp_cell_lost (cell, worker, "left", now_ms);
+      && now_ms - worker->heard_ms < cell->desc.gone_ms) {
+    worker->has_left = true;
+    worker->hold_next_ms = MIN (worker->hold_next_ms, now_ms);
+  }
 }
 
 static bool
@@ -360,7 +362,7 @@
   if (task->phase != VP_PHASE_WAITING || (!is_new && entry->end != VP_RUN_DONE))
     return;
   task->run = MAX (task->run, entry->run);
-  task->last_worker[0] = '\0';
+  vp_jobtask_set_last_worker (cell->jobs, task, "");
   if (entry->checkpoint[0] != '\0')
     g_strlcpy (task->checkpoint, entry->checkpoint, sizeof task->checkpoint);
   vp_jobtask_end (cell->jobs, task, entry->end, _vp_cell_attempts_max (cell, job), now_ms);
@@ -540,6 +542,8 @@
               result->received_ms - result->sent_ms, now_ms - worker->heard_ms);
     worker->is_reachable = false;
     worker->hold_next_ms = now_ms + VP_CELL_HOLD_LOST_MS;
+    if (worker->has_left)
+      _vp_cell_lost (cell, worker, "left", now_ms);
     break;
   default:
     worker->hold_next_ms = now_ms + VP_CELL_HOLD_RETRY_MS;
@@ -828,7 +832,7 @@
 
 /* A waiting task of an earlier scheduler may still run where it can't be seen yet. */
 static bool
-_vp_cell_is_free (const VpCell *cell, const VpJobTask *task, int64_t now_ms)
+_vp_cell_is_free (VpCell *cell, VpJobTask *task, int64_t now_ms)
 {
   const VpRosterWorker *worker;
 
@@ -837,9 +841,11 @@
   if (task->last_worker[0] == '\0')
     return cell->is_settled || cell->desc.is_clean;
   worker = vp_roster_find (cell->roster, task->last_worker);
-  if (worker != NULL)
-    return cell->is_settled && _vp_cell_is_settled_worker (worker, now_ms);
-  return now_ms > cell->started_ms + 2 * cell->desc.hold_max_ms;
+  if (worker == NULL ? now_ms <= cell->started_ms + 2 * cell->desc.hold_max_ms
+                     : !cell->is_settled || !_vp_cell_is_settled_worker (worker, now_ms))
+    return false;
+  vp_jobtask_set_last_worker (cell->jobs, task, "");
+  return true;
 }
 
 static uint32_t
@@ -855,13 +861,15 @@
 {
   const VpJob *job = step->run->job;
   const VpTeamConf *team = vp_cellconf_team (cell->conf, job->spec->team);
-  VpSize used = vp_joblist_team (cell->jobs, job->spec->team)->used;
+  const VpTeamUse *use = vp_joblist_team (cell->jobs, job->spec->team);
+  VpSize used = use->used;
   VpSize more = step->spec->size;
 
   if (team == NULL)
     return true;
   vp_size_scale (&more, count);
   vp_size_add (&used, &more);
+  vp_size_add (&used, &use->unseen);
   return (team->cap.cpu_milli == 0 || used.cpu_milli <= team->cap.cpu_milli)
          && (team->cap.mem_mib == 0 || used.mem_mib <= team->cap.mem_mib)
          && (team->cap.accel_count == 0 || used.accel_count <= team->cap.accel_count);
--- a/src/vp-joblist.c
+++ b/src/vp-joblist.c
@@ -260,9 +260,23 @@
   g_hash_table_remove (list->jobs, &job->spec->id);
 }
 
+/* Tasks of an ended job that still run somewhere are stopped when they are seen. */
+static void
+_vp_job_forget_last_workers (VpJobList *list, VpJob *job)
+{
+  for (uint32_t k = 0; k < job->spec->run_count; k++) {
+    for (uint32_t s = 0; job->runs[k].steps != NULL && s < job->spec->step_count; s++) {
+      VpJobStep *step = &job->runs[k].steps[s];
+      for (uint32_t i = 0; i < step->spec->task_count; i++)
+        vp_jobtask_set_last_worker (list, &step->tasks[i], "");
+    }
+  }
+}
+
 static void
 _vp_job_end (VpJobList *list, VpJob *job, VpJobState state, int64_t now_ms)
 {
+  _vp_job_forget_last_workers (list, job);
   job->state = state;
   job->ended_ms = now_ms;
   list->live_count--;
@@ -330,6 +344,18 @@
   return room;
 }
 
+void
+vp_jobtask_set_last_worker (VpJobList *list, VpJobTask *task, const char *worker)
+{
+  VpTeamUse *use = vp_joblist_team (list, task->step->run->job->spec->team);
+
+  if (task->last_worker[0] != '\0')
+    vp_size_sub (&use->unseen, &task->step->spec->size);
+  g_strlcpy (task->last_worker, worker, sizeof task->last_worker);
+  if (worker[0] != '\0')
+    vp_size_add (&use->unseen, &task->step->spec->size);
+}
+
 void
 vp_jobtask_assign (VpJobList *list,
                    VpJobTask *task,
@@ -351,7 +377,7 @@
   task->confirmed_ms = task->stop_sent_ms = 0;
   task->percent = task->percent_sent = 100;
   task->gauge = 0;
-  task->last_worker[0] = '\0';
+  vp_jobtask_set_last_worker (list, task, "");
   step->waiting_count--;
   step->out_count++;
   job->out_count++;
@@ -419,6 +445,7 @@
     return;
   if (task->worker != NULL)
     vp_jobtask_release (list, task);
+  vp_jobtask_set_last_worker (list, task, "");
   task->phase = VP_PHASE_DONE;
   step->waiting_count--;
   step->done_count++;
@@ -560,7 +587,7 @@
     _vp_task_restore (list, &step->tasks[i], items[i], now_ms);
   while (g_variant_iter_next (assigned, "(u&s)", &index, &worker)) {
     if (index < step->spec->task_count)
-      g_strlcpy (step->tasks[index].last_worker, worker, VP_NAME_MAX);
+      vp_jobtask_set_last_worker (list, &step->tasks[index], worker);
   }
 }
 
--- a/src/vp-joblist.h
+++ b/src/vp-joblist.h
@@ -113,6 +113,7 @@
 };
 
 typedef struct {
+  VpSize unseen;      /* of inherited tasks that may run where this scheduler hasn't looked yet */
   VpSize used;        /* of all that runs or stops */
   uint32_t job_count; /* not ended */
 } VpTeamUse;
@@ -162,6 +163,8 @@
                         VpRosterWorker *worker,
                         uint32_t run,
                         int64_t now_ms);
+/* Where an earlier scheduler may have the task running; empty: nowhere any more. */
+void vp_jobtask_set_last_worker (VpJobList *list, VpJobTask *task, const char *worker);
 /* Gives the room back; the task waits again, or goes with its job. */
 void vp_jobtask_release (VpJobList *list, VpJobTask *task);
 /* The present run has ended. With @attempts_max failures the job fails. */
--- a/src/vp-roster.c
+++ b/src/vp-roster.c
@@ -71,6 +71,7 @@
   worker->entry = *entry;
   worker->rack_index = _vp_roster_rack (roster, entry);
   worker->is_listed = true;
+  worker->has_left = false;
   return worker;
 }
 
--- a/src/vp-roster.h
+++ b/src/vp-roster.h
@@ -46,6 +46,7 @@
   GHashTable *tasks;        /* committed tasks, by address */
   uint32_t foreign_count;   /* listed runs that no known task accounts for */
   bool is_listed;           /* in the platform's list now */
+  bool has_left;            /* it drained and left the list; gone once it doesn't answer */
   bool is_synced;           /* its runs are known since this scheduler took over */
   bool is_reachable;        /* the last call was answered */
   int64_t born_ms;          /* of the life that was last heard; 0: none */
--- a/tests/test-cell.c
+++ b/tests/test-cell.c
@@ -361,6 +361,82 @@
   _teardown (&fixture);
 }
 
+/* A worker that drained has left the list; its last list, with an end, is still under way. */
+static void
+test_last_list (void)
+{
+  Fixture fixture;
+  VpOrderResult result;
+  VpEndedEntry ended = { .number = 1, .is_task = true, .run = 1, .end = VP_RUN_DONE };
+  VpWorkerEntry entry = _entry (0);
+  VpJob *job;
+
+  _setup (&fixture, 2, false);
+  _sync (&fixture);
+  job = _submit (&fixture, 1, 1000);
+  _decide (&fixture);
+  _answer (&fixture, _find (&fixture, VP_ORDER_START), VP_ORDER_OK);
+  ended.task.job = job->spec->id;
+  entry.is_draining = true;
+  g_strlcpy (entry.id, job->runs[0].steps[0].tasks[0].worker->entry.id, sizeof entry.id);
+  vp_cell_worker (fixture.cell, &entry, fixture.now_ms);
+  fixture.now_ms += 400;
+  vp_cell_worker_gone (fixture.cell, entry.id, fixture.now_ms);
+  _decide (&fixture);
+  g_assert_null (_find (&fixture, VP_ORDER_START));
+  result = _list (&fixture, entry.id);
+  g_array_append_val (result.ended, ended);
+  _take (&fixture, &result);
+  g_assert_cmpint (job->state, ==, VP_JOB_COMPLETED);
+  _teardown (&fixture);
+}
+
+/* The same without a last list: the tasks are started again once a call fails. */
+static void
+test_left (void)
+{
+  Fixture fixture;
+  VpOrderResult result;
+  VpWorkerEntry entry = _entry (0);
+  VpJob *job;
+
+  _setup (&fixture, 2, false);
+  _sync (&fixture);
+  job = _submit (&fixture, 1, 1000);
+  _decide (&fixture);
+  _answer (&fixture, _find (&fixture, VP_ORDER_START), VP_ORDER_OK);
+  entry.is_draining = true;
+  g_strlcpy (entry.id, job->runs[0].steps[0].tasks[0].worker->entry.id, sizeof entry.id);
+  vp_cell_worker (fixture.cell, &entry, fixture.now_ms);
+  vp_cell_worker_gone (fixture.cell, entry.id, fixture.now_ms + 400);
+  result = _list (&fixture, entry.id);
+  result.outcome = VP_ORDER_UNREACHABLE;
+  _take (&fixture, &result);
+  fixture.now_ms += 1000;
+  _decide (&fixture);
+  g_assert_cmpuint (_find (&fixture, VP_ORDER_START)->run, ==, 2);
+  _teardown (&fixture);
+}
+
+/* What an earlier scheduler had running counts against the team's cap before it is seen. */
+static void
+test_unseen_counts (void)
+{
+  Fixture fixture;
+  VpJob *job;
+
+  _setup (&fixture, 8, false);
+  job = _submit (&fixture, 18, 1000);
+  job->is_inherited = true;
+  for (uint32_t i = 0; i < 18; i++)
+    vp_jobtask_set_last_worker (vp_cell_jobs (fixture.cell), &job->runs[0].steps[0].tasks[i], "w9");
+  _sync (&fixture);
+  _submit (&fixture, 5, 1000);
+  _decide (&fixture);
+  g_assert_cmpuint (_count (&fixture, VP_ORDER_START), ==, 2);
+  _teardown (&fixture);
+}
+
 /* A worker that starts anew under its identity runs nothing of before. */
 static void
 test_reborn (void)
@@ -396,6 +472,9 @@
   g_test_add_func ("/cell/team-cap", test_team_cap);
   g_test_add_func ("/cell/ask-bound", test_ask_bound);
   g_test_add_func ("/cell/unlisted-unheard", test_unlisted_unheard);
+  g_test_add_func ("/cell/last-list", test_last_list);
+  g_test_add_func ("/cell/left", test_left);
+  g_test_add_func ("/cell/unseen-counts", test_unseen_counts);
   g_test_add_func ("/cell/reborn", test_reborn);
   return g_test_run ();
 }
