Count failed runs that an earlier scheduler had not kept, in any order

Ruled out: a double count (the attempt limit of the queue is 2, two ends were listed). Change: what was kept of a task says which runs are counted; each other failed end counts once. Tests: cell/unkept-failures fails before, passes after; cell/kept-failure guards the other side.

--- a/src/vp-cell.c
+++ b/src/vp-cell.c
@@ -349,23 +349,24 @@
 
 /* An end of a run that isn't assigned there: of an earlier scheduler, or one given up as lost. */
 static void
-_vp_cell_stray_end (VpCell *cell,
-                    VpRosterWorker *worker,
-                    VpJobTask *task,
-                    const VpEndedEntry *entry,
-                    int64_t now_ms)
+_vp_cell_stray_end (VpCell *cell, VpJobTask *task, const VpEndedEntry *entry, int64_t now_ms)
 {
-  VpJob *job = task->step->run->job;
-  bool is_new = entry->run > task->run
-                || (entry->run == task->run && strcmp (task->last_worker, worker->entry.id) == 0);
+  uint32_t attempts_max = _vp_cell_attempts_max (cell, task->step->run->job);
+  bool is_new = entry->run > task->kept_run || (entry->run == task->kept_run && task->is_kept_out);
 
-  if (task->phase != VP_PHASE_WAITING || (!is_new && entry->end != VP_RUN_DONE))
+  if (!is_new && entry->end != VP_RUN_DONE)
+    return;
+  if (task->phase != VP_PHASE_WAITING) {
+    if (entry->end == VP_RUN_FAILED)
+      vp_jobtask_note_failed (cell->jobs, task, attempts_max, now_ms);
     return;
+  }
   task->run = MAX (task->run, entry->run);
-  vp_jobtask_set_last_worker (cell->jobs, task, "");
+  if (entry->run >= task->kept_run)
+    vp_jobtask_set_last_worker (cell->jobs, task, "");
   if (entry->checkpoint[0] != '\0')
     g_strlcpy (task->checkpoint, entry->checkpoint, sizeof task->checkpoint);
-  vp_jobtask_end (cell->jobs, task, entry->end, _vp_cell_attempts_max (cell, job), now_ms);
+  vp_jobtask_end (cell->jobs, task, entry->end, attempts_max, now_ms);
 }
 
 static void
@@ -378,7 +379,7 @@
     return;
   job = task->step->run->job;
   if (task->worker != worker || task->run != entry->run) {
-    _vp_cell_stray_end (cell, worker, task, entry, now_ms);
+    _vp_cell_stray_end (cell, task, entry, now_ms);
     return;
   }
   _vp_cell_log_task (task, "end", vp_run_end_token (entry->end), now_ms);
--- a/src/vp-joblist.c
+++ b/src/vp-joblist.c
@@ -463,11 +463,12 @@
     vp_jobtask_done (list, &step->tasks[i], now_ms);
 }
 
-static void
-_vp_task_failed (VpJobList *list, VpJobTask *task, uint32_t attempts_max, int64_t now_ms)
+void
+vp_jobtask_note_failed (VpJobList *list, VpJobTask *task, uint32_t attempts_max, int64_t now_ms)
 {
   VpJob *job = task->step->run->job;
 
+  vp_joblist_touch (list, job);
   task->failures++;
   task->not_before_ms = now_ms + (VP_JOB_RETRY_MS << MIN (task->failures - 1, 5U));
   if (task->step->spec->is_lasting || vp_job_is_ended (job))
@@ -495,7 +496,7 @@
   if (task->worker != NULL)
     vp_jobtask_release (list, task);
   if (end == VP_RUN_FAILED)
-    _vp_task_failed (list, task, attempts_max, now_ms);
+    vp_jobtask_note_failed (list, task, attempts_max, now_ms);
   vp_joblist_touch (list, step->run->job);
 }
 
@@ -564,7 +565,7 @@
 static void
 _vp_task_restore (VpJobList *list, VpJobTask *task, uint16_t packed, int64_t now_ms)
 {
-  task->run = packed & VP_PACKED_RUN_MAX;
+  task->run = task->kept_run = packed & VP_PACKED_RUN_MAX;
   task->failures = packed >> VP_PACKED_FAILURES_SHIFT & VP_PACKED_FAILURES_MAX;
   if ((packed & VP_PACKED_DONE) != 0)
     vp_jobtask_done (list, task, now_ms);
@@ -586,8 +587,10 @@
   for (uint32_t i = 0; i < MIN (count, step->spec->task_count); i++)
     _vp_task_restore (list, &step->tasks[i], items[i], now_ms);
   while (g_variant_iter_next (assigned, "(u&s)", &index, &worker)) {
-    if (index < step->spec->task_count)
+    if (index < step->spec->task_count) {
+      step->tasks[index].is_kept_out = true;
       vp_jobtask_set_last_worker (list, &step->tasks[index], worker);
+    }
   }
 }
 
--- a/tests/test-cell.c
+++ b/tests/test-cell.c
@@ -437,6 +437,57 @@
   _teardown (&fixture);
 }
 
+/* Two runs of a task failed while no commit went through; the later one's end comes first. Both
+ * count, and its two attempts are used up. */
+static void
+test_unkept_failures (void)
+{
+  Fixture fixture;
+  VpOrderResult result;
+  VpEndedEntry ended = { .number = 1, .is_task = true, .end = VP_RUN_FAILED };
+  VpJob *job;
+
+  _setup (&fixture, 2, false);
+  job = _submit (&fixture, 1, 1000);
+  job->is_inherited = true;
+  ended.task.job = job->spec->id;
+  result = _list (&fixture, "w0");
+  ended.run = 2;
+  g_array_append_val (result.ended, ended);
+  _take (&fixture, &result);
+  result = _list (&fixture, "w1");
+  ended.run = 1;
+  g_array_append_val (result.ended, ended);
+  _take (&fixture, &result);
+  g_assert_cmpint (job->state, ==, VP_JOB_FAILED);
+  _teardown (&fixture);
+}
+
+/* An end that an earlier scheduler has kept is listed again, as its acknowledgement was lost. */
+static void
+test_kept_failure (void)
+{
+  Fixture fixture;
+  VpOrderResult result;
+  VpEndedEntry ended = { .number = 1, .is_task = true, .run = 1, .end = VP_RUN_FAILED };
+  VpJobTask *task;
+  VpJob *job;
+
+  _setup (&fixture, 1, false);
+  job = _submit (&fixture, 1, 1000);
+  job->is_inherited = true;
+  task = &job->runs[0].steps[0].tasks[0];
+  task->run = task->kept_run = 1;
+  task->failures = 1;
+  ended.task.job = job->spec->id;
+  result = _list (&fixture, "w0");
+  g_array_append_val (result.ended, ended);
+  _take (&fixture, &result);
+  g_assert_cmpuint (task->failures, ==, 1);
+  g_assert_cmpint (job->state, ==, VP_JOB_QUEUED);
+  _teardown (&fixture);
+}
+
 /* A worker that starts anew under its identity runs nothing of before. */
 static void
 test_reborn (void)
@@ -475,6 +526,8 @@
   g_test_add_func ("/cell/last-list", test_last_list);
   g_test_add_func ("/cell/left", test_left);
   g_test_add_func ("/cell/unseen-counts", test_unseen_counts);
+  g_test_add_func ("/cell/unkept-failures", test_unkept_failures);
+  g_test_add_func ("/cell/kept-failure", test_kept_failure);
   g_test_add_func ("/cell/reborn", test_reborn);
   return g_test_run ();
 }
