Take a worker as over when another life has its address; repeat starts that have no answer soon

(2) An order that a worker carries out late held up its job for the whole second of the transport's time-out. Change: such a worker's leases are over at once. A start without an answer is repeated after 120 ms for the same run, over another connection. Tests: cell/other-life fails before, passes after.

--- a/src/vp-cell.c
+++ b/src/vp-cell.c
@@ -12,6 +12,9 @@
 /* Next HOLD when ends wait to be durable, or after one that failed. */
 #define VP_CELL_HOLD_RETRY_MS 400
 #define VP_CELL_HOLD_LOST_MS  150
+/* A start that has no answer after this is repeated: workers answer within some milliseconds, and
+ * the transport gives up only after a second. */
+#define VP_CELL_START_HEDGE_MS 120
 /* Times that a start without an answer is repeated for the same run before the run is stopped. */
 #define VP_CELL_START_TRIES 3
 /* A stop without an answer is repeated after this. */
@@ -200,6 +203,7 @@
   if (ticket != NULL)
     g_strlcpy (order->ticket, ticket, sizeof order->ticket);
   task->start_tries++;
+  task->ordered_ms = now_ms;
   vp_counters_add (VP_COUNT_STARTS, 1);
 }
 
@@ -295,7 +299,7 @@
 static bool
 _vp_cell_is_settled_worker (const VpRosterWorker *worker, int64_t now_ms)
 {
-  return worker->is_synced || (worker->clock_at_ms == 0 && vp_roster_is_lapsed (worker, now_ms));
+  return worker->is_synced || vp_roster_is_lapsed (worker, now_ms);
 }
 
 /* Whether every worker that an earlier scheduler may have used has told what it runs. */
@@ -531,7 +535,7 @@
     break;
   case VP_ORDER_OTHER_LIFE:
     _vp_cell_lost (cell, worker, "other-life", now_ms);
-    worker->is_reachable = worker->is_synced = false;
+    vp_roster_over (worker);
     worker->hold_next_ms = now_ms + VP_CELL_HOLD_RETRY_MS;
     break;
   case VP_ORDER_UNREACHABLE:
@@ -661,7 +665,7 @@
     _vp_cell_stop_result (cell, task, result);
   if (result->outcome == VP_ORDER_OTHER_LIFE) {
     _vp_cell_lost (cell, worker, "other-life", now_ms);
-    worker->is_reachable = worker->is_synced = false;
+    vp_roster_over (worker);
   }
 }
 
@@ -1130,8 +1134,16 @@
     _vp_cell_order_stop (cell, task, now_ms, effects);
     return;
   }
-  if (task->phase != VP_PHASE_STARTING || !task->is_unanswered || !task->worker->is_reachable)
+  if (task->phase != VP_PHASE_STARTING || !task->worker->is_reachable)
     return;
+  if (!task->is_unanswered) {
+    if (task->start_tries < VP_CELL_START_TRIES
+        && now_ms - task->ordered_ms > VP_CELL_START_HEDGE_MS * task->start_tries) {
+      _vp_cell_log_task (task, "start-again", "slow-answer", now_ms);
+      _vp_cell_order_start (cell, task, now_ms, effects);
+    }
+    return;
+  }
   task->is_unanswered = false;
   if (task->start_tries < VP_CELL_START_TRIES) {
     _vp_cell_order_start (cell, task, now_ms, effects);
--- a/src/vp-joblist.h
+++ b/src/vp-joblist.h
@@ -52,6 +52,7 @@
   VpRosterWorker *worker; /* while it takes room there */
   char checkpoint[VP_CHECKPOINT_MAX];
   uint32_t start_tries;          /* of the present run */
+  int64_t ordered_ms;            /* last order of the present run */
   int64_t not_before_ms;         /* earliest next start */
   int64_t started_ms;            /* first order of the present run */
   int64_t confirmed_ms;          /* its presence or its stop was confirmed; 0: not yet */
--- a/src/vp-roster.c
+++ b/src/vp-roster.c
@@ -96,6 +96,7 @@
 {
   worker->heard_ms = MAX (worker->heard_ms, received_ms);
   worker->is_reachable = true;
+  worker->is_over = false;
   /* Answers on several connections overtake each other; the clock only runs forward. */
   if (clock_ms <= 0)
     return;
@@ -138,9 +139,18 @@
   return clock_ms + roster->hold_max_ms;
 }
 
+void
+vp_roster_over (VpRosterWorker *worker)
+{
+  worker->is_over = true;
+  worker->is_reachable = worker->is_synced = false;
+}
+
 bool
 vp_roster_is_lapsed (const VpRosterWorker *worker, int64_t now_ms)
 {
+  if (worker->is_over)
+    return true;
   if (worker->clock_at_ms == 0)
     return now_ms > worker->blind_until_ms;
   return vp_roster_clock_ms (worker, now_ms) > worker->lease_end_ms + VP_ROSTER_LAPSE_MARGIN_MS;
--- a/src/vp-roster.h
+++ b/src/vp-roster.h
@@ -46,6 +46,7 @@
   GHashTable *tasks;        /* committed tasks, by address */
   uint32_t foreign_count;   /* listed runs that no known task accounts for */
   bool is_listed;           /* in the platform's list now */
+  bool is_over;             /* another life has its address: nothing of this one runs */
   bool has_left;            /* it drained and left the list; gone once it doesn't answer */
   bool is_synced;           /* its runs are known since this scheduler took over */
   bool is_reachable;        /* the last call was answered */
@@ -95,6 +96,8 @@
 /* End of a lease that is ordered now, on the worker's clock; noted as the latest. 0 if its clock is
  * not known. */
 int64_t vp_roster_lease (const VpRoster *roster, VpRosterWorker *worker, int64_t now_ms);
+/* Another worker answers at its address. */
+void vp_roster_over (VpRosterWorker *worker);
 /* True if every lease that was ordered is over for certain. */
 bool vp_roster_is_lapsed (const VpRosterWorker *worker, int64_t now_ms);
 /* Room that is not committed. */
--- a/tests/test-cell.c
+++ b/tests/test-cell.c
@@ -437,6 +437,30 @@
   _teardown (&fixture);
 }
 
+/* Another worker answers at the address of one that an earlier scheduler used: its life is over,
+ * and waiting work of that time need not wait for its leases. */
+static void
+test_other_life (void)
+{
+  Fixture fixture;
+  VpOrderResult result;
+  VpJob *job;
+
+  _setup (&fixture, 2, false);
+  job = _submit (&fixture, 1, 1000);
+  job->is_inherited = true;
+  result = _list (&fixture, "w0");
+  _take (&fixture, &result);
+  _decide (&fixture);
+  g_assert_null (_find (&fixture, VP_ORDER_START));
+  result = _list (&fixture, "w1");
+  result.outcome = VP_ORDER_OTHER_LIFE;
+  _take (&fixture, &result);
+  _decide (&fixture);
+  g_assert_nonnull (_find (&fixture, VP_ORDER_START));
+  _teardown (&fixture);
+}
+
 /* Two runs of a task failed while no commit went through; the later one's end comes first. Both
  * count, and its two attempts are used up. */
 static void
@@ -526,6 +550,7 @@
   g_test_add_func ("/cell/last-list", test_last_list);
   g_test_add_func ("/cell/left", test_left);
   g_test_add_func ("/cell/unseen-counts", test_unseen_counts);
+  g_test_add_func ("/cell/other-life", test_other_life);
   g_test_add_func ("/cell/unkept-failures", test_unkept_failures);
   g_test_add_func ("/cell/kept-failure", test_kept_failure);
   g_test_add_func ("/cell/reborn", test_reborn);
