Hand over to the process that started last, give callers back at once where no leader is in reach

Ruled out: the wait for the first start (30 ms at the median in the burst). Change: pings tell age and stopping; the successor is the youngest that isn't stopping. A node that hears fewer than half of the others and no leader answers 503 for what it sent to nobody and 504 for the rest at once. Tests: front/cut-off; node/hand-over as before.

--- a/src/vp-front.c
+++ b/src/vp-front.c
@@ -275,13 +275,17 @@
 
 /* The request can't be answered any more; true if it was replied to. */
 static bool
-_vp_front_expire (VpFrontCall *pending, bool is_led, int64_t now_ms, VpNodeEffects *effects)
+_vp_front_expire (VpFrontCall *pending,
+                  bool is_led,
+                  bool is_hopeless,
+                  int64_t now_ms,
+                  VpNodeEffects *effects)
 {
   bool is_read = pending->kind == VP_NODEMSG_QUERY || pending->kind == VP_NODEMSG_PENDING;
   bool is_leaderless = !is_led && pending->sent_term == 0
                        && now_ms - pending->arrived_ms > VP_FRONT_LEADER_WAIT_MS;
 
-  if (now_ms < pending->deadline_ms && !is_leaderless)
+  if (now_ms < pending->deadline_ms && !is_leaderless && !is_hopeless)
     return false;
   if (pending->sent_term == 0 || is_read) {
     _vp_front_reject (&pending->call, "no-leader", now_ms, effects);
@@ -297,6 +301,7 @@
 vp_front_tick (VpFront *front,
                const char *leader,
                uint64_t term,
+               bool is_hopeless,
                int64_t now_ms,
                GArray *requests,
                VpNodeEffects *effects)
@@ -308,7 +313,7 @@
   g_hash_table_iter_init (&iter, front->calls);
   while (g_hash_table_iter_next (&iter, NULL, &value)) {
     VpFrontCall *pending = value;
-    if (_vp_front_expire (pending, leader != NULL, now_ms, effects)) {
+    if (_vp_front_expire (pending, leader != NULL, is_hopeless, now_ms, effects)) {
       g_hash_table_remove (front->handles, &pending->call.handle);
       g_hash_table_iter_remove (&iter);
       continue;
--- a/src/vp-node.c
+++ b/src/vp-node.c
@@ -35,6 +35,8 @@
   bool is_listed;
   int64_t heard_ms;
   bool hears_leader;
+  bool is_stopping;
+  int64_t started_ms;
   uint64_t conf_version;
   int64_t busy_until_ms; /* its advice calls are expected to be done */
 } VpNodeMember;
@@ -50,6 +52,7 @@
   int64_t ping_next_ms;
   int64_t conf_ask_next_ms;
   int64_t busy_until_ms; /* own advice calls */
+  int64_t started_ms;
   bool is_ready;
   bool is_stopping;
   bool is_exiting;
@@ -73,6 +76,7 @@
   node->desc = *desc;
   g_strlcpy (node->name, desc->name, sizeof node->name);
   node->desc.name = node->name;
+  node->started_ms = now_ms;
   vp_lead_setup (&node->lead, node->name, now_ms);
   node->front = vp_front_setup (node->name);
   node->members = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, g_free);
@@ -144,6 +148,8 @@
                        .term = node->lead.term,
                        .is_leader = is_leader,
                        .hears_leader = vp_lead_is_known (&node->lead, now_ms),
+                       .is_stopping = node->is_stopping,
+                       .age_ms = now_ms - node->started_ms,
                        .conf_version = node->conf == NULL ? 0 : node->conf->version };
     if (!member->is_listed && now_ms - member->heard_ms > VP_NODE_FORGET_MS) {
       g_hash_table_iter_remove (&iter);
@@ -200,6 +206,8 @@
 
   member->heard_ms = now_ms;
   member->hears_leader = ping->hears_leader;
+  member->is_stopping = ping->is_stopping;
+  member->started_ms = now_ms - ping->age_ms;
   member->conf_version = ping->conf_version;
   if (ping->is_leader)
     vp_lead_heard (&node->lead, ping->from, ping->term, ping->store_age_ms, now_ms);
@@ -537,6 +545,8 @@
     return;
   node->is_stopping = true;
   node->stop_ms = now_ms;
+  /* The others are told at once. */
+  node->ping_next_ms = now_ms;
   vp_log (now_ms, "stop", "open=%u leading=%d", vp_front_open_count (node->front),
           vp_node_is_leading (node));
   if (node->cell == NULL)
@@ -715,22 +725,33 @@
   }
 }
 
-static void
-_vp_node_hand_over (VpNode *node, int64_t now_ms, VpNodeEffects *effects)
+/* The process that started last: where processes are stopped in turn, it comes last again. */
+static const VpNodeMember *
+_vp_node_successor (const VpNode *node, int64_t now_ms)
 {
-  VpNodeMsg message = { .kind = VP_NODEMSG_HANDOVER, .term = node->lead.term };
   const VpNodeMember *best = NULL;
   GHashTableIter iter;
   gpointer value;
 
-  if (!vp_keeper_is_finished (node->keeper) && now_ms - node->stop_ms < VP_NODE_HANDOVER_MS)
-    return;
   g_hash_table_iter_init (&iter, node->members);
   while (g_hash_table_iter_next (&iter, NULL, &value)) {
     const VpNodeMember *member = value;
-    if (member->is_listed && (best == NULL || member->heard_ms > best->heard_ms))
+    if (member->is_listed && !member->is_stopping && now_ms - member->heard_ms < VP_NODE_HEARD_MS
+        && (best == NULL || member->started_ms > best->started_ms))
       best = member;
   }
+  return best;
+}
+
+static void
+_vp_node_hand_over (VpNode *node, int64_t now_ms, VpNodeEffects *effects)
+{
+  VpNodeMsg message = { .kind = VP_NODEMSG_HANDOVER, .term = node->lead.term };
+  const VpNodeMember *best;
+
+  if (!vp_keeper_is_finished (node->keeper) && now_ms - node->stop_ms < VP_NODE_HANDOVER_MS)
+    return;
+  best = _vp_node_successor (node, now_ms);
   vp_log (now_ms, "hand-over", "to=%s clean=%d", best == NULL ? "-" : best->name,
           vp_keeper_is_finished (node->keeper));
   if (best != NULL)
@@ -765,14 +786,24 @@
     _vp_node_hand_over (node, now_ms, effects);
 }
 
+/* Fewer than half of the processes are in reach, so no leader will be soon. */
+static bool
+_vp_node_is_cut_off (const VpNode *node, int64_t now_ms)
+{
+  VpLeadView view;
+
+  _vp_node_view (node, now_ms, &view);
+  return 2 * (view.heard_count + 1) < view.member_count + 1;
+}
+
 static void
 _vp_node_step_front (VpNode *node, int64_t now_ms, VpNodeEffects *effects)
 {
   g_autoptr (GArray) requests = g_array_new (FALSE, FALSE, sizeof (VpNodeMsg));
   bool is_known = vp_lead_is_known (&node->lead, now_ms);
 
-  vp_front_tick (node->front, is_known ? node->lead.leader : NULL, node->lead.term, now_ms,
-                 requests, effects);
+  vp_front_tick (node->front, is_known ? node->lead.leader : NULL, node->lead.term,
+                 !is_known && _vp_node_is_cut_off (node, now_ms), now_ms, requests, effects);
   for (guint i = 0; i < requests->len; i++) {
     VpNodeMsg *request = &g_array_index (requests, VpNodeMsg, i);
     if (strcmp (node->lead.leader, node->name) != 0) {
--- a/src/vp-nodemsg.c
+++ b/src/vp-nodemsg.c
@@ -2,7 +2,7 @@
 
 #include <string.h>
 
-#define VP_NODEMSG_TYPE    "(yysttbbxttsuuuumv)"
+#define VP_NODEMSG_TYPE    "(yysttbbbxxttsuuuumv)"
 #define VP_NODEMSG_VERSION 1
 /* A configuration of some hundred queues or a job of 64 steps is below this. */
 #define VP_NODEMSG_BYTES_MAX (4U * 1024 * 1024)
@@ -12,11 +12,11 @@
 {
   GVariant *body = message->body == NULL ? NULL : g_variant_new_variant (message->body);
   GVariant *value = g_variant_new (
-      "(yysttbbxttsuuuu@mv)", (guchar)VP_NODEMSG_VERSION, (guchar)message->kind, message->from,
+      "(yysttbbbxxttsuuuu@mv)", (guchar)VP_NODEMSG_VERSION, (guchar)message->kind, message->from,
       message->serial, message->term, (gboolean)message->is_leader, (gboolean)message->hears_leader,
-      message->store_age_ms, message->conf_version, message->job, message->queue,
-      (guint32)message->answer, message->state, message->count, message->retry_after_ms,
-      g_variant_new_maybe (G_VARIANT_TYPE_VARIANT, body));
+      (gboolean)message->is_stopping, message->age_ms, message->store_age_ms, message->conf_version,
+      message->job, message->queue, (guint32)message->answer, message->state, message->count,
+      message->retry_after_ms, g_variant_new_maybe (G_VARIANT_TYPE_VARIANT, body));
   GBytes *wire;
 
   g_variant_ref_sink (value);
@@ -34,7 +34,7 @@
   guchar version, kind;
   guint32 answer;
   const char *from, *queue;
-  gboolean is_leader, hears_leader;
+  gboolean is_leader, hears_leader, is_stopping;
 
   memset (out, 0, sizeof *out);
   if (g_bytes_get_size (wire) > VP_NODEMSG_BYTES_MAX)
@@ -43,9 +43,10 @@
       g_variant_new_from_bytes (G_VARIANT_TYPE (VP_NODEMSG_TYPE), wire, FALSE));
   if (!g_variant_is_normal_form (value))
     return false;
-  g_variant_get (value, "(yy&sttbbxtt&suuuu@mv)", &version, &kind, &from, &out->serial, &out->term,
-                 &is_leader, &hears_leader, &out->store_age_ms, &out->conf_version, &out->job,
-                 &queue, &answer, &out->state, &out->count, &out->retry_after_ms, &maybe);
+  g_variant_get (value, "(yy&sttbbbxxtt&suuuu@mv)", &version, &kind, &from, &out->serial,
+                 &out->term, &is_leader, &hears_leader, &is_stopping, &out->age_ms,
+                 &out->store_age_ms, &out->conf_version, &out->job, &queue, &answer, &out->state,
+                 &out->count, &out->retry_after_ms, &maybe);
   if (version != VP_NODEMSG_VERSION || kind >= VP_NODEMSG_KIND_COUNT || answer >= VP_ANSWER_COUNT_OF
       || !vp_name_copy (out->from, sizeof out->from, from)
       || !vp_name_copy (out->queue, sizeof out->queue, queue))
@@ -54,6 +55,7 @@
   out->answer = (VpAnswerKind)answer;
   out->is_leader = is_leader;
   out->hears_leader = hears_leader;
+  out->is_stopping = is_stopping;
   boxed = g_variant_get_maybe (maybe);
   out->body = boxed == NULL ? NULL : g_variant_get_variant (boxed);
   return true;
--- a/src/vp-nodemsg.h
+++ b/src/vp-nodemsg.h
@@ -45,6 +45,8 @@
   uint64_t term;
   bool is_leader;
   bool hears_leader;
+  bool is_stopping;     /* PING: it will not take the leader's place */
+  int64_t age_ms;       /* PING: since its start */
   int64_t store_age_ms; /* PING of the leader: since its last successful write */
   uint64_t conf_version;
   uint64_t job;
--- a/tests/test-front.c
+++ b/tests/test-front.c
@@ -9,6 +9,7 @@
   GArray *requests;
   VpNodeEffects effects;
   int64_t now_ms;
+  bool is_hopeless;
 } Fixture;
 
 static void
@@ -73,8 +74,8 @@
 _tick (Fixture *fixture, const char *leader, uint64_t term)
 {
   _clear (fixture);
-  vp_front_tick (fixture->front, leader, term, fixture->now_ms, fixture->requests,
-                 &fixture->effects);
+  vp_front_tick (fixture->front, leader, term, fixture->is_hopeless, fixture->now_ms,
+                 fixture->requests, &fixture->effects);
 }
 
 static void
@@ -158,6 +159,26 @@
   _teardown (&fixture);
 }
 
+/* A node that is cut off gives requests back at once, each with what is true of it. */
+static void
+test_cut_off (void)
+{
+  Fixture fixture;
+
+  _setup (&fixture);
+  _call (&fixture, VP_CALL_SUBMIT, JOB, "secret");
+  fixture.is_hopeless = true;
+  _tick (&fixture, NULL, 0);
+  _assert_reply (&fixture, VP_REPLY_REJECTED);
+  fixture.is_hopeless = false;
+  _call (&fixture, VP_CALL_SUBMIT, JOB, "secret");
+  _tick (&fixture, "leader", 1);
+  fixture.is_hopeless = true;
+  _tick (&fixture, NULL, 0);
+  _assert_reply (&fixture, VP_REPLY_NO_ANSWER);
+  _teardown (&fixture);
+}
+
 /* A leader that has been replaced can't reject what its successor was asked to accept. */
 static void
 test_outdated_rejection (void)
@@ -189,6 +210,7 @@
   g_test_add_func ("/front/public", test_public);
   g_test_add_func ("/front/no-leader", test_no_leader);
   g_test_add_func ("/front/no-answer", test_no_answer);
+  g_test_add_func ("/front/cut-off", test_cut_off);
   g_test_add_func ("/front/outdated-rejection", test_outdated_rejection);
   return g_test_run ();
 }
