Count the failure of a run once, however often its end is listed

Change: each task keeps which of its runs are counted as failed. Tests: cell/end-listed-twice fails before (2 failures for one run), passes after.

--- a/src/vp-cell.c
+++ b/src/vp-cell.c
@@ -356,21 +356,19 @@
 _vp_cell_stray_end (VpCell *cell, VpJobTask *task, const VpEndedEntry *entry, int64_t now_ms)
 {
   uint32_t attempts_max = _vp_cell_attempts_max (cell, task->step->run->job);
-  bool is_new = entry->run > task->kept_run || (entry->run == task->kept_run && task->is_kept_out);
+  bool is_waiting = task->phase == VP_PHASE_WAITING;
 
-  if (!is_new && entry->end != VP_RUN_DONE)
+  if (entry->end == VP_RUN_FAILED)
+    vp_jobtask_note_failed (cell->jobs, task, entry->run, attempts_max, now_ms);
+  if (!is_waiting || (entry->run < task->kept_run && entry->end != VP_RUN_DONE))
     return;
-  if (task->phase != VP_PHASE_WAITING) {
-    if (entry->end == VP_RUN_FAILED)
-      vp_jobtask_note_failed (cell->jobs, task, attempts_max, now_ms);
-    return;
-  }
   task->run = MAX (task->run, entry->run);
   if (entry->run >= task->kept_run)
     vp_jobtask_set_last_worker (cell->jobs, task, "");
   if (entry->checkpoint[0] != '\0')
     g_strlcpy (task->checkpoint, entry->checkpoint, sizeof task->checkpoint);
-  vp_jobtask_end (cell->jobs, task, entry->end, attempts_max, now_ms);
+  if (entry->end == VP_RUN_DONE)
+    vp_jobtask_end (cell->jobs, task, entry->end, attempts_max, now_ms);
 }
 
 static void
--- a/src/vp-joblist.c
+++ b/src/vp-joblist.c
@@ -464,10 +464,19 @@
 }
 
 void
-vp_jobtask_note_failed (VpJobList *list, VpJobTask *task, uint32_t attempts_max, int64_t now_ms)
+vp_jobtask_note_failed (VpJobList *list,
+                        VpJobTask *task,
+                        uint32_t run,
+                        uint32_t attempts_max,
+                        int64_t now_ms)
 {
   VpJob *job = task->step->run->job;
+  bool is_kept = run < task->kept_run || (run == task->kept_run && run > 0 && !task->is_kept_out);
+  uint64_t bit = is_kept ? 0 : UINT64_C (1) << MIN (run - task->kept_run, 63U);
 
+  if (is_kept || (task->failed_runs & bit) != 0)
+    return;
+  task->failed_runs |= bit;
   vp_joblist_touch (list, job);
   task->failures++;
   task->not_before_ms = now_ms + (VP_JOB_RETRY_MS << MIN (task->failures - 1, 5U));
@@ -496,7 +505,7 @@
   if (task->worker != NULL)
     vp_jobtask_release (list, task);
   if (end == VP_RUN_FAILED)
-    vp_jobtask_note_failed (list, task, attempts_max, now_ms);
+    vp_jobtask_note_failed (list, task, task->run, attempts_max, now_ms);
   vp_joblist_touch (list, step->run->job);
 }
 
--- a/src/vp-joblist.h
+++ b/src/vp-joblist.h
@@ -45,10 +45,11 @@
   VpJobStep *step;
   uint32_t index;
   VpPhase phase;
-  uint32_t run;      /* last one that was ordered */
-  uint32_t kept_run; /* last one that an earlier scheduler had kept; its ends are counted ... */
-  bool is_kept_out;  /* ... but for this last one if it was running then */
-  uint32_t failures; /* ends that count against the queue's attempts */
+  uint32_t run;         /* last one that was ordered */
+  uint32_t kept_run;    /* last one that an earlier scheduler had kept; its ends are counted ... */
+  bool is_kept_out;     /* ... but for this last one if it was running then */
+  uint64_t failed_runs; /* bit N: the failure of run @kept_run + N is counted */
+  uint32_t failures;    /* ends that count against the queue's attempts */
   VpRosterWorker *worker; /* while it takes room there */
   char checkpoint[VP_CHECKPOINT_MAX];
   uint32_t start_tries;          /* of the present run */
@@ -176,9 +177,12 @@
                      VpRunEnd end,
                      uint32_t attempts_max,
                      int64_t now_ms);
-/* A run that isn't the present one turns out to have failed. */
-void
-vp_jobtask_note_failed (VpJobList *list, VpJobTask *task, uint32_t attempts_max, int64_t now_ms);
+/* Run @run has failed. Counts once, however often its end is listed. */
+void vp_jobtask_note_failed (VpJobList *list,
+                             VpJobTask *task,
+                             uint32_t run,
+                             uint32_t attempts_max,
+                             int64_t now_ms);
 /* A run of the task has ended as done, wherever it was. */
 void vp_jobtask_done (VpJobList *list, VpJobTask *task, int64_t now_ms);
 bool vp_job_is_ended (const VpJob *job);
--- a/tests/test-cell.c
+++ b/tests/test-cell.c
@@ -487,6 +487,43 @@
   _teardown (&fixture);
 }
 
+/* A worker is forgotten behind a cut and comes back with an end that was counted before. */
+static void
+test_end_listed_twice (void)
+{
+  Fixture fixture;
+  VpOrderResult result;
+  VpEndedEntry ended = { .number = 1, .is_task = true, .run = 1, .end = VP_RUN_FAILED };
+  VpWorkerEntry entry = _entry (0);
+  VpJobTask *task;
+  VpJob *job;
+
+  _setup (&fixture, 1, false);
+  _sync (&fixture);
+  job = _submit (&fixture, 1, 1000);
+  task = &job->runs[0].steps[0].tasks[0];
+  _decide (&fixture);
+  _answer (&fixture, _find (&fixture, VP_ORDER_START), VP_ORDER_OK);
+  ended.task.job = job->spec->id;
+  for (int i = 0; i < 2; i++) {
+    result = _list (&fixture, "w0");
+    g_array_append_val (result.ended, ended);
+    _take (&fixture, &result);
+    g_assert_cmpuint (task->failures, ==, 1);
+    vp_cell_worker_gone (fixture.cell, "w0", fixture.now_ms);
+    fixture.now_ms += 60;
+    vp_cell_decide (fixture.cell, fixture.now_ms, fixture.effects);
+    result = _list (&fixture, "w0");
+    result.outcome = VP_ORDER_UNCERTAIN;
+    _take (&fixture, &result);
+    fixture.now_ms += 60;
+    _decide (&fixture);
+    g_assert_cmpuint (vp_cell_roster (fixture.cell)->workers->len, ==, 0);
+    vp_cell_worker (fixture.cell, &entry, fixture.now_ms);
+  }
+  _teardown (&fixture);
+}
+
 /* An end that an earlier scheduler has kept is listed again, as its acknowledgement was lost. */
 static void
 test_kept_failure (void)
@@ -552,6 +589,7 @@
   g_test_add_func ("/cell/unseen-counts", test_unseen_counts);
   g_test_add_func ("/cell/other-life", test_other_life);
   g_test_add_func ("/cell/unkept-failures", test_unkept_failures);
+  g_test_add_func ("/cell/end-listed-twice", test_end_listed_twice);
   g_test_add_func ("/cell/kept-failure", test_kept_failure);
   g_test_add_func ("/cell/reborn", test_reborn);
   return g_test_run ();
