Take a silent leader's place after 650 ms

Ruled out: the load of jobs (20 to 70 ms) and the answers of workers (100 ms). Change: the record is watched after 450 ms of silence, a claim needs 650 ms of silence and either a record that stood still for 500 ms or most processes in reach not hearing the leader. A slow store alone takes no place away.

--- a/src/vp-lead.c
+++ b/src/vp-lead.c
@@ -2,13 +2,14 @@
 
 #include <string.h>
 
-/* A leader that pings every 200 ms and is silent this long is suspected: several pings may be lost
- * or late on a busy process. */
-#define VP_LEAD_SILENT_MS 800
+/* The leader pings every 200 ms. After two pings missed the others watch the record, ... */
+#define VP_LEAD_LISTEN_MS 450
+/* ... and after three they may take its place. */
+#define VP_LEAD_SILENT_MS 650
 /* Interval of reads of the record while the leader is suspected. */
-#define VP_LEAD_READ_MS 200
-/* A leader writes the record at least every 400 ms; slower answers of the store stretch that. */
-#define VP_LEAD_STILL_MS 700
+#define VP_LEAD_READ_MS 150
+/* A leader writes the record at least every 400 ms. */
+#define VP_LEAD_STILL_MS 500
 /* A leader that has not been able to write for this long gives way to a process that can. */
 #define VP_LEAD_STORE_AGE_MS 1200
 /* A process that has just started waits this long for pings before it suspects the leader. */
@@ -16,7 +17,7 @@
 /* While claims of several processes may collide, each waits for a time of its own. */
 #define VP_LEAD_SPREAD_MS 150
 /* The leader counts as known for this long after its last ping. */
-#define VP_LEAD_KNOWN_MS 1500
+#define VP_LEAD_KNOWN_MS 1000
 
 void
 vp_lead_setup (VpLead *lead, const char *name, int64_t now_ms)
@@ -58,20 +59,25 @@
   lead->read_next_ms = now_ms;
 }
 
+static int64_t
+_vp_lead_silent_ms (const VpLead *lead, int64_t now_ms)
+{
+  return now_ms - MAX (lead->heard_ms, lead->started_ms);
+}
+
 static bool
 _vp_lead_is_suspect (const VpLead *lead, int64_t now_ms)
 {
-  return now_ms - MAX (lead->heard_ms, lead->started_ms) > VP_LEAD_SILENT_MS
+  return _vp_lead_silent_ms (lead, now_ms) > VP_LEAD_LISTEN_MS
          || lead->store_age_ms > VP_LEAD_STORE_AGE_MS || lead->is_invited
          || lead->leader[0] == '\0';
 }
 
 /* Most processes in reach don't hear the leader, and this one reaches at least half of them all. */
 static bool
-_vp_lead_is_outvoted (const VpLead *lead, const VpLeadView *view, int64_t now_ms)
+_vp_lead_is_outvoted (const VpLeadView *view)
 {
-  return now_ms - lead->heard_ms > VP_LEAD_SILENT_MS && view->heard_count > 0
-         && 2 * (view->heard_count + 1) >= view->member_count + 1
+  return view->heard_count > 0 && 2 * (view->heard_count + 1) >= view->member_count + 1
          && 2 * view->deaf_count > view->heard_count;
 }
 
@@ -80,10 +86,13 @@
 {
   if (!lead->has_record)
     return false;
-  return lead->record.term == 0 || lead->record.is_clean || lead->is_invited
-         || strcmp (lead->record.leader, lead->name) == 0
-         || now_ms - lead->still_since_ms >= VP_LEAD_STILL_MS
-         || _vp_lead_is_outvoted (lead, view, now_ms);
+  if (lead->record.term == 0 || lead->record.is_clean || lead->is_invited
+      || strcmp (lead->record.leader, lead->name) == 0)
+    return true;
+  if (lead->leader[0] != '\0' && lead->store_age_ms <= VP_LEAD_STORE_AGE_MS
+      && _vp_lead_silent_ms (lead, now_ms) <= VP_LEAD_SILENT_MS)
+    return false;
+  return now_ms - lead->still_since_ms >= VP_LEAD_STILL_MS || _vp_lead_is_outvoted (view);
 }
 
 VpLeadAction
@@ -178,6 +187,13 @@
   lead->read_next_ms = now_ms + VP_LEAD_SILENT_MS;
 }
 
+bool
+vp_lead_is_heard (const VpLead *lead, int64_t now_ms)
+{
+  return lead->state == VP_LEAD_LEADING
+         || (lead->leader[0] != '\0' && now_ms - lead->heard_ms < VP_LEAD_SILENT_MS);
+}
+
 bool
 vp_lead_is_known (const VpLead *lead, int64_t now_ms)
 {
@@ -192,7 +208,7 @@
     return INT64_MAX;
   if (_vp_lead_is_suspect (lead, now_ms))
     return lead->read_next_ms;
-  return MAX (lead->read_next_ms, MAX (lead->heard_ms, lead->started_ms) + VP_LEAD_SILENT_MS + 1);
+  return MAX (lead->read_next_ms, MAX (lead->heard_ms, lead->started_ms) + VP_LEAD_LISTEN_MS + 1);
 }
 
 GVariant *
--- a/src/vp-lead.h
+++ b/src/vp-lead.h
@@ -75,6 +75,8 @@
 void vp_lead_claimed (VpLead *lead, bool is_ok, uint64_t revision, int64_t now_ms);
 /* Another process leads, or this one gives up the place. */
 void vp_lead_step_down (VpLead *lead, int64_t now_ms);
+/* True while the leader's pings arrive. */
+bool vp_lead_is_heard (const VpLead *lead, int64_t now_ms);
 /* True while a leader can be told apart and was heard lately; this process itself counts. */
 bool vp_lead_is_known (const VpLead *lead, int64_t now_ms);
 int64_t vp_lead_next_ms (const VpLead *lead, int64_t now_ms);
--- a/src/vp-node.c
+++ b/src/vp-node.c
@@ -12,7 +12,7 @@
 #define VP_NODE_PING_LEADER_MS 200
 #define VP_NODE_PING_MS        400
 /* A process that was not heard for this long gets no advice calls and has no say. */
-#define VP_NODE_HEARD_MS 1200
+#define VP_NODE_HEARD_MS 1000
 /* A process that is unlisted and silent is forgotten after this. */
 #define VP_NODE_FORGET_MS 10000
 /* The configuration is asked for again from a process with a newer one after this. */
@@ -147,7 +147,7 @@
     VpNodeMsg ping = { .kind = VP_NODEMSG_PING,
                        .term = node->lead.term,
                        .is_leader = is_leader,
-                       .hears_leader = vp_lead_is_known (&node->lead, now_ms),
+                       .hears_leader = vp_lead_is_heard (&node->lead, now_ms),
                        .is_stopping = node->is_stopping,
                        .age_ms = now_ms - node->started_ms,
                        .conf_version = node->conf == NULL ? 0 : node->conf->version };
