Give urgent work the fast workers, and let one HOLD bring several ends

Ruled out: waiting time, advice (1.3 calls a step). Change: the time of each task against others of its step tells a worker's slowness; queues of priority 0 prefer fast workers, the rest slow ones. Holds follow 100 ms after an answer with ends and wait for 2 s when nothing happens. A worker with a start that has no answer after 120 ms gets no other work for 300 ms. Tests: cell/fast-workers, cell/hold-gap, cell/start-again replay the patterns.

--- a/src/vp-cell.c
+++ b/src/vp-cell.c
@@ -8,13 +8,18 @@
 #include <string.h>
 
 /* A worker answers a HOLD at the next end, or after this long. */
-#define VP_CELL_HOLD_WAIT_MS 1000
+#define VP_CELL_HOLD_WAIT_MS 2000
+/* Least time between the answer to a HOLD that brought ends and the next one, which then brings
+ * several: each costs a call, and a step more than this hardly shows in a job's time. */
+#define VP_CELL_HOLD_GAP_MS 100
 /* Next HOLD when ends wait to be durable, or after one that failed. */
 #define VP_CELL_HOLD_RETRY_MS 400
 #define VP_CELL_HOLD_LOST_MS  150
 /* A start that has no answer after this is repeated: workers answer within some milliseconds, and
  * the transport gives up only after a second. */
 #define VP_CELL_START_HEDGE_MS 120
+/* Its worker gets no other work for this long: it may be cut off. */
+#define VP_CELL_SLOW_ANSWER_MS 300
 /* Times that a start without an answer is repeated for the same run before the run is stopped. */
 #define VP_CELL_START_TRIES 3
 /* A stop without an answer is repeated after this. */
@@ -334,7 +339,7 @@
 static void
 _vp_cell_note_end (VpCell *cell,
                    VpRosterWorker *worker,
-                   const VpJobTask *task,
+                   VpJobTask *task,
                    VpRunEnd end,
                    int64_t now_ms)
 {
@@ -343,8 +348,11 @@
   vp_counters_add (VP_COUNT_ENDED, 1);
   if (end == VP_RUN_DONE) {
     vp_roster_note_done (worker);
-    if (!task->step->spec->is_filling && task->checkpoint[0] == '\0')
+    if (!task->step->spec->is_filling && task->checkpoint[0] == '\0') {
       vp_durations_note (cell->durations, job->spec->queue, now_ms - task->started_ms);
+      vp_roster_note_time (worker, now_ms - task->started_ms,
+                           vp_jobstep_note_time (task->step, now_ms - task->started_ms));
+    }
   } else if (end == VP_RUN_FAILED && vp_roster_note_failed (worker, job->spec->id, now_ms)) {
     vp_log (now_ms, "worker-aside", "worker=%s failed_jobs=%u until_ms=%" G_GINT64_FORMAT,
             worker->entry.id, worker->failed_jobs, worker->avoid_until_ms);
@@ -693,7 +701,8 @@
     if (worker->seen_durable == worker->seen_staged)
       continue;
     worker->seen_durable = worker->seen_staged;
-    worker->hold_next_ms = MIN (worker->hold_next_ms, now_ms);
+    worker->hold_next_ms
+        = MIN (worker->hold_next_ms, MAX (now_ms, worker->heard_ms + VP_CELL_HOLD_GAP_MS));
   }
 }
 
@@ -1138,6 +1147,8 @@
     if (task->start_tries < VP_CELL_START_TRIES
         && now_ms - task->ordered_ms > VP_CELL_START_HEDGE_MS * task->start_tries) {
       _vp_cell_log_task (task, "start-again", "slow-answer", now_ms);
+      task->worker->avoid_until_ms
+          = MAX (task->worker->avoid_until_ms, now_ms + VP_CELL_SLOW_ANSWER_MS);
       _vp_cell_order_start (cell, task, now_ms, effects);
     }
     return;
--- a/src/vp-joblist.c
+++ b/src/vp-joblist.c
@@ -6,6 +6,9 @@
  * lasts for a moment does not use up all attempts. */
 #define VP_JOB_RETRY_MS 50
 
+/* Tasks of a step take about the same time; so many tell what it is. */
+#define VP_STEP_SAMPLES_MIN 2
+
 /* Progress of a task in 16 bits. */
 #define VP_PACKED_DONE           0x8000U
 #define VP_PACKED_FAILURES_SHIFT 11
@@ -509,6 +512,16 @@
   vp_joblist_touch (list, step->run->job);
 }
 
+int64_t
+vp_jobstep_note_time (VpJobStep *step, int64_t ran_ms)
+{
+  int64_t mean_ms = step->ran_count < VP_STEP_SAMPLES_MIN ? 0 : step->ran_ms / step->ran_count;
+
+  step->ran_ms += ran_ms;
+  step->ran_count++;
+  return mean_ms;
+}
+
 GVariant *
 vp_job_encode (const VpJob *job)
 {
--- a/src/vp-joblist.h
+++ b/src/vp-joblist.h
@@ -87,6 +87,8 @@
   GHashTable *advice;  /* worker id -> VpAdviceRow; NULL: none yet */
   uint64_t ask_serial; /* advice under way; 0: none */
   int64_t ask_next_ms; /* not asked again before */
+  int64_t ran_ms;      /* sum over its tasks that are done, and their number */
+  uint32_t ran_count;
   int64_t fit_next_ms; /* a gang is not tried again before */
 };
 
@@ -185,6 +187,8 @@
                              int64_t now_ms);
 /* A run of the task has ended as done, wherever it was. */
 void vp_jobtask_done (VpJobList *list, VpJobTask *task, int64_t now_ms);
+/* A task of the step took @ran_ms; returns the mean of those before, or 0 if there are too few. */
+int64_t vp_jobstep_note_time (VpJobStep *step, int64_t ran_ms);
 bool vp_job_is_ended (const VpJob *job);
 const char *vp_job_state_token (VpJobState state);
 
--- a/src/vp-place.c
+++ b/src/vp-place.c
@@ -11,6 +11,9 @@
 #define VP_PLACE_RACK_WAIT_MS 2000
 /* Tasks that use what is left take a crowded worker after waiting this long. */
 #define VP_PLACE_FILL_WAIT_MS 2000
+/* What a worker that takes twice the time costs against a gap as large as a whole worker. */
+#define VP_PLACE_SLOW_URGENT 2.0
+#define VP_PLACE_SLOW_REST   0.3
 /* Most workers that one advice call may name (platform). */
 #define VP_PLACE_ASK_MAX 100
 /* Fewest worth a call, as each call has a fixed cost. */
@@ -81,7 +84,10 @@
 
 /* Lower is better. */
 static double
-_vp_place_score (const VpJobStep *step, const VpRosterWorker *worker, const VpSize *free)
+_vp_place_score (const VpJobStep *step,
+                 bool is_urgent,
+                 const VpRosterWorker *worker,
+                 const VpSize *free)
 {
   const VpStepSpec *spec = step->spec;
   VpSize left = *free;
@@ -102,6 +108,8 @@
   score += vp_size_dominant (&left, &worker->entry.capacity);
   if (spec->size.accel_count == 0 && free->accel_count > 0)
     score += 1;
+  /* Urgent work takes the fast workers and leaves the slow ones to the rest. */
+  score += (is_urgent ? VP_PLACE_SLOW_URGENT : VP_PLACE_SLOW_REST) * (worker->slowness - 1);
   return score;
 }
 
@@ -161,7 +169,7 @@
         || !_vp_place_fits (step, queue, worker, NULL, 0, now_ms, &free)
         || _vp_place_may_wait (step, worker, &free, now_ms))
       continue;
-    score = _vp_place_score (step, worker, &free);
+    score = _vp_place_score (step, queue->priority == 0, worker, &free);
     if (best == NULL || score < best_score) {
       best = worker;
       best_score = score;
--- a/src/vp-roster.c
+++ b/src/vp-roster.c
@@ -5,6 +5,10 @@
 /* First time aside; doubles up to VP_ROSTER_SUSPECT_STEPS times. */
 #define VP_ROSTER_SUSPECT_MS    2000
 #define VP_ROSTER_SUSPECT_STEPS 3
+/* Weight of one task in the slowness of its worker, and the range that one task can show. */
+#define VP_ROSTER_SLOWNESS_WEIGHT 0.15
+#define VP_ROSTER_SLOWNESS_MIN    0.3
+#define VP_ROSTER_SLOWNESS_MAX    5.0
 /* Longest time for which an earlier scheduler that has lost its place goes on renewing leases. */
 #define VP_ROSTER_PREDECESSOR_MS 2000
 
@@ -64,6 +68,7 @@
                                    / (1000 - VP_ROSTER_CLOCK_SLOW_MILLI)
                              + VP_ROSTER_LAPSE_MARGIN_MS;
     worker->pace_percent = 100;
+    worker->slowness = 1;
     worker->entry = *entry;
     g_ptr_array_add (roster->workers, worker);
     g_hash_table_insert (roster->by_id, worker->entry.id, worker);
@@ -197,3 +202,14 @@
   worker->failed_jobs = 0;
   worker->suspect_level = 0;
 }
+
+void
+vp_roster_note_time (VpRosterWorker *worker, int64_t ran_ms, int64_t mean_ms)
+{
+  double ratio;
+
+  if (mean_ms <= 0)
+    return;
+  ratio = CLAMP ((double)ran_ms / (double)mean_ms, VP_ROSTER_SLOWNESS_MIN, VP_ROSTER_SLOWNESS_MAX);
+  worker->slowness += VP_ROSTER_SLOWNESS_WEIGHT * (ratio - worker->slowness);
+}
--- a/src/vp-roster.h
+++ b/src/vp-roster.h
@@ -61,6 +61,7 @@
   uint64_t seen;            /* highest end that was taken note of */
   uint64_t seen_staged;     /* covered by the commit under way */
   uint64_t seen_durable;    /* may be forgotten by the worker */
+  double slowness;          /* time that its tasks take against those of the same step elsewhere */
   uint64_t last_failed_job; /* health: failures of different jobs since the last success */
   uint32_t failed_jobs;
   uint32_t suspect_level; /* times that it was put aside in a row */
@@ -107,3 +108,5 @@
 /* Health: an attempt of @job ended there. Returns true if the worker is put aside by it. */
 bool vp_roster_note_failed (VpRosterWorker *worker, uint64_t job, int64_t now_ms);
 void vp_roster_note_done (VpRosterWorker *worker);
+/* A task ran for @ran_ms there, others of its step took @mean_ms on average; 0: not known. */
+void vp_roster_note_time (VpRosterWorker *worker, int64_t ran_ms, int64_t mean_ms);
--- a/tests/test-cell.c
+++ b/tests/test-cell.c
@@ -437,6 +437,81 @@
   _teardown (&fixture);
 }
 
+/* Pattern: steps of equal tasks on workers of different speed. Urgent work goes to the fast ones
+ * once ends have told which they are. */
+static void
+test_fast_workers (void)
+{
+  Fixture fixture;
+  const VpRoster *roster;
+
+  _setup (&fixture, 3, false);
+  _sync (&fixture);
+  roster = vp_cell_roster (fixture.cell);
+  for (int i = 0; i < 20; i++) {
+    vp_roster_note_time (roster->workers->pdata[0], 1250, 1000);
+    vp_roster_note_time (roster->workers->pdata[1], 1000, 1000);
+    vp_roster_note_time (roster->workers->pdata[2], 800, 1000);
+  }
+  _submit (&fixture, 1, 1000);
+  _decide (&fixture);
+  g_assert_cmpstr (_find (&fixture, VP_ORDER_START)->worker, ==, "w2");
+  _teardown (&fixture);
+}
+
+/* Pattern: a worker whose tasks end one after the other. One call brings several ends. */
+static void
+test_hold_gap (void)
+{
+  Fixture fixture;
+  VpOrderResult result;
+  VpEndedEntry ended = { .number = 1, .is_task = true, .run = 1, .end = VP_RUN_DONE };
+
+  _setup (&fixture, 1, false);
+  _sync (&fixture);
+  _decide (&fixture);
+  g_assert_cmpuint (_count (&fixture, VP_ORDER_HOLD), ==, 1);
+  result = _list (&fixture, "w0");
+  g_array_append_val (result.ended, ended);
+  _take (&fixture, &result);
+  fixture.now_ms += 20;
+  vp_cell_stage_ends (fixture.cell);
+  vp_cell_ends_durable (fixture.cell, fixture.now_ms);
+  _decide (&fixture);
+  g_assert_cmpuint (_count (&fixture, VP_ORDER_HOLD), ==, 0);
+  fixture.now_ms += 80;
+  _decide (&fixture);
+  g_assert_cmpuint (_count (&fixture, VP_ORDER_HOLD), ==, 1);
+  g_assert_cmpuint (_find (&fixture, VP_ORDER_HOLD)->seen, ==, 1);
+  _teardown (&fixture);
+}
+
+/* Pattern: one order in twenty gets no answer. It is repeated for the same run long before the
+ * transport gives up, and its worker gets no other work meanwhile. */
+static void
+test_start_again (void)
+{
+  Fixture fixture;
+  const VpOrder *order;
+  char worker[VP_NAME_MAX];
+
+  _setup (&fixture, 2, false);
+  _sync (&fixture);
+  _submit (&fixture, 1, 1000);
+  _decide (&fixture);
+  g_strlcpy (worker, _find (&fixture, VP_ORDER_START)->worker, sizeof worker);
+  fixture.now_ms += 130;
+  _submit (&fixture, 1, 1000);
+  _decide (&fixture);
+  order = _find (&fixture, VP_ORDER_START);
+  g_assert_cmpuint (_count (&fixture, VP_ORDER_START), ==, 2);
+  g_assert_cmpuint (order->run, ==, 1);
+  g_assert_cmpstr (order->worker, ==, worker);
+  order = &g_array_index (fixture.effects, VpCellEffect, fixture.effects->len - 1).order;
+  g_assert_cmpstr (order->worker, !=, worker);
+  _teardown (&fixture);
+}
+
 /* Another worker answers at the address of one that an earlier scheduler used: its life is over,
  * and waiting work of that time need not wait for its leases. */
 static void
@@ -587,6 +662,9 @@
   g_test_add_func ("/cell/last-list", test_last_list);
   g_test_add_func ("/cell/left", test_left);
   g_test_add_func ("/cell/unseen-counts", test_unseen_counts);
+  g_test_add_func ("/cell/fast-workers", test_fast_workers);
+  g_test_add_func ("/cell/hold-gap", test_hold_gap);
+  g_test_add_func ("/cell/start-again", test_start_again);
   g_test_add_func ("/cell/other-life", test_other_life);
   g_test_add_func ("/cell/unkept-failures", test_unkept_failures);
   g_test_add_func ("/cell/end-listed-twice", test_end_listed_twice);
