Ask a silent worker for its list without renewing its leases; try a failed task elsewhere

(2) A worker that fails all it is given at once is always free, so it got the second attempt too, and three jobs had to fail before it was put aside. Change: HOLD carries a lease only while the worker answers. A failed task is tried on other workers for half a second; a worker is put aside after failures of two jobs or four runs without a success. Tests: cell/silent-worker fails before, passes after; cell/failing-worker replays the pattern.

--- a/src/vp-cell.c
+++ b/src/vp-cell.c
@@ -424,12 +424,11 @@
 static void
 _vp_cell_take_stray (VpCell *cell,
                      VpRosterWorker *worker,
+                     VpJobTask *task,
                      const VpRunningEntry *entry,
                      int64_t now_ms)
 {
-  VpJobTask *task = entry->is_task ? vp_joblist_task (cell->jobs, &entry->task) : NULL;
-
-  if (!_vp_cell_may_adopt (task, entry)) {
+  if (task == NULL || !_vp_cell_may_adopt (task, entry)) {
     VpOrder stop = {
       .kind = VP_ORDER_STOP, .task = entry->task, .run = entry->run, .fence = cell->desc.fence
     };
@@ -458,7 +457,7 @@
     const VpRunningEntry *entry = &g_array_index (result->running, VpRunningEntry, i);
     VpJobTask *task = entry->is_task ? vp_joblist_task (cell->jobs, &entry->task) : NULL;
     if (task == NULL || task->worker != worker || task->run != entry->run)
-      _vp_cell_take_stray (cell, worker, entry, now_ms);
+      _vp_cell_take_stray (cell, worker, task, entry, now_ms);
     if (task == NULL || task->worker != worker)
       continue;
     g_hash_table_add (listed, task);
@@ -955,7 +954,7 @@
       continue;
     if (!_vp_cell_is_below_cap (cell, step, 1))
       return true;
-    worker = vp_place_pick (cell->roster, step, queue, now_ms);
+    worker = vp_place_pick (cell->roster, task, queue, now_ms);
     if (worker == NULL)
       return false;
     _vp_cell_start (cell, task, worker, _vp_cell_next_run (cell, task), now_ms, effects);
@@ -1234,7 +1233,10 @@
     return;
   worker->is_hold_out = true;
   order = _vp_cell_order (cell, worker, VP_ORDER_HOLD, effects);
-  order->lease_end_ms = vp_roster_lease (cell->roster, worker, now_ms);
+  /* A worker that does not answer is only asked for its list: an order that may arrive would keep
+   * its tasks from being over. */
+  if (worker->is_reachable)
+    order->lease_end_ms = vp_roster_lease (cell->roster, worker, now_ms);
   order->seen = worker->seen_durable;
   order->wait_ms = worker->is_synced && worker->is_reachable && worker->seen == worker->seen_durable
                        ? VP_CELL_HOLD_WAIT_MS
--- a/src/vp-joblist.c
+++ b/src/vp-joblist.c
@@ -505,6 +505,8 @@
       vp_jobtask_done (list, task, now_ms);
     return;
   }
+  if (end == VP_RUN_FAILED && task->worker != NULL)
+    g_strlcpy (task->failed_on, task->worker->entry.id, sizeof task->failed_on);
   if (task->worker != NULL)
     vp_jobtask_release (list, task);
   if (end == VP_RUN_FAILED)
--- a/src/vp-joblist.h
+++ b/src/vp-joblist.h
@@ -52,6 +52,7 @@
   uint32_t failures;    /* ends that count against the queue's attempts */
   VpRosterWorker *worker; /* while it takes room there */
   char checkpoint[VP_CHECKPOINT_MAX];
+  char failed_on[VP_NAME_MAX];   /* worker of the last run that failed */
   uint32_t start_tries;          /* of the present run */
   int64_t ordered_ms;            /* last order of the present run */
   int64_t not_before_ms;         /* earliest next start */
--- a/src/vp-node.c
+++ b/src/vp-node.c
@@ -131,6 +131,21 @@
   effect->send.bytes = vp_nodemsg_encode (message);
 }
 
+static void
+_vp_node_set_gauges (const VpNode *node)
+{
+  const VpJobList *jobs = node->cell == NULL ? NULL : vp_cell_jobs (node->cell);
+  int64_t out_count = 0;
+
+  for (guint i = 0; jobs != NULL && i < jobs->open_steps->len; i++)
+    out_count += ((VpJobStep *)jobs->open_steps->pdata[i])->out_count;
+  vp_counters_set (VP_GAUGE_PENDING, vp_front_open_count (node->front));
+  vp_counters_set (VP_GAUGE_QUEUED, jobs == NULL ? 0 : jobs->live_count);
+  vp_counters_set (VP_GAUGE_RUNNING, out_count);
+  vp_counters_set (VP_GAUGE_WORKERS,
+                   node->cell == NULL ? 0 : vp_cell_roster (node->cell)->workers->len);
+}
+
 static void
 _vp_node_ping (VpNode *node, int64_t now_ms, VpNodeEffects *effects)
 {
@@ -140,6 +155,7 @@
 
   if (now_ms < node->ping_next_ms)
     return;
+  _vp_node_set_gauges (node);
   node->ping_next_ms = now_ms + (is_leader ? VP_NODE_PING_LEADER_MS : VP_NODE_PING_MS);
   g_hash_table_iter_init (&iter, node->members);
   while (g_hash_table_iter_next (&iter, NULL, &value)) {
--- a/src/vp-place.c
+++ b/src/vp-place.c
@@ -14,6 +14,8 @@
 /* What a worker that takes twice the time costs against a gap as large as a whole worker. */
 #define VP_PLACE_SLOW_URGENT 2.0
 #define VP_PLACE_SLOW_REST   0.3
+/* A failed task is tried on other workers only, for this long after it may start again. */
+#define VP_PLACE_ELSEWHERE_MS 500
 /* Most workers that one advice call may name (platform). */
 #define VP_PLACE_ASK_MAX 100
 /* Fewest worth a call, as each call has a fixed cost. */
@@ -152,12 +154,21 @@
          || _vp_place_count_here (step, worker) + taken_count < step->spec->spread_max;
 }
 
+/* A task rather waits a little than try again on the worker that may be at fault. */
+static bool
+_vp_place_has_failed_there (const VpJobTask *task, const VpRosterWorker *worker, int64_t now_ms)
+{
+  return strcmp (task->failed_on, worker->entry.id) == 0
+         && now_ms < task->not_before_ms + VP_PLACE_ELSEWHERE_MS;
+}
+
 VpRosterWorker *
 vp_place_pick (const VpRoster *roster,
-               const VpJobStep *step,
+               const VpJobTask *task,
                const VpQueueConf *queue,
                int64_t now_ms)
 {
+  const VpJobStep *step = task->step;
   VpRosterWorker *best = NULL;
   double best_score = 0;
 
@@ -167,6 +178,7 @@
     double score;
     if (!_vp_place_is_eligible (step, queue, worker, now_ms)
         || !_vp_place_fits (step, queue, worker, NULL, 0, now_ms, &free)
+        || _vp_place_has_failed_there (task, worker, now_ms)
         || _vp_place_may_wait (step, worker, &free, now_ms))
       continue;
     score = _vp_place_score (step, queue->priority == 0, worker, &free);
--- a/src/vp-place.h
+++ b/src/vp-place.h
@@ -1,6 +1,6 @@
 /* Choice of workers for the tasks of a step. No state, no I/O.
  *
- *   VpRosterWorker *worker = vp_place_pick (roster, step, queue, now_ms);   // NULL: none fits now
+ *   VpRosterWorker *worker = vp_place_pick (roster, task, queue, now_ms);   // NULL: none fits now
  *   if (vp_place_gang (roster, step, queue, now_ms, workers))               // one for each task
  *     ...
  *   vp_place_candidates (roster, step, queue, now_ms, ids);                 // to ask advice about
@@ -10,9 +10,10 @@
 #include "vp-cellconf.h"
 #include "vp-joblist.h"
 
-/* Best worker for one more task of the step: room, label, spread and advice allow it. */
+/* Best worker for a task that waits: room, label, spread and advice allow it, and its last run did
+ * not fail there just now. */
 VpRosterWorker *vp_place_pick (const VpRoster *roster,
-                               const VpJobStep *step,
+                               const VpJobTask *task,
                                const VpQueueConf *queue,
                                int64_t now_ms);
 /* A worker for every task of the step at the same time, in @out; false if they don't all fit. */
--- a/src/vp-roster.c
+++ b/src/vp-roster.c
@@ -1,7 +1,10 @@
 #include "vp-roster.h"
 
-/* Failures of this many different jobs without a success in between put a worker aside. */
-#define VP_ROSTER_SUSPECT_JOBS 3
+/* Failures of this many different jobs, or runs, without a success in between put a worker aside.
+ * Tasks fail for faults of their own in one run of twenty, and jobs that can never be done fail
+ * with all their tasks; the time aside is short for these. */
+#define VP_ROSTER_SUSPECT_JOBS 2
+#define VP_ROSTER_SUSPECT_RUNS 4
 /* First time aside; doubles up to VP_ROSTER_SUSPECT_STEPS times. */
 #define VP_ROSTER_SUSPECT_MS    2000
 #define VP_ROSTER_SUSPECT_STEPS 3
@@ -120,7 +123,7 @@
   worker->born_ms = born_ms;
   worker->clock_ms = worker->clock_at_ms = worker->lease_end_ms = 0;
   worker->seen = worker->seen_staged = worker->seen_durable = 0;
-  worker->failed_jobs = worker->suspect_level = 0;
+  worker->failed_jobs = worker->failed_runs = worker->suspect_level = 0;
   worker->avoid_until_ms = 0;
 }
 
@@ -183,15 +186,18 @@
 {
   uint32_t steps;
 
-  if (job == worker->last_failed_job)
-    return false;
+  worker->failed_jobs += job == worker->last_failed_job ? 0 : 1;
   worker->last_failed_job = job;
-  if (++worker->failed_jobs < VP_ROSTER_SUSPECT_JOBS)
+  worker->failed_runs++;
+  if (now_ms < worker->avoid_until_ms
+      || (worker->failed_jobs < VP_ROSTER_SUSPECT_JOBS
+          && worker->failed_runs < VP_ROSTER_SUSPECT_RUNS))
     return false;
   steps = MIN (worker->suspect_level, VP_ROSTER_SUSPECT_STEPS);
   worker->suspect_level++;
   /* One more failure after the time aside puts it aside again. */
   worker->failed_jobs = VP_ROSTER_SUSPECT_JOBS - 1;
+  worker->failed_runs = VP_ROSTER_SUSPECT_RUNS - 1;
   worker->avoid_until_ms = now_ms + (VP_ROSTER_SUSPECT_MS << steps);
   return true;
 }
@@ -199,7 +205,7 @@
 void
 vp_roster_note_done (VpRosterWorker *worker)
 {
-  worker->failed_jobs = 0;
+  worker->failed_jobs = worker->failed_runs = 0;
   worker->suspect_level = 0;
 }
 
--- a/src/vp-roster.h
+++ b/src/vp-roster.h
@@ -64,6 +64,7 @@
   double slowness;          /* time that its tasks take against those of the same step elsewhere */
   uint64_t last_failed_job; /* health: failures of different jobs since the last success */
   uint32_t failed_jobs;
+  uint32_t failed_runs;
   uint32_t suspect_level; /* times that it was put aside in a row */
   int64_t avoid_until_ms; /* gets no work before */
   int64_t paced_ms;       /* last change of pace */
--- a/tests/test-cell.c
+++ b/tests/test-cell.c
@@ -512,6 +512,80 @@
   _teardown (&fixture);
 }
 
+/* Pattern: a worker that fails all it is given at once, and so is always free. A task's second
+ * attempt goes elsewhere, and after failures of two jobs the worker is put aside. */
+static void
+test_failing_worker (void)
+{
+  Fixture fixture;
+  VpOrderResult result;
+  VpEndedEntry ended = { .is_task = true, .run = 1, .end = VP_RUN_FAILED };
+  char worker[VP_NAME_MAX];
+
+  _setup (&fixture, 2, false);
+  _sync (&fixture);
+  for (uint64_t i = 1; i <= 2; i++) {
+    VpJob *job = _submit (&fixture, 1, 1000);
+    _decide (&fixture);
+    g_strlcpy (worker, _find (&fixture, VP_ORDER_START)->worker, sizeof worker);
+    g_assert_cmpstr (worker, ==, "w0");
+    _answer (&fixture, _find (&fixture, VP_ORDER_START), VP_ORDER_OK);
+    fixture.now_ms += 200;
+    ended.number = i;
+    ended.task.job = job->spec->id;
+    result = _list (&fixture, "w0");
+    g_array_append_val (result.ended, ended);
+    _take (&fixture, &result);
+    fixture.now_ms += 100;
+    _decide (&fixture);
+    g_assert_cmpstr (_find (&fixture, VP_ORDER_START)->worker, ==, "w1");
+    _answer (&fixture, _find (&fixture, VP_ORDER_START), VP_ORDER_OK);
+    vp_cell_cancel (fixture.cell, job->spec->id, fixture.now_ms);
+    fixture.now_ms += 100;
+    _decide (&fixture);
+    _answer (&fixture, _find (&fixture, VP_ORDER_STOP), VP_ORDER_OK);
+    fixture.now_ms += 10;
+    _sync (&fixture);
+  }
+  _submit (&fixture, 1, 1000);
+  _decide (&fixture);
+  g_assert_cmpstr (_find (&fixture, VP_ORDER_START)->worker, ==, "w1");
+  _teardown (&fixture);
+}
+
+/* A worker that crashed for good: calls to it must not keep its leases from being over. */
+static void
+test_silent_worker (void)
+{
+  Fixture fixture;
+  VpOrderResult result;
+  int64_t silent_ms;
+
+  _setup (&fixture, 2, false);
+  _sync (&fixture);
+  _submit (&fixture, 1, 1000);
+  _decide (&fixture);
+  _answer (&fixture, _find (&fixture, VP_ORDER_START), VP_ORDER_OK);
+  g_assert_cmpstr (_find (&fixture, VP_ORDER_START)->worker, ==, "w0");
+  _decide (&fixture);
+  silent_ms = fixture.now_ms;
+  for (;;) {
+    g_assert_cmpint (fixture.now_ms - silent_ms, <, 6500);
+    fixture.now_ms += 200;
+    _decide (&fixture);
+    if (_find (&fixture, VP_ORDER_START) != NULL)
+      break;
+    result = _list (&fixture, "w0");
+    result.outcome = VP_ORDER_UNCERTAIN;
+    _take (&fixture, &result);
+    result = _list (&fixture, "w1");
+    _take (&fixture, &result);
+  }
+  g_assert_cmpint (fixture.now_ms - silent_ms, >=, 6000);
+  g_assert_cmpstr (_find (&fixture, VP_ORDER_START)->worker, ==, "w1");
+  _teardown (&fixture);
+}
+
 /* Another worker answers at the address of one that an earlier scheduler used: its life is over,
  * and waiting work of that time need not wait for its leases. */
 static void
@@ -665,6 +739,8 @@
   g_test_add_func ("/cell/fast-workers", test_fast_workers);
   g_test_add_func ("/cell/hold-gap", test_hold_gap);
   g_test_add_func ("/cell/start-again", test_start_again);
+  g_test_add_func ("/cell/failing-worker", test_failing_worker);
+  g_test_add_func ("/cell/silent-worker", test_silent_worker);
   g_test_add_func ("/cell/other-life", test_other_life);
   g_test_add_func ("/cell/unkept-failures", test_unkept_failures);
   g_test_add_func ("/cell/end-listed-twice", test_end_listed_twice);
