--- /dev/null
+++ b/src/vp-advise.c
@@ -0,0 +1,192 @@
+#include "vp-advise.h"
+#include "vp-log.h"
+#include "vp-place.h"
+
+#include <string.h>
+
+/* After a failed advice call. */
+#define VP_ADVISE_RETRY_MS 200
+/* An answer to an advice call that is this late is taken as lost. */
+#define VP_ADVISE_GRACE_MS 2500
+/* Assumed part of workers that advice allows, until answers tell; and the weight of each answer. */
+#define VP_ADVISE_GOOD_SHARE  0.5
+#define VP_ADVISE_GOOD_WEIGHT 0.1
+/* Advice calls under way for each process that can make them: one is served, one waits. More would
+ * be answered after the state that they were asked for. */
+#define VP_ADVISE_ASKS_EACH 2
+
+typedef struct {
+  VpTaskName step;
+  int64_t expires_ms;
+  GPtrArray *workers; /* ids asked about; a reference */
+} VpAdvisePending;
+
+static void
+_vp_advise_pending_free (gpointer data)
+{
+  VpAdvisePending *ask = data;
+
+  g_ptr_array_unref (ask->workers);
+  g_free (ask);
+}
+
+struct _VpAdvise {
+  GHashTable *pending;     /* serial -> VpAdvisePending */
+  GHashTable *good_shares; /* queue -> double */
+  uint64_t last_serial;
+  uint32_t asker_count;
+};
+
+VpAdvise *
+vp_advise_setup (uint64_t last_serial)
+{
+  VpAdvise *advise = g_new0 (VpAdvise, 1);
+
+  advise->pending
+      = g_hash_table_new_full (g_int64_hash, g_int64_equal, g_free, _vp_advise_pending_free);
+  advise->good_shares = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
+  advise->last_serial = last_serial;
+  advise->asker_count = 1;
+  return advise;
+}
+
+void
+vp_advise_shutdown (VpAdvise *advise)
+{
+  g_hash_table_unref (advise->pending);
+  g_hash_table_unref (advise->good_shares);
+  g_free (advise);
+}
+
+void
+vp_advise_set_askers (VpAdvise *advise, uint32_t count)
+{
+  advise->asker_count = MAX (count, 1);
+}
+
+static double *
+_vp_advise_good_share (VpAdvise *advise, const char *queue)
+{
+  double *share = g_hash_table_lookup (advise->good_shares, queue);
+
+  if (share == NULL) {
+    share = g_new (double, 1);
+    *share = VP_ADVISE_GOOD_SHARE;
+    g_hash_table_insert (advise->good_shares, g_strdup (queue), share);
+  }
+  return share;
+}
+
+bool
+vp_advise_ask (VpAdvise *advise,
+               const VpRoster *roster,
+               VpJobStep *step,
+               const VpQueueConf *queue,
+               int64_t now_ms,
+               VpAdviceAsk *out)
+{
+  g_autoptr (GPtrArray) workers = g_ptr_array_new ();
+  VpAdvisePending *pending;
+
+  if (step->ask_serial != 0 || now_ms < step->ask_next_ms
+      || g_hash_table_size (advise->pending) >= VP_ADVISE_ASKS_EACH * advise->asker_count)
+    return false;
+  vp_place_candidates (roster, step, queue, *_vp_advise_good_share (advise, queue->name), now_ms,
+                       workers);
+  if (workers->len == 0)
+    return false;
+  memset (out, 0, sizeof *out);
+  vp_jobtask_name (&step->tasks[0], &out->step);
+  out->serial = step->ask_serial = ++advise->last_serial;
+  out->expected_ms
+      = (int64_t)(queue->advice_decide_ms + queue->advice_worker_ms * workers->len) + 1;
+  out->workers = g_ptr_array_new_with_free_func (g_free);
+  for (guint i = 0; i < workers->len; i++)
+    g_ptr_array_add (out->workers, g_strdup (((VpRosterWorker *)workers->pdata[i])->entry.id));
+  pending = g_new (VpAdvisePending, 1);
+  *pending = (VpAdvisePending){ .step = out->step,
+                                .expires_ms = now_ms + out->expected_ms + VP_ADVISE_GRACE_MS,
+                                .workers = g_ptr_array_ref (out->workers) };
+  g_hash_table_insert (advise->pending, g_memdup2 (&out->serial, sizeof out->serial), pending);
+  if (step->advice == NULL)
+    step->advice = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, g_free);
+  vp_log (now_ms, "ask",
+          "job=%016" G_GINT64_MODIFIER "x step=%u serial=%" G_GUINT64_FORMAT
+          " workers=%u waiting=%u",
+          out->step.job, out->step.step, out->serial, workers->len, step->waiting_count);
+  return true;
+}
+
+static void
+_vp_advise_note (const VpRoster *roster, VpJobStep *step, const VpAdviceRow *from)
+{
+  VpAdviceRow *row = g_memdup2 (from, sizeof (VpAdviceRow));
+  const VpRosterWorker *worker = vp_roster_find (roster, row->worker);
+
+  row->born_ms = worker == NULL ? 0 : worker->born_ms;
+  g_hash_table_replace (step->advice, row->worker, row);
+}
+
+/* Workers that were asked about and aren't named in the answer are ruled out. */
+static void
+_vp_advise_take (VpAdvise *advise,
+                 const VpRoster *roster,
+                 VpJobStep *step,
+                 const VpAdvisePending *ask,
+                 const GArray *rows)
+{
+  double *share = _vp_advise_good_share (advise, step->run->job->spec->queue);
+  double allowed = (double)rows->len / MAX (ask->workers->len, 1);
+
+  for (guint i = 0; i < ask->workers->len; i++) {
+    VpAdviceRow row = { 0 };
+    g_strlcpy (row.worker, ask->workers->pdata[i], sizeof row.worker);
+    _vp_advise_note (roster, step, &row);
+  }
+  for (guint i = 0; i < rows->len; i++)
+    _vp_advise_note (roster, step, &g_array_index (rows, VpAdviceRow, i));
+  *share = CLAMP (*share + VP_ADVISE_GOOD_WEIGHT * (allowed - *share), 0.05, 1.0);
+}
+
+void
+vp_advise_answer (VpAdvise *advise,
+                  const VpRoster *roster,
+                  const VpJobList *jobs,
+                  uint64_t serial,
+                  const GArray *rows,
+                  int64_t now_ms)
+{
+  VpAdvisePending *ask = g_hash_table_lookup (advise->pending, &serial);
+  VpJobTask *task = ask == NULL ? NULL : vp_joblist_task (jobs, &ask->step);
+  VpJobStep *step = task == NULL ? NULL : task->step;
+
+  if (step == NULL || step->ask_serial != serial) {
+    g_hash_table_remove (advise->pending, &serial);
+    return;
+  }
+  step->ask_serial = 0;
+  if (rows == NULL)
+    step->ask_next_ms = now_ms + VP_ADVISE_RETRY_MS;
+  else
+    _vp_advise_take (advise, roster, step, ask, rows);
+  g_hash_table_remove (advise->pending, &serial);
+}
+
+void
+vp_advise_expire (VpAdvise *advise, const VpJobList *jobs, int64_t now_ms)
+{
+  GHashTableIter iter;
+  gpointer value;
+
+  g_hash_table_iter_init (&iter, advise->pending);
+  while (g_hash_table_iter_next (&iter, NULL, &value)) {
+    const VpAdvisePending *ask = value;
+    VpJobTask *task;
+    if (now_ms < ask->expires_ms)
+      continue;
+    task = vp_joblist_task (jobs, &ask->step);
+    if (task != NULL)
+      task->step->ask_serial = 0;
+    g_hash_table_iter_remove (&iter);
+  }
+}
--- a/src/vp-cell.h
+++ b/src/vp-cell.h
@@ -16,8 +16,7 @@
  */
 #pragma once
 
-#include "vp-cellconf.h"
-#include "vp-joblist.h"
+#include "vp-advise.h"
 
 typedef struct _VpCell VpCell;
 
@@ -29,14 +28,6 @@
   bool is_clean;     /* what is known of the jobs is complete: the last scheduler handed over */
 } VpCellDesc;
 
-/* One call to the advice service. */
-typedef struct {
-  uint64_t serial;
-  VpTaskName step;     /* its index is not used */
-  GPtrArray *workers;  /* ids; owned */
-  int64_t expected_ms; /* time of the call */
-} VpAdviceAsk;
-
 typedef enum { VP_CELL_ORDER, VP_CELL_ADVISE } VpCellEffectKind;
 
 typedef struct {
--- a/src/vp-cellconf.c
+++ b/src/vp-cellconf.c
@@ -81,6 +81,14 @@
   return g_hash_table_lookup (conf->queue_index, name);
 }
 
+uint32_t
+vp_cellconf_attempts_max (const VpCellConf *conf, const char *name)
+{
+  const VpQueueConf *queue = conf == NULL ? NULL : vp_cellconf_queue (conf, name);
+
+  return queue == NULL || queue->attempts_max == 0 ? 1 : queue->attempts_max;
+}
+
 const VpTeamConf *
 vp_cellconf_team (const VpCellConf *conf, const char *name)
 {
--- a/src/vp-cellconf.h
+++ b/src/vp-cellconf.h
@@ -58,6 +58,8 @@
 const VpQueueConf *
 vp_cellconf_route (const VpCellConf *conf, const char *host, const char *path, const char **rest);
 const VpQueueConf *vp_cellconf_queue (const VpCellConf *conf, const char *name);
+/* Failed runs after which a task of the queue fails its job; 1 if the queue is not known. */
+uint32_t vp_cellconf_attempts_max (const VpCellConf *conf, const char *queue);
 const VpTeamConf *vp_cellconf_team (const VpCellConf *conf, const char *name);
 /* The team that a key belongs to; NULL: unknown key. */
 const VpTeamConf *vp_cellconf_team_of_key (const VpCellConf *conf, const char *key);
