--- a/src/vp-broker.c
+++ b/src/vp-broker.c
@@ -11,8 +11,9 @@
 #define VP_BROKER_STORE_AGE_MS 900
 /* A job that has waited this long for a store that turns writes away is given back. */
 #define VP_BROKER_WITHDRAW_MS 600
-/* When to come back while the store is away: outages last for some seconds. */
-#define VP_BROKER_STORE_RETRY_MS 1000
+/* When to come back while the store is away: outages last for some seconds, and callers try a few
+ * times only. */
+#define VP_BROKER_STORE_RETRY_MS 2000
 /* Turned-away requests are remembered longer than any message is under way. */
 #define VP_BROKER_REJECTED_MS 10000
 
@@ -185,8 +186,12 @@
 {
   bool is_blind = vp_keeper_age_ms (broker->keeper, now_ms) > VP_BROKER_BLIND_MS;
 
-  _vp_broker_answer (broker, message->from, message->serial,
-                     is_blind ? VP_ANSWER_NOT_LEADER : VP_ANSWER_GONE, answers);
+  if (is_blind)
+    _vp_broker_answer (broker, message->from, message->serial, VP_ANSWER_REJECTED, answers)
+        ->retry_after_ms
+        = VP_BROKER_STORE_RETRY_MS;
+  else
+    _vp_broker_answer (broker, message->from, message->serial, VP_ANSWER_GONE, answers);
 }
 
 static void
@@ -301,7 +306,9 @@
     old++;
   if (old > 0)
     g_array_remove_range (broker->rejected, 0, old);
-  if (vp_keeper_age_ms (broker->keeper, now_ms) < VP_BROKER_WITHDRAW_MS)
+  /* A store that is only slow will take the jobs. */
+  if (!vp_keeper_is_failing (broker->keeper)
+      || vp_keeper_age_ms (broker->keeper, now_ms) < VP_BROKER_WITHDRAW_MS)
     return;
   g_hash_table_iter_init (&iter, broker->waiters);
   while (g_hash_table_iter_next (&iter, &id, &waiters)) {
--- a/src/vp-cell.c
+++ b/src/vp-cell.c
@@ -261,12 +261,17 @@
                       const VpOrderResult *result,
                       int64_t now_ms)
 {
+  bool was_reachable = worker->is_reachable;
+
   worker->is_hold_out = false;
   switch (result->outcome) {
   case VP_ORDER_OK:
     worker->hold_next_ms = vp_reconcile_list (&cell->reconcile, worker, result, now_ms)
                                ? now_ms
                                : now_ms + VP_CELL_HOLD_RETRY_MS;
+    /* It was asked without renewing its leases, which may be nearly over. */
+    if (!was_reachable)
+      worker->hold_next_ms = now_ms;
     break;
   case VP_ORDER_OTHER_LIFE:
     vp_reconcile_lost (&cell->reconcile, worker, "other-life", now_ms);
--- a/src/vp-front.c
+++ b/src/vp-front.c
@@ -16,6 +16,9 @@
 #define VP_FRONT_AGAIN_MS 60
 /* When to come back if no leader was found in time. */
 #define VP_FRONT_RETRY_MS 1000
+/* The same where this node is cut off: the balancer needs two looks, a second apart, to send
+ * callers to other nodes. */
+#define VP_FRONT_CUT_RETRY_MS 2000
 
 typedef struct {
   VpCall call;
@@ -99,10 +102,14 @@
 }
 
 static void
-_vp_front_reject (const VpCall *call, const char *why, int64_t now_ms, VpNodeEffects *effects)
+_vp_front_reject (const VpCall *call,
+                  const char *why,
+                  uint32_t retry_after_ms,
+                  int64_t now_ms,
+                  VpNodeEffects *effects)
 {
   vp_log (now_ms, "reject", "path=%s why=%s", call->path, why);
-  _vp_front_reply (call->handle, VP_REPLY_REJECTED, effects)->retry_after_ms = VP_FRONT_RETRY_MS;
+  _vp_front_reply (call->handle, VP_REPLY_REJECTED, effects)->retry_after_ms = retry_after_ms;
 }
 
 /* What kind of request it is; false if it was replied to. */
@@ -147,7 +154,7 @@
   const char *rest;
 
   if (conf == NULL) {
-    _vp_front_reject (call, "no-configuration", now_ms, effects);
+    _vp_front_reject (call, "no-configuration", VP_FRONT_RETRY_MS, now_ms, effects);
     return false;
   }
   queue = vp_cellconf_route (conf, call->host, call->path, &rest);
@@ -288,7 +295,8 @@
   if (now_ms < pending->deadline_ms && !is_leaderless && !is_hopeless)
     return false;
   if (pending->sent_term == 0 || is_read) {
-    _vp_front_reject (&pending->call, "no-leader", now_ms, effects);
+    _vp_front_reject (&pending->call, is_hopeless ? "cut-off" : "no-leader",
+                      is_hopeless ? VP_FRONT_CUT_RETRY_MS : VP_FRONT_RETRY_MS, now_ms, effects);
   } else {
     vp_log (now_ms, "no-answer", "path=%s term=%" G_GUINT64_FORMAT " waited_ms=%" G_GINT64_FORMAT,
             pending->call.path, pending->sent_term, now_ms - pending->arrived_ms);
--- a/src/vp-keeper.c
+++ b/src/vp-keeper.c
@@ -351,6 +351,12 @@
   return now_ms - keeper->written_ms;
 }
 
+bool
+vp_keeper_is_failing (const VpKeeper *keeper)
+{
+  return keeper->is_failing;
+}
+
 bool
 vp_keeper_is_unsent (const VpKeeper *keeper, uint64_t job)
 {
--- a/src/vp-keeper.h
+++ b/src/vp-keeper.h
@@ -35,6 +35,8 @@
 vp_keeper_written (VpKeeper *keeper, const VpStoreWritten *written, GArray *kept, int64_t now_ms);
 /* Since the last successful write. */
 int64_t vp_keeper_age_ms (const VpKeeper *keeper, int64_t now_ms);
+/* True if the last commit was turned away or not answered. */
+bool vp_keeper_is_failing (const VpKeeper *keeper);
 /* True if the job certainly stands in no commit that may have reached the store. */
 bool vp_keeper_is_unsent (const VpKeeper *keeper, uint64_t job);
 /* The next commit is the last: it says that what is kept is complete. */
--- a/src/vp-lead.c
+++ b/src/vp-lead.c
@@ -11,7 +11,7 @@
 /* A leader writes the record at least every 400 ms. */
 #define VP_LEAD_STILL_MS 500
 /* A leader that has not been able to write for this long gives way to a process that can. */
-#define VP_LEAD_STORE_AGE_MS 1200
+#define VP_LEAD_STORE_AGE_MS 700
 /* A process that has just started waits this long for pings before it suspects the leader. */
 #define VP_LEAD_START_MS 300
 /* While claims of several processes may collide, each waits for a time of its own. */
--- a/tests/test-cell.c
+++ b/tests/test-cell.c
@@ -553,6 +553,42 @@
   _teardown (&fixture);
 }
 
+/* A worker that is back from a cut just before its leases are over gets them renewed at once. */
+static void
+test_back_in_time (void)
+{
+  Fixture fixture;
+  VpOrderResult result;
+  VpRunningEntry running = { .is_task = true, .run = 1, .percent = 100 };
+  VpEndedEntry ended = { .number = 1, .run = 1, .end = VP_RUN_DONE };
+  VpJob *job;
+
+  _setup (&fixture, 1, false);
+  _sync (&fixture);
+  job = _submit (&fixture, 1, 1000);
+  running.task.job = job->spec->id;
+  _decide (&fixture);
+  _answer (&fixture, _find (&fixture, VP_ORDER_START), VP_ORDER_OK);
+  for (int i = 0; i < 29; i++) {
+    result = _list (&fixture, "w0");
+    result.outcome = VP_ORDER_UNCERTAIN;
+    _take (&fixture, &result);
+    fixture.now_ms += 200;
+    _decide (&fixture);
+  }
+  result = _list (&fixture, "w0");
+  g_array_append_val (result.running, running);
+  g_array_append_val (result.ended, ended);
+  _take (&fixture, &result);
+  _decide (&fixture);
+  g_assert_nonnull (_find (&fixture, VP_ORDER_HOLD));
+  g_assert_cmpint (_find (&fixture, VP_ORDER_HOLD)->lease_end_ms, >, 0);
+  fixture.now_ms += 1000;
+  _decide (&fixture);
+  g_assert_cmpuint (job->out_count, ==, 1);
+  _teardown (&fixture);
+}
+
 /* A worker that crashed for good: calls to it must not keep its leases from being over. */
 static void
 test_silent_worker (void)
@@ -740,6 +776,7 @@
   g_test_add_func ("/cell/hold-gap", test_hold_gap);
   g_test_add_func ("/cell/start-again", test_start_again);
   g_test_add_func ("/cell/failing-worker", test_failing_worker);
+  g_test_add_func ("/cell/back-in-time", test_back_in_time);
   g_test_add_func ("/cell/silent-worker", test_silent_worker);
   g_test_add_func ("/cell/other-life", test_other_life);
   g_test_add_func ("/cell/unkept-failures", test_unkept_failures);
