--- a/src/vp-cellconf.c
+++ b/src/vp-cellconf.c
@@ -82,11 +82,11 @@
 }
 
 uint32_t
-vp_cellconf_attempts_max (const VpCellConf *conf, const char *name)
+vp_cellconf_attempts_max (const VpCellConf *conf, const char *queue)
 {
-  const VpQueueConf *queue = conf == NULL ? NULL : vp_cellconf_queue (conf, name);
+  const VpQueueConf *found = conf == NULL ? NULL : vp_cellconf_queue (conf, queue);
 
-  return queue == NULL || queue->attempts_max == 0 ? 1 : queue->attempts_max;
+  return found == NULL || found->attempts_max == 0 ? 1 : found->attempts_max;
 }
 
 const VpTeamConf *
--- a/src/vp-joblist.c
+++ b/src/vp-joblist.c
@@ -565,23 +565,24 @@
 static void
 _vp_step_encode (const VpJobStep *step, GVariantBuilder *out)
 {
-  g_autofree uint16_t *packed = g_new0 (uint16_t, step->spec->task_count);
+  g_autoptr (GArray) packed = g_array_new (FALSE, FALSE, sizeof (uint16_t));
   GVariantBuilder assigned;
 
   g_variant_builder_init (&assigned, G_VARIANT_TYPE ("a(us)"));
   for (uint32_t i = 0; i < step->spec->task_count; i++) {
     const VpJobTask *task = &step->tasks[i];
-    packed[i]
+    uint16_t bits
         = (uint16_t)((task->phase == VP_PHASE_DONE ? VP_PACKED_DONE : 0)
                      | MIN (task->failures, VP_PACKED_FAILURES_MAX) << VP_PACKED_FAILURES_SHIFT
                      | MIN (task->run, VP_PACKED_RUN_MAX));
+    g_array_append_val (packed, bits);
     if (task->worker != NULL)
       g_variant_builder_add (&assigned, "(us)", i, task->worker->entry.id);
     else if (task->last_worker[0] != '\0')
       g_variant_builder_add (&assigned, "(us)", i, task->last_worker);
   }
   g_variant_builder_add (out, "(uu@aqa(us))", step->run->number, step->index,
-                         g_variant_new_fixed_array (G_VARIANT_TYPE_UINT16, packed,
+                         g_variant_new_fixed_array (G_VARIANT_TYPE_UINT16, packed->data,
                                                     step->spec->task_count, sizeof (uint16_t)),
                          &assigned);
 }
@@ -611,6 +612,7 @@
 static void
 _vp_step_restore (VpJobList *list,
                   VpJobStep *step,
+                  uint32_t task_count,
                   GVariant *packed,
                   GVariantIter *assigned,
                   int64_t now_ms)
@@ -621,16 +623,32 @@
   uint32_t index;
 
   items = g_variant_get_fixed_array (packed, &count, sizeof (uint16_t));
-  for (uint32_t i = 0; i < MIN (count, step->spec->task_count); i++)
+  for (uint32_t i = 0; i < MIN (count, task_count); i++)
     _vp_task_restore (list, &step->tasks[i], items[i], now_ms);
   while (g_variant_iter_next (assigned, "(u&s)", &index, &worker)) {
-    if (index < step->spec->task_count) {
+    if (index < task_count) {
       step->tasks[index].is_kept_out = true;
       vp_jobtask_set_last_worker (list, &step->tasks[index], worker);
     }
   }
 }
 
+static void
+_vp_job_restore_step (VpJobList *list,
+                      VpJob *job,
+                      VpJobRun *run,
+                      uint32_t index,
+                      GVariant *packed,
+                      GVariantIter *assigned,
+                      int64_t now_ms)
+{
+  if (run->steps == NULL)
+    _vp_run_create (run);
+  if (run->steps[index].tasks != NULL)
+    _vp_step_restore (list, &run->steps[index], job->spec->steps[index].task_count, packed,
+                      assigned, now_ms);
+}
+
 bool
 vp_joblist_decode_progress (VpJobList *list, GVariant *value, int64_t now_ms)
 {
@@ -654,12 +672,8 @@
     job->state = MAX (job->state, VP_JOB_RUNNING);
   }
   while (g_variant_iter_next (steps, "(uu@aqa(us))", &number, &index, &packed, &assigned)) {
-    if (number < job->spec->run_count && index < job->spec->step_count) {
-      VpJobRun *run = &job->runs[number];
-      if (run->steps == NULL)
-        _vp_run_create (run);
-      _vp_step_restore (list, &run->steps[index], packed, assigned, now_ms);
-    }
+    if (number < job->spec->run_count && index < job->spec->step_count)
+      _vp_job_restore_step (list, job, &job->runs[number], index, packed, assigned, now_ms);
     g_variant_unref (packed);
     g_variant_iter_free (assigned);
   }
--- a/tests/test-front.c
+++ b/tests/test-front.c
@@ -92,16 +92,16 @@
 test_admission (void)
 {
   static const struct {
-    VpCallKind kind;
     const char *path;
     const char *key;
+    VpCallKind kind;
     VpReplyKind reply;
-  } rows[] = { { VP_CALL_SUBMIT, "/other/00000000000000ab", "secret", VP_REPLY_NO_QUEUE },
-               { VP_CALL_SUBMIT, JOB, "wrong", VP_REPLY_BAD_KEY },
-               { VP_CALL_SUBMIT, JOB, "", VP_REPLY_BAD_KEY },
-               { VP_CALL_SUBMIT, "/q/short", "secret", VP_REPLY_MALFORMED },
-               { VP_CALL_QUERY, "/q/short", "secret", VP_REPLY_GONE },
-               { VP_CALL_UNKNOWN, JOB, "secret", VP_REPLY_BAD_METHOD } };
+  } rows[] = { { "/other/00000000000000ab", "secret", VP_CALL_SUBMIT, VP_REPLY_NO_QUEUE },
+               { JOB, "wrong", VP_CALL_SUBMIT, VP_REPLY_BAD_KEY },
+               { JOB, "", VP_CALL_SUBMIT, VP_REPLY_BAD_KEY },
+               { "/q/short", "secret", VP_CALL_SUBMIT, VP_REPLY_MALFORMED },
+               { "/q/short", "secret", VP_CALL_QUERY, VP_REPLY_GONE },
+               { JOB, "secret", VP_CALL_UNKNOWN, VP_REPLY_BAD_METHOD } };
   Fixture fixture;
 
   for (guint i = 0; i < G_N_ELEMENTS (rows); i++) {
--- a/tests/world.c
+++ b/tests/world.c
@@ -77,7 +77,7 @@
   uint64_t last_tie;
   uint64_t last_handle;
   uint64_t last_job;
-  GPtrArray *items; /* Item, a binary heap by time */
+  GSequence *items; /* Item, by time */
   GArray *nodes;    /* Node */
   GPtrArray *workers;
   GHashTable *values; /* store: key -> Value */
@@ -95,51 +95,44 @@
 
 /* Time. */
 
-static bool
-_before (const Item *a, const Item *b)
+static gint
+_compare (gconstpointer a, gconstpointer b, gpointer data)
 {
-  return a->at_ms != b->at_ms ? a->at_ms < b->at_ms : a->tie < b->tie;
+  const Item *one = a;
+  const Item *two = b;
+
+  (void)data;
+  if (one->at_ms != two->at_ms)
+    return one->at_ms < two->at_ms ? -1 : 1;
+  return one->tie < two->tie ? -1 : 1;
 }
 
 static Item *
 _push (World *world, ItemKind kind, int64_t delay_ms)
 {
   Item *item = g_new0 (Item, 1);
-  guint i = world->items->len;
 
   item->kind = kind;
   item->at_ms = world->now_ms + delay_ms;
   item->tie = ++world->last_tie;
-  g_ptr_array_add (world->items, item);
-  while (i > 0 && _before (item, world->items->pdata[(i - 1) / 2])) {
-    world->items->pdata[i] = world->items->pdata[(i - 1) / 2];
-    i = (i - 1) / 2;
-  }
-  world->items->pdata[i] = item;
+  g_sequence_insert_sorted (world->items, item, _compare, NULL);
   return item;
 }
 
+/* The next item that is due; NULL: none. */
 static Item *
-_pop (World *world)
-{
-  Item *first = world->items->pdata[0];
-  Item *last = world->items->pdata[world->items->len - 1];
-  guint i = 0;
-
-  g_ptr_array_set_size (world->items, (gint)world->items->len - 1);
-  while (world->items->len > 0) {
-    guint child = 2 * i + 1;
-    if (child + 1 < world->items->len
-        && _before (world->items->pdata[child + 1], world->items->pdata[child]))
-      child++;
-    if (child >= world->items->len || !_before (world->items->pdata[child], last))
-      break;
-    world->items->pdata[i] = world->items->pdata[child];
-    i = child;
-  }
-  if (world->items->len > 0)
-    world->items->pdata[i] = last;
-  return first;
+_pop (World *world, int64_t until_ms)
+{
+  GSequenceIter *first = g_sequence_get_begin_iter (world->items);
+  Item *item;
+
+  if (g_sequence_iter_is_end (first))
+    return NULL;
+  item = g_sequence_get (first);
+  if (item->at_ms > until_ms)
+    return NULL;
+  g_sequence_remove (first);
+  return item;
 }
 
 static void
@@ -358,6 +351,13 @@
   return g_hash_table_lookup (world->jobs, &id);
 }
 
+static bool
+_is_same (const VpTaskName *a, const VpTaskName *b)
+{
+  return a->job == b->job && a->occurrence == b->occurrence && a->step == b->step
+         && a->index == b->index;
+}
+
 /* What the promises say of a start that the worker has just carried out. */
 static void
 _check_start (const World *world, const FakeWorker *worker, const VpOrder *order)
@@ -372,7 +372,7 @@
     const FakeWorker *other = world->workers->pdata[i];
     for (guint r = 0; other != worker && other->is_up && r < other->runs->len; r++) {
       const VpTaskName *task = &g_array_index (other->runs, FakeRun, r).task;
-      if (memcmp (task, &order->task, sizeof *task) == 0)
+      if (_is_same (task, &order->task))
         _violated (world, "runs on two workers", task);
     }
   }
@@ -787,7 +787,7 @@
 {
   VpNodeEvent *event;
 
-  job->node = (job->node + 1) % world->nodes->len;
+  job->node = job->node + 1 < world->nodes->len ? job->node + 1 : 0;
   job->next_try_ms = world->now_ms + CALLER_MS;
   if (_node (world, job->node)->node == NULL)
     return NULL;
@@ -855,6 +855,7 @@
 world_run (World *world, int64_t span_ms)
 {
   int64_t end_ms = world->now_ms + span_ms;
+  Item *item;
 
   while (world->now_ms < end_ms) {
     world->now_ms++;
@@ -866,8 +867,8 @@
           && vp_node_next_ms (node->node, world->now_ms) <= world->now_ms)
         _post (world, i, VP_NODE_TICK, 0);
     }
-    while (world->items->len > 0 && ((Item *)world->items->pdata[0])->at_ms <= world->now_ms)
-      _happen (world, _pop (world));
+    while ((item = _pop (world, world->now_ms)) != NULL)
+      _happen (world, item);
     if (vp_log_pending () > 0)
       vp_log_flush ();
   }
@@ -919,7 +920,7 @@
   world->desc = *desc;
   world->rand = g_rand_new_with_seed (desc->seed);
   world->now_ms = WORLD_BEGIN_MS;
-  world->items = g_ptr_array_new ();
+  world->items = g_sequence_new (NULL);
   world->nodes = g_array_new (FALSE, TRUE, sizeof (Node));
   world->workers = g_ptr_array_new_with_free_func ((GDestroyNotify)fake_worker_free);
   world->values = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, _value_free);
@@ -939,13 +940,15 @@
 void
 world_free (World *world)
 {
+  Item *item;
+
   for (guint i = 0; i < world->nodes->len; i++) {
     if (_node (world, i)->node != NULL)
       vp_node_shutdown (_node (world, i)->node);
   }
-  while (world->items->len > 0)
-    _item_free (_pop (world));
-  g_ptr_array_unref (world->items);
+  while ((item = _pop (world, INT64_MAX)) != NULL)
+    _item_free (item);
+  g_sequence_free (world->items);
   g_array_unref (world->nodes);
   g_ptr_array_unref (world->workers);
   g_hash_table_unref (world->values);
@@ -975,7 +978,7 @@
 
   job->id = ++world->last_job * 0x9e3779b97f4a7c15U;
   job->shape = *shape;
-  job->node = node + (uint32_t)world->nodes->len - 1;
+  job->node = (node > 0 ? node : (uint32_t)world->nodes->len) - 1;
   job->next_try_ms = world->now_ms;
   job->done = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
   job->noted = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
--- a/tests/world.h
+++ b/tests/world.h
@@ -44,12 +44,12 @@
 void world_run (World *world, int64_t span_ms);
 /* Hands a job in at a node; returns its identity. Callers try again at other nodes as long as they
  * have no answer. */
-uint64_t world_submit (World *world, uint32_t node, const WorldJob *job);
-void world_cancel (World *world, uint64_t job);
+uint64_t world_submit (World *world, uint32_t node, const WorldJob *shape);
+void world_cancel (World *world, uint64_t id);
 /* Whether a node has said that the job is accepted. */
-bool world_is_accepted (const World *world, uint64_t job);
+bool world_is_accepted (const World *world, uint64_t id);
 /* State as the leader tells it; VP_JOB_QUEUED without one. */
-VpJobState world_state (World *world, uint64_t job);
+VpJobState world_state (World *world, uint64_t id);
 /* Node that leads; the first if none does. */
 uint32_t world_leader (const World *world);
 bool world_has_leader (const World *world);
