--- /dev/null
+++ b/src/vp-members.c
@@ -0,0 +1,118 @@
+#include "vp-members.h"
+
+#include <string.h>
+
+/* A process that was not heard for this long gets no advice calls and has no say. */
+#define VP_MEMBERS_HEARD_MS 1000
+/* A process that is unlisted and silent is forgotten after this. */
+#define VP_MEMBERS_FORGET_MS 10000
+
+GHashTable *
+vp_members_new (void)
+{
+  return g_hash_table_new_full (g_str_hash, g_str_equal, NULL, g_free);
+}
+
+VpMemberState *
+vp_members_get (GHashTable *members, const char *name)
+{
+  VpMemberState *member = g_hash_table_lookup (members, name);
+
+  if (member == NULL) {
+    member = g_new0 (VpMemberState, 1);
+    g_strlcpy (member->name, name, sizeof member->name);
+    g_hash_table_insert (members, member->name, member);
+  }
+  return member;
+}
+
+void
+vp_member_heard (VpMemberState *member, const VpNodeMsg *ping, int64_t now_ms)
+{
+  member->heard_ms = now_ms;
+  member->hears_leader = ping->hears_leader;
+  member->is_stopping = ping->is_stopping;
+  member->started_ms = now_ms - ping->age_ms;
+}
+
+void
+vp_members_forget (GHashTable *members, int64_t now_ms)
+{
+  GHashTableIter iter;
+  gpointer value;
+
+  g_hash_table_iter_init (&iter, members);
+  while (g_hash_table_iter_next (&iter, NULL, &value)) {
+    const VpMemberState *member = value;
+    if (!member->is_listed && now_ms - member->heard_ms > VP_MEMBERS_FORGET_MS)
+      g_hash_table_iter_remove (&iter);
+  }
+}
+
+static bool
+_vp_member_is_heard (const VpMemberState *member, int64_t now_ms)
+{
+  return now_ms - member->heard_ms < VP_MEMBERS_HEARD_MS;
+}
+
+void
+vp_members_view (GHashTable *members, int64_t now_ms, VpLeadView *view)
+{
+  GHashTableIter iter;
+  gpointer value;
+
+  memset (view, 0, sizeof *view);
+  g_hash_table_iter_init (&iter, members);
+  while (g_hash_table_iter_next (&iter, NULL, &value)) {
+    const VpMemberState *member = value;
+    bool is_heard = _vp_member_is_heard (member, now_ms);
+    view->member_count += member->is_listed || is_heard ? 1 : 0;
+    view->heard_count += is_heard ? 1 : 0;
+    view->deaf_count += is_heard && !member->hears_leader ? 1 : 0;
+  }
+}
+
+bool
+vp_members_is_cut_off (GHashTable *members, int64_t now_ms)
+{
+  VpLeadView view;
+
+  vp_members_view (members, now_ms, &view);
+  return 2 * (view.heard_count + 1) < view.member_count + 1;
+}
+
+const VpMemberState *
+vp_members_successor (GHashTable *members, int64_t now_ms)
+{
+  const VpMemberState *best = NULL;
+  GHashTableIter iter;
+  gpointer value;
+
+  g_hash_table_iter_init (&iter, members);
+  while (g_hash_table_iter_next (&iter, NULL, &value)) {
+    const VpMemberState *member = value;
+    if (member->is_listed && !member->is_stopping && _vp_member_is_heard (member, now_ms)
+        && (best == NULL || member->started_ms > best->started_ms))
+      best = member;
+  }
+  return best;
+}
+
+VpMemberState *
+vp_members_least_busy (GHashTable *members, int64_t before_ms, int64_t now_ms)
+{
+  VpMemberState *best = NULL;
+  GHashTableIter iter;
+  gpointer value;
+
+  g_hash_table_iter_init (&iter, members);
+  while (g_hash_table_iter_next (&iter, NULL, &value)) {
+    VpMemberState *member = value;
+    int64_t free_ms = MAX (member->busy_until_ms, now_ms);
+    if (_vp_member_is_heard (member, now_ms) && free_ms < before_ms) {
+      best = member;
+      before_ms = free_ms;
+    }
+  }
+  return best;
+}
--- /dev/null
+++ b/src/vp-members.h
@@ -0,0 +1,41 @@
+/* The other processes of a cell, as the platform lists them and as their pings tell.
+ *
+ *   GHashTable *members = vp_members_new ();
+ *   VpMemberState *member = vp_members_get (members, "nadi-2");
+ *   vp_member_heard (member, &ping, now_ms);
+ *   vp_members_view (members, now_ms, &view);
+ *   g_hash_table_unref (members);
+ *
+ * Plain state, no I/O.
+ */
+#pragma once
+
+#include "vp-lead.h"
+#include "vp-nodemsg.h"
+
+typedef struct {
+  char name[VP_NAME_MAX];
+  char address[VP_ADDRESS_MAX]; /* empty: never listed */
+  bool is_listed;
+  int64_t heard_ms; /* last ping */
+  bool hears_leader;
+  bool is_stopping;
+  int64_t started_ms;
+  int64_t busy_until_ms; /* its advice calls are expected to be done */
+} VpMemberState;
+
+/* name -> VpMemberState, without the process itself. */
+GHashTable *vp_members_new (void);
+/* Adds a member that isn't known. */
+VpMemberState *vp_members_get (GHashTable *members, const char *name);
+void vp_member_heard (VpMemberState *member, const VpNodeMsg *ping, int64_t now_ms);
+/* Drops those that are neither listed nor heard any more. */
+void vp_members_forget (GHashTable *members, int64_t now_ms);
+void vp_members_view (GHashTable *members, int64_t now_ms, VpLeadView *view);
+/* Fewer than half of the processes are in reach, so no leader will be soon. */
+bool vp_members_is_cut_off (GHashTable *members, int64_t now_ms);
+/* Who takes the leader's place best: the process that started last, since where processes are
+ * stopped in turn it comes last again. NULL: none. */
+const VpMemberState *vp_members_successor (GHashTable *members, int64_t now_ms);
+/* The member whose advice calls are done first, if that is before @before_ms; NULL: none. */
+VpMemberState *vp_members_least_busy (GHashTable *members, int64_t before_ms, int64_t now_ms);
--- a/src/vp-node.c
+++ b/src/vp-node.c
@@ -5,6 +5,7 @@
 #include "vp-keeper.h"
 #include "vp-lead.h"
 #include "vp-log.h"
+#include "vp-members.h"
 
 #include <string.h>
 
@@ -13,10 +14,6 @@
 #define VP_NODE_PING_MS        400
 /* A commit that is under way for longer counts as failed. */
 #define VP_NODE_STORE_SLOW_MS 2000
-/* A process that was not heard for this long gets no advice calls and has no say. */
-#define VP_NODE_HEARD_MS 1000
-/* A process that is unlisted and silent is forgotten after this. */
-#define VP_NODE_FORGET_MS 10000
 /* The configuration is asked for again from a process with a newer one after this. */
 #define VP_NODE_CONF_ASK_MS 300
 /* Reading all jobs is tried again after this. */
@@ -31,18 +28,6 @@
 #define VP_NODE_ASK_TYPE  "(tuuxas)"
 #define VP_NODE_ROWS_TYPE "a(ssx)"
 
-typedef struct {
-  char name[VP_NAME_MAX];
-  char address[VP_ADDRESS_MAX];
-  bool is_listed;
-  int64_t heard_ms;
-  bool hears_leader;
-  bool is_stopping;
-  int64_t started_ms;
-  uint64_t conf_version;
-  int64_t busy_until_ms; /* its advice calls are expected to be done */
-} VpNodeMember;
-
 struct _VpNode {
   VpNodeDesc desc;
   char name[VP_NAME_MAX];
@@ -50,7 +35,7 @@
   VpFront *front;
   VpCellConf *conf;
   GBytes *conf_text;
-  GHashTable *members; /* name -> VpNodeMember, without this one */
+  GHashTable *members; /* see vp-members.h */
   int64_t ping_next_ms;
   int64_t conf_ask_next_ms;
   int64_t busy_until_ms; /* own advice calls */
@@ -81,7 +66,7 @@
   node->started_ms = now_ms;
   vp_lead_setup (&node->lead, node->name, now_ms);
   node->front = vp_front_setup (node->name);
-  node->members = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, g_free);
+  node->members = vp_members_new ();
   node->answers = g_array_new (FALSE, FALSE, sizeof (VpBrokerAnswer));
   return node;
 }
@@ -172,9 +157,10 @@
     return;
   _vp_node_set_gauges (node);
   node->ping_next_ms = now_ms + (is_leader ? VP_NODE_PING_LEADER_MS : VP_NODE_PING_MS);
+  vp_members_forget (node->members, now_ms);
   g_hash_table_iter_init (&iter, node->members);
   while (g_hash_table_iter_next (&iter, NULL, &value)) {
-    VpNodeMember *member = value;
+    const VpMemberState *member = value;
     VpNodeMsg ping = { .kind = VP_NODEMSG_PING,
                        .term = node->lead.term,
                        .is_leader = is_leader,
@@ -182,28 +168,11 @@
                        .is_stopping = node->is_stopping,
                        .age_ms = now_ms - node->started_ms,
                        .conf_version = node->conf == NULL ? 0 : node->conf->version };
-    if (!member->is_listed && now_ms - member->heard_ms > VP_NODE_FORGET_MS) {
-      g_hash_table_iter_remove (&iter);
-      continue;
-    }
     ping.store_age_ms = _vp_node_store_age_ms (node, now_ms);
     _vp_node_send (node, member->name, &ping, effects);
   }
 }
 
-static VpNodeMember *
-_vp_node_member (VpNode *node, const char *name)
-{
-  VpNodeMember *member = g_hash_table_lookup (node->members, name);
-
-  if (member == NULL) {
-    member = g_new0 (VpNodeMember, 1);
-    g_strlcpy (member->name, name, sizeof member->name);
-    g_hash_table_insert (node->members, member->name, member);
-  }
-  return member;
-}
-
 static void
 _vp_node_take_member (VpNode *node,
                       const char *name,
@@ -211,12 +180,12 @@
                       int64_t now_ms,
                       VpNodeEffects *effects)
 {
-  VpNodeMember *member;
+  VpMemberState *member;
   VpNodeEffect *effect;
 
   if (strcmp (name, node->name) == 0)
     return;
-  member = _vp_node_member (node, name);
+  member = vp_members_get (node->members, name);
   member->is_listed = address[0] != '\0';
   if (!member->is_listed || strcmp (member->address, address) == 0)
     return;
@@ -231,14 +200,9 @@
 static void
 _vp_node_take_ping (VpNode *node, const VpNodeMsg *ping, int64_t now_ms, VpNodeEffects *effects)
 {
-  VpNodeMember *member = _vp_node_member (node, ping->from);
   VpNodeMsg ask = { .kind = VP_NODEMSG_CONF_ASK };
 
-  member->heard_ms = now_ms;
-  member->hears_leader = ping->hears_leader;
-  member->is_stopping = ping->is_stopping;
-  member->started_ms = now_ms - ping->age_ms;
-  member->conf_version = ping->conf_version;
+  vp_member_heard (vp_members_get (node->members, ping->from), ping, now_ms);
   if (ping->is_leader)
     vp_lead_heard (&node->lead, ping->from, ping->term, ping->store_age_ms, now_ms);
   if (now_ms >= node->conf_ask_next_ms
@@ -248,23 +212,6 @@
   }
 }
 
-static void
-_vp_node_view (const VpNode *node, int64_t now_ms, VpLeadView *view)
-{
-  GHashTableIter iter;
-  gpointer value;
-
-  memset (view, 0, sizeof *view);
-  g_hash_table_iter_init (&iter, node->members);
-  while (g_hash_table_iter_next (&iter, NULL, &value)) {
-    const VpNodeMember *member = value;
-    bool is_heard = now_ms - member->heard_ms < VP_NODE_HEARD_MS;
-    view->member_count += member->is_listed || is_heard ? 1 : 0;
-    view->heard_count += is_heard ? 1 : 0;
-    view->deaf_count += is_heard && !member->hears_leader ? 1 : 0;
-  }
-}
-
 /* Configuration. */
 
 static void
@@ -323,28 +270,17 @@
 static void
 _vp_node_pass_ask (VpNode *node, VpAdviceAsk *ask, int64_t now_ms, VpNodeEffects *effects)
 {
-  VpNodeMember *best = NULL;
-  int64_t best_ms = MAX (node->busy_until_ms, now_ms);
+  int64_t own_ms = MAX (node->busy_until_ms, now_ms);
+  VpMemberState *best = vp_members_least_busy (node->members, own_ms, now_ms);
   VpNodeMsg message = { .kind = VP_NODEMSG_ASK, .serial = ask->serial };
   GVariantBuilder ids;
-  GHashTableIter iter;
-  gpointer value;
 
-  g_hash_table_iter_init (&iter, node->members);
-  while (g_hash_table_iter_next (&iter, NULL, &value)) {
-    VpNodeMember *member = value;
-    int64_t free_ms = MAX (member->busy_until_ms, now_ms);
-    if (now_ms - member->heard_ms < VP_NODE_HEARD_MS && free_ms < best_ms) {
-      best = member;
-      best_ms = free_ms;
-    }
-  }
   if (best == NULL) {
-    node->busy_until_ms = best_ms + ask->expected_ms;
+    node->busy_until_ms = own_ms + ask->expected_ms;
     _vp_node_call_advice (node, ask, node->name, effects);
     return;
   }
-  best->busy_until_ms = best_ms + ask->expected_ms;
+  best->busy_until_ms = MAX (best->busy_until_ms, now_ms) + ask->expected_ms;
   g_variant_builder_init (&ids, G_VARIANT_TYPE ("as"));
   for (guint i = 0; i < ask->workers->len; i++)
     g_variant_builder_add (&ids, "s", (const char *)ask->workers->pdata[i]);
@@ -722,7 +658,7 @@
     _vp_node_end_term (node, "other-leader", now_ms, effects);
   /* A stopping process does not take the place. */
   if (!node->is_stopping && node->lead.state == VP_LEAD_FOLLOWING) {
-    _vp_node_view (node, now_ms, &view);
+    vp_members_view (node->members, now_ms, &view);
     switch (vp_lead_tick (&node->lead, &view, now_ms)) {
     case VP_LEAD_READ:
       vp_node_effects_add (effects, VP_NODE_READ_RECORD);
@@ -755,33 +691,15 @@
   }
 }
 
-/* The process that started last: where processes are stopped in turn, it comes last again. */
-static const VpNodeMember *
-_vp_node_successor (const VpNode *node, int64_t now_ms)
-{
-  const VpNodeMember *best = NULL;
-  GHashTableIter iter;
-  gpointer value;
-
-  g_hash_table_iter_init (&iter, node->members);
-  while (g_hash_table_iter_next (&iter, NULL, &value)) {
-    const VpNodeMember *member = value;
-    if (member->is_listed && !member->is_stopping && now_ms - member->heard_ms < VP_NODE_HEARD_MS
-        && (best == NULL || member->started_ms > best->started_ms))
-      best = member;
-  }
-  return best;
-}
-
 static void
 _vp_node_hand_over (VpNode *node, int64_t now_ms, VpNodeEffects *effects)
 {
   VpNodeMsg message = { .kind = VP_NODEMSG_HANDOVER, .term = node->lead.term };
-  const VpNodeMember *best;
+  const VpMemberState *best;
 
   if (!vp_keeper_is_finished (node->keeper) && now_ms - node->stop_ms < VP_NODE_HANDOVER_MS)
     return;
-  best = _vp_node_successor (node, now_ms);
+  best = vp_members_successor (node->members, now_ms);
   vp_log (now_ms, "hand-over", "to=%s clean=%d", best == NULL ? "-" : best->name,
           vp_keeper_is_finished (node->keeper));
   if (best != NULL)
@@ -804,7 +722,7 @@
     }
     return;
   }
-  _vp_node_view (node, now_ms, &view);
+  vp_members_view (node->members, now_ms, &view);
   vp_cell_set_askers (node->cell, view.heard_count + 1);
   cell_effects = g_array_new (FALSE, FALSE, sizeof (VpCellEffect));
   if (!node->is_stopping)
@@ -816,16 +734,6 @@
     _vp_node_hand_over (node, now_ms, effects);
 }
 
-/* Fewer than half of the processes are in reach, so no leader will be soon. */
-static bool
-_vp_node_is_cut_off (const VpNode *node, int64_t now_ms)
-{
-  VpLeadView view;
-
-  _vp_node_view (node, now_ms, &view);
-  return 2 * (view.heard_count + 1) < view.member_count + 1;
-}
-
 static void
 _vp_node_step_front (VpNode *node, int64_t now_ms, VpNodeEffects *effects)
 {
@@ -833,7 +741,8 @@
   bool is_known = vp_lead_is_known (&node->lead, now_ms);
 
   vp_front_tick (node->front, is_known ? node->lead.leader : NULL, node->lead.term,
-                 !is_known && _vp_node_is_cut_off (node, now_ms), now_ms, requests, effects);
+                 !is_known && vp_members_is_cut_off (node->members, now_ms), now_ms, requests,
+                 effects);
   for (guint i = 0; i < requests->len; i++) {
     VpNodeMsg *request = &g_array_index (requests, VpNodeMsg, i);
     if (strcmp (node->lead.leader, node->name) != 0) {
--- a/tests/world.c
+++ b/tests/world.c
@@ -1,7 +1,7 @@
 #include "world.h"
 #include "vp-lead.h"
 #include "vp-log.h"
-#include "world-worker.h"
+#include "world-store.h"
 
 #include <string.h>
 
@@ -46,30 +46,6 @@
   bool watches_workers;
 } Node;
 
-typedef struct {
-  uint64_t revision;
-  GBytes *value;
-} Value;
-
-/* A job as its caller knows it. */
-typedef struct {
-  uint64_t id;
-  WorldJob shape;
-  VpJobSpec *spec;
-  uint32_t node;
-  uint64_t handle;
-  bool is_accepted;
-  bool is_refused;   /* all attempts were told that the job never runs */
-  bool is_uncertain; /* an attempt had no answer */
-  bool is_cancel_wanted;
-  bool is_cancelled; /* told so */
-  int64_t cancelled_ms;
-  int64_t next_try_ms;
-  GHashTable *done;    /* names of tasks that have ended as done */
-  GHashTable *noted;   /* of those, the ones whose end a worker was told to forget */
-  GHashTable *started; /* task name -> time of the last start in ms since the beginning */
-} Job;
-
 struct _World {
   WorldDesc desc;
   GRand *rand;
@@ -79,14 +55,12 @@
   uint64_t last_job;
   GSequence *items; /* Item, by time */
   GArray *nodes;    /* Node */
-  GPtrArray *workers;
-  GHashTable *values; /* store: key -> Value */
-  uint64_t revision;
+  WorldStore store;
   double write_loss;
   int64_t write_loss_until_ms;
   double late_orders;
   int64_t late_orders_until_ms;
-  GHashTable *jobs;  /* id -> Job */
+  WorldJobs jobs;
   GHashTable *calls; /* handle -> Job, submits and cancels that wait for a reply */
   VpCellConf *conf;
   uint32_t starts;
@@ -168,59 +142,8 @@
   return share > 0 && g_rand_double (world->rand) < share;
 }
 
-/* Violated promises end the test. */
-static void
-_violated (const World *world, const char *what, const VpTaskName *task)
-{
-  char name[VP_TASK_NAME_MAX];
-
-  vp_task_name_format (task, name);
-  g_error ("seed %u at %" G_GINT64_FORMAT " ms: %s: %s", world->desc.seed, world->now_ms, name,
-           what);
-}
-
 /* The store. */
 
-static Value *
-_value (const World *world, const char *key)
-{
-  return g_hash_table_lookup (world->values, key);
-}
-
-static void
-_value_free (gpointer data)
-{
-  Value *value = data;
-
-  g_bytes_unref (value->value);
-  g_free (value);
-}
-
-static void
-_carry_out_write (World *world, const VpStoreWrite *write, VpStoreWritten *written)
-{
-  const Value *record = _value (world, "lead");
-  uint64_t revision = record == NULL ? 0 : record->revision;
-
-  written->serial = write->serial;
-  if (revision != write->record_revision) {
-    written->outcome = VP_WRITE_CONFLICT;
-    written->revision = revision;
-    written->record = record == NULL ? NULL : g_bytes_ref (record->value);
-    return;
-  }
-  written->outcome = VP_WRITE_OK;
-  written->revision = ++world->revision;
-  for (guint i = 0; i < write->keys->len; i++) {
-    Value *value = g_new0 (Value, 1);
-    value->revision = world->revision;
-    value->value = g_bytes_ref (write->values->pdata[i]);
-    g_hash_table_replace (world->values, g_strdup (write->keys->pdata[i]), value);
-  }
-  for (guint i = 0; i < write->removed->len; i++)
-    g_hash_table_remove (world->values, write->removed->pdata[i]);
-}
-
 static bool
 _is_store_down (const World *world, uint32_t node)
 {
@@ -261,7 +184,7 @@
   VpStoreWritten written = { 0 };
   VpNodeEvent *event;
 
-  _carry_out_write (world, &item->write, &written);
+  world_store_write (&world->store, &item->write, &written);
   if (!item->is_answered) {
     g_clear_pointer (&written.record, g_bytes_unref);
     return;
@@ -273,7 +196,7 @@
 static void
 _read_record (World *world, uint32_t node)
 {
-  const Value *record = _value (world, "lead");
+  const WorldValue *record = world_store_get (&world->store, "lead");
   VpRecordRead *read = &_post (world, node, VP_NODE_RECORD, 2 * STORE_MS)->record;
 
   read->is_ok = !_is_store_down (world, node);
@@ -283,21 +206,6 @@
   read->record = g_bytes_ref (record->value);
 }
 
-static GPtrArray *
-_values_below (const World *world, const char *prefix)
-{
-  GPtrArray *values = g_ptr_array_new_with_free_func ((GDestroyNotify)g_bytes_unref);
-  GHashTableIter iter;
-  gpointer key, value;
-
-  g_hash_table_iter_init (&iter, world->values);
-  while (g_hash_table_iter_next (&iter, &key, &value)) {
-    if (g_str_has_prefix (key, prefix))
-      g_ptr_array_add (values, g_bytes_ref (((Value *)value)->value));
-  }
-  return values;
-}
-
 static void
 _load (World *world, uint32_t node, uint64_t serial)
 {
@@ -305,9 +213,9 @@
 
   loaded->serial = serial;
   loaded->is_ok = !_is_store_down (world, node);
-  loaded->ended = _values_below (world, "ended/");
-  loaded->jobs = _values_below (world, "job/");
-  loaded->progress = _values_below (world, "progress/");
+  loaded->ended = world_store_below (&world->store, "ended/");
+  loaded->jobs = world_store_below (&world->store, "job/");
+  loaded->progress = world_store_below (&world->store, "progress/");
 }
 
 /* Workers. */
@@ -315,8 +223,8 @@
 static FakeWorker *
 _worker (const World *world, const char *id)
 {
-  for (guint i = 0; i < world->workers->len; i++) {
-    FakeWorker *worker = world->workers->pdata[i];
+  for (guint i = 0; i < world->jobs.workers->len; i++) {
+    FakeWorker *worker = world->jobs.workers->pdata[i];
     if (strcmp (worker->entry.id, id) == 0)
       return worker;
   }
@@ -329,8 +237,8 @@
   VpNodeEvent *event = _post (world, node, VP_NODE_WORKERS, 2 * STORE_MS);
 
   event->workers = g_array_new (FALSE, TRUE, sizeof (VpWorkerEntry));
-  for (guint i = 0; i < world->workers->len; i++) {
-    const FakeWorker *worker = world->workers->pdata[i];
+  for (guint i = 0; i < world->jobs.workers->len; i++) {
+    const FakeWorker *worker = world->jobs.workers->pdata[i];
     if (worker->is_up)
       g_array_append_val (event->workers, worker->entry);
   }
@@ -345,141 +253,10 @@
   }
 }
 
-static Job *
-_job (const World *world, uint64_t id)
-{
-  return g_hash_table_lookup (world->jobs, &id);
-}
-
-static bool
-_is_same (const VpTaskName *a, const VpTaskName *b)
-{
-  return a->job == b->job && a->occurrence == b->occurrence && a->step == b->step
-         && a->index == b->index;
-}
-
-/* What the promises say of a start that the worker has just carried out. */
-static void
-_check_start (const World *world, const FakeWorker *worker, const VpOrder *order)
-{
-  const Job *job = _job (world, order->task.job);
-  VpSize used = fake_worker_used (worker);
-  char name[VP_TASK_NAME_MAX];
-
-  if (!vp_size_fits (&used, &worker->entry.capacity))
-    _violated (world, "started beyond the worker's room", &order->task);
-  for (guint i = 0; i < world->workers->len; i++) {
-    const FakeWorker *other = world->workers->pdata[i];
-    for (guint r = 0; other != worker && other->is_up && r < other->runs->len; r++) {
-      const VpTaskName *task = &g_array_index (other->runs, FakeRun, r).task;
-      if (_is_same (task, &order->task))
-        _violated (world, "runs on two workers", task);
-    }
-  }
-  vp_task_name_format (&order->task, name);
-  if (g_hash_table_contains (job->noted, name))
-    _violated (world, "started after its end was acknowledged", &order->task);
-  g_hash_table_replace (job->started, g_strdup (name),
-                        GUINT_TO_POINTER (world->now_ms - WORLD_BEGIN_MS));
-  if (job->is_refused && !job->is_accepted)
-    _violated (world, "started though its job was refused", &order->task);
-  for (uint32_t i = 0; order->task.step > 0 && i < job->shape.width; i++) {
-    VpTaskName before = order->task;
-    before.step--;
-    before.index = i;
-    vp_task_name_format (&before, name);
-    if (!g_hash_table_contains (job->done, name))
-      _violated (world, "started before its predecessors were done", &order->task);
-  }
-}
-
-/* The members of a gang end together: done for all, or broken where another one ended otherwise. */
-static void
-_end_gang (World *world, const VpTaskName *task, VpRunEnd end)
-{
-  const Job *job = _job (world, task->job);
-  char name[VP_TASK_NAME_MAX];
-
-  for (uint32_t i = 0; end == VP_RUN_DONE && i < job->shape.width; i++) {
-    VpTaskName member = *task;
-    member.index = i;
-    vp_task_name_format (&member, name);
-    g_hash_table_add (job->done, g_strdup (name));
-  }
-  for (guint w = 0; w < world->workers->len; w++) {
-    FakeWorker *worker = world->workers->pdata[w];
-    for (guint r = 0; r < worker->runs->len; r++) {
-      FakeRun *run = &g_array_index (worker->runs, FakeRun, r);
-      if (run->task.job != task->job || run->task.step != task->step)
-        continue;
-      run->ends_ms = end == VP_RUN_DONE ? world->now_ms : INT64_MAX;
-      run->stop_ms = world->now_ms;
-      run->is_failing = false;
-    }
-  }
-}
-
-/* The members work from the moment when all of one run are there. */
-static void
-_begin_gang (World *world, const VpOrder *order)
-{
-  const Job *job = _job (world, order->task.job);
-  g_autoptr (GPtrArray) members = g_ptr_array_new ();
-
-  for (guint w = 0; w < world->workers->len; w++) {
-    FakeWorker *worker = world->workers->pdata[w];
-    for (guint r = 0; r < worker->runs->len; r++) {
-      FakeRun *run = &g_array_index (worker->runs, FakeRun, r);
-      if (run->task.job == order->task.job && run->task.step == order->task.step
-          && run->run == order->run)
-        g_ptr_array_add (members, run);
-    }
-  }
-  for (guint i = 0; i < members->len; i++)
-    ((FakeRun *)members->pdata[i])->ends_ms
-        = members->len == job->shape.width ? world->now_ms + job->shape.work_ms : INT64_MAX;
-}
-
-static void
-_advance_worker (World *world, FakeWorker *worker)
-{
-  guint before = worker->ended->len;
-
-  fake_worker_advance (worker, world->now_ms);
-  for (guint i = before; i < worker->ended->len; i++) {
-    const VpEndedEntry *entry = &g_array_index (worker->ended, VpEndedEntry, i);
-    const Job *job = _job (world, entry->task.job);
-    char name[VP_TASK_NAME_MAX];
-    vp_task_name_format (&entry->task, name);
-    if (entry->end == VP_RUN_DONE)
-      g_hash_table_add (job->done, g_strdup (name));
-    if (job->shape.is_gang)
-      _end_gang (world, &entry->task, entry->end);
-  }
-}
-
-/* An end that is acknowledged forbids starts from the end on, not only from now on. */
-static void
-_check_noted (const World *world, FakeWorker *worker)
-{
-  for (guint i = 0; i < worker->noted->len; i++) {
-    const FakeNoted *noted = &g_array_index (worker->noted, FakeNoted, i);
-    const Job *job = _job (world, noted->task.job);
-    char name[VP_TASK_NAME_MAX];
-    vp_task_name_format (&noted->task, name);
-    if (worker->lapsed_ms < noted->ended_ms
-        && (int64_t)GPOINTER_TO_UINT (g_hash_table_lookup (job->started, name)) + WORLD_BEGIN_MS
-               > noted->ended_ms)
-      _violated (world, "started after an end that is acknowledged now", &noted->task);
-    g_hash_table_add (job->noted, g_strdup (name));
-  }
-  g_array_set_size (worker->noted, 0);
-}
-
 static void
 _work (World *world, const VpOrder *order, FakeWork *work)
 {
-  const Job *job = _job (world, order->task.job);
+  const WorldCallerJob *job = world_jobs_find (&world->jobs, order->task.job);
 
   work->work_ms = job->shape.is_lasting ? INT64_MAX : job->shape.work_ms;
   work->is_failing = _chance (world, job->shape.failing_share);
@@ -505,12 +282,12 @@
   else if (world->now_ms < worker->cut_until_ms)
     result.outcome = VP_ORDER_UNCERTAIN;
   if (result.outcome == VP_ORDER_OK) {
-    _advance_worker (world, worker);
+    world_jobs_advance (&world->jobs, world->now_ms, worker);
     /* A HOLD waits at the worker for the next end, also of runs that start meanwhile. */
     if (item->order.kind == VP_ORDER_HOLD && item->order.wait_ms > 0 && worker->ended->len == 0) {
       Item *later = _push (world, ITEM_ORDER, MIN (item->order.wait_ms, HOLD_LOOK_MS));
       fake_worker_apply (worker, &item->order, &work, world->now_ms, &result);
-      _check_noted (world, worker);
+      world_jobs_check_noted (&world->jobs, world->now_ms, worker);
       vp_order_result_clear (&result);
       later->order = item->order;
       later->order.wait_ms -= MIN (item->order.wait_ms, HOLD_LOOK_MS);
@@ -527,11 +304,11 @@
       _work (world, &item->order, &work);
     if (fake_worker_apply (worker, &item->order, &work, world->now_ms, &result)) {
       world->starts++;
-      _check_start (world, worker, &item->order);
-      if (_job (world, item->order.task.job)->shape.is_gang)
-        _begin_gang (world, &item->order);
+      world_jobs_check_start (&world->jobs, world->now_ms, worker, &item->order);
+      if (world_jobs_find (&world->jobs, item->order.task.job)->shape.is_gang)
+        world_jobs_begin_gang (&world->jobs, world->now_ms, &item->order);
     }
-    _check_noted (world, worker);
+    world_jobs_check_noted (&world->jobs, world->now_ms, worker);
   }
   if (!item->is_answered || _node (world, item->node)->life != item->life) {
     vp_order_result_clear (&result);
@@ -609,7 +386,7 @@
 static void
 _on_reply (World *world, const VpReply *reply)
 {
-  Job *job = g_hash_table_lookup (world->calls, &reply->handle);
+  WorldCallerJob *job = g_hash_table_lookup (world->calls, &reply->handle);
 
   if (job == NULL)
     return;
@@ -675,7 +452,7 @@
   /* Callers see their connection end without an answer. */
   g_hash_table_iter_init (&iter, world->calls);
   while (g_hash_table_iter_next (&iter, NULL, &value)) {
-    Job *job = value;
+    WorldCallerJob *job = value;
     if (job->node != index)
       continue;
     job->handle = 0;
@@ -766,10 +543,10 @@
 {
   bool has_changed = false;
 
-  for (guint i = 0; i < world->workers->len; i++) {
-    FakeWorker *worker = world->workers->pdata[i];
+  for (guint i = 0; i < world->jobs.workers->len; i++) {
+    FakeWorker *worker = world->jobs.workers->pdata[i];
     if (worker->is_up)
-      _advance_worker (world, worker);
+      world_jobs_advance (&world->jobs, world->now_ms, worker);
     if (worker->is_up && world->now_ms >= worker->leaves_ms) {
       fake_worker_crash (worker, INT64_MAX);
       has_changed = true;
@@ -783,7 +560,7 @@
 }
 
 static VpNodeEvent *
-_call (World *world, Job *job, VpCallKind kind)
+_call (World *world, WorldCallerJob *job, VpCallKind kind)
 {
   VpNodeEvent *event;
 
@@ -808,9 +585,9 @@
   GHashTableIter iter;
   gpointer value;
 
-  g_hash_table_iter_init (&iter, world->jobs);
+  g_hash_table_iter_init (&iter, world->jobs.by_id);
   while (g_hash_table_iter_next (&iter, NULL, &value)) {
-    Job *job = value;
+    WorldCallerJob *job = value;
     VpNodeEvent *event;
     if (world->now_ms < job->next_try_ms)
       continue;
@@ -876,18 +653,6 @@
 
 /* Setup and the calls of tests. */
 
-static void
-_job_free (gpointer data)
-{
-  Job *job = data;
-
-  vp_jobspec_unref (job->spec);
-  g_hash_table_unref (job->done);
-  g_hash_table_unref (job->noted);
-  g_hash_table_unref (job->started);
-  g_free (job);
-}
-
 static VpCellConf *
 _conf_new (const WorldDesc *desc)
 {
@@ -919,16 +684,17 @@
 
   world->desc = *desc;
   world->rand = g_rand_new_with_seed (desc->seed);
-  world->now_ms = WORLD_BEGIN_MS;
+  world->now_ms = world->jobs.begin_ms = WORLD_BEGIN_MS;
+  world->jobs.seed = desc->seed;
   world->items = g_sequence_new (NULL);
   world->nodes = g_array_new (FALSE, TRUE, sizeof (Node));
-  world->workers = g_ptr_array_new_with_free_func ((GDestroyNotify)fake_worker_free);
-  world->values = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, _value_free);
-  world->jobs = g_hash_table_new_full (g_int64_hash, g_int64_equal, NULL, _job_free);
+  world->jobs.workers = g_ptr_array_new_with_free_func ((GDestroyNotify)fake_worker_free);
+  world_store_setup (&world->store);
+  world->jobs.by_id = g_hash_table_new_full (g_int64_hash, g_int64_equal, NULL, world_jobs_free);
   world->calls = g_hash_table_new_full (g_int64_hash, g_int64_equal, g_free, NULL);
   world->conf = _conf_new (desc);
   for (uint32_t i = 0; i < desc->worker_count; i++)
-    g_ptr_array_add (world->workers, fake_worker_new (i, world->now_ms));
+    g_ptr_array_add (world->jobs.workers, fake_worker_new (i, world->now_ms));
   g_array_set_size (world->nodes, desc->node_count);
   for (uint32_t i = 0; i < desc->node_count; i++)
     g_snprintf (_node (world, i)->name, VP_NAME_MAX, "node-%u", i);
@@ -950,10 +716,10 @@
     _item_free (item);
   g_sequence_free (world->items);
   g_array_unref (world->nodes);
-  g_ptr_array_unref (world->workers);
-  g_hash_table_unref (world->values);
+  g_ptr_array_unref (world->jobs.workers);
+  world_store_shutdown (&world->store);
   g_hash_table_unref (world->calls);
-  g_hash_table_unref (world->jobs);
+  g_hash_table_unref (world->jobs.by_id);
   vp_cellconf_unref (world->conf);
   g_rand_free (world->rand);
   g_free (world);
@@ -974,39 +740,18 @@
 uint64_t
 world_submit (World *world, uint32_t node, const WorldJob *shape)
 {
-  Job *job = g_new0 (Job, 1);
+  WorldCallerJob *job = world_jobs_new (++world->last_job * 0x9e3779b97f4a7c15U, shape);
 
-  job->id = ++world->last_job * 0x9e3779b97f4a7c15U;
-  job->shape = *shape;
   job->node = (node > 0 ? node : (uint32_t)world->nodes->len) - 1;
   job->next_try_ms = world->now_ms;
-  job->done = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
-  job->noted = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
-  job->started = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
-  job->spec = vp_jobspec_new (shape->steps);
-  job->spec->text = g_strdup ("text");
-  for (uint32_t s = 0; s < shape->steps; s++) {
-    VpStepSpec *step = &job->spec->steps[s];
-    step->task_count = shape->width;
-    step->size.cpu_milli = shape->cpu_milli == 0 ? 1000 : shape->cpu_milli;
-    step->size.mem_mib = shape->mem_mib == 0 ? 1024 : shape->mem_mib;
-    step->estimate_ms = shape->work_ms;
-    step->is_gang = shape->is_gang;
-    step->is_lasting = shape->is_lasting;
-    if (s > 0) {
-      uint32_t before = s - 1;
-      step->after = g_array_new (FALSE, FALSE, sizeof (uint32_t));
-      g_array_append_val (step->after, before);
-    }
-  }
-  g_hash_table_insert (world->jobs, &job->id, job);
+  g_hash_table_insert (world->jobs.by_id, &job->id, job);
   return job->id;
 }
 
 void
 world_cancel (World *world, uint64_t id)
 {
-  Job *job = _job (world, id);
+  WorldCallerJob *job = world_jobs_find (&world->jobs, id);
 
   job->is_cancel_wanted = true;
   job->next_try_ms = world->now_ms;
@@ -1015,7 +760,7 @@
 bool
 world_is_accepted (const World *world, uint64_t id)
 {
-  return _job (world, id)->is_accepted;
+  return world_jobs_find (&world->jobs, id)->is_accepted;
 }
 
 bool
@@ -1031,7 +776,7 @@
 uint32_t
 world_leader (const World *world)
 {
-  const Value *value = _value (world, "lead");
+  const WorldValue *value = world_store_get (&world->store, "lead");
   g_autoptr (GVariant) parsed
       = value == NULL ? NULL : vp_node_parse (value->value, VP_LEAD_RECORD_TYPE);
   VpLeadRecord record;
@@ -1103,19 +848,19 @@
 void
 world_worker_crash (World *world, uint32_t worker, int64_t for_ms)
 {
-  fake_worker_crash (world->workers->pdata[worker], world->now_ms + for_ms);
+  fake_worker_crash (world->jobs.workers->pdata[worker], world->now_ms + for_ms);
 }
 
 void
 world_worker_cut (World *world, uint32_t worker, int64_t for_ms)
 {
-  ((FakeWorker *)world->workers->pdata[worker])->cut_until_ms = world->now_ms + for_ms;
+  ((FakeWorker *)world->jobs.workers->pdata[worker])->cut_until_ms = world->now_ms + for_ms;
 }
 
 void
 world_worker_drain (World *world, uint32_t worker, int64_t for_ms)
 {
-  FakeWorker *fake = world->workers->pdata[worker];
+  FakeWorker *fake = world->jobs.workers->pdata[worker];
 
   fake->entry.is_draining = true;
   fake->leaves_ms = world->now_ms + for_ms;
--- a/tests/world.h
+++ b/tests/world.h
@@ -13,6 +13,8 @@
  */
 #pragma once
 
+#include "world-jobs.h"
+
 #include "vp-node.h"
 
 typedef struct _World World;
@@ -25,17 +27,6 @@
   uint32_t attempts_max; /* 0: 3 */
 } WorldDesc;
 
-typedef struct {
-  uint32_t steps; /* each waits for the one before */
-  uint32_t width; /* tasks of a step */
-  int64_t work_ms;
-  int64_t cpu_milli; /* 0: 1,000 */
-  int64_t mem_mib;   /* 0: 1,024 */
-  bool is_gang;
-  bool is_lasting;
-  double failing_share; /* of the runs */
-} WorldJob;
-
 World *world_new (const WorldDesc *desc);
 void world_free (World *world);
 int64_t world_now_ms (const World *world);
