--- a/src/vp-cell.h
+++ b/src/vp-cell.h
@@ -23,9 +23,8 @@
 typedef struct {
   uint64_t fence;
   int64_t hold_max_ms; /* longest lease that workers grant */
-  int64_t gone_ms;   /* a draining worker that was heard this long ago and left the list is gone */
-  double far_factor; /* how much longer tasks run away from their data */
-  bool is_clean;     /* what is known of the jobs is complete: the last scheduler handed over */
+  int64_t gone_ms; /* a draining worker that was heard this long ago and left the list is gone */
+  bool is_clean;   /* what is known of the jobs is complete: the last scheduler handed over */
 } VpCellDesc;
 
 typedef enum { VP_CELL_ORDER, VP_CELL_ADVISE } VpCellEffectKind;
--- a/src/vp-jobspec.c
+++ b/src/vp-jobspec.c
@@ -30,7 +30,6 @@
     g_clear_pointer (&spec->steps[i].after, g_array_unref);
   g_free (spec->steps);
   g_free (spec->text);
-  g_free (spec->origin);
   g_free (spec);
 }
 
@@ -69,23 +68,21 @@
 {
   GVariantBuilder steps;
 
-  g_variant_builder_init (&steps, G_VARIANT_TYPE ("a(u(xxx)xauubbbbbsssuxu)"));
+  g_variant_builder_init (&steps, G_VARIANT_TYPE ("a" VP_JOBSPEC_STEP_TYPE));
   for (uint32_t i = 0; i < spec->step_count; i++) {
     const VpStepSpec *step = &spec->steps[i];
     GVariant *after = g_variant_new_fixed_array (
         G_VARIANT_TYPE_UINT32, step->after == NULL ? NULL : step->after->data,
         step->after == NULL ? 0 : step->after->len, sizeof (uint32_t));
-    uint32_t flags = (step->is_filling ? 1U : 0U);
-    g_variant_builder_add (&steps, "(u(xxx)x@auubbbbbsssuxu)", step->task_count,
-                           step->size.cpu_milli, step->size.mem_mib, step->size.accel_count,
-                           step->estimate_ms, after, step->spread_max, (gboolean)step->is_gang,
-                           (gboolean)step->is_one_rack, (gboolean)step->is_saving,
-                           (gboolean)step->is_copyable, (gboolean)step->is_lasting, step->label,
-                           step->rack, step->image, flags, step->tail_target_ms, step->may_miss);
+    g_variant_builder_add (
+        &steps, "(u(xxx)x@auubbbbbbsssxu)", step->task_count, step->size.cpu_milli,
+        step->size.mem_mib, step->size.accel_count, step->estimate_ms, after, step->spread_max,
+        (gboolean)step->is_gang, (gboolean)step->is_one_rack, (gboolean)step->is_saving,
+        (gboolean)step->is_copyable, (gboolean)step->is_lasting, (gboolean)step->is_filling,
+        step->label, step->rack, step->image, step->tail_target_ms, step->may_miss);
   }
-  return g_variant_new ("(tssssuxxa(u(xxx)xauubbbbbsssuxu))", spec->id, spec->queue, spec->team,
-                        spec->text == NULL ? "" : spec->text,
-                        spec->origin == NULL ? "" : spec->origin, spec->run_count, spec->first_ms,
+  return g_variant_new (VP_JOBSPEC_TYPE, spec->id, spec->queue, spec->team,
+                        spec->text == NULL ? "" : spec->text, spec->run_count, spec->first_ms,
                         spec->interval_ms, &steps);
 }
 
@@ -93,24 +90,23 @@
 _vp_jobspec_decode_step (GVariantIter *iter, VpStepSpec *step)
 {
   const char *label, *rack, *image;
-  gboolean is_gang, is_one_rack, is_saving, is_copyable, is_lasting;
+  gboolean is_gang, is_one_rack, is_saving, is_copyable, is_lasting, is_filling;
   g_autoptr (GVariant) after = NULL;
-  uint32_t flags;
   const uint32_t *items;
   gsize count;
 
-  if (!g_variant_iter_next (iter, "(u(xxx)x@auubbbbb&s&s&suxu)", &step->task_count,
+  if (!g_variant_iter_next (iter, "(u(xxx)x@auubbbbbb&s&s&sxu)", &step->task_count,
                             &step->size.cpu_milli, &step->size.mem_mib, &step->size.accel_count,
                             &step->estimate_ms, &after, &step->spread_max, &is_gang, &is_one_rack,
-                            &is_saving, &is_copyable, &is_lasting, &label, &rack, &image, &flags,
-                            &step->tail_target_ms, &step->may_miss))
+                            &is_saving, &is_copyable, &is_lasting, &is_filling, &label, &rack,
+                            &image, &step->tail_target_ms, &step->may_miss))
     return false;
   step->is_gang = is_gang;
   step->is_one_rack = is_one_rack;
   step->is_saving = is_saving;
   step->is_copyable = is_copyable;
   step->is_lasting = is_lasting;
-  step->is_filling = (flags & 1) != 0;
+  step->is_filling = is_filling;
   items = g_variant_get_fixed_array (after, &count, sizeof (uint32_t));
   if (count > 0) {
     step->after = g_array_sized_new (FALSE, FALSE, sizeof (uint32_t), (guint)count);
@@ -125,7 +121,7 @@
 vp_jobspec_decode (GVariant *value)
 {
   g_autoptr (GVariantIter) steps = NULL;
-  const char *queue, *team, *text, *origin;
+  const char *queue, *team, *text;
   uint64_t id;
   uint32_t run_count;
   int64_t first_ms, interval_ms;
@@ -134,12 +130,11 @@
 
   if (!g_variant_is_of_type (value, G_VARIANT_TYPE (VP_JOBSPEC_TYPE)))
     return NULL;
-  g_variant_get (value, "(t&s&s&s&suxxa(u(xxx)xauubbbbbsssuxu))", &id, &queue, &team, &text,
-                 &origin, &run_count, &first_ms, &interval_ms, &steps);
+  g_variant_get (value, "(t&s&s&suxxa" VP_JOBSPEC_STEP_TYPE ")", &id, &queue, &team, &text,
+                 &run_count, &first_ms, &interval_ms, &steps);
   spec = vp_jobspec_new ((uint32_t)g_variant_iter_n_children (steps));
   spec->id = id;
   spec->text = g_strdup (text);
-  spec->origin = g_strdup (origin);
   spec->run_count = run_count;
   spec->first_ms = first_ms;
   spec->interval_ms = interval_ms;
--- a/src/vp-jobspec.h
+++ b/src/vp-jobspec.h
@@ -18,7 +18,8 @@
 #define VP_JOBSPEC_TEXT_MAX  4096 /* bytes of the text handed to workers */
 #define VP_LABEL_MAX         32   /* bytes of a label, rack or image name with its NUL */
 
-#define VP_JOBSPEC_TYPE "(tssssuxxa(u(xxx)xauubbbbbsssuxu))"
+#define VP_JOBSPEC_STEP_TYPE "(u(xxx)xauubbbbbbsssxu)"
+#define VP_JOBSPEC_TYPE      "(tsssuxxa" VP_JOBSPEC_STEP_TYPE ")"
 
 typedef struct {
   uint32_t task_count;
@@ -45,7 +46,6 @@
   char queue[VP_NAME_MAX];
   char team[VP_NAME_MAX];
   char *text;         /* handed to workers */
-  char *origin;       /* the caller's address or empty; for logs */
   uint32_t run_count; /* occurrences; at least 1 */
   int64_t first_ms;   /* when occurrence 0 is due; 0: at once */
   int64_t interval_ms;
--- a/src/vp-node.h
+++ b/src/vp-node.h
@@ -22,7 +22,6 @@
   int64_t gone_ms;      /* a draining worker heard this long ago that left the list is gone */
   int64_t retention_ms; /* how long ended jobs may be asked for */
   int64_t grace_ms;     /* from the order to stop until the process is killed */
-  double far_factor;    /* how much longer tasks run away from their data */
 } VpNodeDesc;
 
 VpNode *vp_node_setup (const VpNodeDesc *desc, int64_t now_ms);
--- a/tests/world-jobs.h
+++ b/tests/world-jobs.h
@@ -35,7 +35,6 @@
   bool is_uncertain; /* an attempt had no answer */
   bool is_cancel_wanted;
   bool is_cancelled; /* told so */
-  int64_t cancelled_ms;
   int64_t next_try_ms;
   GHashTable *done;    /* names of tasks that have ended as done */
   GHashTable *noted;   /* of those, the ones whose end a worker was told to forget */
--- a/tests/world.c
+++ b/tests/world.c
@@ -398,10 +398,8 @@
     job->is_refused = true;
   else if (reply->kind == VP_REPLY_REJECTED)
     job->next_try_ms = world->now_ms + reply->retry_after_ms;
-  if (reply->kind == VP_REPLY_CANCELLED) {
+  if (reply->kind == VP_REPLY_CANCELLED)
     job->is_cancelled = true;
-    job->cancelled_ms = world->now_ms;
-  }
   if (reply->kind == VP_REPLY_NO_ANSWER) {
     job->is_uncertain = true;
     job->next_try_ms = world->now_ms;
