--- a/src/vp-front.c
+++ b/src/vp-front.c
@@ -295,7 +295,7 @@
   if (now_ms < pending->deadline_ms && !is_leaderless && !is_hopeless)
     return false;
   if (pending->sent_term == 0 || is_read) {
-    _vp_front_reject (&pending->call, is_hopeless ? "cut-off" : "no-leader",
+    _vp_front_reject (&pending->call, is_hopeless ? "cut-off-or-stopping" : "no-leader",
                       is_hopeless ? VP_FRONT_CUT_RETRY_MS : VP_FRONT_RETRY_MS, now_ms, effects);
   } else {
     vp_log (now_ms, "no-answer", "path=%s term=%" G_GUINT64_FORMAT " waited_ms=%" G_GINT64_FORMAT,
--- a/src/vp-node.c
+++ b/src/vp-node.c
@@ -22,6 +22,8 @@
 #define VP_NODE_HANDOVER_MS 1500
 /* A stopping process serves open connections for this part of its grace time. */
 #define VP_NODE_STOP_SHARE 0.8
+/* Before it exits, it gives back what is open, and new requests, for this long. */
+#define VP_NODE_CLOSE_MS 1200
 /* The platform sends no new connections after two looks a second apart. */
 #define VP_NODE_STOP_MIN_MS 2500
 
@@ -42,6 +44,7 @@
   int64_t started_ms;
   bool is_ready;
   bool is_stopping;
+  bool is_closing; /* it gives back at once what it can't finish */
   bool is_exiting;
   int64_t stop_ms;
   /* While it leads. */
@@ -740,8 +743,8 @@
   bool is_known = vp_lead_is_known (&node->lead, now_ms);
 
   vp_front_tick (node->front, is_known ? node->lead.leader : NULL, node->lead.term,
-                 !is_known && vp_members_is_cut_off (node->members, now_ms), now_ms, requests,
-                 effects);
+                 node->is_closing || (!is_known && vp_members_is_cut_off (node->members, now_ms)),
+                 now_ms, requests, effects);
   for (guint i = 0; i < requests->len; i++) {
     VpNodeMsg *request = &g_array_index (requests, VpNodeMsg, i);
     if (strcmp (node->lead.leader, node->name) != 0) {
@@ -786,6 +789,11 @@
   _vp_node_deliver_answers (node, now_ms, effects);
   _vp_node_ping (node, now_ms, effects);
   _vp_node_step_ready (node, now_ms, effects);
+  if (node->is_stopping && !node->is_closing
+      && now_ms >= _vp_node_exit_ms (node) - VP_NODE_CLOSE_MS) {
+    node->is_closing = true;
+    vp_node_effects_add (effects, VP_NODE_CLOSE);
+  }
   if (node->is_stopping && !node->is_exiting && node->cell == NULL
       && now_ms >= _vp_node_exit_ms (node)) {
     node->is_exiting = true;
@@ -801,7 +809,7 @@
 
   next_ms = MIN (next_ms, vp_lead_next_ms (&node->lead, now_ms));
   if (node->is_stopping)
-    next_ms = MIN (next_ms, _vp_node_exit_ms (node));
+    next_ms = MIN (next_ms, _vp_node_exit_ms (node) - (node->is_closing ? 0 : VP_NODE_CLOSE_MS));
   if (node->cell == NULL)
     return next_ms;
   if (node->load_serial != 0)
--- a/src/vp-nodeio.h
+++ b/src/vp-nodeio.h
@@ -151,6 +151,7 @@
   VP_NODE_WATCH_WORKERS, /* @is_on */
   VP_NODE_DECODE_CONF,   /* @bytes, the text of a configuration; comes back as VP_NODE_CONF */
   VP_NODE_READY,         /* @is_on: new connections are welcome */
+  VP_NODE_CLOSE,         /* connections end with their next answer */
   VP_NODE_EXIT,
 } VpNodeEffectKind;
 
--- a/tests/test-node.c
+++ b/tests/test-node.c
@@ -49,6 +49,41 @@
   world_free (world);
 }
 
+/* A request that comes just before a stopping node exits is answered, not cut off. */
+static void
+test_request_at_the_end (void)
+{
+  int64_t now_ms = 1000000;
+  VpNode *node = vp_node_setup (
+      &(VpNodeDesc){ .name = "node", .hold_max_ms = 6000, .grace_ms = 6000 }, now_ms);
+  VpNodeEffects effects = { 0 };
+  VpNodeEvent conf = { .kind = VP_NODE_CONF };
+  VpNodeEvent stop = { .kind = VP_NODE_STOP };
+  VpNodeEvent call
+      = { .kind = VP_NODE_CALL,
+          .call = { .handle = 1, .kind = VP_CALL_QUERY, .host = "host", .path = "/q/" } };
+  VpQueueConf queue = { .name = "q", .host = "host", .prefix = "/q/", .is_public = true };
+  bool is_answered = false;
+
+  conf.conf.conf = vp_cellconf_new (1);
+  conf.conf.text = g_bytes_new_static ("{}", 2);
+  g_array_append_val (conf.conf.conf->queues, queue);
+  vp_cellconf_seal (conf.conf.conf);
+  vp_node_apply (node, &conf, now_ms, &effects);
+  vp_node_event_clear (&conf);
+  vp_node_apply (node, &stop, now_ms, &effects);
+  now_ms += 4100;
+  vp_node_step (node, now_ms, &effects);
+  vp_node_effects_clear (&effects);
+  vp_node_apply (node, &call, now_ms, &effects);
+  vp_node_step (node, now_ms, &effects);
+  for (uint32_t i = 0; i < effects.count; i++)
+    is_answered = is_answered || effects.items[i].kind == VP_NODE_REPLY;
+  g_assert_true (is_answered);
+  vp_node_effects_free (&effects);
+  vp_node_shutdown (node);
+}
+
 /* A task that a new leader finds running goes on: its lease is as good as one of its own. */
 static void
 test_takeover_keeps_running (void)
@@ -339,6 +374,7 @@
     vp_log_setup ("world");
   g_test_add_func ("/node/calm", test_calm);
   g_test_add_func ("/node/gang", test_gang);
+  g_test_add_func ("/node/request-at-the-end", test_request_at_the_end);
   g_test_add_func ("/node/takeover-keeps-running", test_takeover_keeps_running);
   g_test_add_func ("/node/takeover-time", test_takeover_time);
   g_test_add_func ("/node/hand-over", test_hand_over);
--- a/tests/world.c
+++ b/tests/world.c
@@ -499,6 +499,7 @@
     node->frozen_until_ms = INT64_MAX;
     break;
   case VP_NODE_CONNECT:
+  case VP_NODE_CLOSE:
   case VP_NODE_DECODE_CONF:
     break;
   }
