Hand over a clean record only when every worker has been heard

Change: the keeper marks the record clean only if the cell is exact, that is every worker of the roster has reported to this leader. A node whose cell is fenced steps down at once with the reason "fenced". A task whose run was given up as lost and then turns out done keeps that end: the run that replaced it is stopped with "done-before" and its end is ignored.

--- a/src/vp-cell.c
+++ b/src/vp-cell.c
@@ -107,6 +107,12 @@
   return cell->is_fenced;
 }
 
+bool
+vp_cell_is_exact (const VpCell *cell)
+{
+  return cell->is_settled || cell->desc.is_clean;
+}
+
 void
 vp_cell_pause (VpCell *cell)
 {
@@ -462,7 +468,7 @@
   if (!task->step->run->job->is_inherited)
     return true;
   if (task->last_worker[0] == '\0')
-    return cell->is_settled || cell->desc.is_clean;
+    return vp_cell_is_exact (cell);
   worker = vp_roster_find (cell->roster, task->last_worker);
   if (worker == NULL ? now_ms <= cell->started_ms + 2 * cell->desc.hold_max_ms
                      : !cell->is_settled || !_vp_cell_is_settled_worker (worker, now_ms))
@@ -517,7 +523,7 @@
   _vp_cell_order_start (cell, task, now_ms, effects);
 }
 
-/* True if all tasks of the gang were started. */
+/* Starts all tasks of a gang or none. True if no task is left that only lacks a worker. */
 static bool
 _vp_cell_place_gang (VpCell *cell,
                      VpJobStep *step,
@@ -529,9 +535,11 @@
   uint32_t count = step->spec->task_count;
   uint32_t run = 0;
 
-  if (step->waiting_count < count || now_ms < step->fit_next_ms
-      || !_vp_cell_is_below_cap (cell, step, count))
-    return step->waiting_count < count;
+  /* Members that are still out end first, then all start together. */
+  if (step->waiting_count < count || !_vp_cell_is_below_cap (cell, step, count))
+    return true;
+  if (now_ms < step->fit_next_ms)
+    return false;
   for (uint32_t i = 0; i < count; i++) {
     if (now_ms < step->tasks[i].not_before_ms || !_vp_cell_is_free (cell, &step->tasks[i], now_ms))
       return true;
@@ -625,6 +633,8 @@
 
   if (vp_job_is_ended (job))
     return "job-ended";
+  if (task->is_done_before && !step->spec->is_lasting)
+    return "done-before";
   if (step->spec->is_gang && step->waiting_count > 0)
     return "gang-incomplete";
   if (step->spec->is_lasting)
--- a/src/vp-cell.h
+++ b/src/vp-cell.h
@@ -56,6 +56,8 @@
 void vp_cell_advice (VpCell *cell, uint64_t serial, const GArray *rows, int64_t now_ms);
 /* True if a worker has turned an order away for a higher fence. */
 bool vp_cell_is_fenced (const VpCell *cell);
+/* True if what is known of the jobs is complete: no task may run that is not known to. */
+bool vp_cell_is_exact (const VpCell *cell);
 /* Cancels; false if the job has ended. */
 bool vp_cell_cancel (VpCell *cell, uint64_t id, int64_t now_ms);
 /* The commit that is built now covers all ends noted so far; once it is durable they may be
--- a/src/vp-joblist.c
+++ b/src/vp-joblist.c
@@ -511,7 +511,7 @@
 {
   VpJobStep *step = task->step;
 
-  if (end == VP_RUN_DONE && !step->spec->is_lasting) {
+  if ((end == VP_RUN_DONE || task->is_done_before) && !step->spec->is_lasting) {
     if (step->spec->is_gang)
       _vp_gang_done (list, step, now_ms);
     else
--- a/src/vp-joblist.h
+++ b/src/vp-joblist.h
@@ -52,17 +52,18 @@
   uint32_t failures;    /* ends that count against the queue's attempts */
   VpRosterWorker *worker; /* while it takes room there */
   char checkpoint[VP_CHECKPOINT_MAX];
-  char failed_on[VP_NAME_MAX];   /* worker of the last run that failed */
-  uint32_t start_tries;          /* of the present run */
-  int64_t ordered_ms;            /* last order of the present run */
-  int64_t not_before_ms;         /* earliest next start */
-  int64_t started_ms;            /* first order of the present run */
-  int64_t confirmed_ms;          /* its presence or its stop was confirmed; 0: not yet */
-  int64_t stop_sent_ms;          /* 0: none under way */
-  bool is_unanswered;            /* the start got no answer and was not repeated yet */
-  uint32_t percent;              /* pace that the worker last listed */
-  uint32_t percent_sent;         /* pace that was last ordered */
-  int64_t gauge;                 /* tail of response times in ms, or processors in use */
+  char failed_on[VP_NAME_MAX]; /* worker of the last run that failed */
+  bool is_done_before;         /* a run that was given up as lost turns out to have ended as done */
+  uint32_t start_tries;        /* of the present run */
+  int64_t ordered_ms;          /* last order of the present run */
+  int64_t not_before_ms;       /* earliest next start */
+  int64_t started_ms;          /* first order of the present run */
+  int64_t confirmed_ms;        /* its presence or its stop was confirmed; 0: not yet */
+  int64_t stop_sent_ms;        /* 0: none under way */
+  bool is_unanswered;          /* the start got no answer and was not repeated yet */
+  uint32_t percent;            /* pace that the worker last listed */
+  uint32_t percent_sent;       /* pace that was last ordered */
+  int64_t gauge;               /* tail of response times in ms, or processors in use */
   char last_worker[VP_NAME_MAX]; /* inherited: where an earlier scheduler had it; empty: nowhere */
 };
 
--- a/src/vp-keeper.c
+++ b/src/vp-keeper.c
@@ -222,7 +222,8 @@
     vp_cell_stage_ends (keeper->desc.cell);
   keeper->is_last = keeper->is_finishing && keeper->covers_ends;
   record.commit++;
-  record.is_clean = keeper->is_last;
+  /* A leader that has not heard all workers can't vouch for what they run. */
+  record.is_clean = keeper->is_last && vp_cell_is_exact (keeper->desc.cell);
   _vp_keeper_set (write, g_strdup ("lead"), vp_lead_record_encode (&record));
   keeper->is_uncertain = false;
 }
@@ -259,7 +260,7 @@
 
   lead->record_revision = revision;
   lead->record.commit++;
-  lead->record.is_clean = keeper->is_last;
+  lead->record.is_clean = keeper->is_last && vp_cell_is_exact (keeper->desc.cell);
   for (guint i = 0; i < keeper->accepted->len; i++) {
     VpJob *job = vp_joblist_find (jobs, g_array_index (keeper->accepted, uint64_t, i));
     if (job != NULL)
--- a/src/vp-node.c
+++ b/src/vp-node.c
@@ -715,6 +715,8 @@
   g_autoptr (GArray) cell_effects = NULL;
   VpLeadView view;
 
+  if (node->cell != NULL && vp_cell_is_fenced (node->cell))
+    _vp_node_step_down (node, "fenced", now_ms, effects);
   if (node->cell == NULL)
     return;
   if (node->load_serial != 0) {
--- a/src/vp-reconcile.c
+++ b/src/vp-reconcile.c
@@ -76,6 +76,9 @@
 
   if (entry->end == VP_RUN_FAILED)
     vp_jobtask_note_failed (reconcile->jobs, task, entry->run, attempts_max, now_ms);
+  /* The present run is not needed any more. */
+  if (entry->end == VP_RUN_DONE && !is_waiting && !task->step->spec->is_gang)
+    task->is_done_before = true;
   if (!is_waiting || (entry->run < task->kept_run && entry->end != VP_RUN_DONE))
     return;
   task->run = MAX (task->run, entry->run);
