Wait for the whole list of workers after an outage of the store

The entries of the workers expired while the store was away; the new leader read a list of 26 of 48, heard all 26, took itself to know everything and started tasks that had ended as done on workers whose entries came back 0.6 s later.

Test: cell/relisted fails without the change.

--- a/src/vp-cell.c
+++ b/src/vp-cell.c
@@ -232,7 +232,7 @@
 static void
 _vp_cell_settle (VpCell *cell, int64_t now_ms)
 {
-  if (cell->is_settled || !cell->has_list)
+  if (cell->is_settled || !cell->has_list || now_ms < cell->started_ms + cell->desc.relist_ms)
     return;
   for (guint i = 0; i < cell->roster->workers->len; i++) {
     if (!_vp_cell_is_settled_worker (cell->roster->workers->pdata[i], now_ms))
--- a/src/vp-node.h
+++ b/src/vp-node.h
@@ -20,6 +20,7 @@
   const char *name;
   int64_t hold_max_ms;  /* longest lease that workers grant */
   int64_t gone_ms;      /* a draining worker heard this long ago that left the list is gone */
+  int64_t relist_ms;    /* workers alive are on the platform's list this long after its return */
   int64_t retention_ms; /* how long ended jobs may be asked for */
   int64_t grace_ms;     /* from the order to stop until the process is killed */
 } VpNodeDesc;
--- a/tests/test-cell.c
+++ b/tests/test-cell.c
@@ -65,7 +65,7 @@
 }
 
 static void
-_setup (Fixture *fixture, uint32_t worker_count, bool has_advice)
+_setup_relisting (Fixture *fixture, int64_t relist_ms, uint32_t worker_count, bool has_advice)
 {
   VpQueueConf queue = { .name = "q",
                         .service = "service",
@@ -81,8 +81,9 @@
 
   *fixture = (Fixture){ .now_ms = 1000000 };
   fixture->effects = g_array_new (FALSE, FALSE, sizeof (VpCellEffect));
-  fixture->cell = vp_cell_setup (&(VpCellDesc){ .fence = 7, .hold_max_ms = 6000, .gone_ms = 4500 },
-                                 fixture->now_ms);
+  fixture->cell = vp_cell_setup (
+      &(VpCellDesc){ .fence = 7, .hold_max_ms = 6000, .gone_ms = 4500, .relist_ms = relist_ms },
+      fixture->now_ms);
   g_array_append_val (conf->queues, queue);
   g_array_append_val (conf->teams, team);
   vp_cellconf_seal (conf);
@@ -96,6 +97,12 @@
   _decide (fixture);
 }
 
+static void
+_setup (Fixture *fixture, uint32_t worker_count, bool has_advice)
+{
+  _setup_relisting (fixture, 0, worker_count, has_advice);
+}
+
 /* All workers answer that they run nothing. */
 static void
 _sync (Fixture *fixture)
@@ -685,6 +692,40 @@
   _teardown (&fixture);
 }
 
+/* A worker that comes back on the list after the store's return may run what was started last. */
+static void
+test_relisted (void)
+{
+  Fixture fixture;
+  VpRunningEntry running = { .is_task = true, .run = 1, .percent = 100 };
+  VpWorkerEntry entry = _entry (1);
+  VpOrderResult result;
+  VpJob *job, *other;
+
+  _setup_relisting (&fixture, 2500, 1, false);
+  _sync (&fixture);
+  job = _submit (&fixture, 1, 1000);
+  other = _submit (&fixture, 1, 1000);
+  job->is_inherited = other->is_inherited = true;
+  running.task.job = job->spec->id;
+  fixture.now_ms += 1000;
+  _decide (&fixture);
+  g_assert_null (_find (&fixture, VP_ORDER_START));
+  vp_cell_worker (fixture.cell, &entry, fixture.now_ms);
+  result = _list (&fixture, "w1");
+  g_array_append_val (result.running, running);
+  _take (&fixture, &result);
+  fixture.now_ms += 1400;
+  _decide (&fixture);
+  g_assert_null (_find (&fixture, VP_ORDER_START));
+  fixture.now_ms += 200;
+  _decide (&fixture);
+  g_assert_cmpuint (job->out_count, ==, 1);
+  g_assert_cmpuint (_count (&fixture, VP_ORDER_START), ==, 1);
+  g_assert_cmpuint (_find (&fixture, VP_ORDER_START)->task.job, ==, other->spec->id);
+  _teardown (&fixture);
+}
+
 /* A worker that has heard a later scheduler says so. */
 static void
 test_fenced (void)
@@ -833,6 +874,7 @@
   g_test_add_func ("/cell/silent-worker", test_silent_worker);
   g_test_add_func ("/cell/other-life", test_other_life);
   g_test_add_func ("/cell/done-before", test_done_before);
+  g_test_add_func ("/cell/relisted", test_relisted);
   g_test_add_func ("/cell/fenced", test_fenced);
   g_test_add_func ("/cell/unkept-failures", test_unkept_failures);
   g_test_add_func ("/cell/end-listed-twice", test_end_listed_twice);
--- a/tests/world.c
+++ b/tests/world.c
@@ -417,6 +417,7 @@
   node->node = vp_node_setup (&(VpNodeDesc){ .name = node->name,
                                              .hold_max_ms = 6000,
                                              .gone_ms = 4500,
+                                             .relist_ms = 2500,
                                              .retention_ms = 120000,
                                              .grace_ms = 4000 },
                               world->now_ms);
