Count the time for the workers' list from the store's last absence

Ruled out: keeping the flag until the next term; a leader that changes long after an outage would wait for nothing.

--- a/src/vp-cell.h
+++ b/src/vp-cell.h
@@ -24,7 +24,8 @@
   uint64_t fence;
   int64_t hold_max_ms; /* longest lease that workers grant */
   int64_t gone_ms; /* a draining worker that was heard this long ago and left the list is gone */
-  /* Until this long after the setup the platform's list of workers may lack some that are alive. */
+  /* Until this long after the setup the platform's list of workers may lack some that are alive;
+   * 0 or less: it is whole. */
   int64_t relist_ms;
   bool is_clean; /* what is known of the jobs is complete: the last scheduler handed over */
 } VpCellDesc;
--- a/src/vp-lead.c
+++ b/src/vp-lead.c
@@ -23,7 +23,7 @@
   memset (lead, 0, sizeof *lead);
   g_strlcpy (lead->name, name, sizeof lead->name);
   lead->started_ms = now_ms;
-  lead->was_store_away = true;
+  lead->store_away_ms = now_ms;
   /* The record is read at once: a leader that has been restarted takes its place again. */
   lead->read_next_ms = now_ms + g_str_hash (name) % VP_LEAD_SPREAD_MS;
 }
@@ -46,7 +46,8 @@
     _vp_lead_follow (lead, term, name);
   lead->heard_ms = now_ms;
   lead->store_age_ms = store_age_ms;
-  lead->was_store_away = store_age_ms > 0;
+  if (store_age_ms > 0)
+    lead->store_away_ms = now_ms;
   if (store_age_ms < VP_LEAD_STORE_AGE_MS)
     lead->has_record = false;
 }
@@ -139,8 +140,8 @@
 {
   lead->is_reading = false;
   lead->read_next_ms = now_ms + VP_LEAD_READ_MS;
-  if (!is_ok && lead->state != VP_LEAD_LEADING)
-    lead->was_store_away = true;
+  if (!is_ok)
+    lead->store_away_ms = now_ms;
   if (!is_ok || lead->state == VP_LEAD_LEADING)
     return;
   /* A claim whose answer was lost has been carried out. */
@@ -184,7 +185,7 @@
 {
   lead->state = VP_LEAD_FOLLOWING;
   lead->leader[0] = '\0';
-  lead->was_store_away = true;
+  lead->store_away_ms = now_ms;
   lead->has_record = lead->is_reading = false;
   lead->store_age_ms = 0;
   lead->claim.term = 0;
--- a/src/vp-lead.h
+++ b/src/vp-lead.h
@@ -46,7 +46,7 @@
   char leader[VP_NAME_MAX]; /* of that term; empty: not known */
   int64_t heard_ms;         /* last ping of the leader */
   int64_t store_age_ms;     /* how long the leader could not write, as it last told */
-  bool was_store_away;      /* the store may just have come back; not known at the start */
+  int64_t store_away_ms;    /* when the store may last have been away; at first, the start */
   int64_t started_ms;
   int64_t read_next_ms;
   bool is_reading;
--- a/tests/test-node.c
+++ b/tests/test-node.c
@@ -1,4 +1,5 @@
 /* Nodes of a cell together, in simulated time. Each row of faults names what it is for. */
+#include "vp-lead.h"
 #include "vp-log.h"
 #include "world.h"
 
@@ -113,6 +114,25 @@
   world_free (world);
 }
 
+/* That the leader writes again does not end the time in which workers come back on the list. */
+static void
+test_store_away (void)
+{
+  VpLead lead;
+
+  vp_lead_setup (&lead, "node-0", 1000);
+  g_assert_cmpint (lead.store_away_ms, ==, 1000);
+  vp_lead_heard (&lead, "node-1", 1, 0, 10000);
+  g_assert_cmpint (lead.store_away_ms, ==, 1000);
+  vp_lead_heard (&lead, "node-1", 1, 800, 20000);
+  vp_lead_heard (&lead, "node-1", 1, 0, 20200);
+  g_assert_cmpint (lead.store_away_ms, ==, 20000);
+  vp_lead_read (&lead, true, 1, NULL, 25000);
+  g_assert_cmpint (lead.store_away_ms, ==, 20000);
+  vp_lead_read (&lead, false, 0, NULL, 30000);
+  g_assert_cmpint (lead.store_away_ms, ==, 30000);
+}
+
 static void
 test_hand_over (void)
 {
@@ -378,6 +398,7 @@
   g_test_add_func ("/node/request-at-the-end", test_request_at_the_end);
   g_test_add_func ("/node/takeover-keeps-running", test_takeover_keeps_running);
   g_test_add_func ("/node/takeover-time", test_takeover_time);
+  g_test_add_func ("/node/store-away", test_store_away);
   g_test_add_func ("/node/hand-over", test_hand_over);
   g_test_add_func ("/node/unanswered-start", test_unanswered_start);
   g_test_add_func ("/node/worker-cut", test_worker_cut);
