Count what may run unseen against a team's cap until the list is whole

The new leader waits for the whole list of workers before it starts inherited tasks, but started tasks of new jobs at once; tasks that the last leader had started without being able to keep that counted for nothing.

Ruled out: what the record says is running elsewhere (counted already, cell/unseen-counts).

Change: until it knows all that runs, the scheduler counts every waiting task of the team's inherited open steps as running.

Test: cell/unsure-counts fails without the change (5 starts instead of 2).

--- a/src/vp-cell.c
+++ b/src/vp-cell.c
@@ -487,6 +487,24 @@
   return task->run + (is_exact ? 1 : VP_CELL_RUN_GAP);
 }
 
+/* Adds the most that the team's tasks take which the last scheduler may have started without
+ * keeping that. */
+static void
+_vp_cell_add_unsure (const VpCell *cell, const char *team, VpSize *used)
+{
+  if (vp_cell_is_exact (cell))
+    return;
+  for (guint i = 0; i < cell->jobs->open_steps->len; i++) {
+    const VpJobStep *step = cell->jobs->open_steps->pdata[i];
+    VpSize size = step->spec->size;
+
+    if (!step->run->job->is_inherited || strcmp (step->run->job->spec->team, team) != 0)
+      continue;
+    vp_size_scale (&size, step->waiting_count);
+    vp_size_add (used, &size);
+  }
+}
+
 static bool
 _vp_cell_is_below_cap (VpCell *cell, const VpJobStep *step, uint32_t count)
 {
@@ -501,6 +519,7 @@
   vp_size_scale (&more, count);
   vp_size_add (&used, &more);
   vp_size_add (&used, &use->unseen);
+  _vp_cell_add_unsure (cell, job->spec->team, &used);
   return (team->cap.cpu_milli == 0 || used.cpu_milli <= team->cap.cpu_milli)
          && (team->cap.mem_mib == 0 || used.mem_mib <= team->cap.mem_mib)
          && (team->cap.accel_count == 0 || used.accel_count <= team->cap.accel_count);
--- a/tests/test-cell.c
+++ b/tests/test-cell.c
@@ -449,6 +449,28 @@
   _teardown (&fixture);
 }
 
+/* So do tasks that the last scheduler may have started on workers that aren't on the list again. */
+static void
+test_unsure_counts (void)
+{
+  Fixture fixture;
+  VpJob *job;
+
+  _setup_relisting (&fixture, 2500, 8, false);
+  job = _submit (&fixture, 18, 1000);
+  job->is_inherited = true;
+  _sync (&fixture);
+  _submit (&fixture, 5, 1000);
+  _decide (&fixture);
+  g_assert_cmpuint (_count (&fixture, VP_ORDER_START), ==, 2);
+  fixture.now_ms += 2600;
+  _decide (&fixture);
+  g_assert_cmpuint (job->out_count, ==, 18);
+  g_assert_cmpint (vp_joblist_team (vp_cell_jobs (fixture.cell), "team")->used.cpu_milli, ==,
+                   20000);
+  _teardown (&fixture);
+}
+
 /* Pattern: steps of equal tasks on workers of different speed. Urgent work goes to the fast ones
  * once ends have told which they are. */
 static void
@@ -866,6 +888,7 @@
   g_test_add_func ("/cell/last-list", test_last_list);
   g_test_add_func ("/cell/left", test_left);
   g_test_add_func ("/cell/unseen-counts", test_unseen_counts);
+  g_test_add_func ("/cell/unsure-counts", test_unsure_counts);
   g_test_add_func ("/cell/fast-workers", test_fast_workers);
   g_test_add_func ("/cell/hold-gap", test_hold_gap);
   g_test_add_func ("/cell/start-again", test_start_again);
