Look at a compact list of usable workers for each waiting step

Each waiting step walked the whole roster, compared the service's name and looked its ticket up for each worker.

Ruled out: the store (400 ms slow at most), memory (100 MB of 512), the events themselves (15 to 50 ms a second).

Change: one pass over the roster makes a contiguous list of the usable workers and their free room for each service; steps look at the room first and at tickets last, and not at all while no ticket of the step is valid. A step that has nobody to ask about is not tried again for 20 ms.

--- /dev/null
+++ b/bench/bench-cell.c
@@ -0,0 +1,239 @@
+/* Measurements of the cell's scheduler: time of one decision against workers and waiting steps.
+ *
+ *   bench-cell            prints one JSON object {"measure","value","unit"} a line, and points of
+ *                         curves as {"curve","series","x","y"}
+ *
+ * The load is a cell that is nearly full, where advice rules most workers out and some tasks end
+ * between decisions. Workers and the advice service answer at once, by hand. All random choices
+ * have fixed seeds.
+ */
+#include "vp-cell.h"
+
+#include <stdio.h>
+#include <string.h>
+
+#define ROUNDS      200
+#define ROUND_MS    5
+#define ENDS_ROUND  3 /* tasks that end between two decisions: 600 a second */
+#define FENCE       7
+#define GOOD_SHARE  0.35
+#define STEP_WIDTH  16
+#define RACK_SIZE   20
+#define ESTIMATE_MS 4000
+
+typedef struct {
+  VpCell *cell;
+  GRand *rand;
+  GArray *effects;     /* VpCellEffect */
+  GArray *running;     /* VpOrder: starts that were answered */
+  GHashTable *numbers; /* worker -> number of its last end */
+  int64_t now_ms;
+  uint64_t last_job;
+} Bench;
+
+static void
+_add_worker (Bench *bench, uint32_t number)
+{
+  VpWorkerEntry entry = {
+    .service = "service", .address = "127.0.0.1:1", .dc = "dc", .kind = "a", .remaining_ms = -1
+  };
+
+  g_snprintf (entry.id, sizeof entry.id, "w%u", number);
+  g_snprintf (entry.rack, sizeof entry.rack, "r%u", number / RACK_SIZE);
+  entry.capacity = (VpSize){ .cpu_milli = 16000, .mem_mib = 32768 };
+  vp_cell_worker (bench->cell, &entry, bench->now_ms);
+}
+
+static void
+_answer (Bench *bench, const VpOrder *order, const VpEndedEntry *ended)
+{
+  VpOrderResult result = { .kind = order->kind,
+                           .task = order->task,
+                           .run = order->run,
+                           .fence = FENCE,
+                           .clock_ms = bench->now_ms,
+                           .born_ms = 1,
+                           .sent_ms = bench->now_ms,
+                           .received_ms = bench->now_ms };
+
+  g_strlcpy (result.worker, order->worker, sizeof result.worker);
+  if (order->kind == VP_ORDER_HOLD && ended != NULL) {
+    result.ended = g_array_new (FALSE, TRUE, sizeof (VpEndedEntry));
+    g_array_append_val (result.ended, *ended);
+  }
+  vp_cell_order_result (bench->cell, &result, bench->now_ms);
+  vp_order_result_clear (&result);
+}
+
+static void
+_advise (Bench *bench, const VpAdviceAsk *ask)
+{
+  g_autoptr (GArray) rows = g_array_new (FALSE, TRUE, sizeof (VpAdviceRow));
+
+  for (guint i = 0; i < ask->workers->len; i++) {
+    VpAdviceRow row = { .valid_until_ms = bench->now_ms + 2500 };
+    if (g_rand_double (bench->rand) > GOOD_SHARE)
+      continue;
+    g_strlcpy (row.worker, ask->workers->pdata[i], sizeof row.worker);
+    g_strlcpy (row.ticket, "ticket", sizeof row.ticket);
+    g_array_append_val (rows, row);
+  }
+  vp_cell_advice (bench->cell, ask->serial, rows, bench->now_ms);
+}
+
+static void
+_carry_out (Bench *bench)
+{
+  for (guint i = 0; i < bench->effects->len; i++) {
+    VpCellEffect *effect = &g_array_index (bench->effects, VpCellEffect, i);
+    if (effect->kind == VP_CELL_ADVISE) {
+      _advise (bench, &effect->ask);
+    } else if (effect->order.kind == VP_ORDER_START) {
+      _answer (bench, &effect->order, NULL);
+      g_array_append_val (bench->running, effect->order);
+    } else if (effect->order.wait_ms == 0) {
+      _answer (bench, &effect->order, NULL);
+    }
+    vp_cell_effect_clear (effect);
+  }
+  g_array_set_size (bench->effects, 0);
+}
+
+static void
+_submit (Bench *bench)
+{
+  g_autoptr (VpJobSpec) spec = vp_jobspec_new (1);
+
+  spec->id = ++bench->last_job;
+  spec->text = g_strdup ("text");
+  g_strlcpy (spec->queue, "q", sizeof spec->queue);
+  g_strlcpy (spec->team, "team", sizeof spec->team);
+  spec->steps[0] = (VpStepSpec){ .task_count = STEP_WIDTH,
+                                 .size = { .cpu_milli = 2700, .mem_mib = 3900 },
+                                 .estimate_ms = ESTIMATE_MS };
+  vp_joblist_add (vp_cell_jobs (bench->cell), spec, bench->now_ms, bench->now_ms)->is_durable
+      = true;
+}
+
+static void
+_end_task (Bench *bench)
+{
+  guint index = (guint)g_rand_int_range (bench->rand, 0, (gint32)bench->running->len);
+  VpOrder order = g_array_index (bench->running, VpOrder, index);
+  guint number = GPOINTER_TO_UINT (g_hash_table_lookup (bench->numbers, order.worker)) + 1;
+  VpEndedEntry ended = { .number = number, .task = order.task, .is_task = true, .run = order.run };
+
+  g_hash_table_insert (bench->numbers, g_strdup (order.worker), GUINT_TO_POINTER (number));
+  g_array_remove_index_fast (bench->running, index);
+  order.kind = VP_ORDER_HOLD;
+  _answer (bench, &order, &ended);
+}
+
+static void
+_setup (Bench *bench, uint32_t worker_count)
+{
+  VpQueueConf queue = { .name = "q",
+                        .service = "service",
+                        .attempts_max = 3,
+                        .stretch = 2,
+                        .has_advice = true,
+                        .advice_decide_ms = 20,
+                        .advice_worker_ms = 1,
+                        .advice_valid_ms = 2500 };
+  VpTeamConf team = { .name = "team" };
+  VpCellConf *conf = vp_cellconf_new (1);
+
+  *bench = (Bench){ .now_ms = 1000000, .rand = g_rand_new_with_seed (1) };
+  bench->effects = g_array_new (FALSE, FALSE, sizeof (VpCellEffect));
+  bench->running = g_array_new (FALSE, FALSE, sizeof (VpOrder));
+  bench->numbers = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
+  bench->cell = vp_cell_setup (
+      &(VpCellDesc){ .fence = FENCE, .hold_max_ms = 6000, .gone_ms = 4500 }, bench->now_ms);
+  g_array_append_val (conf->queues, queue);
+  g_array_append_val (conf->teams, team);
+  vp_cellconf_seal (conf);
+  vp_cell_set_conf (bench->cell, conf);
+  vp_cellconf_unref (conf);
+  for (uint32_t i = 0; i < worker_count; i++)
+    _add_worker (bench, i);
+  vp_cell_list_complete (bench->cell);
+  vp_cell_set_askers (bench->cell, 32);
+}
+
+static void
+_teardown (Bench *bench)
+{
+  vp_cell_shutdown (bench->cell);
+  g_array_unref (bench->effects);
+  g_array_unref (bench->running);
+  g_hash_table_unref (bench->numbers);
+  g_rand_free (bench->rand);
+}
+
+static void
+_decide (Bench *bench)
+{
+  vp_cell_decide (bench->cell, bench->now_ms, bench->effects);
+  bench->now_ms += ROUND_MS;
+}
+
+static uint32_t
+_waiting (const Bench *bench)
+{
+  const VpJobList *jobs = vp_cell_jobs (bench->cell);
+  uint32_t count = 0;
+
+  for (guint i = 0; i < jobs->open_steps->len; i++)
+    count += ((const VpJobStep *)jobs->open_steps->pdata[i])->waiting_count > 0 ? 1 : 0;
+  return count;
+}
+
+/* Mean time of a decision with @step_count steps waiting on a full cell, in microseconds. */
+static double
+_measure (uint32_t worker_count, uint32_t step_count)
+{
+  Bench bench;
+  int64_t spent_us = 0;
+
+  _setup (&bench, worker_count);
+  /* Fills the cell. */
+  for (uint32_t round = 0; round < ROUNDS; round++) {
+    if (_waiting (&bench) < step_count)
+      _submit (&bench);
+    _decide (&bench);
+    _carry_out (&bench);
+  }
+  for (uint32_t round = 0; round < ROUNDS; round++) {
+    int64_t start_us;
+    while (_waiting (&bench) < step_count)
+      _submit (&bench);
+    for (uint32_t i = 0; i < ENDS_ROUND && bench.running->len > 0; i++)
+      _end_task (&bench);
+    start_us = g_get_monotonic_time ();
+    _decide (&bench);
+    spent_us += g_get_monotonic_time () - start_us;
+    _carry_out (&bench);
+  }
+  _teardown (&bench);
+  return (double)spent_us / ROUNDS;
+}
+
+int
+main (void)
+{
+  static const uint32_t workers[] = { 48, 350, 820 };
+  static const uint32_t steps[] = { 10, 50, 200 };
+
+  for (guint w = 0; w < G_N_ELEMENTS (workers); w++) {
+    for (guint s = 0; s < G_N_ELEMENTS (steps); s++) {
+      double mean_us = _measure (workers[w], steps[s]);
+      printf ("{\"curve\":\"cell-decision-time\",\"series\":\"%u waiting "
+              "steps\",\"x\":%u,\"y\":%.4g}\n",
+              steps[s], workers[w], mean_us);
+      printf (
+          "{\"measure\":\"cell_decide_us_%u_workers_%u_waiting\",\"value\":%.4g,\"unit\":\"us\"}\n",
+          workers[w], steps[s], mean_us);
+    }
+  }
+  return 0;
+}
--- a/src/vp-advise.c
+++ b/src/vp-advise.c
@@ -1,11 +1,12 @@
 #include "vp-advise.h"
 #include "vp-log.h"
-#include "vp-place.h"
 
 #include <string.h>
 
 /* After a failed advice call. */
 #define VP_ADVISE_RETRY_MS 200
+/* Wait after all workers with room were asked about or ruled out. */
+#define VP_ADVISE_NONE_MS 20
 /* An answer to an advice call that is this late is taken as lost. */
 #define VP_ADVISE_GRACE_MS 2500
 /* Assumed part of workers that advice allows, until answers tell; and the weight of each answer. */
@@ -79,7 +80,7 @@
 
 bool
 vp_advise_ask (VpAdvise *advise,
-               const VpRoster *roster,
+               const VpPlacePool *pool,
                VpJobStep *step,
                const VpQueueConf *queue,
                int64_t now_ms,
@@ -91,10 +92,11 @@
   if (step->ask_serial != 0 || now_ms < step->ask_next_ms
       || g_hash_table_size (advise->pending) >= VP_ADVISE_ASKS_EACH * advise->asker_count)
     return false;
-  vp_place_candidates (roster, step, queue, *_vp_advise_good_share (advise, queue->name), now_ms,
-                       workers);
-  if (workers->len == 0)
+  vp_place_candidates (pool, step, *_vp_advise_good_share (advise, queue->name), now_ms, workers);
+  if (workers->len == 0) {
+    step->ask_next_ms = now_ms + VP_ADVISE_NONE_MS;
     return false;
+  }
   memset (out, 0, sizeof *out);
   vp_jobtask_name (&step->tasks[0], &out->step);
   out->serial = step->ask_serial = ++advise->last_serial;
@@ -124,6 +126,7 @@
   const VpRosterWorker *worker = vp_roster_find (roster, row->worker);
 
   row->born_ms = worker == NULL ? 0 : worker->born_ms;
+  step->tickets_until_ms = MAX (step->tickets_until_ms, row->valid_until_ms);
   g_hash_table_replace (step->advice, row->worker, row);
 }
 
--- a/src/vp-advise.h
+++ b/src/vp-advise.h
@@ -2,7 +2,7 @@
  *
  *   VpAdvise *advise = vp_advise_setup (first_serial);
  *   VpAdviceAsk ask;
- *   if (vp_advise_ask (advise, roster, step, queue, now_ms, &ask))
+ *   if (vp_advise_ask (advise, pool, step, queue, now_ms, &ask))
  *     ... make the call ...
  *   vp_advise_answer (advise, roster, jobs, ask.serial, rows, now_ms);
  *   vp_advise_shutdown (advise);
@@ -12,8 +12,7 @@
  */
 #pragma once
 
-#include "vp-cellconf.h"
-#include "vp-joblist.h"
+#include "vp-place.h"
 
 typedef struct _VpAdvise VpAdvise;
 
@@ -32,7 +31,7 @@
 void vp_advise_set_askers (VpAdvise *advise, uint32_t count);
 /* False if no call is due for the step: one is under way, too many are, or none would help. */
 bool vp_advise_ask (VpAdvise *advise,
-                    const VpRoster *roster,
+                    const VpPlacePool *pool,
                     VpJobStep *step,
                     const VpQueueConf *queue,
                     int64_t now_ms,
--- a/src/vp-cell.c
+++ b/src/vp-cell.c
@@ -528,16 +528,18 @@
 static void
 _vp_cell_start (VpCell *cell,
                 VpJobTask *task,
-                VpRosterWorker *worker,
+                VpPlaceSlot *slot,
                 uint32_t run,
                 int64_t now_ms,
                 GArray *effects)
 {
   const VpJob *job = task->step->run->job;
+  VpRosterWorker *worker = slot->worker;
 
   if (!job->is_started)
     vp_counters_observe (VP_HIST_WAIT_MS, now_ms - job->arrived_ms);
   vp_jobtask_assign (cell->jobs, task, worker, run, now_ms);
+  vp_place_slot_update (slot);
   if (task->step->spec->is_one_rack && task->step->rack < 0)
     task->step->rack = (int32_t)worker->rack_index;
   vp_jobtask_log (task, "start", "fits", now_ms);
@@ -547,12 +549,13 @@
 /* Starts all tasks of a gang or none. True if no task is left that only lacks a worker. */
 static bool
 _vp_cell_place_gang (VpCell *cell,
+                     const VpPlacePool *pool,
                      VpJobStep *step,
                      const VpQueueConf *queue,
                      int64_t now_ms,
                      GArray *effects)
 {
-  g_autofree VpRosterWorker **workers = NULL;
+  g_autofree VpPlaceSlot **slots = NULL;
   uint32_t count = step->spec->task_count;
   uint32_t run = 0;
 
@@ -566,19 +569,20 @@
       return true;
     run = MAX (run, _vp_cell_next_run (cell, &step->tasks[i]));
   }
-  workers = g_new0 (VpRosterWorker *, count);
-  if (!vp_place_gang (cell->roster, step, queue, now_ms, workers)) {
+  slots = g_new0 (VpPlaceSlot *, count);
+  if (!vp_place_gang (pool, step, queue, now_ms, slots)) {
     step->fit_next_ms = now_ms + VP_CELL_GANG_RETRY_MS;
     return false;
   }
   for (uint32_t i = 0; i < count; i++)
-    _vp_cell_start (cell, &step->tasks[i], workers[i], run, now_ms, effects);
+    _vp_cell_start (cell, &step->tasks[i], slots[i], run, now_ms, effects);
   return true;
 }
 
 /* True if no task is left that only lacks a worker. */
 static bool
 _vp_cell_place_tasks (VpCell *cell,
+                      const VpPlacePool *pool,
                       VpJobStep *step,
                       const VpQueueConf *queue,
                       int64_t now_ms,
@@ -588,27 +592,31 @@
 
   for (uint32_t i = 0; i < step->spec->task_count && step->waiting_count > 0; i++) {
     VpJobTask *task = &step->tasks[i];
-    VpRosterWorker *worker;
+    VpPlaceSlot *slot;
     if (task->phase != VP_PHASE_WAITING || now_ms < task->not_before_ms
         || !_vp_cell_is_free (cell, task, now_ms)
         || (task->failures >= attempts_max && !step->spec->is_lasting))
       continue;
     if (!_vp_cell_is_below_cap (cell, step, 1))
       return true;
-    worker = vp_place_pick (cell->roster, task, queue, now_ms);
-    if (worker == NULL)
+    slot = vp_place_pick (pool, task, queue, now_ms);
+    if (slot == NULL)
       return false;
-    _vp_cell_start (cell, task, worker, _vp_cell_next_run (cell, task), now_ms, effects);
+    _vp_cell_start (cell, task, slot, _vp_cell_next_run (cell, task), now_ms, effects);
   }
   return true;
 }
 
 static void
-_vp_cell_ask (VpCell *cell, const VpTurn *turn, int64_t now_ms, GArray *effects)
+_vp_cell_ask (VpCell *cell,
+              const VpPlacePool *pool,
+              const VpTurn *turn,
+              int64_t now_ms,
+              GArray *effects)
 {
   VpCellEffect effect = { .kind = VP_CELL_ADVISE };
 
-  if (vp_advise_ask (cell->advise, cell->roster, turn->step, turn->queue, now_ms, &effect.ask))
+  if (vp_advise_ask (cell->advise, pool, turn->step, turn->queue, now_ms, &effect.ask))
     g_array_append_val (effects, effect);
 }
 
@@ -619,17 +627,18 @@
                      int64_t now_ms,
                      GArray *effects)
 {
+  const VpPlacePool *pool = vp_turns_pool (turns, turn);
   VpJobStep *step = turn->step;
   bool is_placed;
 
   if (!step->run->job->is_durable)
     is_placed = !turn->queue->has_advice;
   else if (step->spec->is_gang)
-    is_placed = _vp_cell_place_gang (cell, step, turn->queue, now_ms, effects);
+    is_placed = _vp_cell_place_gang (cell, pool, step, turn->queue, now_ms, effects);
   else
-    is_placed = _vp_cell_place_tasks (cell, step, turn->queue, now_ms, effects);
-  if (!is_placed && turn->queue->has_advice && vp_turns_claim (turns, turn, now_ms))
-    _vp_cell_ask (cell, turn, now_ms, effects);
+    is_placed = _vp_cell_place_tasks (cell, pool, step, turn->queue, now_ms, effects);
+  if (!is_placed && turn->queue->has_advice && vp_turns_claim (turns, turn))
+    _vp_cell_ask (cell, pool, turn, now_ms, effects);
 }
 
 static void
--- a/src/vp-joblist.h
+++ b/src/vp-joblist.h
@@ -86,11 +86,12 @@
   uint32_t done_count;
   bool is_open; /* its predecessors are done */
   int64_t opened_ms;
-  int32_t rack;        /* of a step that keeps to one rack; -1: not chosen */
-  GHashTable *advice;  /* worker id -> VpAdviceRow; NULL: none yet */
-  uint64_t ask_serial; /* advice under way; 0: none */
-  int64_t ask_next_ms; /* not asked again before */
-  int64_t ran_ms;      /* sum over its tasks that are done, and their number */
+  int32_t rack;             /* of a step that keeps to one rack; -1: not chosen */
+  GHashTable *advice;       /* worker id -> VpAdviceRow; NULL: none yet */
+  uint64_t ask_serial;      /* advice under way; 0: none */
+  int64_t ask_next_ms;      /* not asked again before */
+  int64_t tickets_until_ms; /* the last ticket in @advice expires */
+  int64_t ran_ms;           /* sum over its tasks that are done, and their number */
   uint32_t ran_count;
   int64_t fit_next_ms; /* a gang is not tried again before */
 };
--- a/src/vp-place.c
+++ b/src/vp-place.c
@@ -23,6 +23,38 @@
 /* Asked about beyond the expected need. */
 #define VP_PLACE_ASK_FACTOR 1.5
 
+VpPlacePool *
+vp_place_pool_new (const VpRoster *roster, const char *service, int64_t now_ms)
+{
+  VpPlacePool *pool = g_new0 (VpPlacePool, 1);
+
+  pool->roster = roster;
+  g_strlcpy (pool->service, service, sizeof pool->service);
+  pool->slots = g_array_sized_new (FALSE, FALSE, sizeof (VpPlaceSlot), roster->workers->len);
+  for (guint i = 0; i < roster->workers->len; i++) {
+    VpPlaceSlot slot = { .worker = roster->workers->pdata[i] };
+    if (!vp_roster_is_usable (slot.worker, now_ms)
+        || strcmp (slot.worker->entry.service, service) != 0)
+      continue;
+    vp_place_slot_update (&slot);
+    g_array_append_val (pool->slots, slot);
+  }
+  return pool;
+}
+
+void
+vp_place_pool_free (VpPlacePool *pool)
+{
+  g_array_unref (pool->slots);
+  g_free (pool);
+}
+
+void
+vp_place_slot_update (VpPlaceSlot *slot)
+{
+  slot->free = vp_roster_free (slot->worker);
+}
+
 const char *
 vp_place_ticket (const VpJobStep *step, const VpRosterWorker *worker, int64_t now_ms)
 {
@@ -57,15 +89,10 @@
 
 /* Whether the worker may run tasks of the step at all, room and advice aside. */
 static bool
-_vp_place_is_eligible (const VpJobStep *step,
-                       const VpQueueConf *queue,
-                       const VpRosterWorker *worker,
-                       int64_t now_ms)
+_vp_place_is_eligible (const VpJobStep *step, const VpRosterWorker *worker)
 {
   const VpStepSpec *spec = step->spec;
 
-  if (!vp_roster_is_usable (worker, now_ms) || strcmp (worker->entry.service, queue->service) != 0)
-    return false;
   if (spec->label[0] != '\0' && strcmp (spec->label, worker->entry.kind) != 0
       && strcmp (spec->label, worker->entry.rack) != 0)
     return false;
@@ -131,29 +158,27 @@
          && free->cpu_milli - worker->filling_cpu_milli < spec->size.cpu_milli / 2;
 }
 
-/* Room that is left on the worker with @taken on top of what is committed. */
+/* Advice and spread, for a worker that has @taken_count tasks of the step chosen for it already. */
 static bool
-_vp_place_fits (const VpJobStep *step,
-                const VpQueueConf *queue,
-                const VpRosterWorker *worker,
-                const VpSize *taken,
-                uint32_t taken_count,
-                int64_t now_ms,
-                VpSize *free)
+_vp_place_is_allowed (const VpJobStep *step,
+                      const VpQueueConf *queue,
+                      const VpRosterWorker *worker,
+                      uint32_t taken_count,
+                      int64_t now_ms)
 {
-  VpSize room = _vp_place_room (step);
-
-  *free = vp_roster_free (worker);
-  if (taken != NULL)
-    vp_size_sub (free, taken);
-  if (!vp_size_fits (&room, free))
-    return false;
   if (queue->has_advice && vp_place_ticket (step, worker, now_ms) == NULL)
     return false;
   return step->spec->spread_max == 0
          || _vp_place_count_here (step, worker) + taken_count < step->spec->spread_max;
 }
 
+/* True if no worker has a valid ticket for the step. */
+static bool
+_vp_place_lacks_tickets (const VpJobStep *step, const VpQueueConf *queue, int64_t now_ms)
+{
+  return queue->has_advice && now_ms + VP_PLACE_TICKET_MARGIN_MS > step->tickets_until_ms;
+}
+
 /* A task rather waits a little than try again on the worker that may be at fault. */
 static bool
 _vp_place_has_failed_there (const VpJobTask *task, const VpRosterWorker *worker, int64_t now_ms)
@@ -162,28 +187,31 @@
          && now_ms < task->not_before_ms + VP_PLACE_ELSEWHERE_MS;
 }
 
-VpRosterWorker *
-vp_place_pick (const VpRoster *roster,
+VpPlaceSlot *
+vp_place_pick (const VpPlacePool *pool,
                const VpJobTask *task,
                const VpQueueConf *queue,
                int64_t now_ms)
 {
   const VpJobStep *step = task->step;
-  VpRosterWorker *best = NULL;
+  VpSize room = _vp_place_room (step);
+  VpPlaceSlot *best = NULL;
   double best_score = 0;
 
-  for (guint i = 0; i < roster->workers->len; i++) {
-    VpRosterWorker *worker = roster->workers->pdata[i];
-    VpSize free;
+  if (_vp_place_lacks_tickets (step, queue, now_ms))
+    return NULL;
+  for (guint i = 0; i < pool->slots->len; i++) {
+    VpPlaceSlot *slot = &g_array_index (pool->slots, VpPlaceSlot, i);
     double score;
-    if (!_vp_place_is_eligible (step, queue, worker, now_ms)
-        || !_vp_place_fits (step, queue, worker, NULL, 0, now_ms, &free)
-        || _vp_place_has_failed_there (task, worker, now_ms)
-        || _vp_place_may_wait (step, worker, &free, now_ms))
+    /* Most workers of a full cell lack the room, so that is looked at first. */
+    if (!vp_size_fits (&room, &slot->free) || !_vp_place_is_eligible (step, slot->worker)
+        || !_vp_place_is_allowed (step, queue, slot->worker, 0, now_ms)
+        || _vp_place_has_failed_there (task, slot->worker, now_ms)
+        || _vp_place_may_wait (step, slot->worker, &slot->free, now_ms))
       continue;
-    score = _vp_place_score (step, queue->priority == 0, worker, &free);
+    score = _vp_place_score (step, queue->priority == 0, slot->worker, &slot->free);
     if (best == NULL || score < best_score) {
-      best = worker;
+      best = slot;
       best_score = score;
     }
   }
@@ -192,28 +220,27 @@
 
 /* Places all tasks of the step within the rack, or anywhere if @rack is negative. */
 static bool
-_vp_place_gang_in (const VpRoster *roster,
+_vp_place_gang_in (const VpPlacePool *pool,
                    const VpJobStep *step,
                    const VpQueueConf *queue,
                    int32_t rack,
                    int64_t now_ms,
-                   VpRosterWorker **out)
+                   VpPlaceSlot **out)
 {
   VpSize room = _vp_place_room (step);
   uint32_t placed = 0;
 
-  for (guint i = 0; i < roster->workers->len && placed < step->spec->task_count; i++) {
-    VpRosterWorker *worker = roster->workers->pdata[i];
-    VpSize taken = { 0 };
-    VpSize free;
+  for (guint i = 0; i < pool->slots->len && placed < step->spec->task_count; i++) {
+    VpPlaceSlot *slot = &g_array_index (pool->slots, VpPlaceSlot, i);
+    VpSize free = slot->free;
     uint32_t here = 0;
-    if ((rack >= 0 && worker->rack_index != (uint32_t)rack)
-        || !_vp_place_is_eligible (step, queue, worker, now_ms))
+    if ((rack >= 0 && slot->worker->rack_index != (uint32_t)rack)
+        || !_vp_place_is_eligible (step, slot->worker))
       continue;
-    while (placed < step->spec->task_count
-           && _vp_place_fits (step, queue, worker, &taken, here, now_ms, &free)) {
-      out[placed++] = worker;
-      vp_size_add (&taken, &room);
+    while (placed < step->spec->task_count && vp_size_fits (&room, &free)
+           && _vp_place_is_allowed (step, queue, slot->worker, here, now_ms)) {
+      out[placed++] = slot;
+      vp_size_sub (&free, &room);
       here++;
     }
   }
@@ -221,38 +248,40 @@
 }
 
 bool
-vp_place_gang (const VpRoster *roster,
+vp_place_gang (const VpPlacePool *pool,
                const VpJobStep *step,
                const VpQueueConf *queue,
                int64_t now_ms,
-               VpRosterWorker **out)
+               VpPlaceSlot **out)
 {
-  guint rack_count = g_hash_table_size (roster->racks);
+  guint rack_count = g_hash_table_size (pool->roster->racks);
 
+  if (_vp_place_lacks_tickets (step, queue, now_ms))
+    return false;
   for (guint rack = 0; rack < rack_count; rack++) {
-    if (_vp_place_gang_in (roster, step, queue, (int32_t)rack, now_ms, out))
+    if (_vp_place_gang_in (pool, step, queue, (int32_t)rack, now_ms, out))
       return true;
   }
   return (!step->spec->is_one_rack || now_ms - step->opened_ms > VP_PLACE_RACK_WAIT_MS)
-         && _vp_place_gang_in (roster, step, queue, -1, now_ms, out);
+         && _vp_place_gang_in (pool, step, queue, -1, now_ms, out);
 }
 
 /* How many tasks of the step the worker has room for now. */
 static uint32_t
-_vp_place_capacity (const VpJobStep *step, const VpRosterWorker *worker)
+_vp_place_capacity (const VpJobStep *step, const VpPlaceSlot *slot)
 {
   VpSize room = _vp_place_room (step);
-  VpSize free = vp_roster_free (worker);
   int64_t count = step->spec->task_count;
 
   if (room.cpu_milli > 0)
-    count = MIN (count, free.cpu_milli / room.cpu_milli);
+    count = MIN (count, slot->free.cpu_milli / room.cpu_milli);
   if (room.mem_mib > 0)
-    count = MIN (count, free.mem_mib / room.mem_mib);
+    count = MIN (count, slot->free.mem_mib / room.mem_mib);
   if (room.accel_count > 0)
-    count = MIN (count, free.accel_count / room.accel_count);
-  if (step->spec->spread_max > 0)
-    count = MIN (count, (int64_t)step->spec->spread_max - _vp_place_count_here (step, worker));
+    count = MIN (count, slot->free.accel_count / room.accel_count);
+  if (count > 0 && step->spec->spread_max > 0)
+    count
+        = MIN (count, (int64_t)step->spec->spread_max - _vp_place_count_here (step, slot->worker));
   return (uint32_t)MAX (count, 0);
 }
 
@@ -277,9 +306,8 @@
 }
 
 void
-vp_place_candidates (const VpRoster *roster,
+vp_place_candidates (const VpPlacePool *pool,
                      const VpJobStep *step,
-                     const VpQueueConf *queue,
                      double good_share,
                      int64_t now_ms,
                      GPtrArray *out)
@@ -287,18 +315,17 @@
   g_autoptr (GArray) options = g_array_new (FALSE, FALSE, sizeof (VpPlaceOption));
   double wanted = (double)step->waiting_count * VP_PLACE_ASK_FACTOR;
 
-  for (guint i = 0; i < roster->workers->len; i++) {
-    VpRosterWorker *worker = roster->workers->pdata[i];
-    VpPlaceOption option = { .worker = worker };
-    if (!_vp_place_is_eligible (step, queue, worker, now_ms)
-        || _vp_place_is_ruled_out (step, worker) || vp_place_ticket (step, worker, now_ms) != NULL)
+  for (guint i = 0; i < pool->slots->len; i++) {
+    const VpPlaceSlot *slot = &g_array_index (pool->slots, VpPlaceSlot, i);
+    VpPlaceOption option = { .worker = slot->worker, .capacity = _vp_place_capacity (step, slot) };
+    if (option.capacity == 0 || !_vp_place_is_eligible (step, slot->worker)
+        || _vp_place_is_ruled_out (step, slot->worker)
+        || vp_place_ticket (step, slot->worker, now_ms) != NULL)
       continue;
-    option.capacity = _vp_place_capacity (step, worker);
     option.is_known
-        = step->advice != NULL && g_hash_table_contains (step->advice, worker->entry.id);
-    option.is_far = _vp_place_is_far (step->spec, worker);
-    if (option.capacity > 0)
-      g_array_append_val (options, option);
+        = step->advice != NULL && g_hash_table_contains (step->advice, slot->worker->entry.id);
+    option.is_far = _vp_place_is_far (step->spec, slot->worker);
+    g_array_append_val (options, option);
   }
   g_array_sort (options, _vp_place_compare);
   for (guint i = 0; i < options->len && i < VP_PLACE_ASK_MAX; i++) {
--- a/src/vp-place.h
+++ b/src/vp-place.h
@@ -1,33 +1,55 @@
-/* Choice of workers for the tasks of a step. No state, no I/O.
+/* Choice of workers for the tasks of a step. No I/O.
  *
- *   VpRosterWorker *worker = vp_place_pick (roster, task, queue, now_ms);   // NULL: none fits now
- *   if (vp_place_gang (roster, step, queue, now_ms, workers))               // one for each task
+ *   VpPlacePool *pool = vp_place_pool_new (roster, "service", now_ms);      // for one decision
+ *   VpPlaceSlot *slot = vp_place_pick (pool, task, queue, now_ms);          // NULL: none fits now
+ *   ... commit the task to slot->worker ...
+ *   vp_place_slot_update (slot);
+ *   if (vp_place_gang (pool, step, queue, now_ms, slots))                   // one for each task
  *     ...
- *   vp_place_candidates (roster, step, queue, now_ms, ids);                 // to ask advice about
+ *   vp_place_candidates (pool, step, share, now_ms, workers);               // to ask advice about
+ *   vp_place_pool_free (pool);
  */
 #pragma once
 
 #include "vp-cellconf.h"
 #include "vp-joblist.h"
 
+/* A worker that may get tasks, and its room that is not committed. */
+typedef struct {
+  VpRosterWorker *worker;
+  VpSize free;
+} VpPlaceSlot;
+
+/* The usable workers of one service at the time of one decision. Small and contiguous, as each
+ * waiting step looks at all of it. */
+typedef struct {
+  const VpRoster *roster;
+  char service[VP_NAME_MAX];
+  GArray *slots; /* VpPlaceSlot */
+} VpPlacePool;
+
+VpPlacePool *vp_place_pool_new (const VpRoster *roster, const char *service, int64_t now_ms);
+void vp_place_pool_free (VpPlacePool *pool);
+/* Takes over what is committed to the slot's worker now. */
+void vp_place_slot_update (VpPlaceSlot *slot);
+
 /* Best worker for a task that waits: room, label, spread and advice allow it, and its last run did
  * not fail there just now. */
-VpRosterWorker *vp_place_pick (const VpRoster *roster,
-                               const VpJobTask *task,
-                               const VpQueueConf *queue,
-                               int64_t now_ms);
+VpPlaceSlot *vp_place_pick (const VpPlacePool *pool,
+                            const VpJobTask *task,
+                            const VpQueueConf *queue,
+                            int64_t now_ms);
 /* A worker for every task of the step at the same time, in @out; false if they don't all fit. */
-bool vp_place_gang (const VpRoster *roster,
+bool vp_place_gang (const VpPlacePool *pool,
                     const VpJobStep *step,
                     const VpQueueConf *queue,
                     int64_t now_ms,
-                    VpRosterWorker **out);
+                    VpPlaceSlot **out);
 /* Appends the workers (VpRosterWorker) worth an advice call for the tasks that wait: those with
  * room that have no valid ticket and aren't known to be ruled out, best first, no more than the
  * tasks are likely to need if @good_share of the unknown ones are allowed. */
-void vp_place_candidates (const VpRoster *roster,
+void vp_place_candidates (const VpPlacePool *pool,
                           const VpJobStep *step,
-                          const VpQueueConf *queue,
                           double good_share,
                           int64_t now_ms,
                           GPtrArray *out);
--- a/src/vp-turns.c
+++ b/src/vp-turns.c
@@ -5,42 +5,41 @@
 /* Work that is this many times over its objective earns nothing and yields. */
 #define VP_TURNS_HOPELESS_FACTOR 3
 
-/* Room of the workers of one service that no step in order before has a claim to. */
-typedef struct {
-  const char *service;
-  VpSize spare;
-} VpTurnSpare;
-
-static VpSize *
-_vp_turns_spare (VpTurns *turns, const char *service, int64_t now_ms)
+static guint
+_vp_turns_add_pool (VpTurns *turns, const char *service, int64_t now_ms)
 {
-  VpTurnSpare spare = { .service = service };
+  VpTurnPool pool = { 0 };
 
-  for (guint i = 0; i < turns->spares->len; i++) {
-    if (strcmp (g_array_index (turns->spares, VpTurnSpare, i).service, service) == 0)
-      return &g_array_index (turns->spares, VpTurnSpare, i).spare;
+  for (guint i = 0; i < turns->pools->len; i++) {
+    if (strcmp (g_array_index (turns->pools, VpTurnPool, i).place->service, service) == 0)
+      return i;
   }
-  for (guint i = 0; i < turns->roster->workers->len; i++) {
-    const VpRosterWorker *worker = turns->roster->workers->pdata[i];
-    VpSize free = vp_roster_free (worker);
-    if (vp_roster_is_usable (worker, now_ms) && strcmp (worker->entry.service, service) == 0)
-      vp_size_add (&spare.spare, &free);
-  }
-  g_array_append_val (turns->spares, spare);
-  return &g_array_index (turns->spares, VpTurnSpare, turns->spares->len - 1).spare;
+  pool.place = vp_place_pool_new (turns->roster, service, now_ms);
+  g_array_append_val (turns->pools, pool);
+  return turns->pools->len - 1;
+}
+
+VpPlacePool *
+vp_turns_pool (const VpTurns *turns, const VpTurn *turn)
+{
+  return g_array_index (turns->pools, VpTurnPool, turn->pool).place;
 }
 
 bool
-vp_turns_claim (VpTurns *turns, const VpTurn *turn, int64_t now_ms)
+vp_turns_claim (VpTurns *turns, const VpTurn *turn)
 {
-  const VpJobStep *step = turn->step;
-  VpSize *spare = _vp_turns_spare (turns, turn->queue->service, now_ms);
-  VpSize need = vp_jobtask_room (&step->tasks[0]);
+  VpTurnPool *pool = &g_array_index (turns->pools, VpTurnPool, turn->pool);
+  VpSize need = vp_jobtask_room (&turn->step->tasks[0]);
 
-  if (!vp_size_fits (&need, spare))
+  if (!pool->has_spare) {
+    pool->has_spare = true;
+    for (guint i = 0; i < pool->place->slots->len; i++)
+      vp_size_add (&pool->spare, &g_array_index (pool->place->slots, VpPlaceSlot, i).free);
+  }
+  if (!vp_size_fits (&need, &pool->spare))
     return false;
-  vp_size_scale (&need, step->waiting_count);
-  vp_size_sub (spare, &need);
+  vp_size_scale (&need, turn->step->waiting_count);
+  vp_size_sub (&pool->spare, &need);
   return true;
 }
 
@@ -94,6 +93,7 @@
 
   if (turn.queue == NULL || step->waiting_count == 0)
     return;
+  turn.pool = _vp_turns_add_pool (turns, turn.queue->service, now_ms);
   turn.objective_ms = _vp_turns_objective_ms (job, turn.queue);
   turn.is_hopeless = !step->spec->is_lasting
                      && now_ms - job->arrived_ms
@@ -110,7 +110,7 @@
 {
   turns->roster = roster;
   turns->items = g_array_new (FALSE, FALSE, sizeof (VpTurn));
-  turns->spares = g_array_new (FALSE, FALSE, sizeof (VpTurnSpare));
+  turns->pools = g_array_new (FALSE, FALSE, sizeof (VpTurnPool));
   for (guint i = 0; i < jobs->open_steps->len; i++)
     _vp_turns_add (turns, jobs->open_steps->pdata[i], conf, now_ms);
   g_array_sort (turns->items, _vp_turns_compare);
@@ -120,5 +120,7 @@
 vp_turns_shutdown (VpTurns *turns)
 {
   g_array_unref (turns->items);
-  g_array_unref (turns->spares);
+  for (guint i = 0; i < turns->pools->len; i++)
+    vp_place_pool_free (g_array_index (turns->pools, VpTurnPool, i).place);
+  g_array_unref (turns->pools);
 }
--- a/src/vp-turns.h
+++ b/src/vp-turns.h
@@ -9,20 +9,27 @@
  */
 #pragma once
 
-#include "vp-cellconf.h"
-#include "vp-joblist.h"
+#include "vp-place.h"
 
 typedef struct {
   VpJobStep *step;
   const VpQueueConf *queue;
+  guint pool; /* index of the queue's service in @pools */
   bool is_hopeless;
   int64_t objective_ms;
 } VpTurn;
 
+/* The workers of one service in this decision. */
+typedef struct {
+  VpPlacePool *place;
+  bool has_spare;
+  VpSize spare; /* room that no turn before has a claim to */
+} VpTurnPool;
+
 typedef struct {
   const VpRoster *roster;
-  GArray *items;  /* VpTurn, first turn first */
-  GArray *spares; /* room that is left to be asked about, by service */
+  GArray *items; /* VpTurn, first turn first */
+  GArray *pools; /* VpTurnPool, one for each service */
 } VpTurns;
 
 void vp_turns_setup (VpTurns *turns,
@@ -33,4 +40,6 @@
 void vp_turns_shutdown (VpTurns *turns);
 /* Takes what the step's waiting tasks need off the room that later turns may ask advice about;
  * false if not even one task would fit. */
-bool vp_turns_claim (VpTurns *turns, const VpTurn *turn, int64_t now_ms);
+bool vp_turns_claim (VpTurns *turns, const VpTurn *turn);
+/* The workers that may run the turn's step. */
+VpPlacePool *vp_turns_pool (const VpTurns *turns, const VpTurn *turn);
