Strong VMs lead; a leader without the store gives way sooner

Change: pings tell the VM's processor time (settings: cpu_share). Stronger VMs claim first; a weaker leader hands over to a stronger process that has been up for 1.5 s. A leader that tells of failing writes for 0.5 s is replaced without watching the record. Where most others are out of reach and the leader could not write for 1 s, the node is not ready and rejects at once. A node counts as cut off only after listening for 1 s. A commit without an answer is sent again on another connection after 0.4 s.

--- a/src/vp-keeper.c
+++ b/src/vp-keeper.c
@@ -10,6 +10,11 @@
 #define VP_KEEPER_IDLE_MS 400
 /* A commit that the store turned away or did not answer is sent again after this. */
 #define VP_KEEPER_RETRY_MS 60
+/* A commit without an answer for this long is sent again on another connection: its condition
+ * admits it once. Longer than a slow store takes, shorter than the time-out of a call; ... */
+#define VP_KEEPER_HEDGE_MS 400
+/* ... and so many copies of one commit are under way at most. */
+#define VP_KEEPER_COPIES_MAX 3
 /* Entries of one commit (platform: 32 in all, with the condition and the record). */
 #define VP_KEEPER_ENTRIES_MAX 30
 /* A job takes up to three entries: its end set, what was kept while it ran removed. */
@@ -28,6 +33,8 @@
   GArray *touched;    /* uint64_t: all jobs that it holds something of */
   bool covers_ends;   /* it covers the workers' ends that were staged */
   bool is_sent;       /* an answer is awaited */
+  uint32_t copies;    /* sent since the last answer */
+  int64_t sent_ms;    /* the last of them */
   bool is_uncertain;  /* an earlier sending may have reached the store */
   bool is_last;
   bool is_failing; /* the last answer was no success */
@@ -233,7 +240,9 @@
 {
   const VpCell *cell = keeper->desc.cell;
 
-  if (keeper->is_sent || keeper->is_finished || now_ms < keeper->next_ms)
+  if (keeper->is_sent)
+    return keeper->copies < VP_KEEPER_COPIES_MAX && now_ms - keeper->sent_ms >= VP_KEEPER_HEDGE_MS;
+  if (keeper->is_finished || now_ms < keeper->next_ms)
     return false;
   return keeper->write.serial != 0 || !g_queue_is_empty (&vp_cell_jobs ((VpCell *)cell)->dirty)
          || vp_cell_has_unstaged_ends (cell) || keeper->is_finishing
@@ -247,7 +256,15 @@
     return;
   if (keeper->write.serial == 0)
     _vp_keeper_build (keeper, now_ms);
+  if (keeper->is_sent) {
+    keeper->is_uncertain = true;
+    vp_log (now_ms, "commit-again",
+            "serial=%" G_GUINT64_FORMAT " copies=%u waited_ms=%" G_GINT64_FORMAT,
+            keeper->write.serial, keeper->copies, now_ms - keeper->sent_ms);
+  }
   keeper->is_sent = true;
+  keeper->copies++;
+  keeper->sent_ms = now_ms;
   vp_store_write_copy (&vp_node_effects_add (effects, VP_NODE_WRITE)->write, &keeper->write);
   vp_counters_add (VP_COUNT_STORE_WRITES, 1);
 }
@@ -317,6 +334,7 @@
   if (!keeper->is_sent || written->serial != keeper->write.serial)
     return true;
   keeper->is_sent = false;
+  keeper->copies = 0;
   keeper->next_ms = now_ms + VP_KEEPER_GAP_MS;
   switch (written->outcome) {
   case VP_WRITE_OK:
@@ -386,7 +404,9 @@
 vp_keeper_next_ms (const VpKeeper *keeper, int64_t now_ms)
 {
   (void)now_ms;
-  if (keeper->is_sent || keeper->is_finished)
+  if (keeper->is_sent)
+    return keeper->copies < VP_KEEPER_COPIES_MAX ? keeper->sent_ms + VP_KEEPER_HEDGE_MS : INT64_MAX;
+  if (keeper->is_finished)
     return INT64_MAX;
   return _vp_keeper_is_due (keeper, keeper->next_ms)
              ? keeper->next_ms
--- a/src/vp-lead.c
+++ b/src/vp-lead.c
@@ -11,27 +11,37 @@
 /* A leader writes the record at least every 400 ms. */
 #define VP_LEAD_STILL_MS 500
 /* A leader that has not been able to write for this long gives way to a process that can. */
-#define VP_LEAD_STORE_AGE_MS 700
+#define VP_LEAD_STORE_AGE_MS 500
 /* While claims of several processes may collide, each waits for a time of its own. */
 #define VP_LEAD_SPREAD_MS 150
+/* At the start no process knows the others' strength: one on a whole core waits this long before
+ * its first claim, the others longer in proportion, down to this part of a core. */
+#define VP_LEAD_START_MS        25
+#define VP_LEAD_START_MILLI_MIN 50
+/* While a process on a stronger VM is heard, the others leave the claim to it for this long: it
+ * reads the record at the same interval, and its first ping tells of the claim. */
+#define VP_LEAD_WEAK_WAIT_MS 350
 /* The leader counts as known for this long after its last ping. */
 #define VP_LEAD_KNOWN_MS 1000
 
 void
-vp_lead_setup (VpLead *lead, const char *name, int64_t now_ms)
+vp_lead_setup (VpLead *lead, const char *name, uint32_t cpu_milli, int64_t now_ms)
 {
   memset (lead, 0, sizeof *lead);
+  lead->cpu_milli = cpu_milli;
   g_strlcpy (lead->name, name, sizeof lead->name);
   lead->started_ms = now_ms;
   lead->store_away_ms = now_ms;
   /* The record is read at once: a leader that has been restarted takes its place again. */
-  lead->read_next_ms = now_ms + g_str_hash (name) % VP_LEAD_SPREAD_MS;
+  lead->read_next_ms = now_ms + g_str_hash (name) % VP_LEAD_SPREAD_MS
+                       + VP_LEAD_START_MS * 1000 / MAX (cpu_milli, VP_LEAD_START_MILLI_MIN);
 }
 
 static void
 _vp_lead_follow (VpLead *lead, uint64_t term, const char *leader)
 {
   lead->state = VP_LEAD_FOLLOWING;
+  lead->claimable_since_ms = 0;
   lead->term = term;
   lead->is_invited = false;
   g_strlcpy (lead->leader, leader, sizeof lead->leader);
@@ -94,7 +104,17 @@
   if (lead->leader[0] != '\0' && lead->store_age_ms <= VP_LEAD_STORE_AGE_MS
       && _vp_lead_silent_ms (lead, now_ms) <= VP_LEAD_SILENT_MS)
     return false;
-  return now_ms - lead->still_since_ms >= VP_LEAD_STILL_MS || _vp_lead_is_outvoted (view);
+  /* A leader that tells of its failing writes needs no watching: the claim is conditional. */
+  return lead->store_age_ms > VP_LEAD_STORE_AGE_MS
+         || now_ms - lead->still_since_ms >= VP_LEAD_STILL_MS || _vp_lead_is_outvoted (view);
+}
+
+/* A stronger VM in reach may claim first. */
+static bool
+_vp_lead_is_yielding (const VpLead *lead, const VpLeadView *view, int64_t now_ms)
+{
+  return view->strongest_milli > lead->cpu_milli && !lead->is_invited
+         && now_ms - lead->claimable_since_ms < VP_LEAD_WEAK_WAIT_MS;
 }
 
 VpLeadAction
@@ -104,9 +124,14 @@
     return VP_LEAD_NOTHING;
   if (!_vp_lead_is_suspect (lead, now_ms)) {
     lead->has_record = false;
+    lead->claimable_since_ms = 0;
     return VP_LEAD_NOTHING;
   }
-  if (_vp_lead_may_claim (lead, view, now_ms)) {
+  if (!_vp_lead_may_claim (lead, view, now_ms))
+    lead->claimable_since_ms = 0;
+  else if (lead->claimable_since_ms == 0)
+    lead->claimable_since_ms = now_ms;
+  if (lead->claimable_since_ms != 0 && !_vp_lead_is_yielding (lead, view, now_ms)) {
     lead->state = VP_LEAD_CLAIMING;
     lead->is_after_clean = lead->record.is_clean || lead->record.term == 0;
     memset (&lead->claim, 0, sizeof lead->claim);
@@ -184,6 +209,7 @@
 vp_lead_step_down (VpLead *lead, int64_t now_ms)
 {
   lead->state = VP_LEAD_FOLLOWING;
+  lead->claimable_since_ms = 0;
   lead->leader[0] = '\0';
   lead->store_away_ms = now_ms;
   lead->has_record = lead->is_reading = false;
--- a/src/vp-lead.h
+++ b/src/vp-lead.h
@@ -1,7 +1,7 @@
 /* Which process schedules the cell: claims on one record in the platform's store.
  *
  *   VpLead lead;
- *   vp_lead_setup (&lead, "nadi-1", now_ms);
+ *   vp_lead_setup (&lead, "nadi-1", 500, now_ms);
  *   vp_lead_peer (&lead, &ping, now_ms);            // pings of other processes
  *   switch (vp_lead_tick (&lead, &view, now_ms)) {
  *     case VP_LEAD_READ: ... read the record, then vp_lead_read () ...
@@ -34,13 +34,15 @@
 
 /* What this process knows of the others. */
 typedef struct {
-  uint32_t member_count; /* other processes that the platform lists */
-  uint32_t heard_count;  /* of these, heard lately */
-  uint32_t deaf_count;   /* of those heard, how many don't hear the leader */
+  uint32_t member_count;    /* other processes that the platform lists */
+  uint32_t heard_count;     /* of these, heard lately */
+  uint32_t deaf_count;      /* of those heard, how many don't hear the leader */
+  uint32_t strongest_milli; /* most processor time of one of those heard that don't stop */
 } VpLeadView;
 
 typedef struct {
   char name[VP_NAME_MAX];
+  uint32_t cpu_milli; /* processor time of this VM */
   VpLeadState state;
   uint64_t term;            /* highest that was seen */
   char leader[VP_NAME_MAX]; /* of that term; empty: not known */
@@ -49,6 +51,7 @@
   int64_t store_away_ms;    /* when the store may last have been away; at first, the start */
   int64_t started_ms;
   int64_t read_next_ms;
+  int64_t claimable_since_ms; /* this process could claim since; 0: it could not */
   bool is_reading;
   bool is_invited; /* the leader has handed over to this process */
   bool has_record; /* the record was read since the leader fell silent */
@@ -59,7 +62,8 @@
   bool is_after_clean;    /* the term before the own one ended with a complete commit */
 } VpLead;
 
-void vp_lead_setup (VpLead *lead, const char *name, int64_t now_ms);
+/* @cpu_milli: processor time of this VM; stronger VMs claim first. */
+void vp_lead_setup (VpLead *lead, const char *name, uint32_t cpu_milli, int64_t now_ms);
 /* A ping of @name arrived, which says that it leads @term. */
 void
 vp_lead_heard (VpLead *lead, const char *name, uint64_t term, int64_t store_age_ms, int64_t now_ms);
--- a/src/vp-members.c
+++ b/src/vp-members.c
@@ -32,6 +32,7 @@
   member->heard_ms = now_ms;
   member->hears_leader = ping->hears_leader;
   member->is_stopping = ping->is_stopping;
+  member->cpu_milli = ping->cpu_milli;
   member->started_ms = now_ms - ping->age_ms;
 }
 
@@ -69,6 +70,8 @@
     view->member_count += member->is_listed || is_heard ? 1 : 0;
     view->heard_count += is_heard ? 1 : 0;
     view->deaf_count += is_heard && !member->hears_leader ? 1 : 0;
+    if (is_heard && !member->is_stopping)
+      view->strongest_milli = MAX (view->strongest_milli, member->cpu_milli);
   }
 }
 
@@ -92,7 +95,8 @@
   while (g_hash_table_iter_next (&iter, NULL, &value)) {
     const VpMemberState *member = value;
     if (member->is_listed && !member->is_stopping && _vp_member_is_heard (member, now_ms)
-        && (best == NULL || member->started_ms > best->started_ms))
+        && (best == NULL || member->cpu_milli > best->cpu_milli
+            || (member->cpu_milli == best->cpu_milli && member->started_ms > best->started_ms)))
       best = member;
   }
   return best;
--- a/src/vp-members.h
+++ b/src/vp-members.h
@@ -20,6 +20,7 @@
   int64_t heard_ms; /* last ping */
   bool hears_leader;
   bool is_stopping;
+  uint32_t cpu_milli; /* processor time of its VM */
   int64_t started_ms;
   int64_t busy_until_ms; /* its advice calls are expected to be done */
 } VpMemberState;
@@ -34,8 +35,8 @@
 void vp_members_view (GHashTable *members, int64_t now_ms, VpLeadView *view);
 /* Fewer than half of the processes are in reach, so no leader will be soon. */
 bool vp_members_is_cut_off (GHashTable *members, int64_t now_ms);
-/* Who takes the leader's place best: the process that started last, since where processes are
- * stopped in turn it comes last again. NULL: none. */
+/* Who takes the leader's place best: of the strongest VMs the process that started last, since
+ * where processes are stopped in turn it comes last again. NULL: none. */
 const VpMemberState *vp_members_successor (GHashTable *members, int64_t now_ms);
 /* The member whose advice calls are done first, if that is before @before_ms; NULL: none. */
 VpMemberState *vp_members_least_busy (GHashTable *members, int64_t before_ms, int64_t now_ms);
--- a/src/vp-node.c
+++ b/src/vp-node.c
@@ -14,10 +14,19 @@
 #define VP_NODE_PING_MS        400
 /* A commit that is under way for longer counts as failed. */
 #define VP_NODE_STORE_SLOW_MS 2000
+/* A process that has been up for this long has heard those in its reach. */
+#define VP_NODE_LISTEN_MS 1000
+/* Where most others are out of reach, a leader that could not write for this long can't serve. */
+#define VP_NODE_VAIN_MS 1000
 /* The configuration is asked for again from a process with a newer one after this. */
 #define VP_NODE_CONF_ASK_MS 300
 /* Reading all jobs is tried again after this. */
 #define VP_NODE_LOAD_RETRY_MS 200
+/* A leader gives its place to a stronger VM that has been up for this long, after leading for as
+ * long itself; and, if it does not know all that runs by then, ... */
+#define VP_NODE_YIELD_MS 1500
+/* ... after this: it may be too weak to ever know. */
+#define VP_NODE_YIELD_BLIND_MS 4000
 /* A leader that stops hands over after this even if its last commit is not known. */
 #define VP_NODE_HANDOVER_MS 1500
 /* A stopping process serves open connections for this part of its grace time. */
@@ -54,6 +63,7 @@
   uint64_t load_serial; /* 0: loaded */
   int64_t load_next_ms;
   int64_t led_ms;
+  int64_t hand_over_ms; /* it gives its place up since; 0: it does not */
   bool is_load_out;
   GArray *answers; /* VpBrokerAnswer */
 };
@@ -67,7 +77,7 @@
   g_strlcpy (node->name, desc->name, sizeof node->name);
   node->desc.name = node->name;
   node->started_ms = now_ms;
-  vp_lead_setup (&node->lead, node->name, now_ms);
+  vp_lead_setup (&node->lead, node->name, desc->cpu_milli, now_ms);
   node->front = vp_front_setup (node->name);
   node->members = vp_members_new ();
   node->answers = g_array_new (FALSE, FALSE, sizeof (VpBrokerAnswer));
@@ -83,6 +93,7 @@
   node->broker = NULL;
   node->keeper = NULL;
   node->cell = NULL;
+  node->hand_over_ms = 0;
 }
 
 void
@@ -169,6 +180,7 @@
                        .is_leader = is_leader,
                        .hears_leader = vp_lead_is_heard (&node->lead, now_ms),
                        .is_stopping = node->is_stopping,
+                       .cpu_milli = node->desc.cpu_milli,
                        .age_ms = now_ms - node->started_ms,
                        .conf_version = node->conf == NULL ? 0 : node->conf->version };
     ping.store_age_ms = _vp_node_store_age_ms (node, now_ms);
@@ -507,6 +519,16 @@
   vp_lead_read (&node->lead, read->is_ok, read->revision, has_record ? &record : NULL, now_ms);
 }
 
+/* Nothing new is begun; once all is kept, another process is invited. */
+static void
+_vp_node_begin_hand_over (VpNode *node, int64_t now_ms)
+{
+  node->hand_over_ms = now_ms;
+  vp_cell_pause (node->cell);
+  vp_broker_pause (node->broker);
+  vp_keeper_finish (node->keeper);
+}
+
 static void
 _vp_node_stop (VpNode *node, int64_t now_ms)
 {
@@ -518,11 +540,8 @@
   node->ping_next_ms = now_ms;
   vp_log (now_ms, "stop", "open=%u leading=%d", vp_front_open_count (node->front),
           vp_node_is_leading (node));
-  if (node->cell == NULL)
-    return;
-  vp_cell_pause (node->cell);
-  vp_broker_pause (node->broker);
-  vp_keeper_finish (node->keeper);
+  if (node->cell != NULL && node->hand_over_ms == 0)
+    _vp_node_begin_hand_over (node, now_ms);
 }
 
 static void
@@ -700,14 +719,29 @@
   VpNodeMsg message = { .kind = VP_NODEMSG_HANDOVER, .term = node->lead.term };
   const VpMemberState *best;
 
-  if (!vp_keeper_is_finished (node->keeper) && now_ms - node->stop_ms < VP_NODE_HANDOVER_MS)
+  if (!vp_keeper_is_finished (node->keeper) && now_ms - node->hand_over_ms < VP_NODE_HANDOVER_MS)
     return;
   best = vp_members_successor (node->members, now_ms);
   vp_log (now_ms, "hand-over", "to=%s clean=%d", best == NULL ? "-" : best->name,
           vp_keeper_is_finished (node->keeper));
   if (best != NULL)
     _vp_node_send (node, best->name, &message, effects);
-  _vp_node_step_down (node, "stopping", now_ms, effects);
+  _vp_node_step_down (node, node->is_stopping ? "stopping" : "weaker", now_ms, effects);
+}
+
+/* Hands over to a stronger VM. */
+static void
+_vp_node_yield (VpNode *node, int64_t now_ms)
+{
+  const VpMemberState *best = vp_members_successor (node->members, now_ms);
+
+  if (node->hand_over_ms != 0 || best == NULL || best->cpu_milli <= node->desc.cpu_milli
+      || now_ms - best->started_ms < VP_NODE_YIELD_MS || now_ms - node->led_ms < VP_NODE_YIELD_MS
+      || (!vp_cell_is_exact (node->cell) && now_ms - node->led_ms < VP_NODE_YIELD_BLIND_MS))
+    return;
+  vp_log (now_ms, "yield", "to=%s cpu_milli=%u own_milli=%u", best->name, best->cpu_milli,
+          node->desc.cpu_milli);
+  _vp_node_begin_hand_over (node, now_ms);
 }
 
 static void
@@ -730,24 +764,44 @@
   vp_members_view (node->members, now_ms, &view);
   vp_cell_set_askers (node->cell, view.heard_count + 1);
   cell_effects = g_array_new (FALSE, FALSE, sizeof (VpCellEffect));
-  if (!node->is_stopping)
+  _vp_node_yield (node, now_ms);
+  if (node->hand_over_ms == 0)
     vp_cell_decide (node->cell, now_ms, cell_effects);
   _vp_node_pass_cell_effects (node, cell_effects, now_ms, effects);
   vp_broker_tick (node->broker, now_ms, node->answers);
   vp_keeper_decide (node->keeper, now_ms, effects);
-  if (node->is_stopping)
+  if (node->hand_over_ms != 0)
     _vp_node_hand_over (node, now_ms, effects);
 }
 
+static bool
+_vp_node_is_cut_off (const VpNode *node, int64_t now_ms)
+{
+  return now_ms - node->started_ms >= VP_NODE_LISTEN_MS
+         && vp_members_is_cut_off (node->members, now_ms);
+}
+
+/* True if a leader is known that may still serve. One that is cut off together with this process,
+ * from the store and from most others, does not. */
+static bool
+_vp_node_is_led (const VpNode *node, int64_t now_ms)
+{
+  int64_t store_age_ms
+      = node->cell == NULL ? node->lead.store_age_ms : _vp_node_store_age_ms (node, now_ms);
+
+  return vp_lead_is_known (&node->lead, now_ms)
+         && (store_age_ms < VP_NODE_VAIN_MS || !_vp_node_is_cut_off (node, now_ms));
+}
+
 static void
 _vp_node_step_front (VpNode *node, int64_t now_ms, VpNodeEffects *effects)
 {
   g_autoptr (GArray) requests = g_array_new (FALSE, FALSE, sizeof (VpNodeMsg));
-  bool is_known = vp_lead_is_known (&node->lead, now_ms);
+  bool is_known = _vp_node_is_led (node, now_ms);
 
   vp_front_tick (node->front, is_known ? node->lead.leader : NULL, node->lead.term,
-                 node->is_closing || (!is_known && vp_members_is_cut_off (node->members, now_ms)),
-                 now_ms, requests, effects);
+                 node->is_closing || (!is_known && _vp_node_is_cut_off (node, now_ms)), now_ms,
+                 requests, effects);
   for (guint i = 0; i < requests->len; i++) {
     VpNodeMsg *request = &g_array_index (requests, VpNodeMsg, i);
     if (strcmp (node->lead.leader, node->name) != 0) {
@@ -764,8 +818,7 @@
 static void
 _vp_node_step_ready (VpNode *node, int64_t now_ms, VpNodeEffects *effects)
 {
-  bool is_ready
-      = node->conf != NULL && !node->is_stopping && vp_lead_is_known (&node->lead, now_ms);
+  bool is_ready = node->conf != NULL && !node->is_stopping && _vp_node_is_led (node, now_ms);
 
   if (is_ready == node->is_ready)
     return;
@@ -818,5 +871,5 @@
   if (node->load_serial != 0)
     return node->is_load_out ? next_ms : MIN (next_ms, node->load_next_ms);
   next_ms = MIN (next_ms, vp_keeper_next_ms (node->keeper, now_ms));
-  return node->is_stopping ? next_ms : MIN (next_ms, vp_cell_next_ms (node->cell, now_ms));
+  return node->hand_over_ms != 0 ? next_ms : MIN (next_ms, vp_cell_next_ms (node->cell, now_ms));
 }
--- a/src/vp-node.h
+++ b/src/vp-node.h
@@ -18,6 +18,7 @@
 
 typedef struct {
   const char *name;
+  uint32_t cpu_milli;   /* processor time of this VM; the strongest VM in reach leads */
   int64_t hold_max_ms;  /* longest lease that workers grant */
   int64_t gone_ms;      /* a draining worker heard this long ago that left the list is gone */
   int64_t relist_ms;    /* workers alive are on the platform's list this long after its return */
--- a/src/vp-nodemsg.h
+++ b/src/vp-nodemsg.h
@@ -46,6 +46,7 @@
   bool is_leader;
   bool hears_leader;
   bool is_stopping;     /* PING: it will not take the leader's place */
+  uint32_t cpu_milli;   /* PING: processor time of its VM */
   int64_t age_ms;       /* PING: since its start */
   int64_t store_age_ms; /* PING of the leader: since its last successful write */
   uint64_t conf_version;
--- a/tests/test-node.c
+++ b/tests/test-node.c
@@ -1,4 +1,5 @@
 /* Nodes of a cell together, in simulated time. Each row of faults names what it is for. */
+#include "vp-keeper.h"
 #include "vp-lead.h"
 #include "vp-log.h"
 #include "world.h"
@@ -50,6 +51,16 @@
   world_free (world);
 }
 
+static bool
+_has_reply (const VpNodeEffects *effects)
+{
+  for (uint32_t i = 0; i < effects->count; i++) {
+    if (effects->items[i].kind == VP_NODE_REPLY)
+      return true;
+  }
+  return false;
+}
+
 /* A request that comes just before a stopping node exits is answered, not cut off. */
 static void
 test_request_at_the_end (void)
@@ -64,7 +75,6 @@
       = { .kind = VP_NODE_CALL,
           .call = { .handle = 1, .kind = VP_CALL_QUERY, .host = "host", .path = "/q/" } };
   VpQueueConf queue = { .name = "q", .host = "host", .prefix = "/q/", .is_public = true };
-  bool is_answered = false;
 
   conf.conf.conf = vp_cellconf_new (1);
   conf.conf.text = g_bytes_new_static ("{}", 2);
@@ -78,13 +88,108 @@
   vp_node_effects_clear (&effects);
   vp_node_apply (node, &call, now_ms, &effects);
   vp_node_step (node, now_ms, &effects);
-  for (uint32_t i = 0; i < effects.count; i++)
-    is_answered = is_answered || effects.items[i].kind == VP_NODE_REPLY;
-  g_assert_true (is_answered);
+  g_assert_true (_has_reply (&effects));
   vp_node_effects_free (&effects);
   vp_node_shutdown (node);
 }
 
+/* A process that has just started has heard nobody yet: it is not cut off, and a request waits for
+ * the leader that is about to be found. */
+static void
+test_starting_waits (void)
+{
+  int64_t now_ms = 1000000;
+  VpNode *node = vp_node_setup (
+      &(VpNodeDesc){ .name = "node", .hold_max_ms = 6000, .grace_ms = 6000 }, now_ms);
+  VpNodeEffects effects = { 0 };
+  VpNodeEvent conf = { .kind = VP_NODE_CONF };
+  VpNodeEvent call
+      = { .kind = VP_NODE_CALL,
+          .call = { .handle = 1, .kind = VP_CALL_QUERY, .host = "host", .path = "/q/" } };
+  VpQueueConf queue = { .name = "q", .host = "host", .prefix = "/q/", .is_public = true };
+
+  conf.conf.conf = vp_cellconf_new (1);
+  conf.conf.text = g_bytes_new_static ("{}", 2);
+  g_array_append_val (conf.conf.conf->queues, queue);
+  vp_cellconf_seal (conf.conf.conf);
+  vp_node_apply (node, &conf, now_ms, &effects);
+  vp_node_event_clear (&conf);
+  for (uint32_t i = 0; i < 5; i++) {
+    VpNodeEvent member = { .kind = VP_NODE_MEMBER };
+    g_snprintf (member.member.name, sizeof member.member.name, "other-%u", i);
+    g_strlcpy (member.member.address, "127.0.0.1:1", sizeof member.member.address);
+    vp_node_apply (node, &member, now_ms, &effects);
+  }
+  now_ms += 100;
+  vp_node_apply (node, &call, now_ms, &effects);
+  vp_node_step (node, now_ms, &effects);
+  g_assert_false (_has_reply (&effects));
+  /* By then it would have heard them. */
+  now_ms += 1000;
+  vp_node_step (node, now_ms, &effects);
+  g_assert_true (_has_reply (&effects));
+  vp_node_effects_free (&effects);
+  vp_node_shutdown (node);
+}
+
+/* A leader in a DC that is cut off does not keep callers there. No worker can tell it of the next
+ * leader. */
+static void
+test_cut_off_leader_is_not_ready (void)
+{
+  World *world = world_new (&(WorldDesc){ .seed = 32, .node_count = 3 });
+  uint32_t leader;
+
+  world_run (world, 2000);
+  leader = world_leader (world);
+  g_assert_true (world_is_ready (world, leader));
+  world_cut (world, leader, 6000);
+  world_store_down (world, (int32_t)leader, true, 6000);
+  world_run (world, 2500);
+  g_assert_false (world_is_ready (world, leader));
+  g_assert_true (world_is_ready (world, (leader + 1) % 3));
+  world_run (world, 6000);
+  g_assert_true (world_is_ready (world, leader));
+  world_free (world);
+}
+
+/* A commit whose answer is lost is sent again long before the call times out, and counts once. */
+static void
+test_commit_again (void)
+{
+  int64_t now_ms = 1000000;
+  VpLead lead = { 0 };
+  VpCell *cell = vp_cell_setup (&(VpCellDesc){ .fence = 1, .hold_max_ms = 6000 }, now_ms);
+  VpKeeper *keeper;
+  VpNodeEffects effects = { 0 };
+  g_autoptr (GArray) kept = g_array_new (FALSE, FALSE, sizeof (uint64_t));
+  VpStoreWritten written = { .outcome = VP_WRITE_OK, .revision = 2 };
+
+  vp_lead_setup (&lead, "node", 1000, now_ms);
+  lead.term = 1;
+  keeper = vp_keeper_setup (&(VpKeeperDesc){ .lead = &lead, .cell = cell }, now_ms);
+  now_ms += 1000;
+  vp_keeper_decide (keeper, now_ms, &effects);
+  g_assert_cmpuint (effects.count, ==, 1);
+  written.serial = effects.items[0].write.serial;
+  g_assert_cmpint (vp_keeper_next_ms (keeper, now_ms), <=, now_ms + 500);
+  vp_keeper_decide (keeper, now_ms + 300, &effects);
+  g_assert_cmpuint (effects.count, ==, 1);
+  vp_keeper_decide (keeper, now_ms + 500, &effects);
+  g_assert_cmpuint (effects.count, ==, 2);
+  g_assert_cmpuint (effects.items[1].write.serial, ==, written.serial);
+  g_assert_true (vp_keeper_written (keeper, &written, kept, now_ms + 510));
+  g_assert_cmpuint (lead.record.commit, ==, 1);
+  /* The other copy's answer comes late. */
+  written.outcome = VP_WRITE_CONFLICT;
+  g_assert_true (vp_keeper_written (keeper, &written, kept, now_ms + 900));
+  g_assert_cmpuint (lead.record.commit, ==, 1);
+  g_assert_cmpuint (lead.record_revision, ==, 2);
+  vp_node_effects_free (&effects);
+  vp_keeper_shutdown (keeper);
+  vp_cell_shutdown (cell);
+}
+
 /* A task that a new leader finds running goes on: its lease is as good as one of its own. */
 static void
 test_takeover_keeps_running (void)
@@ -120,7 +225,7 @@
 {
   VpLead lead;
 
-  vp_lead_setup (&lead, "node-0", 1000);
+  vp_lead_setup (&lead, "node-0", 500, 1000);
   g_assert_cmpint (lead.store_away_ms, ==, 1000);
   vp_lead_heard (&lead, "node-1", 1, 0, 10000);
   g_assert_cmpint (lead.store_away_ms, ==, 1000);
@@ -133,6 +238,29 @@
   g_assert_cmpint (lead.store_away_ms, ==, 30000);
 }
 
+/* The strongest VM leads from the start, and takes its place back after it was away. */
+static void
+test_strongest_leads (void)
+{
+  World *world = world_new (
+      &(WorldDesc){ .seed = 31, .node_count = 6, .worker_count = 4, .strong_count = 1 });
+  uint64_t job;
+
+  world_run (world, 2000);
+  g_assert_true (world_has_leader (world));
+  g_assert_cmpuint (world_leader (world), ==, 0);
+  world_kill (world, 0, 4000);
+  world_run (world, 2500);
+  g_assert_true (world_has_leader (world));
+  g_assert_cmpuint (world_leader (world), !=, 0);
+  job = world_submit (world, 1, &two_steps);
+  world_run (world, 9000);
+  g_assert_cmpuint (world_leader (world), ==, 0);
+  _assert_completes (world, job, 3000);
+  g_assert_cmpuint (world_starts (world), ==, 12);
+  world_free (world);
+}
+
 static void
 test_hand_over (void)
 {
@@ -334,9 +462,10 @@
 
 /* Random faults in series; all accepted jobs complete once they are over. */
 static void
-_random_day (uint32_t seed)
+_random_day (uint32_t seed, uint32_t strong_count)
 {
   World *world = world_new (&(WorldDesc){ .seed = seed,
+                                          .strong_count = strong_count,
                                           .node_count = 3,
                                           .worker_count = 4,
                                           .has_advice = seed % 2 == 0,
@@ -360,7 +489,7 @@
   for (guint i = 0; i < jobs->len; i++) {
     uint64_t job = g_array_index (jobs, uint64_t, i);
     if (world_is_accepted (world, job) && world_state (world, job) != VP_JOB_COMPLETED)
-      g_error ("seed %u: job %016" G_GINT64_MODIFIER "x is %s", seed, job,
+      g_error ("seed %u, %u strong: job %016" G_GINT64_MODIFIER "x is %s", seed, strong_count, job,
                vp_job_state_token (world_state (world, job)));
   }
   world_free (world);
@@ -371,8 +500,9 @@
  * complete. 3174: a task that takes longer than others of its queue was stopped in every run. */
 static const uint32_t kept_seeds[] = { 107, 116, 117, 130, 312, 369, 607, 3174 };
 
+/* Plays the seed that VP_SEED names, or 20 seeds, or as many as VP_SEEDS says. */
 static void
-test_random (void)
+_random_days (bool is_mixed)
 {
   const char *only = g_getenv ("VP_SEED");
   const char *count = g_getenv ("VP_SEEDS");
@@ -380,10 +510,23 @@
   uint32_t seeds
       = count == NULL ? (only == NULL ? 20 : 1) : (uint32_t)g_ascii_strtoull (count, NULL, 10);
 
-  for (guint i = 0; only == NULL && i < G_N_ELEMENTS (kept_seeds); i++)
-    _random_day (kept_seeds[i]);
   for (uint32_t seed = first; seed < first + seeds; seed++)
-    _random_day (seed);
+    _random_day (seed, is_mixed ? 1 + seed % 2 : 0);
+}
+
+static void
+test_random (void)
+{
+  for (guint i = 0; g_getenv ("VP_SEED") == NULL && i < G_N_ELEMENTS (kept_seeds); i++)
+    _random_day (kept_seeds[i], 0);
+  _random_days (false);
+}
+
+/* VMs of different strength: leaders also change without a fault. */
+static void
+test_random_mixed (void)
+{
+  _random_days (true);
 }
 
 int
@@ -399,7 +542,11 @@
   g_test_add_func ("/node/takeover-keeps-running", test_takeover_keeps_running);
   g_test_add_func ("/node/takeover-time", test_takeover_time);
   g_test_add_func ("/node/store-away", test_store_away);
+  g_test_add_func ("/node/starting-waits", test_starting_waits);
+  g_test_add_func ("/node/cut-off-leader-is-not-ready", test_cut_off_leader_is_not_ready);
+  g_test_add_func ("/node/commit-again", test_commit_again);
   g_test_add_func ("/node/hand-over", test_hand_over);
+  g_test_add_func ("/node/strongest-leads", test_strongest_leads);
   g_test_add_func ("/node/unanswered-start", test_unanswered_start);
   g_test_add_func ("/node/worker-cut", test_worker_cut);
   g_test_add_func ("/node/worker-reborn", test_worker_reborn);
@@ -409,5 +556,6 @@
   g_test_add_func ("/node/cancel", test_cancel);
   g_test_add_func ("/node/advice-is-bounded", test_advice_is_bounded);
   g_test_add_func ("/node/random", test_random);
+  g_test_add_func ("/node/random-mixed", test_random_mixed);
   return g_test_run ();
 }
--- a/tests/world.c
+++ b/tests/world.c
@@ -14,6 +14,8 @@
 #define ADVICE_MS      20
 #define TICKET_MS      2000
 /* A waiting HOLD looks for ends this often. */
+#define NODE_CPU_MILLI 125
+
 #define HOLD_LOOK_MS 10
 #define EXIT_MS      10
 
@@ -415,6 +417,9 @@
   node->life++;
   node->frozen_until_ms = 0;
   node->node = vp_node_setup (&(VpNodeDesc){ .name = node->name,
+                                             .cpu_milli = index < world->desc.strong_count
+                                                              ? 4 * NODE_CPU_MILLI
+                                                              : NODE_CPU_MILLI,
                                              .hold_max_ms = 6000,
                                              .gone_ms = 4500,
                                              .relist_ms = 2500,
@@ -763,6 +768,12 @@
   return world_jobs_find (&world->jobs, id)->is_accepted;
 }
 
+bool
+world_is_ready (const World *world, uint32_t node)
+{
+  return g_array_index (world->nodes, Node, node).is_ready;
+}
+
 bool
 world_has_leader (const World *world)
 {
--- a/tests/world.h
+++ b/tests/world.h
@@ -25,6 +25,7 @@
   uint32_t worker_count;
   bool has_advice;
   uint32_t attempts_max; /* 0: 3 */
+  uint32_t strong_count; /* the first nodes have four times the processor time of the others */
 } WorldDesc;
 
 World *world_new (const WorldDesc *desc);
@@ -44,6 +45,8 @@
 /* Node that leads; the first if none does. */
 uint32_t world_leader (const World *world);
 bool world_has_leader (const World *world);
+/* Whether the balancer may send callers to the node. */
+bool world_is_ready (const World *world, uint32_t node);
 
 /* Faults, from now on. */
 void world_kill (World *world, uint32_t node, int64_t for_ms);
