--- a/Makefile
+++ b/Makefile
@@ -11,7 +11,7 @@
 SOAK_JOBS ?= 3
 FUZZERS = config grants msg platform request route settings
 
-.PHONY: all deps build check proofs demo bench fuzz soak format format-check lint clean
+.PHONY: all deps build check proofs demo bench fuzz soak soak-core format format-check lint clean
 
 all: build
 
@@ -49,7 +49,17 @@
 	  -artifact_prefix=build-fuzz/ -verbosity=0 -print_final_stats=1 \
 	  build-fuzz/corpus/$$name tests/seeds/$$name; done
 
-soak: build
+# Faults on real processes: SEEDS runs, the first with seed SEED.
+SEED ?= 1
+SEEDS ?= 10
+SOAK_ARGS ?= --seconds 20
+soak: deps build
+	@seq $(SEED) $$(($(SEED) + $(SEEDS) - 1)) | xargs -P $(SOAK_JOBS) -I{} sh -c \
+	  '$(BUILD)/soak/soak --celld $(BUILD)/verbenapulley-celld --seed {} $(SOAK_ARGS) >$(BUILD)/soak/{}.log 2>&1; \
+	   result=$$?; tail -n 1 $(BUILD)/soak/{}.log; exit $$result'
+
+# Random faults of the old scheduler's reducer, without processes.
+soak-core: build
 	@sh tools/soak $(BUILD)/tests/test-core $(SOAK_SECONDS) $(SOAK_JOBS)
 
 format:
--- /dev/null
+++ b/soak/callers.c
@@ -0,0 +1,317 @@
+#include "callers.h"
+
+#include "vp-net.h"
+
+#include <ne_request.h>
+#include <ne_session.h>
+#include <ne_socket.h>
+#include <string.h>
+
+#define TRIES_MAX   6
+#define CALL_S      4 /* for an answer */
+#define DEADLINE_MS 3000
+#define RETRY_MAX_S 2 /* Retry-After is followed up to this */
+#define POLL_MS     300
+#define VISIBLE_MS  3000 /* an accepted job must be known everywhere after this */
+#define ANSWER_MAX  4096
+
+typedef struct {
+  Soak *soak;
+  uint32_t number;
+  GRand *rand;
+} Caller;
+
+typedef struct {
+  uint32_t status; /* 0: no complete answer */
+  uint32_t retry_s;
+  char body[ANSWER_MAX];
+} Answer;
+
+static GPtrArray *_threads;
+
+static void
+_read (ne_request *request, Answer *answer)
+{
+  const char *retry = ne_get_response_header (request, "Retry-After");
+  size_t size = 0;
+  ssize_t count;
+
+  while (size < ANSWER_MAX - 1
+         && (count = ne_read_response_block (request, answer->body + size, ANSWER_MAX - 1 - size))
+                > 0)
+    size += (size_t)count;
+  answer->body[size] = '\0';
+  if (ne_end_request (request) != NE_OK)
+    return;
+  answer->status = (uint32_t)ne_get_status (request)->code;
+  answer->retry_s = retry == NULL ? 0 : (uint32_t)g_ascii_strtoull (retry, NULL, 10);
+}
+
+static void
+_call (const char *address,
+       const char *method,
+       const char *path,
+       const char *key,
+       const char *body,
+       Answer *answer)
+{
+  VpNetAddress net;
+  const ne_inet_addr *list[1];
+  ne_inet_addr *target;
+  ne_session *session;
+  ne_request *request;
+  g_autofree char *authorization = g_strconcat ("Token ", key, NULL);
+
+  memset (answer, 0, sizeof *answer);
+  if (!vp_net_parse (address, &net))
+    return;
+  session = ne_session_create ("http", SOAK_HOST, net.port);
+  target = ne_iaddr_make (ne_iaddr_ipv4, (const unsigned char *)&net.v4.sin_addr);
+  list[0] = target;
+  ne_set_addrlist (session, list, 1);
+  ne_set_connect_timeout (session, 1);
+  ne_set_read_timeout (session, CALL_S);
+  request = ne_request_create (session, method, path);
+  /* neon must not send it a second time. */
+  ne_set_request_flag (request, NE_REQFLAG_IDEMPOTENT, 0);
+  ne_add_request_header (request, "Authorization", authorization);
+  ne_print_request_header (request, "Deadline-Ms", "%d", DEADLINE_MS);
+  if (body != NULL) {
+    ne_add_request_header (request, "Content-Type", "application/json");
+    ne_set_request_body_buffer (request, body, strlen (body));
+  }
+  if (ne_begin_request (request) == NE_OK)
+    _read (request, answer);
+  ne_request_destroy (request);
+  ne_session_destroy (session);
+  ne_iaddr_free (target);
+}
+
+uint32_t
+soak_callers_get (const char *address, const char *path, const char *key)
+{
+  Answer answer;
+
+  _call (address, "GET", path, key, NULL, &answer);
+  return answer.status;
+}
+
+static const char *
+_any_node (const Caller *caller)
+{
+  Soak *soak = caller->soak;
+  guint node = (guint)g_rand_int_range (caller->rand, 0, (gint32)soak->node_count);
+
+  return fake_map_address (soak->callers[node]);
+}
+
+static void
+_pause_ms (int64_t pause_ms)
+{
+  g_usleep ((gulong)pause_ms * 1000);
+}
+
+static bool
+_is_over (Soak *soak)
+{
+  return __atomic_load_n (&soak->is_over, __ATOMIC_SEQ_CST);
+}
+
+static WorldCallerJob *
+_new_job (Caller *caller)
+{
+  GRand *rand = caller->rand;
+  int kind = g_rand_int_range (rand, 0, 20);
+  WorldJob shape = { .steps = (uint32_t)g_rand_int_range (rand, 1, 4),
+                     .width = (uint32_t)g_rand_int_range (rand, 1, 9),
+                     .work_ms = g_rand_int_range (rand, 100, 2000),
+                     .failing_share = 0.05 };
+  WorldCallerJob *job;
+
+  shape.is_gang = kind == 0;
+  shape.is_lasting = kind == 1;
+  if (shape.is_lasting)
+    shape.steps = 1;
+  if (shape.is_gang)
+    shape.failing_share = 0;
+  job = world_jobs_new (((uint64_t)g_rand_int (rand) << 32) | g_rand_int (rand), &shape);
+  g_strlcpy (job->spec->queue, kind % 2 == 0 ? "advised" : "plain", sizeof job->spec->queue);
+  g_free (job->spec->text);
+  job->spec->text = g_strdup_printf ("job %016" G_GINT64_MODIFIER "x", job->id);
+  job->spec->id = job->id;
+  g_mutex_lock (&caller->soak->lock);
+  g_hash_table_insert (caller->soak->jobs.by_id, &job->id, job);
+  g_mutex_unlock (&caller->soak->lock);
+  return job;
+}
+
+static char *
+_body (const WorldCallerJob *job)
+{
+  const WorldJob *shape = &job->shape;
+  GString *text = g_string_new (NULL);
+
+  g_string_printf (text, "{\"spec\":\"%s\",\"steps\":[", job->spec->text);
+  for (uint32_t s = 0; s < shape->steps; s++) {
+    const VpStepSpec *step = &job->spec->steps[s];
+    g_string_append_printf (
+        text, "%s{\"count\":%u,\"cpu\":%d,\"mem_mb\":%d,\"estimate_ms\":%d%s%s", s == 0 ? "" : ",",
+        shape->width, (int)step->size.cpu_milli, (int)step->size.mem_mib, (int)step->estimate_ms,
+        shape->is_gang ? ",\"gang\":true" : "", shape->is_lasting ? ",\"long_running\":true" : "");
+    if (s > 0)
+      g_string_append_printf (text, ",\"after\":[%u]", s - 1);
+    g_string_append_c (text, '}');
+  }
+  g_string_append (text, "]}");
+  return g_string_free (text, FALSE);
+}
+
+/* True if it was accepted. */
+static bool
+_submit (Caller *caller, WorldCallerJob *job, const char *path)
+{
+  Soak *soak = caller->soak;
+  g_autofree char *body = _body (job);
+  Answer answer;
+
+  for (int i = 0; i < TRIES_MAX && !_is_over (soak); i++) {
+    _call (_any_node (caller), "POST", path, SOAK_KEY, body, &answer);
+    if (answer.status == 200) {
+      g_mutex_lock (&soak->lock);
+      job->is_accepted = true;
+      soak->accepted_count++;
+      g_mutex_unlock (&soak->lock);
+      return true;
+    }
+    if (answer.status == 503 || answer.status == 429) {
+      _pause_ms (MIN (answer.retry_s, RETRY_MAX_S) * 1000 + 50);
+      continue;
+    }
+    if (answer.status != 0 && answer.status != 504)
+      soak_violated (soak, "POST %s is answered with %u", path, answer.status);
+    job->is_uncertain = true;
+    _pause_ms (100);
+  }
+  g_mutex_lock (&soak->lock);
+  job->is_refused = !job->is_uncertain;
+  soak->refused_count += job->is_refused ? 1 : 0;
+  soak->uncertain_count += job->is_uncertain ? 1 : 0;
+  g_mutex_unlock (&soak->lock);
+  return false;
+}
+
+static void
+_cancel (Caller *caller, WorldCallerJob *job, const char *path)
+{
+  Answer answer;
+
+  g_mutex_lock (&caller->soak->lock);
+  job->is_cancel_wanted = true;
+  g_mutex_unlock (&caller->soak->lock);
+  while (!_is_over (caller->soak)) {
+    _call (_any_node (caller), "DELETE", path, SOAK_KEY, NULL, &answer);
+    if (answer.status == 200 || answer.status == 410)
+      break;
+    _pause_ms (POLL_MS);
+  }
+  g_mutex_lock (&caller->soak->lock);
+  job->is_cancelled = !_is_over (caller->soak);
+  g_mutex_unlock (&caller->soak->lock);
+}
+
+static void
+_check_completed (Soak *soak, const WorldCallerJob *job)
+{
+  guint count;
+
+  g_mutex_lock (&soak->lock);
+  count = g_hash_table_size (job->done);
+  soak->completed_count++;
+  g_mutex_unlock (&soak->lock);
+  if (count < job->shape.steps * job->shape.width)
+    soak_violated (soak, "job %016" G_GINT64_MODIFIER "x is shown as completed with %u tasks done",
+                   job->id, count);
+}
+
+/* Asks for the job until it is shown as completed. */
+static void
+_follow (Caller *caller, const WorldCallerJob *job, const char *path, int64_t accepted_ms)
+{
+  Soak *soak = caller->soak;
+  Answer answer;
+
+  while (!_is_over (soak)) {
+    int64_t calm_ms = __atomic_load_n (&soak->calm_ms, __ATOMIC_SEQ_CST);
+    int64_t asked_ms = fake_now_ms ();
+    _call (_any_node (caller), "GET", path, SOAK_KEY, NULL, &answer);
+    if (answer.status == 410 && asked_ms > accepted_ms + VISIBLE_MS)
+      soak_violated (soak, "GET %s of an accepted job is answered with 410", path);
+    if (strstr (answer.body, "\"failed\"") != NULL || strstr (answer.body, "\"cancelled\"") != NULL)
+      soak_violated (soak, "GET %s shows %s without cause", path, answer.body);
+    if (strstr (answer.body, "\"completed\"") != NULL) {
+      _check_completed (soak, job);
+      return;
+    }
+    if (calm_ms != 0 && fake_now_ms () > calm_ms + soak->settle_ms)
+      soak_violated (soak, "GET %s shows %u %s after %d ms without faults", path, answer.status,
+                     answer.body, (int)soak->settle_ms);
+    _pause_ms (POLL_MS);
+  }
+}
+
+static void
+_probe_key (const Caller *caller)
+{
+  uint32_t status = soak_callers_get (_any_node (caller), "/plain/", "no-such-key");
+
+  if (status != 401 && status != 503 && status != 0)
+    soak_violated (caller->soak, "an unknown key is answered with %u", status);
+}
+
+static gpointer
+_run (gpointer data)
+{
+  Caller *caller = data;
+  Soak *soak = caller->soak;
+
+  while (!_is_over (soak) && __atomic_load_n (&soak->calm_ms, __ATOMIC_SEQ_CST) == 0) {
+    WorldCallerJob *job = _new_job (caller);
+    g_autofree char *path
+        = g_strdup_printf ("/%s/%016" G_GINT64_MODIFIER "x", job->spec->queue, job->id);
+    bool is_cancelled = g_rand_int_range (caller->rand, 0, 10) == 0;
+    if (g_rand_int_range (caller->rand, 0, 10) == 0)
+      _probe_key (caller);
+    if (!_submit (caller, job, path))
+      continue;
+    if (is_cancelled)
+      _cancel (caller, job, path);
+    else if (!job->shape.is_lasting)
+      _follow (caller, job, path, fake_now_ms ());
+    _pause_ms (g_rand_int_range (caller->rand, 0, 400));
+  }
+  g_rand_free (caller->rand);
+  g_free (caller);
+  return NULL;
+}
+
+void
+soak_callers_start (Soak *soak)
+{
+  ne_sock_init ();
+  _threads = g_ptr_array_new ();
+  for (uint32_t i = 0; i < soak->caller_count; i++) {
+    Caller *caller = g_new0 (Caller, 1);
+    caller->soak = soak;
+    caller->number = i;
+    caller->rand = g_rand_new_with_seed (soak->seed * 1000 + i);
+    g_ptr_array_add (_threads, g_thread_new ("caller", _run, caller));
+  }
+}
+
+void
+soak_callers_join (void)
+{
+  for (guint i = 0; i < _threads->len; i++)
+    g_thread_join (_threads->pdata[i]);
+  g_ptr_array_set_size (_threads, 0);
+}
--- /dev/null
+++ b/soak/store.c
@@ -0,0 +1,529 @@
+#include "store.h"
+
+#include <string.h>
+
+#define TICK_MS      50
+#define LATE_MAX_MS  3000 /* a write that is carried out late */
+#define WATCH_MAX_MS 30000
+
+typedef struct {
+  char *key;
+  char *value; /* text; NULL in an event: removed */
+  int64_t revision;
+  int64_t created;
+  int64_t lease;
+} Item;
+
+typedef struct {
+  int64_t expires_ms;
+  int64_t ttl_ms;
+} Lease;
+
+typedef struct {
+  SoakStore *store;
+  uint32_t node;
+  SoakStoreFault fault;
+} Port;
+
+typedef struct {
+  Port *port;
+  FakeCall *call;
+  char *prefix;
+  int64_t after;
+  int64_t until_ms;
+} Watch;
+
+/* A call that is carried out later. */
+typedef struct {
+  Port *port;
+  FakeCall *call;     /* NULL: without an answer */
+  JsonObject *change; /* of a write without an answer */
+} Later;
+
+struct _SoakStore {
+  SoakStoreRewrite rewrite;
+  void *data;
+  GRand *rand;
+  GTree *items;       /* key -> Item */
+  GPtrArray *events;  /* Item, oldest first */
+  GHashTable *leases; /* number -> Lease */
+  GPtrArray *watches; /* Watch */
+  int64_t revision;
+  int64_t compacted; /* events up to this revision are gone */
+  int64_t last_lease;
+  FakeTimer *tick;
+  Port ports[SOAK_NODES_MAX];
+};
+
+static void
+_item_free (gpointer data)
+{
+  Item *item = data;
+
+  g_free (item->key);
+  g_free (item->value);
+  g_free (item);
+}
+
+static Item *
+_item_new (const char *key, const char *value, int64_t revision)
+{
+  Item *item = g_new0 (Item, 1);
+
+  item->key = g_strdup (key);
+  item->value = g_strdup (value);
+  item->revision = item->created = revision;
+  return item;
+}
+
+static void
+_set (SoakStore *store, const char *key, const char *value, int64_t lease)
+{
+  Item *before = g_tree_lookup (store->items, key);
+  Item *item = _item_new (key, value, store->revision);
+
+  item->lease = lease;
+  if (before != NULL)
+    item->created = before->created;
+  g_ptr_array_add (store->events, _item_new (key, value, store->revision));
+  g_tree_replace (store->items, item->key, item);
+}
+
+static void
+_remove (SoakStore *store, const char *key)
+{
+  if (g_tree_lookup (store->items, key) == NULL)
+    return;
+  g_ptr_array_add (store->events, _item_new (key, NULL, store->revision));
+  g_tree_remove (store->items, key);
+}
+
+/* Answers. */
+
+static JsonObject *
+_show (const Port *port, const Item *item)
+{
+  JsonObject *row = json_object_new ();
+  g_autofree char *other = NULL;
+  g_autofree char *text = NULL;
+
+  json_object_set_string_member (row, "key", item->key);
+  json_object_set_int_member (row, "revision", item->revision);
+  if (item->value == NULL) {
+    json_object_set_boolean_member (row, "removed", TRUE);
+    return row;
+  }
+  other = port->store->rewrite (port->node, item->key, item->value, port->store->data);
+  text = other == NULL ? g_strdup (item->value)
+                       : g_base64_encode ((const guchar *)other, strlen (other));
+  json_object_set_string_member (row, "value", text);
+  json_object_set_int_member (row, "created", item->created);
+  json_object_set_int_member (row, "lease", item->lease);
+  return row;
+}
+
+static void
+_reply_rows (FakeCall *call, unsigned status, const char *name, JsonArray *rows, int64_t as_of)
+{
+  JsonObject *body = json_object_new ();
+
+  json_object_set_array_member (body, name, rows);
+  json_object_set_int_member (body, "as_of", as_of);
+  json_object_set_boolean_member (body, "more_pages", FALSE);
+  fake_reply_json (call, status, body);
+}
+
+static const char *
+_argument (FakeCall *call, const char *name)
+{
+  const char *text = MHD_lookup_connection_value (call->connection, MHD_GET_ARGUMENT_KIND, name);
+
+  return text == NULL ? "" : text;
+}
+
+typedef struct {
+  const Port *port;
+  const char *prefix;
+  JsonArray *rows;
+} Range;
+
+static gboolean
+_add_to_range (gpointer key, gpointer value, gpointer data)
+{
+  Range *range = data;
+
+  if (g_str_has_prefix (key, range->prefix))
+    json_array_add_object_element (range->rows, _show (range->port, value));
+  return FALSE;
+}
+
+static void
+_range (const Port *port, FakeCall *call)
+{
+  Range range = { .port = port, .prefix = _argument (call, "prefix"), .rows = json_array_new () };
+
+  g_tree_foreach (port->store->items, _add_to_range, &range);
+  _reply_rows (call, 200, "items", range.rows, port->store->revision);
+}
+
+static void
+_key (const Port *port, FakeCall *call)
+{
+  const Item *item = g_tree_lookup (port->store->items, _argument (call, "key"));
+  JsonObject *row;
+
+  if (item == NULL) {
+    fake_reply_json (call, 404, json_object_new ());
+    return;
+  }
+  row = _show (port, item);
+  json_object_set_int_member (row, "as_of", port->store->revision);
+  fake_reply_json (call, 200, row);
+}
+
+/* True if the watch was answered. */
+static bool
+_try_watch (const Watch *watch, int64_t now_ms)
+{
+  const SoakStore *store = watch->port->store;
+  JsonArray *rows;
+
+  if (watch->after < store->compacted) {
+    fake_reply_json (watch->call, 410, json_object_new ());
+    return true;
+  }
+  rows = json_array_new ();
+  for (guint i = 0; i < store->events->len; i++) {
+    const Item *event = store->events->pdata[i];
+    if (event->revision > watch->after && g_str_has_prefix (event->key, watch->prefix))
+      json_array_add_object_element (rows, _show (watch->port, event));
+  }
+  if (json_array_get_length (rows) == 0 && now_ms < watch->until_ms) {
+    json_array_unref (rows);
+    return false;
+  }
+  _reply_rows (watch->call, 200, "events", rows, store->revision);
+  return true;
+}
+
+static void
+_wake_watches (SoakStore *store)
+{
+  for (guint i = 0; i < store->watches->len;) {
+    Watch *watch = store->watches->pdata[i];
+    if (_try_watch (watch, fake_now_ms ())) {
+      g_free (watch->prefix);
+      g_free (watch);
+      g_ptr_array_remove_index_fast (store->watches, i);
+    } else {
+      i++;
+    }
+  }
+}
+
+static void
+_watch (Port *port, FakeCall *call)
+{
+  Watch *watch = g_new0 (Watch, 1);
+
+  watch->port = port;
+  watch->call = call;
+  watch->prefix = g_strdup (_argument (call, "prefix"));
+  watch->after = fake_call_int (call, "after", 0);
+  watch->until_ms = fake_now_ms () + MIN (fake_call_int (call, "wait_ms", 0), WATCH_MAX_MS);
+  g_ptr_array_add (port->store->watches, watch);
+  _wake_watches (port->store);
+}
+
+/* Writes. */
+
+static JsonArray *
+_array (JsonObject *object, const char *name)
+{
+  return json_object_has_member (object, name) ? json_object_get_array_member (object, name) : NULL;
+}
+
+static guint
+_length (JsonArray *array)
+{
+  return array == NULL ? 0 : json_array_get_length (array);
+}
+
+/* The items of all conditions if one doesn't hold; NULL: all do. */
+static JsonArray *
+_check (const Port *port, JsonObject *change)
+{
+  JsonArray *expected = _array (change, "expected_rev");
+  JsonArray *rows = json_array_new ();
+  bool holds = true;
+
+  for (guint i = 0; i < _length (expected); i++) {
+    JsonObject *row = json_array_get_object_element (expected, i);
+    const Item *item = g_tree_lookup (port->store->items, fake_json_string (row, "key", ""));
+    holds = holds && (item == NULL ? 0 : item->revision) == fake_json_int (row, "revision", 0);
+    if (item != NULL)
+      json_array_add_object_element (rows, _show (port, item));
+  }
+  if (!holds)
+    return rows;
+  json_array_unref (rows);
+  return NULL;
+}
+
+/* Carries the change out; @call NULL: nobody is told. */
+static void
+_txn (Port *port, JsonObject *change, FakeCall *call)
+{
+  SoakStore *store = port->store;
+  JsonArray *rows = _check (port, change);
+  JsonArray *sets = _array (change, "set_keys");
+  JsonArray *removes = _array (change, "remove");
+  JsonObject *body;
+
+  if (rows != NULL) {
+    if (call != NULL)
+      _reply_rows (call, 412, "items", rows, store->revision);
+    else
+      json_array_unref (rows);
+    return;
+  }
+  store->revision++;
+  for (guint i = 0; i < _length (sets); i++) {
+    JsonObject *row = json_array_get_object_element (sets, i);
+    _set (store, fake_json_string (row, "key", ""), fake_json_string (row, "value", ""),
+          fake_json_int (row, "lease", 0));
+  }
+  for (guint i = 0; i < _length (removes); i++)
+    _remove (store, json_array_get_string_element (removes, i));
+  if (call != NULL) {
+    body = json_object_new ();
+    json_object_set_int_member (body, "revision", store->revision);
+    fake_reply_json (call, 200, body);
+  }
+  _wake_watches (store);
+}
+
+static void
+_grant (SoakStore *store, FakeCall *call)
+{
+  JsonObject *in = fake_call_json (call);
+  JsonObject *out = json_object_new ();
+  Lease *lease = g_new0 (Lease, 1);
+  int64_t number = ++store->last_lease;
+
+  lease->ttl_ms = in == NULL ? 4000 : fake_json_int (in, "ttl_ms", 4000);
+  lease->expires_ms = fake_now_ms () + lease->ttl_ms;
+  g_hash_table_insert (store->leases, g_memdup2 (&number, sizeof number), lease);
+  json_object_set_int_member (out, "lease", number);
+  json_object_set_int_member (out, "ttl_ms", lease->ttl_ms);
+  fake_reply_json (call, 200, out);
+  g_clear_pointer (&in, json_object_unref);
+}
+
+static void
+_keep (SoakStore *store, FakeCall *call, const char *rest)
+{
+  int64_t number = g_ascii_strtoll (rest, NULL, 10);
+  Lease *lease = g_hash_table_lookup (store->leases, &number);
+
+  if (lease != NULL)
+    lease->expires_ms = fake_now_ms () + lease->ttl_ms;
+  fake_reply_json (call, lease == NULL ? 404 : 200, json_object_new ());
+}
+
+typedef struct {
+  int64_t lease;
+  GPtrArray *keys;
+} Held;
+
+static gboolean
+_collect_held (gpointer key, gpointer value, gpointer data)
+{
+  const Held *held = data;
+
+  if (((const Item *)value)->lease == held->lease)
+    g_ptr_array_add (held->keys, g_strdup (key));
+  return FALSE;
+}
+
+static void
+_expire (SoakStore *store, int64_t now_ms)
+{
+  GHashTableIter iter;
+  gpointer key, value;
+
+  g_hash_table_iter_init (&iter, store->leases);
+  while (g_hash_table_iter_next (&iter, &key, &value)) {
+    g_autoptr (GPtrArray) keys = g_ptr_array_new_with_free_func (g_free);
+    Held held = { .lease = *(int64_t *)key, .keys = keys };
+    if (now_ms < ((const Lease *)value)->expires_ms)
+      continue;
+    g_tree_foreach (store->items, _collect_held, &held);
+    store->revision++;
+    for (guint i = 0; i < keys->len; i++)
+      _remove (store, keys->pdata[i]);
+    g_hash_table_iter_remove (&iter);
+  }
+}
+
+static void
+_tick (void *data)
+{
+  SoakStore *store = data;
+
+  _expire (store, fake_now_ms ());
+  _wake_watches (store);
+  store->tick = fake_timer_add (fake_now_ms () + TICK_MS, _tick, store);
+}
+
+/* Calls. */
+
+static void
+_serve (Port *port, FakeCall *call)
+{
+  SoakStore *store = port->store;
+  const char *rest;
+
+  if (fake_call_is (call, "GET", "/api/kv-key", &rest)) {
+    _key (port, call);
+  } else if (fake_call_is (call, "GET", "/api/kv-range", &rest)) {
+    _range (port, call);
+  } else if (fake_call_is (call, "GET", "/api/kv-watch", &rest)) {
+    _watch (port, call);
+  } else if (fake_call_is (call, "POST", "/api/kv-lease", &rest)) {
+    _grant (store, call);
+  } else if (fake_call_is (call, "POST", "/api/kv-keep/", &rest)) {
+    _keep (store, call, rest);
+  } else if (fake_call_is (call, "POST", "/api/kv-txn", &rest)) {
+    JsonObject *change = fake_call_json (call);
+    if (change == NULL)
+      fake_reply_json (call, 400, json_object_new ());
+    else
+      _txn (port, change, call);
+    g_clear_pointer (&change, json_object_unref);
+  } else {
+    fake_reply_json (call, 404, json_object_new ());
+  }
+}
+
+static void
+_later (void *data)
+{
+  Later *later = data;
+
+  if (later->call != NULL)
+    _serve (later->port, later->call);
+  else
+    _txn (later->port, later->change, NULL);
+  g_clear_pointer (&later->change, json_object_unref);
+  g_free (later);
+}
+
+/* The write is done, now or later, and nobody is told. */
+static void
+_lose (Port *port, FakeCall *call)
+{
+  SoakStore *store = port->store;
+  Later *later = g_new0 (Later, 1);
+
+  later->port = port;
+  later->change = fake_call_json (call);
+  if (later->change == NULL)
+    g_free (later);
+  else
+    fake_timer_add (
+        fake_now_ms ()
+            + (g_rand_boolean (store->rand) ? 0 : g_rand_int_range (store->rand, 0, LATE_MAX_MS)),
+        _later, later);
+  fake_drop (call);
+}
+
+static void
+_handle (FakeCall *call, void *data)
+{
+  Port *port = data;
+  Later *later;
+
+  switch (port->fault.mode) {
+  case SOAK_STORE_REJECTS:
+    fake_reply_json (call, 503, json_object_new ());
+    return;
+  case SOAK_STORE_RESETS:
+    fake_drop (call);
+    return;
+  case SOAK_STORE_SILENT:
+    return;
+  case SOAK_STORE_LOSES:
+    if (strcmp (call->path, "/api/kv-txn") == 0
+        && g_rand_double (port->store->rand) < port->fault.share) {
+      _lose (port, call);
+      return;
+    }
+    break;
+  case SOAK_STORE_SERVES:
+    break;
+  }
+  if (port->fault.delay_ms == 0) {
+    _serve (port, call);
+    return;
+  }
+  later = g_new0 (Later, 1);
+  later->port = port;
+  later->call = call;
+  fake_timer_add (fake_now_ms () + port->fault.delay_ms, _later, later);
+}
+
+SoakStore *
+soak_store_new (uint32_t seed, SoakStoreRewrite rewrite, void *data)
+{
+  SoakStore *store = g_new0 (SoakStore, 1);
+
+  store->rewrite = rewrite;
+  store->data = data;
+  store->rand = g_rand_new_with_seed (seed);
+  store->items = g_tree_new_full ((GCompareDataFunc)(void *)strcmp, NULL, NULL, _item_free);
+  store->events = g_ptr_array_new_with_free_func (_item_free);
+  store->leases = g_hash_table_new_full (g_int64_hash, g_int64_equal, g_free, g_free);
+  store->watches = g_ptr_array_new ();
+  store->revision = 1;
+  _tick (store);
+  return store;
+}
+
+void
+soak_store_listen (SoakStore *store, uint32_t node, const char *address)
+{
+  Port *port = &store->ports[node];
+
+  port->store = store;
+  port->node = node;
+  fake_listen (address, 0, _handle, port);
+}
+
+void
+soak_store_put (SoakStore *store, const char *key, const char *text)
+{
+  g_autofree char *value
+      = text == NULL ? NULL : g_base64_encode ((const guchar *)text, strlen (text));
+
+  store->revision++;
+  if (value == NULL)
+    _remove (store, key);
+  else
+    _set (store, key, value, 0);
+  _wake_watches (store);
+}
+
+void
+soak_store_fault (SoakStore *store, uint32_t node, const SoakStoreFault *fault)
+{
+  store->ports[node].fault = *fault;
+}
+
+void
+soak_store_compact (SoakStore *store)
+{
+  store->compacted = store->revision;
+  g_ptr_array_set_size (store->events, 0);
+  _wake_watches (store);
+}
--- a/src/vp-advise.c
+++ b/src/vp-advise.c
@@ -15,10 +15,14 @@
 /* Advice calls under way for each process that can make them: one is served, one waits. More would
  * be answered after the state that they were asked for. */
 #define VP_ADVISE_ASKS_EACH 2
+/* Part of the processes that stays free for queues of priority 0: calls for the others take up to
+ * a second, and an urgent one would wait behind them. */
+#define VP_ADVISE_URGENT_SHARE 0.25
 
 typedef struct {
   VpTaskName step;
   int64_t expires_ms;
+  bool is_urgent;
   GPtrArray *workers; /* ids asked about; a reference */
 } VpAdvisePending;
 
@@ -36,6 +40,7 @@
   GHashTable *good_shares; /* queue -> double */
   uint64_t last_serial;
   uint32_t asker_count;
+  uint32_t deferrable_count; /* calls under way that aren't urgent */
 };
 
 VpAdvise *
@@ -78,6 +83,28 @@
   return share;
 }
 
+static void
+_vp_advise_forget (VpAdvise *advise, uint64_t serial)
+{
+  const VpAdvisePending *ask = g_hash_table_lookup (advise->pending, &serial);
+
+  if (ask == NULL)
+    return;
+  advise->deferrable_count -= ask->is_urgent ? 0 : 1;
+  g_hash_table_remove (advise->pending, &serial);
+}
+
+/* Urgent calls queue at each process; the others wait for one that is free. */
+static bool
+_vp_advise_has_asker (const VpAdvise *advise, bool is_urgent)
+{
+  uint32_t reserved = (uint32_t)(advise->asker_count * VP_ADVISE_URGENT_SHARE + 0.5);
+
+  if (g_hash_table_size (advise->pending) >= VP_ADVISE_ASKS_EACH * advise->asker_count)
+    return false;
+  return is_urgent || advise->deferrable_count < MAX (advise->asker_count - reserved, 1);
+}
+
 bool
 vp_advise_ask (VpAdvise *advise,
                const VpPlacePool *pool,
@@ -90,7 +117,7 @@
   VpAdvisePending *pending;
 
   if (step->ask_serial != 0 || now_ms < step->ask_next_ms
-      || g_hash_table_size (advise->pending) >= VP_ADVISE_ASKS_EACH * advise->asker_count)
+      || !_vp_advise_has_asker (advise, queue->priority == 0))
     return false;
   vp_place_candidates (pool, step, *_vp_advise_good_share (advise, queue->name), now_ms, workers);
   if (workers->len == 0) {
@@ -108,7 +135,9 @@
   pending = g_new (VpAdvisePending, 1);
   *pending = (VpAdvisePending){ .step = out->step,
                                 .expires_ms = now_ms + out->expected_ms + VP_ADVISE_GRACE_MS,
+                                .is_urgent = queue->priority == 0,
                                 .workers = g_ptr_array_ref (out->workers) };
+  advise->deferrable_count += pending->is_urgent ? 0 : 1;
   g_hash_table_insert (advise->pending, g_memdup2 (&out->serial, sizeof out->serial), pending);
   if (step->advice == NULL)
     step->advice = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, g_free);
@@ -164,7 +193,7 @@
   VpJobStep *step = task == NULL ? NULL : task->step;
 
   if (step == NULL || step->ask_serial != serial) {
-    g_hash_table_remove (advise->pending, &serial);
+    _vp_advise_forget (advise, serial);
     return;
   }
   step->ask_serial = 0;
@@ -172,7 +201,7 @@
     step->ask_next_ms = now_ms + VP_ADVISE_RETRY_MS;
   else
     _vp_advise_take (advise, roster, step, ask, rows);
-  g_hash_table_remove (advise->pending, &serial);
+  _vp_advise_forget (advise, serial);
 }
 
 void
@@ -190,6 +219,7 @@
     task = vp_joblist_task (jobs, &ask->step);
     if (task != NULL)
       task->step->ask_serial = 0;
+    advise->deferrable_count -= ask->is_urgent ? 0 : 1;
     g_hash_table_iter_remove (&iter);
   }
 }
--- a/src/vp-broker.c
+++ b/src/vp-broker.c
@@ -161,10 +161,10 @@
       _vp_broker_reject (broker, message->from, message->serial, now_ms, answers);
       return;
     }
-    job = vp_joblist_add (jobs, spec, now_ms, now_ms);
-    vp_joblist_touch (jobs, job);
-    vp_log (now_ms, "submit", "job=%016" G_GINT64_MODIFIER "x queue=%s team=%s steps=%u from=%s",
-            spec->id, spec->queue, spec->team, spec->step_count, message->from);
+    job = vp_cell_submit (broker->cell, spec, now_ms);
+    vp_log (now_ms, "submit",
+            "job=%016" G_GINT64_MODIFIER "x queue=%s team=%s steps=%u from=%s over_share=%d",
+            spec->id, spec->queue, spec->team, spec->step_count, message->from, job->is_over_share);
   }
   _vp_broker_wait (broker, message, now_ms);
 }
--- a/src/vp-cell.c
+++ b/src/vp-cell.c
@@ -448,6 +448,19 @@
   }
 }
 
+VpJob *
+vp_cell_submit (VpCell *cell, VpJobSpec *spec, int64_t now_ms)
+{
+  const VpTeamConf *team = cell->conf == NULL ? NULL : vp_cellconf_team (cell->conf, spec->team);
+  VpJob *job = vp_joblist_add (cell->jobs, spec, now_ms, now_ms);
+
+  vp_joblist_touch (cell->jobs, job);
+  if (team != NULL)
+    job->is_over_share
+        = !vp_teamuse_take_share (vp_joblist_team (cell->jobs, spec->team), team->weight, now_ms);
+  return job;
+}
+
 bool
 vp_cell_cancel (VpCell *cell, uint64_t id, int64_t now_ms)
 {
--- a/src/vp-cell.h
+++ b/src/vp-cell.h
@@ -61,6 +61,8 @@
 bool vp_cell_is_fenced (const VpCell *cell);
 /* True if what is known of the jobs is complete: no task may run that is not known to. */
 bool vp_cell_is_exact (const VpCell *cell);
+/* Takes a new job in. */
+VpJob *vp_cell_submit (VpCell *cell, VpJobSpec *spec, int64_t now_ms);
 /* Cancels; false if the job has ended. */
 bool vp_cell_cancel (VpCell *cell, uint64_t id, int64_t now_ms);
 /* The commit that is built now covers all ends noted so far; once it is durable they may be
--- a/src/vp-joblist.c
+++ b/src/vp-joblist.c
@@ -90,6 +90,23 @@
   return use;
 }
 
+bool
+vp_teamuse_take_share (VpTeamUse *use, double weight, int64_t now_ms)
+{
+  double tokens_max = MAX (weight, 1);
+
+  if (weight <= 0)
+    return true;
+  use->job_tokens
+      += use->tokens_ms == 0 ? tokens_max : weight * (double)(now_ms - use->tokens_ms) / 1000;
+  use->job_tokens = MIN (use->job_tokens, tokens_max);
+  use->tokens_ms = now_ms;
+  if (use->job_tokens < 1)
+    return false;
+  use->job_tokens -= 1;
+  return true;
+}
+
 void
 vp_joblist_touch (VpJobList *list, VpJob *job)
 {
@@ -141,13 +158,16 @@
 _vp_run_create (VpJobRun *run)
 {
   const VpJobSpec *spec = run->job->spec;
+  int64_t chains_ms[VP_JOBSPEC_STEPS_MAX];
 
+  vp_jobspec_chains (spec, chains_ms);
   run->steps = g_new0 (VpJobStep, spec->step_count);
   for (uint32_t s = 0; s < spec->step_count; s++) {
     VpJobStep *step = &run->steps[s];
     step->run = run;
     step->spec = &spec->steps[s];
     step->index = s;
+    step->chain_ms = chains_ms[s];
     step->rack = -1;
     step->waiting_count = step->spec->task_count;
     step->tasks = g_new0 (VpJobTask, step->spec->task_count);
@@ -203,7 +223,6 @@
 
   job->spec = vp_jobspec_ref (spec);
   job->arrived_ms = arrived_ms;
-  job->objective_ms = INT64_MAX;
   job->runs = g_new0 (VpJobRun, spec->run_count);
   for (uint32_t k = 0; k < spec->run_count; k++) {
     job->runs[k].job = job;
--- a/src/vp-joblist.h
+++ b/src/vp-joblist.h
@@ -86,6 +86,7 @@
   uint32_t done_count;
   bool is_open; /* its predecessors are done */
   int64_t opened_ms;
+  int64_t chain_ms;         /* estimate of the longest chain from this step to the end of its job */
   int32_t rack;             /* of a step that keeps to one rack; -1: not chosen */
   GHashTable *advice;       /* worker id -> VpAdviceRow; NULL: none yet */
   uint64_t ask_serial;      /* advice under way; 0: none */
@@ -109,7 +110,8 @@
   VpJobState state;
   int64_t arrived_ms;
   int64_t ended_ms;
-  int64_t objective_ms; /* worth less when it completes after this */
+  int64_t objective_ms; /* an occurrence should complete this long after its beginning; 0: unset */
+  bool is_over_share;   /* its team had used up its share of the rate of jobs */
   bool is_inherited;    /* accepted under an earlier scheduler */
   bool is_durable;      /* its acceptance is kept */
   bool is_end_durable;  /* its end is kept, so it may be shown */
@@ -126,6 +128,8 @@
   VpSize unseen;      /* of inherited tasks that may run where this scheduler hasn't looked yet */
   VpSize used;        /* of all that runs or stops */
   uint32_t job_count; /* not ended */
+  double job_tokens;  /* jobs that it may hand in now without passing its share */
+  int64_t tokens_ms;  /* when they were counted last; 0: never */
 } VpTeamUse;
 
 typedef struct {
@@ -156,6 +160,9 @@
 /* Earliest occurrence to come; INT64_MAX: none. */
 int64_t vp_joblist_next_due_ms (const VpJobList *list);
 VpTeamUse *vp_joblist_team (VpJobList *list, const char *name);
+/* Counts a job that the team hands in now. Returns false if it passes the team's share of @weight
+ * jobs a second; crowds of a second's share pass. */
+bool vp_teamuse_take_share (VpTeamUse *use, double weight, int64_t now_ms);
 void vp_joblist_touch (VpJobList *list, VpJob *job);
 /* The job that has waited longest to be kept; NULL: none. */
 VpJob *vp_joblist_take_dirty (VpJobList *list);
--- a/src/vp-jobspec.c
+++ b/src/vp-jobspec.c
@@ -47,6 +47,26 @@
   return NULL;
 }
 
+int64_t
+vp_jobspec_chains (const VpJobSpec *spec, int64_t *chains_ms)
+{
+  int64_t longest_ms = 0;
+
+  for (uint32_t s = 0; s < spec->step_count; s++)
+    chains_ms[s] = 0;
+  /* Steps come after those that they wait for, so all that wait for a step have been seen. */
+  for (uint32_t s = spec->step_count; s-- > 0;) {
+    const VpStepSpec *step = &spec->steps[s];
+    chains_ms[s] += step->estimate_ms;
+    longest_ms = MAX (longest_ms, chains_ms[s]);
+    for (guint i = 0; step->after != NULL && i < step->after->len; i++) {
+      uint32_t before = g_array_index (step->after, uint32_t, i);
+      chains_ms[before] = MAX (chains_ms[before], chains_ms[s]);
+    }
+  }
+  return longest_ms;
+}
+
 const char *
 vp_jobspec_check (const VpJobSpec *spec)
 {
--- a/src/vp-jobspec.h
+++ b/src/vp-jobspec.h
@@ -62,6 +62,9 @@
 const char *vp_jobspec_check (const VpJobSpec *spec);
 GVariant *vp_jobspec_encode (const VpJobSpec *spec);
 VpJobSpec *vp_jobspec_decode (GVariant *value);
+/* Estimated time of the longest chain of steps from each step to the end of the job, in @chains_ms
+ * of VP_JOBSPEC_STEPS_MAX elements; returns the longest of all. */
+int64_t vp_jobspec_chains (const VpJobSpec *spec, int64_t *chains_ms);
 /* "<16 hex>", the identity of a job. */
 void vp_job_id_format (uint64_t id, char out[17]);
 bool vp_job_id_parse (const char *text, uint64_t *out);
--- a/src/vp-turns.c
+++ b/src/vp-turns.c
@@ -48,41 +48,40 @@
 {
   const VpTurn *one = a;
   const VpTurn *two = b;
+  bool is_hopeless = one->outlook == VP_OUTLOOK_HOPELESS;
 
-  if (one->is_hopeless != two->is_hopeless)
-    return one->is_hopeless ? 1 : -1;
+  if (is_hopeless != (two->outlook == VP_OUTLOOK_HOPELESS))
+    return is_hopeless ? 1 : -1;
   if (one->queue->priority != two->queue->priority)
     return one->queue->priority < two->queue->priority ? -1 : 1;
-  return one->objective_ms == two->objective_ms  ? 0
-         : one->objective_ms < two->objective_ms ? -1
-                                                 : 1;
+  if (one->is_over_share != two->is_over_share)
+    return one->is_over_share ? 1 : -1;
+  if (one->outlook != two->outlook)
+    return one->outlook < two->outlook ? -1 : 1;
+  return one->start_by_ms == two->start_by_ms ? 0 : one->start_by_ms < two->start_by_ms ? -1 : 1;
 }
 
-/* Longest chain of estimates through the steps of a job. */
+/* How long after its beginning an occurrence of the job should have completed. */
 static int64_t
-_vp_turns_chain_ms (const VpJobSpec *spec)
+_vp_turns_objective_ms (VpJob *job, const VpQueueConf *queue)
 {
-  int64_t chain_ms[VP_JOBSPEC_STEPS_MAX];
-  int64_t longest_ms = 0;
-
-  for (uint32_t s = 0; s < spec->step_count; s++) {
-    const VpStepSpec *step = &spec->steps[s];
-    chain_ms[s] = 0;
-    for (guint i = 0; step->after != NULL && i < step->after->len; i++)
-      chain_ms[s] = MAX (chain_ms[s], chain_ms[g_array_index (step->after, uint32_t, i)]);
-    chain_ms[s] += step->estimate_ms;
-    longest_ms = MAX (longest_ms, chain_ms[s]);
-  }
-  return longest_ms;
+  int64_t chains_ms[VP_JOBSPEC_STEPS_MAX];
+
+  if (job->objective_ms == 0)
+    job->objective_ms
+        = queue->latency_target_ms
+          + (int64_t)(queue->stretch * (double)vp_jobspec_chains (job->spec, chains_ms));
+  return job->objective_ms;
 }
 
-static int64_t
-_vp_turns_objective_ms (VpJob *job, const VpQueueConf *queue)
+static VpOutlook
+_vp_turns_outlook (const VpTurn *turn, int64_t began_ms, int64_t objective_ms, int64_t now_ms)
 {
-  if (job->objective_ms == INT64_MAX)
-    job->objective_ms = job->arrived_ms + queue->latency_target_ms
-                        + (int64_t)(queue->stretch * (double)_vp_turns_chain_ms (job->spec));
-  return job->objective_ms;
+  if (turn->step->spec->is_lasting)
+    return VP_OUTLOOK_IN_TIME;
+  if (now_ms - began_ms > VP_TURNS_HOPELESS_FACTOR * objective_ms)
+    return VP_OUTLOOK_HOPELESS;
+  return now_ms > turn->start_by_ms ? VP_OUTLOOK_LATE : VP_OUTLOOK_IN_TIME;
 }
 
 static void
@@ -90,14 +89,16 @@
 {
   VpJob *job = step->run->job;
   VpTurn turn = { .step = step, .queue = vp_cellconf_queue (conf, job->spec->queue) };
+  int64_t began_ms = step->run->due_ms != 0 ? step->run->due_ms : job->arrived_ms;
+  int64_t objective_ms;
 
   if (turn.queue == NULL || step->waiting_count == 0)
     return;
   turn.pool = _vp_turns_add_pool (turns, turn.queue->service, now_ms);
-  turn.objective_ms = _vp_turns_objective_ms (job, turn.queue);
-  turn.is_hopeless = !step->spec->is_lasting
-                     && now_ms - job->arrived_ms
-                            > VP_TURNS_HOPELESS_FACTOR * (turn.objective_ms - job->arrived_ms);
+  turn.is_over_share = job->is_over_share;
+  objective_ms = _vp_turns_objective_ms (job, turn.queue);
+  turn.start_by_ms = began_ms + objective_ms - step->chain_ms;
+  turn.outlook = _vp_turns_outlook (&turn, began_ms, objective_ms, now_ms);
   g_array_append_val (turns->items, turn);
 }
 
--- a/src/vp-turns.h
+++ b/src/vp-turns.h
@@ -1,5 +1,9 @@
-/* Order in which waiting steps get their turn: priority of the queue, then the job's objective;
- * work that can't earn anything any more comes last. Made anew for each decision.
+/* Order in which waiting steps get their turn: priority of the queue, teams within their share
+ * before others, work that can still meet its objective before work that can't, least slack first;
+ * work that is far too late comes last. Made anew for each decision.
+ *
+ * Under overload the order by objective alone would spend the room on work that is late anyway and
+ * make all of it late, and one team's crowd would make the others wait.
  *
  *   VpTurns turns;
  *   vp_turns_setup (&turns, roster, jobs, conf, now_ms);
@@ -11,12 +15,19 @@
 
 #include "vp-place.h"
 
+typedef enum {
+  VP_OUTLOOK_IN_TIME,  /* its job can still meet its objective */
+  VP_OUTLOOK_LATE,     /* it can't, but its end is worth something */
+  VP_OUTLOOK_HOPELESS, /* it is so late that its end is worth nothing */
+} VpOutlook;
+
 typedef struct {
   VpJobStep *step;
   const VpQueueConf *queue;
   guint pool; /* index of the queue's service in @pools */
-  bool is_hopeless;
-  int64_t objective_ms;
+  VpOutlook outlook;
+  bool is_over_share;
+  int64_t start_by_ms; /* latest start that meets the job's objective */
 } VpTurn;
 
 /* The workers of one service in this decision. */
--- a/tests/fake-forward.c
+++ b/tests/fake-forward.c
@@ -262,3 +262,107 @@
   }
   g_free (pair);
 }
+
+/* Mappings. */
+
+struct _FakeMap {
+  char *listen;
+  struct sockaddr_in target;
+  int fd; /* -1 while it is cut */
+  FakeSource *source;
+  FakeFault fault;
+  GPtrArray *pairs;
+};
+
+static void
+_map_closed (FakePair *pair, void *data)
+{
+  g_ptr_array_remove_fast (((FakeMap *)data)->pairs, pair);
+}
+
+static void
+_map_accept (uint32_t events G_GNUC_UNUSED, void *data)
+{
+  FakeMap *map = data;
+  int client_fd = accept4 (map->fd, NULL, NULL, SOCK_NONBLOCK | SOCK_CLOEXEC);
+  int target_fd = client_fd >= 0 ? fake_forward_connect (&map->target) : -1;
+  FakePair *pair;
+
+  if (target_fd < 0) {
+    if (client_fd >= 0)
+      close (client_fd);
+    return;
+  }
+  pair = fake_forward_new (client_fd, target_fd, _map_closed, map);
+  g_ptr_array_add (map->pairs, pair);
+  fake_forward_set (pair, &map->fault);
+}
+
+static void
+_map_open (FakeMap *map)
+{
+  if (map->fd >= 0)
+    return;
+  map->fd = fake_forward_listen (map->listen);
+  map->source = fake_watch (map->fd, EPOLLIN, _map_accept, map);
+}
+
+static void
+_map_close_pairs (FakeMap *map, bool is_reset)
+{
+  while (map->pairs->len > 0)
+    fake_forward_free (g_ptr_array_remove_index_fast (map->pairs, map->pairs->len - 1), is_reset);
+}
+
+FakeMap *
+fake_map_new (const char *listen, const char *target)
+{
+  FakeMap *map = g_new0 (FakeMap, 1);
+
+  map->listen = g_strdup (listen);
+  map->target = fake_address (target);
+  map->fd = -1;
+  map->pairs = g_ptr_array_new ();
+  _map_open (map);
+  return map;
+}
+
+const char *
+fake_map_address (const FakeMap *map)
+{
+  return map->listen;
+}
+
+void
+fake_map_retarget (FakeMap *map, const char *target)
+{
+  map->target = fake_address (target);
+}
+
+bool
+fake_map_set_mode (FakeMap *map, const char *mode, int64_t delay_ms)
+{
+  FakeFault fault = { .is_swallowing = { strcmp (mode, "cut-to-target") == 0,
+                                         strcmp (mode, "cut-to-client") == 0 },
+                      .is_stalled = strcmp (mode, "stall") == 0,
+                      .delay_ms = strcmp (mode, "delay") == 0 ? delay_ms : 0 };
+
+  if (strcmp (mode, "cut") == 0 || strcmp (mode, "reset") == 0) {
+    _map_close_pairs (map, mode[0] == 'r');
+    if (mode[0] == 'c' && map->fd >= 0) {
+      fake_unwatch (&map->source);
+      close (map->fd);
+      map->fd = -1;
+    }
+    return true;
+  }
+  if (strcmp (mode, "pass") != 0 && fault.delay_ms == 0 && !fault.is_stalled
+      && !fault.is_swallowing[0] && !fault.is_swallowing[1])
+    return false;
+  map->fault = fault;
+  _map_open (map);
+  /* Backwards: a pair that ends is replaced by the last one, which was set already. */
+  for (guint i = map->pairs->len; i-- > 0;)
+    fake_forward_set (map->pairs->pdata[i], &fault);
+  return true;
+}
--- a/tests/fake-forward.h
+++ b/tests/fake-forward.h
@@ -1,4 +1,9 @@
 /* Forwarding of TCP connections on the loop of fake-http.h.
+ *
+ *   FakeMap *map = fake_map_new ("127.0.0.1:9000", "127.0.0.1:7000");
+ *   fake_map_set_mode (map, "stall", 0);
+ *
+ * or one connection at a time:
  *
  *   int fd = fake_forward_listen ("127.0.0.1:9000");     // watch it and accept()
  *   FakePair *pair = fake_forward_new (client_fd, target_fd, closed, data);
@@ -9,6 +14,7 @@
 #include "fake-http.h"
 
 typedef struct _FakePair FakePair;
+typedef struct _FakeMap FakeMap;
 
 typedef struct {
   bool is_swallowing[2]; /* bytes to the target [0], to the client [1] are read and thrown away */
@@ -28,3 +34,14 @@
 void fake_forward_set (FakePair *pair, const FakeFault *fault);
 /* Closes both sides; with RST if @is_reset. Does not call @closed. */
 void fake_forward_free (FakePair *pair, bool is_reset);
+
+/* Forwards all connections to an address. */
+FakeMap *fake_map_new (const char *listen, const char *target);
+const char *fake_map_address (const FakeMap *map);
+/* For connections from now on. */
+void fake_map_retarget (FakeMap *map, const char *target);
+/* Modes: pass; cut (refuses connections and closes open ones); cut-to-target and cut-to-client
+ * (bytes in that direction vanish, nothing is closed); delay (@delay_ms each way); stall (nothing
+ * is forwarded or closed); reset (open connections end with RST, then as before). False if there is
+ * no such mode. */
+bool fake_map_set_mode (FakeMap *map, const char *mode, int64_t delay_ms);
--- a/tests/fake-proxy.c
+++ b/tests/fake-proxy.c
@@ -9,108 +9,22 @@
 #include <argp.h>
 #include <stdlib.h>
 #include <string.h>
-#include <sys/epoll.h>
-#include <sys/socket.h>
-#include <unistd.h>
-
-typedef struct {
-  char *listen;
-  struct sockaddr_in target;
-  int fd; /* -1 while it is cut */
-  FakeSource *source;
-  FakeFault fault;
-  GPtrArray *pairs;
-} Map;
 
 static struct {
   const char *control;
   GPtrArray *specs; /* "listen=target" */
-  GPtrArray *maps;
+  GPtrArray *maps;  /* FakeMap */
 } _proxy;
 
-static void
-_proxy_closed (FakePair *pair, void *data)
-{
-  g_ptr_array_remove_fast (((Map *)data)->pairs, pair);
-}
-
-static void
-_proxy_accept (uint32_t events G_GNUC_UNUSED, void *data)
-{
-  Map *map = data;
-  int client_fd = accept4 (map->fd, NULL, NULL, SOCK_NONBLOCK | SOCK_CLOEXEC);
-  int target_fd = client_fd >= 0 ? fake_forward_connect (&map->target) : -1;
-  FakePair *pair;
-
-  if (target_fd < 0) {
-    if (client_fd >= 0)
-      close (client_fd);
-    return;
-  }
-  pair = fake_forward_new (client_fd, target_fd, _proxy_closed, map);
-  g_ptr_array_add (map->pairs, pair);
-  fake_forward_set (pair, &map->fault);
-}
-
-static void
-_proxy_open (Map *map)
-{
-  if (map->fd >= 0)
-    return;
-  map->fd = fake_forward_listen (map->listen);
-  map->source = fake_watch (map->fd, EPOLLIN, _proxy_accept, map);
-}
-
-static void
-_proxy_close_pairs (Map *map, bool is_reset)
-{
-  while (map->pairs->len > 0)
-    fake_forward_free (g_ptr_array_remove_index_fast (map->pairs, map->pairs->len - 1), is_reset);
-}
-
-static Map *
+static FakeMap *
 _proxy_add (const char *listen, const char *target)
 {
-  Map *map = g_new0 (Map, 1);
+  FakeMap *map = fake_map_new (listen, target);
 
-  map->listen = g_strdup (listen);
-  map->target = fake_address (target);
-  map->fd = -1;
-  map->pairs = g_ptr_array_new ();
-  _proxy_open (map);
   g_ptr_array_add (_proxy.maps, map);
   return map;
 }
 
-/* False if there is no such mode. */
-static bool
-_proxy_set_mode (Map *map, const char *mode, int64_t delay_ms)
-{
-  FakeFault fault = { .is_swallowing = { strcmp (mode, "cut-to-target") == 0,
-                                         strcmp (mode, "cut-to-client") == 0 },
-                      .is_stalled = strcmp (mode, "stall") == 0,
-                      .delay_ms = strcmp (mode, "delay") == 0 ? delay_ms : 0 };
-
-  if (strcmp (mode, "cut") == 0 || strcmp (mode, "reset") == 0) {
-    _proxy_close_pairs (map, mode[0] == 'r');
-    if (mode[0] == 'c' && map->fd >= 0) {
-      fake_unwatch (&map->source);
-      close (map->fd);
-      map->fd = -1;
-    }
-    return true;
-  }
-  if (strcmp (mode, "pass") != 0 && fault.delay_ms == 0 && !fault.is_stalled
-      && !fault.is_swallowing[0] && !fault.is_swallowing[1])
-    return false;
-  map->fault = fault;
-  _proxy_open (map);
-  /* Backwards: a pair that ends is replaced by the last one, which was set already. */
-  for (guint i = map->pairs->len; i-- > 0;)
-    fake_forward_set (map->pairs->pdata[i], &fault);
-  return true;
-}
-
 /* False if there is no such mapping or mode. */
 static bool
 _proxy_change (const char *listen, JsonObject *body)
@@ -121,16 +35,16 @@
   bool is_found = false, is_ok = true;
 
   for (guint i = 0; i < _proxy.maps->len; i++) {
-    Map *map = _proxy.maps->pdata[i];
-    if (strcmp (listen, "*") != 0 && strcmp (listen, map->listen) != 0)
+    FakeMap *map = _proxy.maps->pdata[i];
+    if (strcmp (listen, "*") != 0 && strcmp (listen, fake_map_address (map)) != 0)
       continue;
     is_found = true;
     if (target != NULL)
-      map->target = fake_address (target);
-    is_ok = _proxy_set_mode (map, mode, delay_ms) && is_ok;
+      fake_map_retarget (map, target);
+    is_ok = fake_map_set_mode (map, mode, delay_ms) && is_ok;
   }
   if (!is_found && target != NULL)
-    is_ok = _proxy_set_mode (_proxy_add (listen, target), mode, delay_ms);
+    is_ok = fake_map_set_mode (_proxy_add (listen, target), mode, delay_ms);
   return is_ok && (is_found || target != NULL);
 }
 
--- /dev/null
+++ b/tests/test-turns.c
@@ -0,0 +1,186 @@
+/* Order of waiting steps under patterns of overload. */
+#include "vp-turns.h"
+
+#include <string.h>
+
+#define NOW_MS 1000000
+
+typedef struct {
+  VpRoster *roster;
+  VpJobList *jobs;
+  VpCellConf *conf;
+  VpTurns turns;
+} Fixture;
+
+static void
+_add_queue (VpCellConf *conf, const char *name, int32_t priority)
+{
+  VpQueueConf queue = { .priority = priority, .stretch = 1.5, .latency_target_ms = 250 };
+
+  g_strlcpy (queue.name, name, sizeof queue.name);
+  g_strlcpy (queue.service, "service", sizeof queue.service);
+  g_array_append_val (conf->queues, queue);
+}
+
+static void
+_setup (Fixture *fixture)
+{
+  fixture->roster = vp_roster_setup (6000);
+  fixture->jobs = vp_joblist_setup ();
+  fixture->conf = vp_cellconf_new (1);
+  _add_queue (fixture->conf, "urgent", 0);
+  _add_queue (fixture->conf, "batch", 2);
+  vp_cellconf_seal (fixture->conf);
+}
+
+static void
+_teardown (Fixture *fixture)
+{
+  vp_roster_shutdown (fixture->roster);
+  vp_joblist_shutdown (fixture->jobs);
+  vp_cellconf_unref (fixture->conf);
+}
+
+/* A job whose steps follow one another, each estimated to take @estimate_ms. */
+static VpJob *
+_add (Fixture *fixture,
+      uint64_t id,
+      const char *queue,
+      uint32_t step_count,
+      int64_t estimate_ms,
+      int64_t arrived_ms)
+{
+  g_autoptr (VpJobSpec) spec = vp_jobspec_new (step_count);
+
+  spec->id = id;
+  spec->text = g_strdup ("text");
+  g_strlcpy (spec->queue, queue, sizeof spec->queue);
+  for (uint32_t s = 0; s < step_count; s++) {
+    uint32_t before = s - 1;
+    spec->steps[s] = (VpStepSpec){ .task_count = 1, .estimate_ms = estimate_ms };
+    if (s == 0)
+      continue;
+    spec->steps[s].after = g_array_new (FALSE, FALSE, sizeof (uint32_t));
+    g_array_append_val (spec->steps[s].after, before);
+  }
+  return vp_joblist_add (fixture->jobs, spec, arrived_ms, arrived_ms);
+}
+
+/* Fails unless the steps that wait get their turns in the order of these jobs. */
+static void
+_assert_order (Fixture *fixture, const uint64_t *ids, guint count)
+{
+  vp_turns_setup (&fixture->turns, fixture->roster, fixture->jobs, fixture->conf, NOW_MS);
+  g_assert_cmpuint (fixture->turns.items->len, ==, count);
+  for (guint i = 0; i < count; i++)
+    g_assert_cmpuint (g_array_index (fixture->turns.items, VpTurn, i).step->run->job->spec->id, ==,
+                      ids[i]);
+  vp_turns_shutdown (&fixture->turns);
+}
+
+/* A burst of urgent work that the room does not suffice for: jobs that are late already must not
+ * make those late that still can be in time. */
+static void
+test_burst (void)
+{
+  static const uint64_t order[] = { 3, 2, 1, 4 };
+  Fixture fixture;
+
+  _setup (&fixture);
+  _add (&fixture, 1, "urgent", 1, 1000, NOW_MS - 2000); /* late since 1,250 ms */
+  _add (&fixture, 2, "urgent", 1, 1000, NOW_MS);
+  _add (&fixture, 3, "urgent", 1, 1000, NOW_MS - 400);
+  _add (&fixture, 4, "urgent", 1, 1000, NOW_MS - 5300); /* over three times its objective */
+  _assert_order (&fixture, order, G_N_ELEMENTS (order));
+  _teardown (&fixture);
+}
+
+/* Of two jobs with the same objective the one with the longer chain ahead has less slack. */
+static void
+test_slack (void)
+{
+  static const uint64_t order[] = { 2, 1 };
+  Fixture fixture;
+
+  _setup (&fixture);
+  _add (&fixture, 1, "urgent", 1, 1000, NOW_MS);
+  _add (&fixture, 2, "urgent", 2, 500, NOW_MS - 10);
+  _assert_order (&fixture, order, G_N_ELEMENTS (order));
+  _teardown (&fixture);
+}
+
+/* Batch work never comes before urgent work that is worth something. */
+static void
+test_priority (void)
+{
+  static const uint64_t order[] = { 2, 1, 3 };
+  Fixture fixture;
+
+  _setup (&fixture);
+  _add (&fixture, 1, "batch", 1, 1000, NOW_MS - 1000);
+  _add (&fixture, 2, "urgent", 1, 1000, NOW_MS - 2000);
+  _add (&fixture, 3, "urgent", 1, 1000, NOW_MS - 6000);
+  _assert_order (&fixture, order, G_N_ELEMENTS (order));
+  _teardown (&fixture);
+}
+
+/* One team sends many times its share: the others' work, also that which is late, comes first. */
+static void
+test_hot_team (void)
+{
+  static const uint64_t order[] = { 2, 3, 1 };
+  Fixture fixture;
+
+  _setup (&fixture);
+  _add (&fixture, 1, "urgent", 1, 1000, NOW_MS - 700)->is_over_share = true;
+  _add (&fixture, 2, "urgent", 1, 1000, NOW_MS - 100);
+  _add (&fixture, 3, "urgent", 1, 1000, NOW_MS - 2000);
+  _assert_order (&fixture, order, G_N_ELEMENTS (order));
+  _teardown (&fixture);
+}
+
+/* An occurrence of a timed job is late by its due time, not by when the job was handed in. */
+static void
+test_occurrence (void)
+{
+  static const uint64_t order[] = { 2, 1 };
+  Fixture fixture;
+  VpJob *job;
+
+  _setup (&fixture);
+  job = _add (&fixture, 1, "urgent", 1, 1000, NOW_MS - 60000);
+  job->runs[0].due_ms = NOW_MS;
+  _add (&fixture, 2, "urgent", 1, 1000, NOW_MS - 100);
+  _assert_order (&fixture, order, G_N_ELEMENTS (order));
+  _teardown (&fixture);
+}
+
+/* A second's share passes at once; then only what the rate allows. */
+static void
+test_share (void)
+{
+  VpTeamUse use = { 0 };
+  uint32_t within = 0;
+
+  for (int64_t at_ms = 0; at_ms < 10000; at_ms += 20)
+    within += vp_teamuse_take_share (&use, 4, NOW_MS + at_ms) ? 1 : 0;
+  g_assert_cmpuint (within, >=, 40);
+  g_assert_cmpuint (within, <=, 44);
+  /* A team without a weight is not held to a rate. */
+  memset (&use, 0, sizeof use);
+  for (int i = 0; i < 100; i++)
+    g_assert_true (vp_teamuse_take_share (&use, 0, NOW_MS));
+}
+
+int
+main (int argc, char *argv[])
+{
+  g_test_init (&argc, &argv, NULL);
+  g_test_add_func ("/turns/burst", test_burst);
+  g_test_add_func ("/turns/slack", test_slack);
+  g_test_add_func ("/turns/priority", test_priority);
+  g_test_add_func ("/turns/hot-team", test_hot_team);
+  g_test_add_func ("/turns/occurrence", test_occurrence);
+  g_test_add_func ("/turns/share", test_share);
+  return g_test_run ();
+}
