--- a/src/vp-cell.c
+++ b/src/vp-cell.c
@@ -486,7 +486,7 @@
     return vp_cell_is_exact (cell);
   worker = vp_roster_find (cell->roster, task->last_worker);
   if (worker == NULL ? now_ms <= cell->started_ms + 2 * cell->desc.hold_max_ms
-                     : !cell->is_settled || !_vp_cell_is_settled_worker (worker, now_ms))
+                     : !vp_cell_is_exact (cell) || !_vp_cell_is_settled_worker (worker, now_ms))
     return false;
   vp_jobtask_set_last_worker (cell->jobs, task, "");
   return true;
@@ -500,21 +500,25 @@
   return task->run + (is_exact ? 1 : VP_CELL_RUN_GAP);
 }
 
-/* Adds the most that the team's tasks take which the last scheduler may have started without
- * keeping that. */
+/* Counts for each team the most that its tasks take which the last scheduler may have started
+ * without keeping that. */
 static void
-_vp_cell_add_unsure (const VpCell *cell, const char *team, VpSize *used)
+_vp_cell_count_unsure (VpCell *cell)
 {
-  if (vp_cell_is_exact (cell))
-    return;
-  for (guint i = 0; i < cell->jobs->open_steps->len; i++) {
+  GHashTableIter iter;
+  gpointer use;
+
+  g_hash_table_iter_init (&iter, cell->jobs->teams);
+  while (g_hash_table_iter_next (&iter, NULL, &use))
+    memset (&((VpTeamUse *)use)->unsure, 0, sizeof (VpSize));
+  for (guint i = 0; !vp_cell_is_exact (cell) && i < cell->jobs->open_steps->len; i++) {
     const VpJobStep *step = cell->jobs->open_steps->pdata[i];
     VpSize size = step->spec->size;
 
-    if (!step->run->job->is_inherited || strcmp (step->run->job->spec->team, team) != 0)
+    if (!step->run->job->is_inherited)
       continue;
     vp_size_scale (&size, step->waiting_count);
-    vp_size_add (used, &size);
+    vp_size_add (&vp_joblist_team (cell->jobs, step->run->job->spec->team)->unsure, &size);
   }
 }
 
@@ -532,7 +536,7 @@
   vp_size_scale (&more, count);
   vp_size_add (&used, &more);
   vp_size_add (&used, &use->unseen);
-  _vp_cell_add_unsure (cell, job->spec->team, &used);
+  vp_size_add (&used, &use->unsure);
   return (team->cap.cpu_milli == 0 || used.cpu_milli <= team->cap.cpu_milli)
          && (team->cap.mem_mib == 0 || used.mem_mib <= team->cap.mem_mib)
          && (team->cap.accel_count == 0 || used.accel_count <= team->cap.accel_count);
@@ -659,6 +663,7 @@
 {
   VpTurns turns;
 
+  _vp_cell_count_unsure (cell);
   vp_turns_setup (&turns, cell->roster, cell->jobs, cell->conf, now_ms);
   for (guint i = 0; i < turns.items->len; i++)
     _vp_cell_place_turn (cell, &turns, &g_array_index (turns.items, VpTurn, i), now_ms, effects);
@@ -678,30 +683,43 @@
   return limit_ms > INT64_MAX >> doublings ? INT64_MAX : limit_ms << doublings;
 }
 
-/* Why the task must not go on running; NULL: it may. */
-static const char *
+/* Why a task must not go on running. */
+typedef enum {
+  VP_STOP_NONE, /* it may */
+  VP_STOP_JOB_ENDED,
+  VP_STOP_DONE_BEFORE,
+  VP_STOP_GANG_INCOMPLETE,
+  VP_STOP_WORKER_LEAVES,
+  VP_STOP_STANDS_STILL,
+} VpStopReason;
+
+static const char *const _vp_stop_tokens[]
+    = { "none", "job-ended", "done-before", "gang-incomplete", "worker-leaves", "stands-still" };
+
+static VpStopReason
 _vp_cell_stop_reason (const VpCell *cell, const VpJobTask *task, int64_t now_ms)
 {
   const VpJobStep *step = task->step;
   const VpJob *job = step->run->job;
 
   if (vp_job_is_ended (job))
-    return "job-ended";
+    return VP_STOP_JOB_ENDED;
   if (task->is_done_before && !step->spec->is_lasting)
-    return "done-before";
+    return VP_STOP_DONE_BEFORE;
   if (step->spec->is_gang && step->waiting_count > 0)
-    return "gang-incomplete";
+    return VP_STOP_GANG_INCOMPLETE;
   if (step->spec->is_lasting)
-    return task->worker->entry.is_draining ? "worker-leaves" : NULL;
+    return task->worker->entry.is_draining ? VP_STOP_WORKER_LEAVES : VP_STOP_NONE;
   if (step->spec->is_filling || step->spec->is_gang)
-    return NULL;
-  return now_ms - task->started_ms > _vp_cell_still_limit_ms (cell, task) ? "stands-still" : NULL;
+    return VP_STOP_NONE;
+  return now_ms - task->started_ms > _vp_cell_still_limit_ms (cell, task) ? VP_STOP_STANDS_STILL
+                                                                          : VP_STOP_NONE;
 }
 
 static void
 _vp_cell_scan_task (VpCell *cell, VpJobTask *task, int64_t now_ms, GArray *effects)
 {
-  const char *reason;
+  VpStopReason reason;
 
   if (task->phase == VP_PHASE_STOPPING) {
     if (task->confirmed_ms == 0 && task->worker->is_reachable
@@ -710,12 +728,12 @@
     return;
   }
   reason = _vp_cell_stop_reason (cell, task, now_ms);
-  if (reason != NULL) {
-    if (strcmp (reason, "stands-still") == 0) {
+  if (reason != VP_STOP_NONE) {
+    if (reason == VP_STOP_STANDS_STILL) {
       task->still_count++;
       vp_roster_note_failed (task->worker, task->step->run->job->spec->id, now_ms);
     }
-    vp_jobtask_log (task, "stop", reason, now_ms);
+    vp_jobtask_log (task, "stop", _vp_stop_tokens[reason], now_ms);
     _vp_cell_order_stop (cell, task, now_ms, effects);
     return;
   }
--- a/src/vp-joblist.h
+++ b/src/vp-joblist.h
@@ -125,6 +125,7 @@
 };
 
 typedef struct {
+  VpSize unsure;      /* of inherited tasks that may run without any sign of it */
   VpSize unseen;      /* of inherited tasks that may run where this scheduler hasn't looked yet */
   VpSize used;        /* of all that runs or stops */
   uint32_t job_count; /* not ended */
