Keep the list of workers in the store; pings grow with the cell, not its square

Cause: a leader that could not rule out an outage waited 2.5 s for the platform's list of workers to be whole before it started inherited tasks: after each loss of all machines, and after most changes of leader. And every process pinged every other one: 43 processes send 4,500 pings a second.

Ruled out: the time of the last commit as evidence (clocks of machines may step).

Change: commits keep the identities of all workers; a worker gets work only once it is kept, and a scheduler's own list goes on naming those of its predecessor that it hasn't found. A new leader that finds and hears all of them is settled at once, else as before. Followers ping partners (16 to 32 spread over the names, mutual) and the leader; the leader pings all. A cut-off node tells callers to come back when the balancer has switched, 1 s instead of 2 s once it has been unready for a second.

--- a/src/vp-cell.c
+++ b/src/vp-cell.c
@@ -51,6 +51,8 @@
   bool is_fenced;
   bool is_paused;
   bool has_list; /* the platform's list of workers was read */
+  GHashTable
+      *expected; /* ids that the last scheduler kept and that aren't listed; NULL: none kept */
   bool is_settled;
 };
 
@@ -78,6 +80,7 @@
   vp_roster_shutdown (cell->roster);
   vp_reconcile_shutdown (&cell->reconcile);
   vp_advise_shutdown (cell->advise);
+  g_clear_pointer (&cell->expected, g_hash_table_unref);
   g_clear_pointer (&cell->conf, vp_cellconf_unref);
   g_free (cell);
 }
@@ -186,11 +189,16 @@
 {
   VpRosterWorker *known = vp_roster_find (cell->roster, entry->id);
   bool was_draining = known != NULL && known->entry.is_draining;
+  bool is_new = known == NULL;
 
-  if (known == NULL)
+  if (is_new)
     vp_log (now_ms, "worker-listed", "worker=%s address=%s service=%s", entry->id, entry->address,
             entry->service);
   known = vp_roster_put (cell->roster, entry, now_ms);
+  if (is_new)
+    known->is_withheld
+        = cell->desc.keeps_roster
+          && (cell->expected == NULL || !g_hash_table_remove (cell->expected, entry->id));
   /* Its entry tells of a restart before its lists do. */
   if (entry->born_ms != 0 && known->born_ms != 0 && entry->born_ms > known->born_ms) {
     vp_reconcile_lost (&cell->reconcile, known, "born-again", now_ms);
@@ -230,19 +238,34 @@
   return worker->is_synced || vp_roster_is_lapsed (worker, now_ms);
 }
 
+/* Whether workers may be missing that an earlier scheduler used. */
+static bool
+_vp_cell_may_lack_workers (const VpCell *cell, int64_t now_ms)
+{
+  if (!cell->has_list)
+    return true;
+  return now_ms < cell->started_ms + cell->desc.relist_ms
+         && (cell->expected == NULL || g_hash_table_size (cell->expected) > 0);
+}
+
 /* Whether every worker that an earlier scheduler may have used has told what it runs. */
 static void
 _vp_cell_settle (VpCell *cell, int64_t now_ms)
 {
-  if (cell->is_settled || !cell->has_list || now_ms < cell->started_ms + cell->desc.relist_ms)
+  if (cell->is_settled || _vp_cell_may_lack_workers (cell, now_ms))
     return;
   for (guint i = 0; i < cell->roster->workers->len; i++) {
     if (!_vp_cell_is_settled_worker (cell->roster->workers->pdata[i], now_ms))
       return;
   }
   cell->is_settled = true;
-  vp_log (now_ms, "settled", "after_ms=%" G_GINT64_FORMAT " workers=%u", now_ms - cell->started_ms,
-          cell->roster->workers->len);
+  vp_log (now_ms, "settled", "after_ms=%" G_GINT64_FORMAT " workers=%u gone=%u",
+          now_ms - cell->started_ms, cell->roster->workers->len,
+          cell->expected == NULL ? 0 : g_hash_table_size (cell->expected));
+  if (cell->expected != NULL && g_hash_table_size (cell->expected) > 0) {
+    g_hash_table_remove_all (cell->expected);
+    cell->roster->is_changed = true;
+  }
 }
 
 void
@@ -448,6 +471,70 @@
   }
 }
 
+bool
+vp_cell_has_unstaged_roster (const VpCell *cell)
+{
+  return cell->desc.keeps_roster && cell->roster->is_changed;
+}
+
+GVariant *
+vp_cell_stage_roster (VpCell *cell)
+{
+  GVariantBuilder ids;
+  GHashTableIter iter;
+  gpointer id;
+
+  g_variant_builder_init (&ids, G_VARIANT_TYPE (VP_CELL_ROSTER_TYPE));
+  for (guint i = 0; i < cell->roster->workers->len; i++) {
+    VpRosterWorker *worker = cell->roster->workers->pdata[i];
+    worker->is_staged = true;
+    g_variant_builder_add (&ids, "s", worker->entry.id);
+  }
+  /* Those that aren't found yet stay expected if this scheduler ends before it knows more. */
+  if (cell->expected != NULL) {
+    g_hash_table_iter_init (&iter, cell->expected);
+    while (g_hash_table_iter_next (&iter, &id, NULL))
+      g_variant_builder_add (&ids, "s", (const char *)id);
+  }
+  cell->roster->is_changed = false;
+  return g_variant_builder_end (&ids);
+}
+
+void
+vp_cell_roster_durable (VpCell *cell)
+{
+  for (guint i = 0; i < cell->roster->workers->len; i++) {
+    VpRosterWorker *worker = cell->roster->workers->pdata[i];
+    if (worker->is_staged)
+      worker->is_withheld = false;
+  }
+}
+
+void
+vp_cell_unstage_roster (VpCell *cell)
+{
+  for (guint i = 0; i < cell->roster->workers->len; i++)
+    ((VpRosterWorker *)cell->roster->workers->pdata[i])->is_staged = false;
+  cell->roster->is_changed = true;
+}
+
+void
+vp_cell_expect_roster (VpCell *cell, GVariant *ids)
+{
+  GVariantIter iter;
+  const char *id;
+
+  cell->expected = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
+  g_variant_iter_init (&iter, ids);
+  while (g_variant_iter_next (&iter, "&s", &id)) {
+    VpRosterWorker *worker = vp_roster_find (cell->roster, id);
+    if (worker != NULL)
+      worker->is_withheld = false;
+    else
+      g_hash_table_add (cell->expected, g_strdup (id));
+  }
+}
+
 VpJob *
 vp_cell_submit (VpCell *cell, VpJobSpec *spec, int64_t now_ms)
 {
--- a/src/vp-cell.h
+++ b/src/vp-cell.h
@@ -27,7 +27,8 @@
   /* Until this long after the setup the platform's list of workers may lack some that are alive;
    * 0 or less: it is whole. */
   int64_t relist_ms;
-  bool is_clean; /* what is known of the jobs is complete: the last scheduler handed over */
+  bool keeps_roster; /* workers get work only once they are kept for a later scheduler */
+  bool is_clean;     /* what is known of the jobs is complete: the last scheduler handed over */
 } VpCellDesc;
 
 typedef enum { VP_CELL_ORDER, VP_CELL_ADVISE } VpCellEffectKind;
@@ -70,6 +71,17 @@
 void vp_cell_stage_ends (VpCell *cell);
 void vp_cell_ends_durable (VpCell *cell, int64_t now_ms);
 bool vp_cell_has_unstaged_ends (const VpCell *cell);
+/* The identities of all workers that tasks may run on ("as"), for a later scheduler: it need not
+ * wait for the platform's list to be whole if it finds all of them there. */
+#define VP_CELL_ROSTER_TYPE "as"
+bool vp_cell_has_unstaged_roster (const VpCell *cell);
+/* Floating; the commit that is built now keeps it. */
+GVariant *vp_cell_stage_roster (VpCell *cell);
+void vp_cell_roster_durable (VpCell *cell);
+/* The commit had no effect. */
+void vp_cell_unstage_roster (VpCell *cell);
+/* What the last scheduler kept. */
+void vp_cell_expect_roster (VpCell *cell, GVariant *ids);
 /* Starts, stops, leases, advice: appends VpCellEffect. */
 void vp_cell_decide (VpCell *cell, int64_t now_ms, GArray *effects);
 /* When vp_cell_decide() has something to do without news. */
--- a/src/vp-front.c
+++ b/src/vp-front.c
@@ -16,9 +16,10 @@
 #define VP_FRONT_AGAIN_MS 60
 /* When to come back if no leader was found in time. */
 #define VP_FRONT_RETRY_MS 1000
-/* The same where this node is cut off: the balancer needs two looks, a second apart, to send
- * callers to other nodes. */
-#define VP_FRONT_CUT_RETRY_MS 2000
+/* Where this node is cut off or stops, the balancer sends callers to other nodes after two looks, a
+ * second apart. */
+#define VP_FRONT_CUT_RETRY_MS     2000
+#define VP_FRONT_CUT_RETRY_MIN_MS 1000
 
 typedef struct {
   VpCall call;
@@ -280,14 +281,22 @@
   pending->next_send_ms = now_ms + VP_FRONT_RESEND_MS;
 }
 
+/* When callers meet another node. */
+static uint32_t
+_vp_front_cut_retry_ms (int64_t unready_ms)
+{
+  return (uint32_t)MAX (VP_FRONT_CUT_RETRY_MS - unready_ms, VP_FRONT_CUT_RETRY_MIN_MS);
+}
+
 /* The request can't be answered any more; true if it was replied to. */
 static bool
 _vp_front_expire (VpFrontCall *pending,
                   bool is_led,
-                  bool is_hopeless,
+                  int64_t unready_ms,
                   int64_t now_ms,
                   VpNodeEffects *effects)
 {
+  bool is_hopeless = unready_ms >= 0;
   bool is_read = pending->kind == VP_NODEMSG_QUERY || pending->kind == VP_NODEMSG_PENDING;
   bool is_leaderless = !is_led && pending->sent_term == 0
                        && now_ms - pending->arrived_ms > VP_FRONT_LEADER_WAIT_MS;
@@ -296,7 +305,8 @@
     return false;
   if (pending->sent_term == 0 || is_read) {
     _vp_front_reject (&pending->call, is_hopeless ? "cut-off-or-stopping" : "no-leader",
-                      is_hopeless ? VP_FRONT_CUT_RETRY_MS : VP_FRONT_RETRY_MS, now_ms, effects);
+                      is_hopeless ? _vp_front_cut_retry_ms (unready_ms) : VP_FRONT_RETRY_MS, now_ms,
+                      effects);
   } else {
     vp_log (now_ms, "no-answer", "path=%s term=%" G_GUINT64_FORMAT " waited_ms=%" G_GINT64_FORMAT,
             pending->call.path, pending->sent_term, now_ms - pending->arrived_ms);
@@ -309,7 +319,7 @@
 vp_front_tick (VpFront *front,
                const char *leader,
                uint64_t term,
-               bool is_hopeless,
+               int64_t unready_ms,
                int64_t now_ms,
                GArray *requests,
                VpNodeEffects *effects)
@@ -321,7 +331,7 @@
   g_hash_table_iter_init (&iter, front->calls);
   while (g_hash_table_iter_next (&iter, NULL, &value)) {
     VpFrontCall *pending = value;
-    if (_vp_front_expire (pending, leader != NULL, is_hopeless, now_ms, effects)) {
+    if (_vp_front_expire (pending, leader != NULL, unready_ms, now_ms, effects)) {
       g_hash_table_remove (front->handles, &pending->call.handle);
       g_hash_table_iter_remove (&iter);
       continue;
--- a/src/vp-front.h
+++ b/src/vp-front.h
@@ -2,7 +2,7 @@
  *
  *   VpFront *front = vp_front_setup ("nadi-1");
  *   vp_front_call (front, &call, conf, now_ms, effects);       // takes over call.spec
- *   vp_front_tick (front, "nadi-2", term, false, now_ms, requests, effects);
+ *   vp_front_tick (front, "nadi-2", term, -1, now_ms, requests, effects);
  *   vp_front_answer (front, &message, now_ms, effects);
  *   vp_front_shutdown (front);
  *
@@ -29,12 +29,13 @@
 void
 vp_front_answer (VpFront *front, const VpNodeMsg *message, int64_t now_ms, VpNodeEffects *effects);
 /* Appends the requests to be sent to the leader (VpNodeMsg with floating bodies) and replies to
- * callers whose time is up. @leader NULL: not known. @is_hopeless: none will be known soon, so
- * that callers do better to come back elsewhere. */
+ * callers whose time is up. @leader NULL: not known. @unready_ms: none will be known soon, so
+ * that callers do better to come back elsewhere, and the balancer has been told for this long to
+ * send them there; -1: requests can be served. */
 void vp_front_tick (VpFront *front,
                     const char *leader,
                     uint64_t term,
-                    bool is_hopeless,
+                    int64_t unready_ms,
                     int64_t now_ms,
                     GArray *requests,
                     VpNodeEffects *effects);
--- a/src/vp-keeper.c
+++ b/src/vp-keeper.c
@@ -24,6 +24,8 @@
 /* Ended jobs are kept a little longer than callers may ask for them. */
 #define VP_KEEPER_RETENTION_ADD_MS 30000
 #define VP_KEEPER_SWEEP_MS         5000
+/* Workers come in crowds; the list of them takes some KB. */
+#define VP_KEEPER_ROSTER_GAP_MS 200
 
 struct _VpKeeper {
   VpKeeperDesc desc;
@@ -32,10 +34,12 @@
   GArray *ended;      /* uint64_t: jobs whose end it holds */
   GArray *touched;    /* uint64_t: all jobs that it holds something of */
   bool covers_ends;   /* it covers the workers' ends that were staged */
-  bool is_sent;       /* an answer is awaited */
-  uint32_t copies;    /* sent since the last answer */
-  int64_t sent_ms;    /* the last of them */
-  bool is_uncertain;  /* an earlier sending may have reached the store */
+  bool covers_roster; /* it keeps the list of workers */
+  int64_t roster_next_ms;
+  bool is_sent;      /* an answer is awaited */
+  uint32_t copies;   /* sent since the last answer */
+  int64_t sent_ms;   /* the last of them */
+  bool is_uncertain; /* an earlier sending may have reached the store */
   bool is_last;
   bool is_failing; /* the last answer was no success */
   bool is_finishing;
@@ -107,11 +111,27 @@
   return bad_count;
 }
 
+/* Without a readable list of workers the scheduler waits for the platform's list to be whole. */
+static uint32_t
+_vp_keeper_load_roster (VpKeeper *keeper, const GPtrArray *values)
+{
+  g_autoptr (GVariant) ids = NULL;
+
+  if (values->len == 0)
+    return 0;
+  ids = vp_node_parse (values->pdata[0], VP_CELL_ROSTER_TYPE);
+  if (ids == NULL)
+    return 1;
+  vp_cell_expect_roster (keeper->desc.cell, ids);
+  return 0;
+}
+
 uint32_t
 vp_keeper_load (VpKeeper *keeper, const VpStoreLoaded *loaded, int64_t now_ms)
 {
-  return _vp_keeper_load_values (keeper, loaded->ended, VP_JOB_END_TYPE, _vp_keeper_take_end,
-                                 now_ms)
+  return _vp_keeper_load_roster (keeper, loaded->workers)
+         + _vp_keeper_load_values (keeper, loaded->ended, VP_JOB_END_TYPE, _vp_keeper_take_end,
+                                   now_ms)
          + _vp_keeper_load_values (keeper, loaded->jobs, VP_JOB_TYPE, _vp_keeper_take_job, now_ms)
          + _vp_keeper_load_values (keeper, loaded->progress, VP_PROGRESS_TYPE,
                                    vp_joblist_decode_progress, now_ms);
@@ -202,6 +222,13 @@
   }
 }
 
+static bool
+_vp_keeper_is_roster_due (const VpKeeper *keeper, int64_t now_ms)
+{
+  return vp_cell_has_unstaged_roster (keeper->desc.cell)
+         && (now_ms >= keeper->roster_next_ms || keeper->is_finishing);
+}
+
 static void
 _vp_keeper_build (VpKeeper *keeper, int64_t now_ms)
 {
@@ -220,6 +247,11 @@
   g_array_set_size (keeper->ended, 0);
   g_array_set_size (keeper->touched, 0);
   _vp_keeper_sweep (keeper, now_ms);
+  keeper->covers_roster = _vp_keeper_is_roster_due (keeper, now_ms);
+  if (keeper->covers_roster) {
+    keeper->roster_next_ms = now_ms + VP_KEEPER_ROSTER_GAP_MS;
+    size += _vp_keeper_set (write, g_strdup ("workers"), vp_cell_stage_roster (keeper->desc.cell));
+  }
   while (!g_queue_is_empty (&jobs->dirty) && size < VP_KEEPER_BYTES_MAX
          && write->keys->len + write->removed->len + VP_KEEPER_ENTRIES_JOB <= VP_KEEPER_ENTRIES_MAX)
     size += _vp_keeper_add_job (keeper, vp_joblist_take_dirty (jobs));
@@ -246,6 +278,7 @@
     return false;
   return keeper->write.serial != 0 || !g_queue_is_empty (&vp_cell_jobs ((VpCell *)cell)->dirty)
          || vp_cell_has_unstaged_ends (cell) || keeper->is_finishing
+         || _vp_keeper_is_roster_due (keeper, now_ms)
          || now_ms - keeper->written_ms >= VP_KEEPER_IDLE_MS;
 }
 
@@ -292,6 +325,8 @@
   g_array_append_vals (kept, keeper->ended->data, keeper->ended->len);
   if (keeper->covers_ends)
     vp_cell_ends_durable (keeper->desc.cell, now_ms);
+  if (keeper->covers_roster)
+    vp_cell_roster_durable (keeper->desc.cell);
   vp_counters_add (VP_COUNT_LEDGER_COMMITS, 1);
   if (keeper->is_failing)
     vp_log (now_ms, "commits-again", "after_ms=%" G_GINT64_FORMAT, now_ms - keeper->written_ms);
@@ -320,6 +355,8 @@
 {
   VpJobList *jobs = vp_cell_jobs (keeper->desc.cell);
 
+  if (keeper->covers_roster)
+    vp_cell_unstage_roster (keeper->desc.cell);
   for (guint i = 0; i < keeper->touched->len; i++) {
     VpJob *job = vp_joblist_find (jobs, g_array_index (keeper->touched, uint64_t, i));
     if (job != NULL)
--- a/src/vp-members.c
+++ b/src/vp-members.c
@@ -4,6 +4,8 @@
 
 /* A process that was not heard for this long gets no advice calls and has no say. */
 #define VP_MEMBERS_HEARD_MS 1000
+/* Partners to either side in the order of names. */
+#define VP_MEMBERS_PARTNERS 16
 /* A process that is unlisted and silent is forgotten after this. */
 #define VP_MEMBERS_FORGET_MS 10000
 
@@ -36,9 +38,10 @@
   member->started_ms = now_ms - ping->age_ms;
 }
 
-void
+bool
 vp_members_forget (GHashTable *members, int64_t now_ms)
 {
+  guint before = g_hash_table_size (members);
   GHashTableIter iter;
   gpointer value;
 
@@ -48,6 +51,38 @@
     if (!member->is_listed && now_ms - member->heard_ms > VP_MEMBERS_FORGET_MS)
       g_hash_table_iter_remove (&iter);
   }
+  return g_hash_table_size (members) != before;
+}
+
+static gint
+_vp_members_compare (gconstpointer a, gconstpointer b)
+{
+  return strcmp (*(const char *const *)a, *(const char *const *)b);
+}
+
+void
+vp_members_choose_partners (GHashTable *members, const char *self)
+{
+  guint count = g_hash_table_size (members) + 1;
+  guint stride = MAX (count / VP_MEMBERS_PARTNERS, 1);
+  g_autoptr (GPtrArray) names = g_ptr_array_sized_new (count);
+  guint own = 0;
+  GHashTableIter iter;
+  gpointer name;
+
+  g_ptr_array_add (names, (gpointer)self);
+  g_hash_table_iter_init (&iter, members);
+  while (g_hash_table_iter_next (&iter, &name, NULL))
+    g_ptr_array_add (names, name);
+  g_ptr_array_sort (names, _vp_members_compare);
+  while (names->pdata[own] != self)
+    own++;
+  for (guint i = 0; i < count; i++) {
+    guint ahead = (i + count - own) % count;
+    VpMemberState *member = g_hash_table_lookup (members, names->pdata[i]);
+    if (member != NULL)
+      member->is_partner = ahead % stride == 0 || (count - ahead) % stride == 0;
+  }
 }
 
 static bool
@@ -67,7 +102,7 @@
   while (g_hash_table_iter_next (&iter, NULL, &value)) {
     const VpMemberState *member = value;
     bool is_heard = _vp_member_is_heard (member, now_ms);
-    view->member_count += member->is_listed || is_heard ? 1 : 0;
+    view->member_count += (member->is_listed && member->is_partner) || is_heard ? 1 : 0;
     view->heard_count += is_heard ? 1 : 0;
     view->deaf_count += is_heard && !member->hears_leader ? 1 : 0;
     if (is_heard && !member->is_stopping)
--- a/src/vp-members.h
+++ b/src/vp-members.h
@@ -21,6 +21,7 @@
   bool hears_leader;
   bool is_stopping;
   uint32_t cpu_milli; /* processor time of its VM */
+  bool is_partner;    /* it and this process ping each other */
   int64_t started_ms;
   int64_t busy_until_ms; /* its advice calls are expected to be done */
 } VpMemberState;
@@ -30,8 +31,13 @@
 /* Adds a member that isn't known. */
 VpMemberState *vp_members_get (GHashTable *members, const char *name);
 void vp_member_heard (VpMemberState *member, const VpNodeMsg *ping, int64_t now_ms);
-/* Drops those that are neither listed nor heard any more. */
-void vp_members_forget (GHashTable *members, int64_t now_ms);
+/* Drops those that are neither listed nor heard any more. True if there were any. */
+bool vp_members_forget (GHashTable *members, int64_t now_ms);
+/* Chooses who pings whom: everybody in a small cell; in a large one each process and some 16 to 32
+ * others that are spread evenly over the names, so that the pings of all grow with the number of
+ * processes and not with its square. Partners choose each other. To be called when members come or
+ * go. */
+void vp_members_choose_partners (GHashTable *members, const char *self);
 void vp_members_view (GHashTable *members, int64_t now_ms, VpLeadView *view);
 /* Fewer than half of the processes are in reach, so no leader will be soon. */
 bool vp_members_is_cut_off (GHashTable *members, int64_t now_ms);
--- a/src/vp-node.c
+++ b/src/vp-node.c
@@ -52,6 +52,7 @@
   int64_t busy_until_ms; /* own advice calls */
   int64_t started_ms;
   bool is_ready;
+  int64_t unready_ms; /* it is not ready since */
   bool is_stopping;
   bool is_closing; /* it gives back at once what it can't finish */
   bool is_exiting;
@@ -76,7 +77,7 @@
   node->desc = *desc;
   g_strlcpy (node->name, desc->name, sizeof node->name);
   node->desc.name = node->name;
-  node->started_ms = now_ms;
+  node->started_ms = node->unready_ms = now_ms;
   vp_lead_setup (&node->lead, node->name, desc->cpu_milli, now_ms);
   node->front = vp_front_setup (node->name);
   node->members = vp_members_new ();
@@ -171,23 +172,38 @@
     return;
   _vp_node_set_gauges (node);
   node->ping_next_ms = now_ms + (is_leader ? VP_NODE_PING_LEADER_MS : VP_NODE_PING_MS);
-  vp_members_forget (node->members, now_ms);
+  if (vp_members_forget (node->members, now_ms))
+    vp_members_choose_partners (node->members, node->name);
   g_hash_table_iter_init (&iter, node->members);
   while (g_hash_table_iter_next (&iter, NULL, &value)) {
     const VpMemberState *member = value;
-    VpNodeMsg ping = { .kind = VP_NODEMSG_PING,
-                       .term = node->lead.term,
-                       .is_leader = is_leader,
-                       .hears_leader = vp_lead_is_heard (&node->lead, now_ms),
-                       .is_stopping = node->is_stopping,
-                       .cpu_milli = node->desc.cpu_milli,
-                       .age_ms = now_ms - node->started_ms,
-                       .conf_version = node->conf == NULL ? 0 : node->conf->version };
+    VpNodeMsg ping;
+    if (!is_leader && !member->is_partner && strcmp (member->name, node->lead.leader) != 0)
+      continue;
+    ping = (VpNodeMsg){ .kind = VP_NODEMSG_PING,
+                        .term = node->lead.term,
+                        .is_leader = is_leader,
+                        .hears_leader = vp_lead_is_heard (&node->lead, now_ms),
+                        .is_stopping = node->is_stopping,
+                        .cpu_milli = node->desc.cpu_milli,
+                        .age_ms = now_ms - node->started_ms,
+                        .conf_version = node->conf == NULL ? 0 : node->conf->version };
     ping.store_age_ms = _vp_node_store_age_ms (node, now_ms);
     _vp_node_send (node, member->name, &ping, effects);
   }
 }
 
+static VpMemberState *
+_vp_node_member (VpNode *node, const char *name)
+{
+  guint before = g_hash_table_size (node->members);
+  VpMemberState *member = vp_members_get (node->members, name);
+
+  if (g_hash_table_size (node->members) != before)
+    vp_members_choose_partners (node->members, node->name);
+  return member;
+}
+
 static void
 _vp_node_take_member (VpNode *node,
                       const char *name,
@@ -200,7 +216,7 @@
 
   if (strcmp (name, node->name) == 0)
     return;
-  member = vp_members_get (node->members, name);
+  member = _vp_node_member (node, name);
   member->is_listed = address[0] != '\0';
   if (!member->is_listed || strcmp (member->address, address) == 0)
     return;
@@ -217,7 +233,7 @@
 {
   VpNodeMsg ask = { .kind = VP_NODEMSG_CONF_ASK };
 
-  vp_member_heard (vp_members_get (node->members, ping->from), ping, now_ms);
+  vp_member_heard (_vp_node_member (node, ping->from), ping, now_ms);
   if (ping->is_leader)
     vp_lead_heard (&node->lead, ping->from, ping->term, ping->store_age_ms, now_ms);
   if (now_ms >= node->conf_ask_next_ms
@@ -379,6 +395,7 @@
                       .hold_max_ms = node->desc.hold_max_ms,
                       .gone_ms = node->desc.gone_ms,
                       .relist_ms = node->lead.store_away_ms + node->desc.relist_ms - now_ms,
+                      .keeps_roster = true,
                       .is_clean = node->lead.is_after_clean };
 
   node->cell = vp_cell_setup (&desc, now_ms);
@@ -798,10 +815,10 @@
 {
   g_autoptr (GArray) requests = g_array_new (FALSE, FALSE, sizeof (VpNodeMsg));
   bool is_known = _vp_node_is_led (node, now_ms);
+  bool is_hopeless = node->is_closing || (!is_known && _vp_node_is_cut_off (node, now_ms));
 
   vp_front_tick (node->front, is_known ? node->lead.leader : NULL, node->lead.term,
-                 node->is_closing || (!is_known && _vp_node_is_cut_off (node, now_ms)), now_ms,
-                 requests, effects);
+                 is_hopeless ? now_ms - node->unready_ms : -1, now_ms, requests, effects);
   for (guint i = 0; i < requests->len; i++) {
     VpNodeMsg *request = &g_array_index (requests, VpNodeMsg, i);
     if (strcmp (node->lead.leader, node->name) != 0) {
@@ -823,6 +840,7 @@
   if (is_ready == node->is_ready)
     return;
   node->is_ready = is_ready;
+  node->unready_ms = now_ms;
   vp_log (now_ms, "ready", "is_ready=%d conf=%d leader=%s stopping=%d", is_ready,
           node->conf != NULL, node->lead.leader[0] == '\0' ? "-" : node->lead.leader,
           node->is_stopping);
@@ -840,11 +858,11 @@
 vp_node_step (VpNode *node, int64_t now_ms, VpNodeEffects *effects)
 {
   _vp_node_step_lead (node, now_ms, effects);
+  _vp_node_step_ready (node, now_ms, effects);
   _vp_node_step_front (node, now_ms, effects);
   _vp_node_step_cell (node, now_ms, effects);
   _vp_node_deliver_answers (node, now_ms, effects);
   _vp_node_ping (node, now_ms, effects);
-  _vp_node_step_ready (node, now_ms, effects);
   if (node->is_stopping && !node->is_closing
       && now_ms >= _vp_node_exit_ms (node) - VP_NODE_CLOSE_MS) {
     node->is_closing = true;
--- a/src/vp-nodeio.c
+++ b/src/vp-nodeio.c
@@ -76,6 +76,7 @@
     g_clear_pointer (&event->loaded.ended, g_ptr_array_unref);
     g_clear_pointer (&event->loaded.jobs, g_ptr_array_unref);
     g_clear_pointer (&event->loaded.progress, g_ptr_array_unref);
+    g_clear_pointer (&event->loaded.workers, g_ptr_array_unref);
     break;
   case VP_NODE_ORDER_RESULT:
     vp_order_result_clear (&event->order);
--- a/src/vp-nodeio.h
+++ b/src/vp-nodeio.h
@@ -90,6 +90,7 @@
   GPtrArray *ended; /* GBytes */
   GPtrArray *jobs;
   GPtrArray *progress;
+  GPtrArray *workers; /* one list of the workers that may be in use, or none */
 } VpStoreLoaded;
 
 typedef enum {
--- a/src/vp-roster.c
+++ b/src/vp-roster.c
@@ -73,6 +73,7 @@
     worker->pace_percent = 100;
     worker->slowness = 1;
     worker->entry = *entry;
+    roster->is_changed = true;
     g_ptr_array_add (roster->workers, worker);
     g_hash_table_insert (roster->by_id, worker->entry.id, worker);
   }
@@ -92,6 +93,7 @@
 void
 vp_roster_remove (VpRoster *roster, VpRosterWorker *worker)
 {
+  roster->is_changed = true;
   g_hash_table_remove (roster->by_id, worker->entry.id);
   g_ptr_array_remove (roster->workers, worker);
 }
@@ -177,7 +179,7 @@
 vp_roster_is_usable (const VpRosterWorker *worker, int64_t now_ms)
 {
   return worker->is_listed && worker->is_synced && worker->is_reachable
-         && !worker->entry.is_draining && worker->foreign_count == 0
+         && !worker->entry.is_draining && worker->foreign_count == 0 && !worker->is_withheld
          && now_ms >= worker->avoid_until_ms;
 }
 
--- a/src/vp-roster.h
+++ b/src/vp-roster.h
@@ -46,6 +46,8 @@
   GHashTable *tasks;        /* committed tasks, by address */
   uint32_t foreign_count;   /* listed runs that no known task accounts for */
   bool is_listed;           /* in the platform's list now */
+  bool is_withheld;         /* a later scheduler would not know of it yet: gets no work */
+  bool is_staged;           /* the commit under way keeps it */
   bool is_over;             /* another life has its address: nothing of this one runs */
   bool has_left;            /* it drained and left the list; gone once it doesn't answer */
   bool is_synced;           /* its runs are known since this scheduler took over */
@@ -77,6 +79,7 @@
   GPtrArray *workers; /* VpRosterWorker, in order of first appearance */
   GHashTable *racks;  /* "dc/rack" -> index + 1 */
   int64_t hold_max_ms;
+  bool is_changed; /* since it was last kept */
 } VpRoster;
 
 VpRoster *vp_roster_setup (int64_t hold_max_ms);
--- a/tests/test-cell.c
+++ b/tests/test-cell.c
@@ -65,7 +65,7 @@
 }
 
 static void
-_setup_relisting (Fixture *fixture, int64_t relist_ms, uint32_t worker_count, bool has_advice)
+_setup_cell (Fixture *fixture, const VpCellDesc *desc, uint32_t worker_count, bool has_advice)
 {
   VpQueueConf queue = { .name = "q",
                         .service = "service",
@@ -81,9 +81,7 @@
 
   *fixture = (Fixture){ .now_ms = 1000000 };
   fixture->effects = g_array_new (FALSE, FALSE, sizeof (VpCellEffect));
-  fixture->cell = vp_cell_setup (
-      &(VpCellDesc){ .fence = 7, .hold_max_ms = 6000, .gone_ms = 4500, .relist_ms = relist_ms },
-      fixture->now_ms);
+  fixture->cell = vp_cell_setup (desc, fixture->now_ms);
   g_array_append_val (conf->queues, queue);
   g_array_append_val (conf->teams, team);
   vp_cellconf_seal (conf);
@@ -97,6 +95,15 @@
   _decide (fixture);
 }
 
+static void
+_setup_relisting (Fixture *fixture, int64_t relist_ms, uint32_t worker_count, bool has_advice)
+{
+  _setup_cell (
+      fixture,
+      &(VpCellDesc){ .fence = 7, .hold_max_ms = 6000, .gone_ms = 4500, .relist_ms = relist_ms },
+      worker_count, has_advice);
+}
+
 static void
 _setup (Fixture *fixture, uint32_t worker_count, bool has_advice)
 {
@@ -748,6 +755,95 @@
   _teardown (&fixture);
 }
 
+/* What a scheduler that keeps its list of workers finds: "w0" and "w1" were kept. */
+static void
+_setup_kept (Fixture *fixture, uint32_t worker_count)
+{
+  GVariantBuilder ids;
+  g_autoptr (GVariant) kept = NULL;
+
+  _setup_cell (fixture,
+               &(VpCellDesc){ .fence = 7,
+                              .hold_max_ms = 6000,
+                              .gone_ms = 4500,
+                              .relist_ms = 2500,
+                              .keeps_roster = true },
+               worker_count, false);
+  g_variant_builder_init (&ids, G_VARIANT_TYPE (VP_CELL_ROSTER_TYPE));
+  g_variant_builder_add (&ids, "s", "w0");
+  g_variant_builder_add (&ids, "s", "w1");
+  kept = g_variant_ref_sink (g_variant_builder_end (&ids));
+  vp_cell_expect_roster (fixture->cell, kept);
+  _sync (fixture);
+  fixture->now_ms += 100;
+  _submit (fixture, 1, 1000)->is_inherited = true;
+  _decide (fixture);
+}
+
+/* All workers that were kept are listed and heard: nothing else can run, so there is no wait. */
+static void
+test_kept_roster (void)
+{
+  Fixture fixture;
+
+  _setup_kept (&fixture, 2);
+  g_assert_nonnull (_find (&fixture, VP_ORDER_START));
+  _teardown (&fixture);
+}
+
+/* One of them is missing from the platform's list: it may be back within the time for that. */
+static void
+test_kept_worker_missing (void)
+{
+  Fixture fixture;
+
+  _setup_kept (&fixture, 1);
+  g_assert_null (_find (&fixture, VP_ORDER_START));
+  fixture.now_ms += 2300;
+  _decide (&fixture);
+  g_assert_null (_find (&fixture, VP_ORDER_START));
+  fixture.now_ms += 200;
+  _decide (&fixture);
+  g_assert_nonnull (_find (&fixture, VP_ORDER_START));
+  _teardown (&fixture);
+}
+
+/* A worker that a later scheduler would not know of gets no work; a commit without effect does not
+ * change that. The list names workers that are still missing, too. */
+static void
+test_withheld_worker (void)
+{
+  Fixture fixture;
+  VpWorkerEntry entry = _entry (2);
+  VpOrderResult result;
+  g_autoptr (GVariant) ids = NULL;
+
+  _setup_kept (&fixture, 1);
+  vp_cell_worker (fixture.cell, &entry, fixture.now_ms);
+  result = _list (&fixture, "w2");
+  _take (&fixture, &result);
+  for (int i = 0; i < 8; i++)
+    _submit (&fixture, 1, 2000);
+  _decide (&fixture);
+  for (guint i = 0; i < fixture.effects->len; i++) {
+    const VpOrder *order = &g_array_index (fixture.effects, VpCellEffect, i).order;
+    g_assert_true (order->kind != VP_ORDER_START || strcmp (order->worker, "w2") != 0);
+  }
+  g_assert_true (vp_cell_has_unstaged_roster (fixture.cell));
+  g_variant_unref (g_variant_ref_sink (vp_cell_stage_roster (fixture.cell)));
+  vp_cell_unstage_roster (fixture.cell);
+  g_assert_true (vp_cell_has_unstaged_roster (fixture.cell));
+  ids = g_variant_ref_sink (vp_cell_stage_roster (fixture.cell));
+  g_assert_cmpuint (g_variant_n_children (ids), ==, 3);
+  _decide (&fixture);
+  g_assert_null (_find (&fixture, VP_ORDER_START));
+  vp_cell_roster_durable (fixture.cell);
+  g_assert_false (vp_cell_has_unstaged_roster (fixture.cell));
+  _decide (&fixture);
+  g_assert_cmpstr (_find (&fixture, VP_ORDER_START)->worker, ==, "w2");
+  _teardown (&fixture);
+}
+
 /* A worker that has heard a later scheduler says so. */
 static void
 test_fenced (void)
@@ -898,6 +994,9 @@
   g_test_add_func ("/cell/other-life", test_other_life);
   g_test_add_func ("/cell/done-before", test_done_before);
   g_test_add_func ("/cell/relisted", test_relisted);
+  g_test_add_func ("/cell/kept-roster", test_kept_roster);
+  g_test_add_func ("/cell/kept-worker-missing", test_kept_worker_missing);
+  g_test_add_func ("/cell/withheld-worker", test_withheld_worker);
   g_test_add_func ("/cell/fenced", test_fenced);
   g_test_add_func ("/cell/unkept-failures", test_unkept_failures);
   g_test_add_func ("/cell/end-listed-twice", test_end_listed_twice);
--- a/tests/test-front.c
+++ b/tests/test-front.c
@@ -9,7 +9,7 @@
   GArray *requests;
   VpNodeEffects effects;
   int64_t now_ms;
-  bool is_hopeless;
+  int64_t unready_ms; /* -1: a leader may be found */
 } Fixture;
 
 static void
@@ -21,7 +21,7 @@
   };
   VpTeamConf team = { .name = "team" };
 
-  *fixture = (Fixture){ .front = vp_front_setup ("node"), .now_ms = 1000000 };
+  *fixture = (Fixture){ .front = vp_front_setup ("node"), .now_ms = 1000000, .unready_ms = -1 };
   fixture->requests = g_array_new (FALSE, FALSE, sizeof (VpNodeMsg));
   fixture->conf = vp_cellconf_new (1);
   g_array_append_val (fixture->conf->queues, queue);
@@ -74,7 +74,7 @@
 _tick (Fixture *fixture, const char *leader, uint64_t term)
 {
   _clear (fixture);
-  vp_front_tick (fixture->front, leader, term, fixture->is_hopeless, fixture->now_ms,
+  vp_front_tick (fixture->front, leader, term, fixture->unready_ms, fixture->now_ms,
                  fixture->requests, &fixture->effects);
 }
 
@@ -167,13 +167,13 @@
 
   _setup (&fixture);
   _call (&fixture, VP_CALL_SUBMIT, JOB, "secret");
-  fixture.is_hopeless = true;
+  fixture.unready_ms = 0;
   _tick (&fixture, NULL, 0);
   _assert_reply (&fixture, VP_REPLY_REJECTED);
-  fixture.is_hopeless = false;
+  fixture.unready_ms = -1;
   _call (&fixture, VP_CALL_SUBMIT, JOB, "secret");
   _tick (&fixture, "leader", 1);
-  fixture.is_hopeless = true;
+  fixture.unready_ms = 0;
   _tick (&fixture, NULL, 0);
   _assert_reply (&fixture, VP_REPLY_NO_ANSWER);
   _teardown (&fixture);
@@ -202,6 +202,26 @@
   _teardown (&fixture);
 }
 
+/* Callers of a cut-off node come back when the balancer sends them elsewhere, and no later. */
+static void
+test_cut_off_retry (void)
+{
+  Fixture fixture;
+
+  _setup (&fixture);
+  _call (&fixture, VP_CALL_SUBMIT, JOB, "secret");
+  fixture.unready_ms = 0;
+  _tick (&fixture, NULL, 0);
+  _assert_reply (&fixture, VP_REPLY_REJECTED);
+  g_assert_cmpuint (fixture.effects.items[0].reply.retry_after_ms, ==, 2000);
+  _call (&fixture, VP_CALL_SUBMIT, JOB, "secret");
+  fixture.unready_ms = 1500;
+  _tick (&fixture, NULL, 0);
+  _assert_reply (&fixture, VP_REPLY_REJECTED);
+  g_assert_cmpuint (fixture.effects.items[0].reply.retry_after_ms, ==, 1000);
+  _teardown (&fixture);
+}
+
 int
 main (int argc, char **argv)
 {
@@ -212,5 +232,6 @@
   g_test_add_func ("/front/no-answer", test_no_answer);
   g_test_add_func ("/front/cut-off", test_cut_off);
   g_test_add_func ("/front/outdated-rejection", test_outdated_rejection);
+  g_test_add_func ("/front/cut-off-retry", test_cut_off_retry);
   return g_test_run ();
 }
--- /dev/null
+++ b/tests/test-members.c
@@ -0,0 +1,109 @@
+/* Who pings whom, and what is concluded from who is heard. */
+#include "vp-members.h"
+
+#define NOW_MS 1000000
+
+static char *
+_name (uint32_t number)
+{
+  return g_strdup_printf ("node-%03u", number);
+}
+
+/* The members as process @self of @count knows them. */
+static GHashTable *
+_members (uint32_t self, uint32_t count)
+{
+  GHashTable *members = vp_members_new ();
+  g_autofree char *own = _name (self);
+
+  for (uint32_t i = 0; i < count; i++) {
+    g_autofree char *name = _name (i);
+    if (i != self)
+      vp_members_get (members, name)->is_listed = true;
+  }
+  vp_members_choose_partners (members, own);
+  return members;
+}
+
+static uint32_t
+_partner_count (GHashTable *members)
+{
+  GHashTableIter iter;
+  gpointer value;
+  uint32_t count = 0;
+
+  g_hash_table_iter_init (&iter, members);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    count += ((const VpMemberState *)value)->is_partner ? 1 : 0;
+  return count;
+}
+
+static void
+test_partners_are_mutual (void)
+{
+  static const uint32_t counts[] = { 2, 6, 31, 33, 43, 300 };
+
+  for (guint c = 0; c < G_N_ELEMENTS (counts); c++) {
+    g_autoptr (GPtrArray) all = g_ptr_array_new_with_free_func ((GDestroyNotify)g_hash_table_unref);
+    for (uint32_t i = 0; i < counts[c]; i++)
+      g_ptr_array_add (all, _members (i, counts[c]));
+    for (uint32_t a = 0; a < counts[c]; a++) {
+      uint32_t partners = _partner_count (all->pdata[a]);
+      g_assert_cmpuint (partners, <=, 45);
+      g_assert_cmpuint (partners, >=, MIN (counts[c] - 1, 16));
+      for (uint32_t b = 0; b < counts[c]; b++) {
+        g_autofree char *name_a = _name (a);
+        g_autofree char *name_b = _name (b);
+        if (a != b)
+          g_assert_true (vp_members_get (all->pdata[a], name_b)->is_partner
+                         == vp_members_get (all->pdata[b], name_a)->is_partner);
+      }
+    }
+  }
+}
+
+/* In a large cell a process knows from its partners alone whether it is cut off. */
+static void
+test_cut_off_by_partners (void)
+{
+  g_autoptr (GHashTable) members = _members (7, 300);
+  VpNodeMsg ping = { .kind = VP_NODEMSG_PING };
+  GHashTableIter iter;
+  gpointer value;
+
+  g_assert_true (vp_members_is_cut_off (members, NOW_MS));
+  g_hash_table_iter_init (&iter, members);
+  while (g_hash_table_iter_next (&iter, NULL, &value)) {
+    if (((VpMemberState *)value)->is_partner)
+      vp_member_heard (value, &ping, NOW_MS);
+  }
+  g_assert_false (vp_members_is_cut_off (members, NOW_MS));
+  g_assert_true (vp_members_is_cut_off (members, NOW_MS + 5000));
+}
+
+/* The strongest VM takes over, and of those the process that started last. */
+static void
+test_successor (void)
+{
+  g_autoptr (GHashTable) members = _members (0, 4);
+  VpNodeMsg ping = { .kind = VP_NODEMSG_PING, .cpu_milli = 120, .age_ms = 10 };
+
+  vp_member_heard (vp_members_get (members, "node-001"), &ping, NOW_MS);
+  ping.cpu_milli = 500;
+  ping.age_ms = 5000;
+  vp_member_heard (vp_members_get (members, "node-002"), &ping, NOW_MS);
+  g_assert_cmpstr (vp_members_successor (members, NOW_MS)->name, ==, "node-002");
+  ping.age_ms = 4000;
+  vp_member_heard (vp_members_get (members, "node-003"), &ping, NOW_MS);
+  g_assert_cmpstr (vp_members_successor (members, NOW_MS)->name, ==, "node-003");
+}
+
+int
+main (int argc, char *argv[])
+{
+  g_test_init (&argc, &argv, NULL);
+  g_test_add_func ("/members/partners-are-mutual", test_partners_are_mutual);
+  g_test_add_func ("/members/cut-off-by-partners", test_cut_off_by_partners);
+  g_test_add_func ("/members/successor", test_successor);
+  return g_test_run ();
+}
--- a/tests/world.c
+++ b/tests/world.c
@@ -218,6 +218,7 @@
   loaded->ended = world_store_below (&world->store, "ended/");
   loaded->jobs = world_store_below (&world->store, "job/");
   loaded->progress = world_store_below (&world->store, "progress/");
+  loaded->workers = world_store_below (&world->store, "workers");
 }
 
 /* Workers. */
