Tell callers in time that only the store knows whether their job was taken

Ruled out: rejecting them; the commit may be carried out later, so "not run" would not be true.

Change: after a second on a failing store such a request is answered with 504 at once; the job stays with the scheduler, and the next try with its identity is answered from it. soak/ has no circle any more (report.c).

Test: test-broker, uncertain-is-given-up fails without the change (no answer at 1,100 ms); unsent-is-rejected holds before and after.

--- /dev/null
+++ b/soak/report.c
@@ -0,0 +1,20 @@
+#include "soak.h"
+
+#include <stdarg.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <unistd.h>
+
+void
+soak_violated (const Soak *soak, const char *format, ...)
+{
+  g_autofree char *text = NULL;
+  va_list args;
+
+  va_start (args, format);
+  text = g_strdup_vprintf (format, args);
+  va_end (args);
+  fprintf (stderr, "seed %u: %s (logs in %s)\n", soak->seed, text, soak->log_dir);
+  soak->abandon ();
+  _exit (EXIT_FAILURE);
+}
--- a/soak/soak.c
+++ b/soak/soak.c
@@ -71,20 +71,6 @@
   }
 }
 
-void
-soak_violated (const Soak *soak, const char *format, ...)
-{
-  g_autofree char *text = NULL;
-  va_list args;
-
-  va_start (args, format);
-  text = g_strdup_vprintf (format, args);
-  va_end (args);
-  fprintf (stderr, "seed %u: %s (logs in %s)\n", soak->seed, text, soak->log_dir);
-  _kill_all ();
-  _exit (EXIT_FAILURE);
-}
-
 static void _log (const char *format, ...) G_GNUC_PRINTF (1, 2);
 
 static void
@@ -593,7 +579,8 @@
                   .worker_count = 6,
                   .caller_count = 12,
                   .fault_ms = 30000,
-                  .settle_ms = 30000 };
+                  .settle_ms = 30000,
+                  .abandon = _kill_all };
   argp_parse (&argp, argc, argv, 0, NULL, NULL);
   /* Runs at the same time use different loopback addresses. */
   g_snprintf (soak->net, sizeof soak->net, "127.%d.%d", 40 + getpid () % 100,
--- a/soak/soak.h
+++ b/soak/soak.h
@@ -31,7 +31,8 @@
   uint32_t completed_count;
   uint32_t refused_count;
   uint32_t uncertain_count;
-  bool is_over; /* callers end */
+  bool is_over;           /* callers end */
+  void (*abandon) (void); /* ends the processes under test; called before a failed run exits */
 } Soak;
 
 /* Prints the line with the seed and ends the run as failed. */
--- a/src/vp-broker.c
+++ b/src/vp-broker.c
@@ -11,6 +11,9 @@
 #define VP_BROKER_STORE_AGE_MS 900
 /* A job that has waited this long for a store that turns writes away is given back. */
 #define VP_BROKER_WITHDRAW_MS 600
+/* A job in a commit that may or may not have reached the store: its callers are told so after this,
+ * while they still have time for another try. */
+#define VP_BROKER_UNKNOWN_MS 1000
 /* When to come back while the store is away: outages last for some seconds, and callers try a few
  * times only. */
 #define VP_BROKER_STORE_RETRY_MS 2000
@@ -293,6 +296,25 @@
   return true;
 }
 
+/* Gives requests back whose outcome the store alone knows; the job itself goes on being kept. */
+static void
+_vp_broker_give_up (VpBroker *broker, uint64_t id, GArray *waiters, int64_t now_ms, GArray *answers)
+{
+  for (guint i = 0; i < waiters->len;) {
+    const VpBrokerWaiter *waiter = &g_array_index (waiters, VpBrokerWaiter, i);
+    if (waiter->kind != VP_NODEMSG_SUBMIT || now_ms - waiter->since_ms < VP_BROKER_UNKNOWN_MS) {
+      i++;
+      continue;
+    }
+    vp_log (now_ms, "give-up",
+            "job=%016" G_GINT64_MODIFIER "x store_age_ms=%" G_GINT64_FORMAT
+            " waited_ms=%" G_GINT64_FORMAT,
+            id, vp_keeper_age_ms (broker->keeper, now_ms), now_ms - waiter->since_ms);
+    _vp_broker_answer (broker, waiter->from, waiter->serial, VP_ANSWER_UNKNOWN, answers);
+    g_array_remove_index (waiters, i);
+  }
+}
+
 void
 vp_broker_tick (VpBroker *broker, int64_t now_ms, GArray *answers)
 {
@@ -312,7 +334,11 @@
     return;
   g_hash_table_iter_init (&iter, broker->waiters);
   while (g_hash_table_iter_next (&iter, &id, &waiters)) {
-    if (_vp_broker_withdraw (broker, *(uint64_t *)id, waiters, now_ms, answers))
+    if (!_vp_broker_withdraw (broker, *(uint64_t *)id, waiters, now_ms, answers))
+      _vp_broker_give_up (broker, *(uint64_t *)id, waiters, now_ms, answers);
+    else
+      g_array_set_size (waiters, 0);
+    if (((GArray *)waiters)->len == 0)
       g_hash_table_iter_remove (&iter);
   }
 }
--- a/src/vp-front.c
+++ b/src/vp-front.c
@@ -255,6 +255,9 @@
   case VP_ANSWER_GONE:
     _vp_front_reply (pending->call.handle, VP_REPLY_GONE, effects);
     break;
+  case VP_ANSWER_UNKNOWN:
+    _vp_front_reply (pending->call.handle, VP_REPLY_NO_ANSWER, effects);
+    break;
   default:
     reply = _vp_front_reply (pending->call.handle, VP_REPLY_REJECTED, effects);
     reply->retry_after_ms = message->retry_after_ms;
--- a/src/vp-nodemsg.h
+++ b/src/vp-nodemsg.h
@@ -32,6 +32,7 @@
   VP_ANSWER_COUNT,      /* @count */
   VP_ANSWER_GONE,       /* no such job */
   VP_ANSWER_REJECTED,   /* not accepted, never runs; worth another try after @retry_after_ms */
+  VP_ANSWER_UNKNOWN,    /* it may have been accepted or not; worth another try */
   VP_ANSWER_NOT_LEADER, /* nothing done: ask the leader, or this one again later */
   VP_ANSWER_COUNT_OF,
 } VpAnswerKind;
