--- a/src/vp-members.c
+++ b/src/vp-members.c
@@ -4,7 +4,7 @@
 
 /* A process that was not heard for this long gets no advice calls and has no say. */
 #define VP_MEMBERS_HEARD_MS 1000
-/* Partners to either side in the order of names. */
+/* Fewest partners of a process in a large cell, about; there are up to twice as many. */
 #define VP_MEMBERS_PARTNERS 16
 /* A process that is unlisted and silent is forgotten after this. */
 #define VP_MEMBERS_FORGET_MS 10000
@@ -80,8 +80,9 @@
   for (guint i = 0; i < count; i++) {
     guint ahead = (i + count - own) % count;
     VpMemberState *member = g_hash_table_lookup (members, names->pdata[i]);
+    /* The shorter way round is the same from both sides. */
     if (member != NULL)
-      member->is_partner = ahead % stride == 0 || (count - ahead) % stride == 0;
+      member->is_partner = MIN (ahead, count - ahead) % stride == 0;
   }
 }
 
