A DC that leaves orders unanswered gets no work until it is heard

Cause: where a DC is cut off without resets, calls that wait there end only after their time-out of 3 s, so the leader went on placing tasks on those workers for 1.3 to 2.7 s; each stays uncertain until the lease is over.

Change: when a start has no answer after 120 ms and nothing at all was heard of its DC since, none of the DC's workers is usable until one is heard.

Test: cell/silent-dc fails without the change.

--- a/src/vp-cell.c
+++ b/src/vp-cell.c
@@ -829,7 +829,12 @@
   if (!task->is_unanswered) {
     if (task->start_tries < VP_CELL_START_TRIES
         && now_ms - task->ordered_ms > VP_CELL_START_HEDGE_MS * task->start_tries) {
-      vp_jobtask_log (task, "start-again", "slow-answer", now_ms);
+      bool is_dc_silent = vp_roster_dc_heard_ms (cell->roster, task->worker) < task->started_ms;
+      vp_jobtask_log (task, "start-again", is_dc_silent ? "silent-dc" : "slow-answer", now_ms);
+      /* Its other workers would not answer either, and what is ordered there stays uncertain until
+       * their leases are over. */
+      if (is_dc_silent)
+        vp_roster_set_dc_silent (cell->roster, task->worker, true);
       task->worker->avoid_until_ms
           = MAX (task->worker->avoid_until_ms, now_ms + VP_CELL_SLOW_ANSWER_MS);
       _vp_cell_order_start (cell, task, now_ms, effects);
--- a/src/vp-roster.c
+++ b/src/vp-roster.c
@@ -1,5 +1,7 @@
 #include "vp-roster.h"
 
+#include <string.h>
+
 /* Failures of this many different jobs, or runs, without a success in between put a worker aside.
  * Tasks fail for faults of their own in one run of twenty, and jobs that can never be done fail
  * with all their tasks; the time aside is short for these. */
@@ -98,6 +100,16 @@
   g_ptr_array_remove (roster->workers, worker);
 }
 
+void
+vp_roster_set_dc_silent (const VpRoster *roster, const VpRosterWorker *worker, bool is_silent)
+{
+  for (guint i = 0; i < roster->workers->len; i++) {
+    VpRosterWorker *other = roster->workers->pdata[i];
+    if (strcmp (other->entry.dc, worker->entry.dc) == 0)
+      other->is_dc_silent = is_silent;
+  }
+}
+
 void
 vp_roster_heard (const VpRoster *roster,
                  VpRosterWorker *worker,
@@ -107,6 +119,8 @@
   worker->heard_ms = MAX (worker->heard_ms, received_ms);
   worker->is_reachable = true;
   worker->is_over = false;
+  if (worker->is_dc_silent)
+    vp_roster_set_dc_silent (roster, worker, false);
   /* Answers on several connections overtake each other; the clock only runs forward. */
   if (clock_ms <= 0)
     return;
@@ -166,6 +180,19 @@
   return vp_roster_clock_ms (worker, now_ms) > worker->lease_end_ms + VP_ROSTER_LAPSE_MARGIN_MS;
 }
 
+int64_t
+vp_roster_dc_heard_ms (const VpRoster *roster, const VpRosterWorker *worker)
+{
+  int64_t heard_ms = 0;
+
+  for (guint i = 0; i < roster->workers->len; i++) {
+    const VpRosterWorker *other = roster->workers->pdata[i];
+    if (strcmp (other->entry.dc, worker->entry.dc) == 0)
+      heard_ms = MAX (heard_ms, other->heard_ms);
+  }
+  return heard_ms;
+}
+
 VpSize
 vp_roster_free (const VpRosterWorker *worker)
 {
@@ -178,7 +205,7 @@
 bool
 vp_roster_is_usable (const VpRosterWorker *worker, int64_t now_ms)
 {
-  return worker->is_listed && worker->is_synced && worker->is_reachable
+  return worker->is_listed && worker->is_synced && worker->is_reachable && !worker->is_dc_silent
          && !worker->entry.is_draining && worker->foreign_count == 0 && !worker->is_withheld
          && now_ms >= worker->avoid_until_ms;
 }
--- a/src/vp-roster.h
+++ b/src/vp-roster.h
@@ -52,6 +52,7 @@
   bool has_left;            /* it drained and left the list; gone once it doesn't answer */
   bool is_synced;           /* its runs are known since this scheduler took over */
   bool is_reachable;        /* the last call was answered */
+  bool is_dc_silent;        /* its whole DC leaves orders unanswered */
   int64_t born_ms;          /* of the life that was last heard; 0: none */
   int64_t clock_ms;         /* worker's clock, as told in an answer received at ... */
   int64_t clock_at_ms;      /* ... this time; 0: never heard */
@@ -105,6 +106,10 @@
 void vp_roster_over (VpRosterWorker *worker);
 /* True if every lease that was ordered is over for certain. */
 bool vp_roster_is_lapsed (const VpRosterWorker *worker, int64_t now_ms);
+/* Last answer of any worker in the DC of @worker. */
+int64_t vp_roster_dc_heard_ms (const VpRoster *roster, const VpRosterWorker *worker);
+/* None of the workers in the DC of @worker is usable until one of them is heard. */
+void vp_roster_set_dc_silent (const VpRoster *roster, const VpRosterWorker *worker, bool is_silent);
 /* Room that is not committed. */
 VpSize vp_roster_free (const VpRosterWorker *worker);
 /* True if it may be given work now. */
--- a/tests/test-cell.c
+++ b/tests/test-cell.c
@@ -970,6 +970,51 @@
   _teardown (&fixture);
 }
 
+/* A DC is cut off: nothing was heard of it since a start there was left without an answer. Its
+ * other workers get nothing either until one of them is heard. */
+static void
+test_silent_dc (void)
+{
+  Fixture fixture;
+  VpOrder first;
+  VpOrderResult result;
+
+  _setup (&fixture, 4, false);
+  for (uint32_t i = 0; i < 4; i++) {
+    VpWorkerEntry entry = _entry (i);
+    g_strlcpy (entry.dc, i < 2 ? "cut" : "dc", sizeof entry.dc);
+    vp_cell_worker (fixture.cell, &entry, fixture.now_ms);
+  }
+  _sync (&fixture);
+  fixture.now_ms += 10;
+  /* Fills one worker of the DC that is cut off. */
+  _submit (&fixture, 1, 4000);
+  _decide (&fixture);
+  first = *_find (&fixture, VP_ORDER_START);
+  first.text = NULL;
+  g_assert_true (strcmp (first.worker, "w0") == 0 || strcmp (first.worker, "w1") == 0);
+  fixture.now_ms += 150;
+  result = _list (&fixture, "w2");
+  _take (&fixture, &result);
+  _decide (&fixture);
+  _submit (&fixture, 2, 4000);
+  _decide (&fixture);
+  g_assert_cmpuint (_count (&fixture, VP_ORDER_START), ==, 2);
+  for (guint i = 0; i < fixture.effects->len; i++) {
+    const VpOrder *order = &g_array_index (fixture.effects, VpCellEffect, i).order;
+    if (order->kind == VP_ORDER_START)
+      g_assert_true (strcmp (order->worker, "w2") == 0 || strcmp (order->worker, "w3") == 0);
+  }
+  _submit (&fixture, 1, 4000);
+  _decide (&fixture);
+  g_assert_cmpuint (_count (&fixture, VP_ORDER_START), ==, 0);
+  result = _result (&fixture, &first, VP_ORDER_OK);
+  _take (&fixture, &result);
+  _decide (&fixture);
+  g_assert_cmpuint (_count (&fixture, VP_ORDER_START), ==, 1);
+  _teardown (&fixture);
+}
+
 int
 main (int argc, char **argv)
 {
@@ -994,6 +1039,7 @@
   g_test_add_func ("/cell/other-life", test_other_life);
   g_test_add_func ("/cell/done-before", test_done_before);
   g_test_add_func ("/cell/relisted", test_relisted);
+  g_test_add_func ("/cell/silent-dc", test_silent_dc);
   g_test_add_func ("/cell/kept-roster", test_kept_roster);
   g_test_add_func ("/cell/kept-worker-missing", test_kept_worker_missing);
   g_test_add_func ("/cell/withheld-worker", test_withheld_worker);
