--- a/soak/soak.c
+++ b/soak/soak.c
@@ -76,13 +76,13 @@
 static void
 _log (const char *format, ...)
 {
+  g_autofree char *text = NULL;
   va_list args;
 
-  printf ("%6.2f ", (double)(fake_now_ms () - _run.soak.jobs.begin_ms) / 1000);
   va_start (args, format);
-  vprintf (format, args);
+  text = g_strdup_vprintf (format, args);
   va_end (args);
-  putchar ('\n');
+  printf ("%6.2f %s\n", (double)(fake_now_ms () - _run.soak.jobs.begin_ms) / 1000, text);
 }
 
 /* Broken promises that world-jobs.h finds. */
