Don't hand the place to a stronger VM again and again

Cause: found on reading the change: a weaker leader yields to a stronger VM after 1.5 s; if the store turns that one away, nobody leads until a weak one claims again, and so on for as long as it lasts.

Ruled out: asking the stronger VM first; it learns that it can't write only from trying.

Change: a process yields once in 15 s.

Test: node/strongest-turned-away, 10 s of a strong VM that the store turns away: 3.45 s without a leader before, below 3 s after.

--- a/src/vp-node.c
+++ b/src/vp-node.c
@@ -27,6 +27,8 @@
 #define VP_NODE_YIELD_MS 1500
 /* ... after this: it may be too weak to ever know. */
 #define VP_NODE_YIELD_BLIND_MS 4000
+/* It does so once in this time: a stronger VM that the store turns away can't take the place. */
+#define VP_NODE_YIELD_AGAIN_MS 15000
 /* A leader that stops hands over after this even if its last commit is not known. */
 #define VP_NODE_HANDOVER_MS 1500
 /* A stopping process serves open connections for this part of its grace time. */
@@ -64,7 +66,8 @@
   uint64_t load_serial; /* 0: loaded */
   int64_t load_next_ms;
   int64_t led_ms;
-  int64_t hand_over_ms; /* it gives its place up since; 0: it does not */
+  int64_t hand_over_ms;  /* it gives its place up since; 0: it does not */
+  int64_t yield_next_ms; /* it does so for a stronger VM no earlier */
   bool is_load_out;
   GArray *answers; /* VpBrokerAnswer */
 };
@@ -752,12 +755,14 @@
 {
   const VpMemberState *best = vp_members_successor (node->members, now_ms);
 
-  if (node->hand_over_ms != 0 || best == NULL || best->cpu_milli <= node->desc.cpu_milli
-      || now_ms - best->started_ms < VP_NODE_YIELD_MS || now_ms - node->led_ms < VP_NODE_YIELD_MS
+  if (node->hand_over_ms != 0 || now_ms < node->yield_next_ms || best == NULL
+      || best->cpu_milli <= node->desc.cpu_milli || now_ms - best->started_ms < VP_NODE_YIELD_MS
+      || now_ms - node->led_ms < VP_NODE_YIELD_MS
       || (!vp_cell_is_exact (node->cell) && now_ms - node->led_ms < VP_NODE_YIELD_BLIND_MS))
     return;
   vp_log (now_ms, "yield", "to=%s cpu_milli=%u own_milli=%u", best->name, best->cpu_milli,
           node->desc.cpu_milli);
+  node->yield_next_ms = now_ms + VP_NODE_YIELD_AGAIN_MS;
   _vp_node_begin_hand_over (node, now_ms);
 }
 
--- a/tests/test-node.c
+++ b/tests/test-node.c
@@ -261,6 +261,26 @@
   world_free (world);
 }
 
+/* The strongest VM can't write: the others don't hand the place to it again and again. */
+static void
+test_strongest_turned_away (void)
+{
+  World *world = world_new (
+      &(WorldDesc){ .seed = 33, .node_count = 4, .worker_count = 4, .strong_count = 1 });
+  int64_t gap_ms = 0;
+
+  world_run (world, 2000);
+  g_assert_cmpuint (world_leader (world), ==, 0);
+  world_store_down (world, 0, false, 12000);
+  world_run (world, 2000);
+  for (int i = 0; i < 1000; i++) {
+    world_run (world, 10);
+    gap_ms += world_has_leader (world) ? 0 : 10;
+  }
+  g_assert_cmpint (gap_ms, <=, 3000);
+  world_free (world);
+}
+
 static void
 test_hand_over (void)
 {
@@ -547,6 +567,7 @@
   g_test_add_func ("/node/commit-again", test_commit_again);
   g_test_add_func ("/node/hand-over", test_hand_over);
   g_test_add_func ("/node/strongest-leads", test_strongest_leads);
+  g_test_add_func ("/node/strongest-turned-away", test_strongest_turned_away);
   g_test_add_func ("/node/unanswered-start", test_unanswered_start);
   g_test_add_func ("/node/worker-cut", test_worker_cut);
   g_test_add_func ("/node/worker-reborn", test_worker_reborn);
