A process leads only once it knows a configuration

All processes had been killed; the new leader read the store, heard its workers and took the end of a failed run 44 ms before its configuration came. An unknown queue allows one attempt, so the job ended.

Change: a process does not read or claim the record before it has a configuration, and it is not invited to; pings tell.

--- a/src/vp-members.c
+++ b/src/vp-members.c
@@ -34,6 +34,7 @@
   member->heard_ms = now_ms;
   member->hears_leader = ping->hears_leader;
   member->is_stopping = ping->is_stopping;
+  member->has_conf = ping->conf_version != 0;
   member->cpu_milli = ping->cpu_milli;
   member->started_ms = now_ms - ping->age_ms;
 }
@@ -130,7 +131,8 @@
   g_hash_table_iter_init (&iter, members);
   while (g_hash_table_iter_next (&iter, NULL, &value)) {
     const VpMemberState *member = value;
-    if (member->is_listed && !member->is_stopping && _vp_member_is_heard (member, now_ms)
+    if (member->is_listed && !member->is_stopping && member->has_conf
+        && _vp_member_is_heard (member, now_ms)
         && (best == NULL || member->cpu_milli > best->cpu_milli
             || (member->cpu_milli == best->cpu_milli && member->started_ms > best->started_ms)))
       best = member;
--- a/src/vp-members.h
+++ b/src/vp-members.h
@@ -20,6 +20,7 @@
   int64_t heard_ms; /* last ping */
   bool hears_leader;
   bool is_stopping;
+  bool has_conf;      /* it knows a configuration, so it can lead */
   uint32_t cpu_milli; /* processor time of its VM */
   bool is_partner;    /* it and this process ping each other */
   int64_t started_ms;
--- a/src/vp-node.c
+++ b/src/vp-node.c
@@ -698,8 +698,9 @@
 
   if (node->lead.state != VP_LEAD_LEADING)
     _vp_node_end_term (node, "other-leader", now_ms, effects);
-  /* A stopping process does not take the place. */
-  if (!node->is_stopping && node->lead.state == VP_LEAD_FOLLOWING) {
+  /* A stopping process does not take the place, nor one that does not know the queues yet: it could
+   * not tell which failed runs end a job. */
+  if (!node->is_stopping && node->conf != NULL && node->lead.state == VP_LEAD_FOLLOWING) {
     vp_members_view (node->members, now_ms, &view);
     switch (vp_lead_tick (&node->lead, &view, now_ms)) {
     case VP_LEAD_READ:
@@ -886,7 +887,8 @@
 {
   int64_t next_ms = MIN (node->ping_next_ms, vp_front_next_ms (node->front));
 
-  next_ms = MIN (next_ms, vp_lead_next_ms (&node->lead, now_ms));
+  if (node->conf != NULL)
+    next_ms = MIN (next_ms, vp_lead_next_ms (&node->lead, now_ms));
   if (node->is_stopping)
     next_ms = MIN (next_ms, _vp_node_exit_ms (node) - (node->is_closing ? 0 : VP_NODE_CLOSE_MS));
   if (node->cell == NULL)
--- a/tests/test-members.c
+++ b/tests/test-members.c
@@ -86,7 +86,7 @@
 test_successor (void)
 {
   g_autoptr (GHashTable) members = _members (0, 4);
-  VpNodeMsg ping = { .kind = VP_NODEMSG_PING, .cpu_milli = 120, .age_ms = 10 };
+  VpNodeMsg ping = { .kind = VP_NODEMSG_PING, .cpu_milli = 120, .age_ms = 10, .conf_version = 1 };
 
   vp_member_heard (vp_members_get (members, "node-001"), &ping, NOW_MS);
   ping.cpu_milli = 500;
@@ -96,6 +96,10 @@
   ping.age_ms = 4000;
   vp_member_heard (vp_members_get (members, "node-003"), &ping, NOW_MS);
   g_assert_cmpstr (vp_members_successor (members, NOW_MS)->name, ==, "node-003");
+  /* One that knows no configuration can't lead. */
+  ping.conf_version = 0;
+  vp_member_heard (vp_members_get (members, "node-003"), &ping, NOW_MS);
+  g_assert_cmpstr (vp_members_successor (members, NOW_MS)->name, ==, "node-002");
 }
 
 int
--- a/tests/test-node.c
+++ b/tests/test-node.c
@@ -61,12 +61,10 @@
   return false;
 }
 
-/* A node whose configuration has one queue that is open to all. */
-static VpNode *
-_lone_node (int64_t now_ms, VpNodeEffects *effects)
+/* Gives the node a configuration with one queue that is open to all. */
+static void
+_configure (VpNode *node, int64_t now_ms, VpNodeEffects *effects)
 {
-  VpNode *node = vp_node_setup (
-      &(VpNodeDesc){ .name = "node", .hold_max_ms = 6000, .grace_ms = 6000 }, now_ms);
   VpNodeEvent conf = { .kind = VP_NODE_CONF };
   VpQueueConf queue = { .name = "q", .host = "host", .prefix = "/q/", .is_public = true };
 
@@ -76,6 +74,15 @@
   vp_cellconf_seal (conf.conf.conf);
   vp_node_apply (node, &conf, now_ms, effects);
   vp_node_event_clear (&conf);
+}
+
+static VpNode *
+_lone_node (int64_t now_ms, VpNodeEffects *effects)
+{
+  VpNode *node = vp_node_setup (
+      &(VpNodeDesc){ .name = "node", .hold_max_ms = 6000, .grace_ms = 6000 }, now_ms);
+
+  _configure (node, now_ms, effects);
   return node;
 }
 
@@ -132,6 +139,30 @@
   vp_node_shutdown (node);
 }
 
+/* A leader without a configuration would not know how often a task may fail: it ended jobs with
+ * the first failed run that was listed. */
+static void
+test_no_claim_without_configuration (void)
+{
+  int64_t now_ms = 1000000;
+  VpNodeEffects effects = { 0 };
+  VpNode *node = vp_node_setup (
+      &(VpNodeDesc){ .name = "node", .hold_max_ms = 6000, .grace_ms = 6000 }, now_ms);
+
+  for (int i = 0; i < 300; i++) {
+    now_ms += 10;
+    vp_node_step (node, now_ms, &effects);
+  }
+  g_assert_cmpuint (effects.count, ==, 0);
+  g_assert_cmpint (vp_node_next_ms (node, now_ms), >, now_ms);
+  _configure (node, now_ms, &effects);
+  vp_node_step (node, now_ms, &effects);
+  g_assert_cmpuint (effects.count, ==, 1);
+  g_assert_cmpint (effects.items[0].kind, ==, VP_NODE_READ_RECORD);
+  vp_node_effects_free (&effects);
+  vp_node_shutdown (node);
+}
+
 /* A leader in a DC that is cut off does not keep callers there. No worker can tell it of the next
  * leader. */
 static void
@@ -563,6 +594,7 @@
   g_test_add_func ("/node/takeover-time", test_takeover_time);
   g_test_add_func ("/node/store-away", test_store_away);
   g_test_add_func ("/node/starting-waits", test_starting_waits);
+  g_test_add_func ("/node/no-claim-without-configuration", test_no_claim_without_configuration);
   g_test_add_func ("/node/cut-off-leader-is-not-ready", test_cut_off_leader_is_not_ready);
   g_test_add_func ("/node/commit-again", test_commit_again);
   g_test_add_func ("/node/hand-over", test_hand_over);
