Take the store as away until the first configuration has come

A process started while the store was away; since it now waits for a configuration it had no failed reads to tell it of the outage. Its claim came right after the store's return, the time for the workers' list to be whole counted from the start of the process, and it was settled after 101 ms with 56 of 350 workers listed.

Ruled out: the kept list (294 workers were expected and missing, as logged: gone=294), partners, the fences.

Change: the arrival of the first configuration counts as the latest time at which the store may have been away.

Test: node/first-configuration-after-outage fails without the change.

--- a/src/vp-node.c
+++ b/src/vp-node.c
@@ -257,6 +257,9 @@
           "version=%" G_GUINT64_FORMAT " before=%" G_GUINT64_FORMAT " queues=%u teams=%u",
           conf->version, node->conf == NULL ? 0 : node->conf->version, conf->queues->len,
           conf->teams->len);
+  /* Until the first one came, this process did not look whether the store was there. */
+  if (node->conf == NULL)
+    node->lead.store_away_ms = now_ms;
   g_clear_pointer (&node->conf, vp_cellconf_unref);
   g_clear_pointer (&node->conf_text, g_bytes_unref);
   node->conf = vp_cellconf_ref (conf);
--- a/tests/test-node.c
+++ b/tests/test-node.c
@@ -163,6 +163,55 @@
   vp_node_shutdown (node);
 }
 
+/* The process started while the store was away and heard of its return with the configuration: the
+ * platform's list of workers may still lack some. */
+static void
+test_first_configuration_after_outage (void)
+{
+  int64_t now_ms = 1000000;
+  VpNodeEffects effects = { 0 };
+  VpNode *node = vp_node_setup (
+      &(VpNodeDesc){ .name = "node", .hold_max_ms = 6000, .relist_ms = 2500, .grace_ms = 6000 },
+      now_ms);
+  VpLeadRecord record = { .term = 1, .leader = "node", .commit = 3 };
+  VpNodeEvent read = { .kind = VP_NODE_RECORD, .record = { .is_ok = true, .revision = 5 } };
+  VpNodeEvent written
+      = { .kind = VP_NODE_WRITTEN, .written = { .outcome = VP_WRITE_OK, .revision = 6 } };
+  VpNodeEvent loaded = { .kind = VP_NODE_LOADED, .loaded = { .serial = 2, .is_ok = true } };
+  VpNodeEvent workers = { .kind = VP_NODE_WORKERS };
+  const char *kept[] = { "w0" };
+
+  now_ms += 5000;
+  _configure (node, now_ms, &effects);
+  vp_node_step (node, now_ms, &effects);
+  read.record.record = vp_node_serialise (vp_lead_record_encode (&record));
+  vp_node_apply (node, &read, now_ms, &effects);
+  vp_node_event_clear (&read);
+  now_ms += 200;
+  vp_node_step (node, now_ms, &effects);
+  vp_node_apply (node, &written, now_ms, &effects);
+  vp_node_step (node, now_ms, &effects);
+  loaded.loaded.ended = g_ptr_array_new ();
+  loaded.loaded.jobs = g_ptr_array_new ();
+  loaded.loaded.progress = g_ptr_array_new ();
+  loaded.loaded.workers = g_ptr_array_new_with_free_func ((GDestroyNotify)g_bytes_unref);
+  g_ptr_array_add (loaded.loaded.workers, vp_node_serialise (g_variant_new_strv (kept, 1)));
+  vp_node_apply (node, &loaded, now_ms, &effects);
+  vp_node_event_clear (&loaded);
+  workers.workers = g_array_new (FALSE, FALSE, sizeof (VpWorkerEntry));
+  vp_node_apply (node, &workers, now_ms, &effects);
+  vp_node_event_clear (&workers);
+  vp_node_step (node, now_ms, &effects);
+  g_assert_true (vp_node_is_leading (node));
+  g_assert_false (vp_cell_is_exact (vp_node_cell (node)));
+  vp_node_step (node, now_ms + 2000, &effects);
+  g_assert_false (vp_cell_is_exact (vp_node_cell (node)));
+  vp_node_step (node, now_ms + 2500, &effects);
+  g_assert_true (vp_cell_is_exact (vp_node_cell (node)));
+  vp_node_effects_free (&effects);
+  vp_node_shutdown (node);
+}
+
 /* A leader in a DC that is cut off does not keep callers there. No worker can tell it of the next
  * leader. */
 static void
@@ -595,6 +644,7 @@
   g_test_add_func ("/node/store-away", test_store_away);
   g_test_add_func ("/node/starting-waits", test_starting_waits);
   g_test_add_func ("/node/no-claim-without-configuration", test_no_claim_without_configuration);
+  g_test_add_func ("/node/first-configuration-after-outage", test_first_configuration_after_outage);
   g_test_add_func ("/node/cut-off-leader-is-not-ready", test_cut_off_leader_is_not_ready);
   g_test_add_func ("/node/commit-again", test_commit_again);
   g_test_add_func ("/node/hand-over", test_hand_over);
