Show what a new leader does not know: unknown workers, age of commits

Metrics are scraped every 5 s and outlast the log.

A worker of the kept list that never came back gets a line of its own (worker-given-up), a start of a task that an earlier leader may have started says why=inherited; counters workers_given_up and inherited_starts, gauges workers_unknown and commit_age_ms.

--- a/src/vp-cell.c
+++ b/src/vp-cell.c
@@ -167,6 +167,33 @@
          && (cell->expected == NULL || g_hash_table_size (cell->expected) > 0);
 }
 
+uint32_t
+vp_cell_unknown_count (const VpCell *cell, int64_t now_ms)
+{
+  uint32_t count = cell->expected == NULL ? 0 : g_hash_table_size (cell->expected);
+
+  for (guint i = 0; !cell->is_settled && i < cell->roster->workers->len; i++)
+    count += _vp_cell_is_settled_worker (cell->roster->workers->pdata[i], now_ms) ? 0 : 1;
+  return count;
+}
+
+static void
+_vp_cell_give_up_expected (VpCell *cell, int64_t now_ms)
+{
+  GHashTableIter iter;
+  gpointer id;
+
+  if (cell->expected == NULL || g_hash_table_size (cell->expected) == 0)
+    return;
+  g_hash_table_iter_init (&iter, cell->expected);
+  while (g_hash_table_iter_next (&iter, &id, NULL))
+    vp_log (now_ms, "worker-given-up", "worker=%s why=not-listed waited_ms=%" G_GINT64_FORMAT,
+            (const char *)id, now_ms - cell->started_ms);
+  vp_counters_add (VP_COUNT_WORKERS_GIVEN_UP, g_hash_table_size (cell->expected));
+  g_hash_table_remove_all (cell->expected);
+  cell->roster->is_changed = true;
+}
+
 /* Whether every worker that an earlier scheduler may have used has told what it runs. */
 static void
 _vp_cell_settle (VpCell *cell, int64_t now_ms)
@@ -181,10 +208,7 @@
   vp_log (now_ms, "settled", "after_ms=%" G_GINT64_FORMAT " workers=%u gone=%u",
           now_ms - cell->started_ms, cell->roster->workers->len,
           cell->expected == NULL ? 0 : g_hash_table_size (cell->expected));
-  if (cell->expected != NULL && g_hash_table_size (cell->expected) > 0) {
-    g_hash_table_remove_all (cell->expected);
-    cell->roster->is_changed = true;
-  }
+  _vp_cell_give_up_expected (cell, now_ms);
 }
 
 void
@@ -558,14 +582,17 @@
 {
   const VpJob *job = task->step->run->job;
   VpRosterWorker *worker = slot->worker;
+  /* An earlier scheduler may have started it without keeping that. */
+  bool is_unsure = job->is_inherited && !cell->desc.is_clean;
 
   if (!job->is_started)
     vp_counters_observe (VP_HIST_WAIT_MS, now_ms - job->arrived_ms);
+  vp_counters_add (VP_COUNT_INHERITED_STARTS, is_unsure ? 1 : 0);
   vp_jobtask_assign (cell->jobs, task, worker, run, now_ms);
   vp_place_slot_update (slot);
   if (task->step->spec->is_one_rack && task->step->rack < 0)
     task->step->rack = (int32_t)worker->rack_index;
-  vp_jobtask_log (task, "start", "fits", now_ms);
+  vp_jobtask_log (task, "start", is_unsure ? "inherited" : "fits", now_ms);
   _vp_cell_order_start (cell, task, now_ms, effects);
 }
 
--- a/src/vp-cell.h
+++ b/src/vp-cell.h
@@ -62,6 +62,8 @@
 bool vp_cell_is_fenced (const VpCell *cell);
 /* True if what is known of the jobs is complete: no task may run that is not known to. */
 bool vp_cell_is_exact (const VpCell *cell);
+/* Workers that the last scheduler may have used and that have not told what they run. */
+uint32_t vp_cell_unknown_count (const VpCell *cell, int64_t now_ms);
 /* Takes a new job in. */
 VpJob *vp_cell_submit (VpCell *cell, VpJobSpec *spec, int64_t now_ms);
 /* Cancels; false if the job has ended. */
--- a/src/vp-counters.c
+++ b/src/vp-counters.c
@@ -60,6 +60,10 @@
   [VP_COUNT_WORKER_UNREACHABLE] = { "worker_unreachable", "Calls that did not reach a worker" },
   [VP_COUNT_CONFIG_CHANGES] = { "config_changes", "Configuration revisions taken over" },
   [VP_COUNT_EVENTS] = { "events", "Events through the reducer" },
+  [VP_COUNT_WORKERS_GIVEN_UP]
+  = { "workers_given_up", "Workers of an earlier leader taken as gone without an answer" },
+  [VP_COUNT_INHERITED_STARTS]
+  = { "inherited_starts", "Starts of tasks that an earlier leader may have started" },
 };
 
 static const VpCounterText vp_gauge_texts[VP_GAUGE_LAST] = {
@@ -70,6 +74,9 @@
   [VP_GAUGE_RUNNING] = { "running", "Tasks running" },
   [VP_GAUGE_WORKERS] = { "workers", "Workers reachable" },
   [VP_GAUGE_KEYS_TRUSTED] = { "keys_trusted", "1 while keyed work is accepted" },
+  [VP_GAUGE_WORKERS_UNKNOWN]
+  = { "workers_unknown", "Workers of an earlier leader that have not told what they run" },
+  [VP_GAUGE_COMMIT_AGE_MS] = { "commit_age_ms", "Milliseconds since the leader's last commit" },
 };
 
 static const VpCounterText vp_hist_texts[VP_HIST_LAST] = {
--- a/src/vp-node.c
+++ b/src/vp-node.c
@@ -137,7 +137,7 @@
 }
 
 static void
-_vp_node_set_gauges (const VpNode *node)
+_vp_node_set_gauges (const VpNode *node, int64_t now_ms)
 {
   const VpJobList *jobs = node->cell == NULL ? NULL : vp_cell_jobs (node->cell);
   int64_t out_count = 0;
@@ -149,6 +149,10 @@
   vp_counters_set (VP_GAUGE_RUNNING, out_count);
   vp_counters_set (VP_GAUGE_WORKERS,
                    node->cell == NULL ? 0 : vp_cell_roster (node->cell)->workers->len);
+  vp_counters_set (VP_GAUGE_WORKERS_UNKNOWN,
+                   node->cell == NULL ? 0 : vp_cell_unknown_count (node->cell, now_ms));
+  vp_counters_set (VP_GAUGE_COMMIT_AGE_MS,
+                   node->keeper == NULL ? 0 : vp_keeper_age_ms (node->keeper, now_ms));
 }
 
 /* How long the leader has not been able to write; 0 while it may only be waiting for a slow store.
@@ -173,7 +177,7 @@
 
   if (now_ms < node->ping_next_ms)
     return;
-  _vp_node_set_gauges (node);
+  _vp_node_set_gauges (node, now_ms);
   node->ping_next_ms = now_ms + (is_leader ? VP_NODE_PING_LEADER_MS : VP_NODE_PING_MS);
   if (vp_members_forget (node->members, now_ms))
     vp_members_choose_partners (node->members, node->name);
