--- /dev/null
+++ b/tests/test-node-cut.c
@@ -0,0 +1,86 @@
+/* DCs that are cut off together with the leader, in simulated time. */
+#include "world.h"
+
+static void
+_assert_completes (World *world, uint64_t job, int64_t within_ms)
+{
+  int64_t end_ms = world_now_ms (world) + within_ms;
+
+  while (world_now_ms (world) < end_ms && world_state (world, job) != VP_JOB_COMPLETED)
+    world_run (world, 50);
+  g_assert_cmpint (world_state (world, job), ==, VP_JOB_COMPLETED);
+}
+
+static World *
+_world_of_dcs (uint32_t seed)
+{
+  World *world
+      = world_new (&(WorldDesc){ .seed = seed, .node_count = 6, .worker_count = 6, .dc_count = 3 });
+
+  world_run (world, 2000);
+  g_assert_true (world_has_leader (world));
+  return world;
+}
+
+/* The store is away while a leader runs steps in its own DC, which is then cut off until after the
+ * store's return: another leader must not run again what ended there. */
+static void
+_leader_cut_off (uint32_t seed, int64_t cut_ms)
+{
+  World *world = _world_of_dcs (seed);
+  uint64_t job = world_submit (world, 0, &(WorldJob){ .steps = 3, .width = 12, .work_ms = 500 });
+  uint32_t leader = world_leader (world);
+
+  world_run (world, 300);
+  world_store_down (world, -1, true, 4000);
+  world_run (world, 1500);
+  world_dc_cut (world, world_dc (world, leader), cut_ms);
+  world_run (world, 6000);
+  g_assert_cmpuint (world_leader (world), !=, leader);
+  world_run (world, cut_ms);
+  _assert_completes (world, job, 10000);
+  world_free (world);
+}
+
+static void
+test_leader_cut_off_with_workers (void)
+{
+  _leader_cut_off (40, 9000);
+}
+
+/* The cut outlasts all leases that the earlier leader may have renewed. */
+static void
+test_leader_cut_off_for_long (void)
+{
+  _leader_cut_off (41, 30000);
+}
+
+/* A leader that is cut off with some workers must let its leases there end: the tasks start
+ * elsewhere. */
+static void
+test_leases_of_cut_off_leader (void)
+{
+  World *world = _world_of_dcs (42);
+  uint64_t job
+      = world_submit (world, 0, &(WorldJob){ .steps = 1, .width = 18, .is_lasting = true });
+  uint32_t starts;
+
+  world_run (world, 1000);
+  starts = world_starts (world);
+  world_dc_cut (world, world_dc (world, world_leader (world)), 30000);
+  world_run (world, 20000);
+  g_assert_cmpint (world_state (world, job), ==, VP_JOB_RUNNING);
+  g_assert_cmpuint (world_starts (world), >, starts);
+  world_run (world, 15000);
+  world_free (world);
+}
+
+int
+main (int argc, char **argv)
+{
+  g_test_init (&argc, &argv, NULL);
+  g_test_add_func ("/node-cut/leader-cut-off-with-workers", test_leader_cut_off_with_workers);
+  g_test_add_func ("/node-cut/leader-cut-off-for-long", test_leader_cut_off_for_long);
+  g_test_add_func ("/node-cut/leases-of-cut-off-leader", test_leases_of_cut_off_leader);
+  return g_test_run ();
+}
--- a/tests/world-worker.h
+++ b/tests/world-worker.h
@@ -27,6 +27,10 @@
 typedef struct {
   VpWorkerEntry entry;
   bool is_up;
+  uint32_t dc;
+  bool is_listed;        /* the store holds its entry */
+  int64_t entry_ends_ms; /* the entry lapses then unless it is renewed */
+  int64_t renew_next_ms;
   int64_t cut_until_ms;
   int64_t leaves_ms; /* INT64_MAX: stays */
   int64_t up_ms;     /* a crashed one is up again then */
--- a/tests/world.c
+++ b/tests/world.c
@@ -17,7 +17,12 @@
 #define NODE_CPU_MILLI 125
 
 #define HOLD_LOOK_MS 10
-#define EXIT_MS      10
+/* Workers renew their entries in the store this often; an entry lapses after three times that. */
+#define HEARTBEAT_MS 1500
+#define ENTRY_MS     (3 * HEARTBEAT_MS)
+/* A worker whose entry has lapsed writes it again within this after it reaches the store. */
+#define RELIST_MS 2000
+#define EXIT_MS   10
 
 typedef enum { ITEM_NODE, ITEM_ORDER, ITEM_WRITE, ITEM_BOOT } ItemKind;
 
@@ -46,6 +51,8 @@
   bool is_store_silent;
   bool is_ready;
   bool watches_workers;
+  uint32_t dc;
+  uint32_t list_seen; /* version of the workers' list that it has */
 } Node;
 
 struct _World {
@@ -62,6 +69,9 @@
   int64_t write_loss_until_ms;
   double late_orders;
   int64_t late_orders_until_ms;
+  int64_t store_down_until_ms; /* for workers */
+  GArray *dc_cut_until_ms;     /* int64_t, one for each DC */
+  uint32_t list_version;       /* of the workers' list in the store */
   WorldJobs jobs;
   GHashTable *calls; /* handle -> Job, submits and cancels that wait for a reply */
   VpCellConf *conf;
@@ -144,12 +154,26 @@
   return share > 0 && g_rand_double (world->rand) < share;
 }
 
+static bool
+_is_dc_cut (const World *world, uint32_t dc)
+{
+  return world->now_ms < g_array_index (world->dc_cut_until_ms, int64_t, dc);
+}
+
+/* Whether nothing gets from one DC to the other. */
+static bool
+_is_apart (const World *world, uint32_t one, uint32_t other)
+{
+  return one != other && (_is_dc_cut (world, one) || _is_dc_cut (world, other));
+}
+
 /* The store. */
 
 static bool
 _is_store_down (const World *world, uint32_t node)
 {
-  return world->now_ms < _node (world, node)->store_down_until_ms;
+  return world->now_ms < _node (world, node)->store_down_until_ms
+         || _is_dc_cut (world, _node (world, node)->dc);
 }
 
 static void
@@ -160,7 +184,8 @@
   bool is_lossy = world->now_ms < world->write_loss_until_ms && _chance (world, world->write_loss);
 
   if (_is_store_down (world, node)) {
-    bool is_silent = _node (world, node)->is_store_silent;
+    bool is_silent
+        = _node (world, node)->is_store_silent || _is_dc_cut (world, _node (world, node)->dc);
     written = &_post (world, node, VP_NODE_WRITTEN, is_silent ? TIMEOUT_MS : STORE_MS)->written;
     written->serial = write->serial;
     written->outcome = is_silent ? VP_WRITE_UNKNOWN : VP_WRITE_UNAVAILABLE;
@@ -242,20 +267,44 @@
   event->workers = g_array_new (FALSE, TRUE, sizeof (VpWorkerEntry));
   for (guint i = 0; i < world->jobs.workers->len; i++) {
     const FakeWorker *worker = world->jobs.workers->pdata[i];
-    if (worker->is_up)
+    if (worker->is_up && worker->is_listed)
       g_array_append_val (event->workers, worker->entry);
   }
+  _node (world, node)->list_seen = world->list_version;
 }
 
 static void
 _list_workers_to_all (World *world)
 {
   for (guint i = 0; i < world->nodes->len; i++) {
-    if (_node (world, i)->watches_workers)
+    const Node *node = _node (world, i);
+    if (node->watches_workers && node->list_seen != world->list_version
+        && !_is_store_down (world, i))
       _list_workers (world, i);
   }
 }
 
+/* Renews the worker's entry in the store. */
+static void
+_renew_entry (World *world, FakeWorker *worker)
+{
+  bool is_away = world->now_ms < world->store_down_until_ms || _is_dc_cut (world, worker->dc);
+  bool was_listed = worker->is_listed;
+
+  if (worker->is_up && !is_away && world->now_ms >= worker->renew_next_ms) {
+    worker->is_listed = true;
+    worker->entry_ends_ms = world->now_ms + ENTRY_MS;
+    worker->renew_next_ms = world->now_ms + HEARTBEAT_MS;
+  } else if (world->now_ms >= worker->entry_ends_ms) {
+    worker->is_listed = false;
+    if (is_away)
+      worker->renew_next_ms
+          = world->now_ms + g_str_hash (worker->entry.id) * 997 % (RELIST_MS - STORE_MS);
+  }
+  if (worker->is_listed != was_listed)
+    world->list_version++;
+}
+
 static void
 _work (World *world, const VpOrder *order, FakeWork *work)
 {
@@ -282,7 +331,8 @@
   /* A worker that restarts forgets the orders that it had not carried out yet. */
   if (!worker->is_up || (item->born_ms != 0 && item->born_ms != worker->entry.born_ms))
     result.outcome = VP_ORDER_UNREACHABLE;
-  else if (world->now_ms < worker->cut_until_ms)
+  else if (world->now_ms < worker->cut_until_ms
+           || _is_apart (world, worker->dc, _node (world, item->node)->dc))
     result.outcome = VP_ORDER_UNCERTAIN;
   if (result.outcome == VP_ORDER_OK) {
     world_jobs_advance (&world->jobs, world->now_ms, worker);
@@ -379,7 +429,8 @@
     Node *node = _node (world, i);
     VpNodeMsg message;
     if (strcmp (node->name, to) != 0 || node->node == NULL || world->now_ms < node->cut_until_ms
-        || world->now_ms < _node (world, from)->cut_until_ms)
+        || world->now_ms < _node (world, from)->cut_until_ms
+        || _is_apart (world, node->dc, _node (world, from)->dc))
       continue;
     g_assert_true (vp_nodemsg_decode (wire, &message));
     _post (world, i, VP_NODE_MESSAGE, LINK_MS)->message = message;
@@ -496,8 +547,10 @@
     break;
   case VP_NODE_WATCH_WORKERS:
     node->watches_workers = effect->is_on;
-    if (effect->is_on)
+    if (effect->is_on && !_is_store_down (world, index))
       _list_workers (world, index);
+    else
+      node->list_seen = 0;
     break;
   case VP_NODE_READY:
     node->is_ready = effect->is_on;
@@ -547,22 +600,21 @@
 static void
 _tick_workers (World *world)
 {
-  bool has_changed = false;
-
   for (guint i = 0; i < world->jobs.workers->len; i++) {
     FakeWorker *worker = world->jobs.workers->pdata[i];
     if (worker->is_up)
       world_jobs_advance (&world->jobs, world->now_ms, worker);
     if (worker->is_up && world->now_ms >= worker->leaves_ms) {
       fake_worker_crash (worker, INT64_MAX);
-      has_changed = true;
+      worker->entry_ends_ms = world->now_ms;
     } else if (!worker->is_up && world->now_ms >= worker->up_ms) {
       fake_worker_restart (worker, world->now_ms);
-      has_changed = true;
+      worker->renew_next_ms = world->now_ms;
+      world->list_version++;
     }
+    _renew_entry (world, worker);
   }
-  if (has_changed)
-    _list_workers_to_all (world);
+  _list_workers_to_all (world);
 }
 
 static VpNodeEvent *
@@ -699,11 +751,23 @@
   world->jobs.by_id = g_hash_table_new_full (g_int64_hash, g_int64_equal, NULL, world_jobs_free);
   world->calls = g_hash_table_new_full (g_int64_hash, g_int64_equal, g_free, NULL);
   world->conf = _conf_new (desc);
-  for (uint32_t i = 0; i < desc->worker_count; i++)
-    g_ptr_array_add (world->jobs.workers, fake_worker_new (i, world->now_ms));
+  world->desc.dc_count = MAX (desc->dc_count, 1);
+  world->dc_cut_until_ms = g_array_new (FALSE, TRUE, sizeof (int64_t));
+  g_array_set_size (world->dc_cut_until_ms, world->desc.dc_count);
+  world->list_version = 1;
+  for (uint32_t i = 0; i < desc->worker_count; i++) {
+    FakeWorker *worker = fake_worker_new (i, world->now_ms);
+    worker->dc = i % world->desc.dc_count;
+    worker->is_listed = true;
+    worker->entry_ends_ms = world->now_ms + ENTRY_MS;
+    g_snprintf (worker->entry.dc, sizeof worker->entry.dc, "dc-%u", worker->dc);
+    g_ptr_array_add (world->jobs.workers, worker);
+  }
   g_array_set_size (world->nodes, desc->node_count);
-  for (uint32_t i = 0; i < desc->node_count; i++)
+  for (uint32_t i = 0; i < desc->node_count; i++) {
     g_snprintf (_node (world, i)->name, VP_NAME_MAX, "node-%u", i);
+    _node (world, i)->dc = i % world->desc.dc_count;
+  }
   for (uint32_t i = 0; i < desc->node_count; i++)
     _boot (world, i);
   return world;
@@ -723,6 +787,7 @@
   g_sequence_free (world->items);
   g_array_unref (world->nodes);
   g_ptr_array_unref (world->jobs.workers);
+  g_array_unref (world->dc_cut_until_ms);
   world_store_shutdown (&world->store);
   g_hash_table_unref (world->calls);
   g_hash_table_unref (world->jobs.by_id);
@@ -775,6 +840,12 @@
   return g_array_index (world->nodes, Node, node).is_ready;
 }
 
+uint32_t
+world_dc (const World *world, uint32_t node)
+{
+  return _node (world, node)->dc;
+}
+
 bool
 world_has_leader (const World *world)
 {
@@ -839,9 +910,17 @@
   _node (world, node)->cut_until_ms = world->now_ms + for_ms;
 }
 
+void
+world_dc_cut (World *world, uint32_t dc, int64_t for_ms)
+{
+  g_array_index (world->dc_cut_until_ms, int64_t, dc) = world->now_ms + for_ms;
+}
+
 void
 world_store_down (World *world, int32_t node, bool is_silent, int64_t for_ms)
 {
+  if (node < 0)
+    world->store_down_until_ms = world->now_ms + for_ms;
   for (guint i = 0; i < world->nodes->len; i++) {
     if (node >= 0 && (guint)node != i)
       continue;
@@ -876,7 +955,7 @@
 
   fake->entry.is_draining = true;
   fake->leaves_ms = world->now_ms + for_ms;
-  _list_workers_to_all (world);
+  world->list_version++;
 }
 
 void
--- a/tests/world.h
+++ b/tests/world.h
@@ -26,6 +26,7 @@
   bool has_advice;
   uint32_t attempts_max; /* 0: 3 */
   uint32_t strong_count; /* the first nodes have four times the processor time of the others */
+  uint32_t dc_count;     /* nodes and workers take turns; 0: 1 */
 } WorldDesc;
 
 World *world_new (const WorldDesc *desc);
@@ -45,6 +46,7 @@
 /* Node that leads; the first if none does. */
 uint32_t world_leader (const World *world);
 bool world_has_leader (const World *world);
+uint32_t world_dc (const World *world, uint32_t node);
 /* Whether the balancer may send callers to the node. */
 bool world_is_ready (const World *world, uint32_t node);
 
@@ -54,7 +56,10 @@
 void world_stop (World *world, uint32_t node, int64_t for_ms); /* gracefully; starts again after */
 /* No messages between the node and other nodes. */
 void world_cut (World *world, uint32_t node, int64_t for_ms);
-/* The store turns the node away, or all nodes with -1. */
+/* The DC's nodes and workers reach each other, but neither the others nor the store. */
+void world_dc_cut (World *world, uint32_t dc, int64_t for_ms);
+/* The store turns the node away, or all nodes and the workers with -1. Entries of workers that
+ * can't renew them lapse; they are back up to 2 s after the worker reaches the store again. */
 void world_store_down (World *world, int32_t node, bool is_silent, int64_t for_ms);
 /* A part of the store's writes is carried out without an answer, at once or 1 to 5 s later. */
 void world_store_lossy (World *world, double share, int64_t for_ms);
