A task that may run behind a cut is not started again by the next leader

Cause: a new leader took workers of the earlier leader's list as gone when they were not back on the platform's list 2.5 s after an outage of the store. Behind a cut they are alive and can't be back, and the earlier leader, cut off with them, goes on starting tasks and renewing their leases for as long as the cut lasts: nothing stopped it but a worker or a commit that told it of the later term. So what ran there was unknown, its ends were found after the tasks had been started elsewhere, and no wait of the new leader was ever long enough.

Change, on both sides: a leader gives leases only up to 2 s after it was certain that nobody had replaced it (its last successful commit was sent, or all listed processes were heard and none follows a later term), and it steps down when any process tells it of a later term. The next leader takes a worker that it can't hear as gone only when all leases are over that this allows: 8.3 s after its claim. The 2 s stood in the code as an assumption before; now they are kept.

--- a/src/vp-cell-private.h
+++ b/src/vp-cell-private.h
@@ -20,6 +20,7 @@
   VpAdvise *advise;
   int64_t started_ms;
   int64_t scan_next_ms;
+  int64_t orders_until_ms; /* no lease is given after this */
   bool is_fenced;
   bool is_paused;
   bool has_list; /* the platform's list of workers was read */
--- a/src/vp-cell-scan.c
+++ b/src/vp-cell-scan.c
@@ -77,7 +77,8 @@
     _vp_cell_order_stop (cell, task, now_ms, effects);
     return;
   }
-  if (task->phase != VP_PHASE_STARTING || !task->worker->is_reachable)
+  if (task->phase != VP_PHASE_STARTING || !task->worker->is_reachable
+      || now_ms > cell->orders_until_ms)
     return;
   if (!task->is_unanswered) {
     if (task->start_tries < VP_CELL_START_TRIES
@@ -133,7 +134,7 @@
   g_autofree VpJobTask **tasks = NULL;
 
   if (g_hash_table_size (worker->tasks) > 0 && worker->clock_at_ms != 0
-      && vp_roster_is_lapsed (worker, now_ms))
+      && vp_roster_is_lapsed (cell->roster, worker, now_ms))
     vp_reconcile_lost (&cell->reconcile, worker, "lease-over", now_ms);
   tasks = (VpJobTask **)g_hash_table_get_keys_as_array (worker->tasks, &count);
   for (guint i = 0; i < count; i++)
@@ -143,9 +144,10 @@
 
 /* A worker without tasks of ours: nothing of an earlier scheduler runs there either. */
 static bool
-_vp_cell_is_idle_for_certain (const VpRosterWorker *worker, int64_t now_ms)
+_vp_cell_is_idle_for_certain (const VpCell *cell, const VpRosterWorker *worker, int64_t now_ms)
 {
-  return (worker->is_synced && worker->foreign_count == 0) || vp_roster_is_lapsed (worker, now_ms);
+  return (worker->is_synced && worker->foreign_count == 0)
+         || vp_roster_is_lapsed (cell->roster, worker, now_ms);
 }
 
 void
@@ -159,7 +161,7 @@
     VpRosterWorker *worker = cell->roster->workers->pdata[i];
     _vp_cell_scan_worker (cell, worker, now_ms, effects);
     if (!worker->is_listed && !worker->is_hold_out && g_hash_table_size (worker->tasks) == 0
-        && _vp_cell_is_idle_for_certain (worker, now_ms))
+        && _vp_cell_is_idle_for_certain (cell, worker, now_ms))
       vp_roster_remove (cell->roster, worker);
     else
       i++;
--- a/src/vp-cell.c
+++ b/src/vp-cell.c
@@ -30,12 +30,13 @@
   VpCell *cell = g_new0 (VpCell, 1);
 
   cell->desc = *desc;
-  cell->roster = vp_roster_setup (desc->hold_max_ms);
+  cell->roster = vp_roster_setup (desc->hold_max_ms, now_ms);
   cell->jobs = vp_joblist_setup ();
   vp_reconcile_setup (&cell->reconcile, cell->roster, cell->jobs, desc->fence);
   /* Answers to an earlier scheduler of this process must not be taken for this one's. */
   cell->advise = vp_advise_setup (desc->fence << 24);
   cell->started_ms = now_ms;
+  cell->orders_until_ms = INT64_MAX;
   return cell;
 }
 
@@ -86,6 +87,12 @@
   return cell->is_settled || cell->desc.is_clean;
 }
 
+void
+vp_cell_limit_orders (VpCell *cell, int64_t until_ms)
+{
+  cell->orders_until_ms = until_ms;
+}
+
 void
 vp_cell_pause (VpCell *cell)
 {
@@ -113,7 +120,7 @@
   if (is_new)
     vp_log (now_ms, "worker-listed", "worker=%s address=%s service=%s", entry->id, entry->address,
             entry->service);
-  known = vp_roster_put (cell->roster, entry, now_ms);
+  known = vp_roster_put (cell->roster, entry);
   if (is_new)
     known->is_withheld
         = cell->desc.keeps_roster
@@ -152,9 +159,9 @@
 }
 
 static bool
-_vp_cell_is_settled_worker (const VpRosterWorker *worker, int64_t now_ms)
+_vp_cell_is_settled_worker (const VpCell *cell, const VpRosterWorker *worker, int64_t now_ms)
 {
-  return worker->is_synced || vp_roster_is_lapsed (worker, now_ms);
+  return worker->is_synced || vp_roster_is_lapsed (cell->roster, worker, now_ms);
 }
 
 /* Whether workers may be missing that an earlier scheduler used. */
@@ -163,8 +170,9 @@
 {
   if (!cell->has_list)
     return true;
-  return now_ms < cell->started_ms + cell->desc.relist_ms
-         && (cell->expected == NULL || g_hash_table_size (cell->expected) > 0);
+  if (cell->expected == NULL)
+    return now_ms < cell->started_ms + cell->desc.relist_ms;
+  return g_hash_table_size (cell->expected) > 0 && now_ms <= cell->roster->inherited_until_ms;
 }
 
 uint32_t
@@ -173,7 +181,7 @@
   uint32_t count = cell->expected == NULL ? 0 : g_hash_table_size (cell->expected);
 
   for (guint i = 0; !cell->is_settled && i < cell->roster->workers->len; i++)
-    count += _vp_cell_is_settled_worker (cell->roster->workers->pdata[i], now_ms) ? 0 : 1;
+    count += _vp_cell_is_settled_worker (cell, cell->roster->workers->pdata[i], now_ms) ? 0 : 1;
   return count;
 }
 
@@ -187,7 +195,7 @@
     return;
   g_hash_table_iter_init (&iter, cell->expected);
   while (g_hash_table_iter_next (&iter, &id, NULL))
-    vp_log (now_ms, "worker-given-up", "worker=%s why=not-listed waited_ms=%" G_GINT64_FORMAT,
+    vp_log (now_ms, "worker-given-up", "worker=%s why=leases-over waited_ms=%" G_GINT64_FORMAT,
             (const char *)id, now_ms - cell->started_ms);
   vp_counters_add (VP_COUNT_WORKERS_GIVEN_UP, g_hash_table_size (cell->expected));
   g_hash_table_remove_all (cell->expected);
@@ -201,7 +209,7 @@
   if (cell->is_settled || _vp_cell_may_lack_workers (cell, now_ms))
     return;
   for (guint i = 0; i < cell->roster->workers->len; i++) {
-    if (!_vp_cell_is_settled_worker (cell->roster->workers->pdata[i], now_ms))
+    if (!_vp_cell_is_settled_worker (cell, cell->roster->workers->pdata[i], now_ms))
       return;
   }
   cell->is_settled = true;
@@ -515,8 +523,9 @@
   if (task->last_worker[0] == '\0')
     return vp_cell_is_exact (cell);
   worker = vp_roster_find (cell->roster, task->last_worker);
-  if (worker == NULL ? now_ms <= cell->started_ms + 2 * cell->desc.hold_max_ms
-                     : !vp_cell_is_exact (cell) || !_vp_cell_is_settled_worker (worker, now_ms))
+  if (worker == NULL
+          ? now_ms <= cell->roster->inherited_until_ms
+          : !vp_cell_is_exact (cell) || !_vp_cell_is_settled_worker (cell, worker, now_ms))
     return false;
   vp_jobtask_set_last_worker (cell->jobs, task, "");
   return true;
@@ -714,7 +723,7 @@
   order = _vp_cell_order (cell, worker, VP_ORDER_HOLD, effects);
   /* A worker that does not answer is only asked for its list: an order that may arrive would keep
    * its tasks from being over. */
-  if (worker->is_reachable)
+  if (worker->is_reachable && now_ms <= cell->orders_until_ms)
     order->lease_end_ms = vp_roster_lease (cell->roster, worker, now_ms);
   order->seen = worker->seen_durable;
   order->wait_ms = worker->is_synced && worker->is_reachable && worker->seen == worker->seen_durable
@@ -741,7 +750,7 @@
     _vp_cell_hold (cell, cell->roster->workers->pdata[i], now_ms, effects);
   _vp_cell_settle (cell, now_ms);
   _vp_cell_scan (cell, now_ms, effects);
-  if (cell->is_paused || cell->conf == NULL)
+  if (cell->is_paused || cell->conf == NULL || now_ms > cell->orders_until_ms)
     return;
   vp_joblist_open_due (cell->jobs, now_ms);
   _vp_cell_place (cell, now_ms, effects);
--- a/src/vp-cell.h
+++ b/src/vp-cell.h
@@ -25,7 +25,7 @@
   int64_t hold_max_ms; /* longest lease that workers grant */
   int64_t gone_ms; /* a draining worker that was heard this long ago and left the list is gone */
   /* Until this long after the setup the platform's list of workers may lack some that are alive;
-   * 0 or less: it is whole. */
+   * 0 or less: it is whole. Counts where the last scheduler kept no list of its own. */
   int64_t relist_ms;
   bool keeps_roster; /* workers get work only once they are kept for a later scheduler */
   bool is_clean;     /* what is known of the jobs is complete: the last scheduler handed over */
@@ -73,8 +73,9 @@
 void vp_cell_stage_ends (VpCell *cell);
 void vp_cell_ends_durable (VpCell *cell, int64_t now_ms);
 bool vp_cell_has_unstaged_ends (const VpCell *cell);
-/* The identities of all workers that tasks may run on ("as"), for a later scheduler: it need not
- * wait for the platform's list to be whole if it finds all of them there. */
+/* The identities of all workers that tasks may run on ("as"), for a later scheduler: once it has
+ * heard all of them it knows all that runs. One that is missing from the platform's list may be cut
+ * off together with the last scheduler, so it counts as gone only when all leases are over. */
 #define VP_CELL_ROSTER_TYPE "as"
 bool vp_cell_has_unstaged_roster (const VpCell *cell);
 /* Floating; the commit that is built now keeps it. */
@@ -88,6 +89,9 @@
 void vp_cell_decide (VpCell *cell, int64_t now_ms, GArray *effects);
 /* When vp_cell_decide() has something to do without news. */
 int64_t vp_cell_next_ms (const VpCell *cell, int64_t now_ms);
+/* No lease is renewed and no task started after @until_ms: this scheduler may have been replaced by
+ * then. Without limit until it is told. */
+void vp_cell_limit_orders (VpCell *cell, int64_t until_ms);
 /* Stops placing; leases are still held. Before a hand-over. */
 void vp_cell_pause (VpCell *cell);
 void vp_cell_effect_clear (VpCellEffect *effect);
--- a/src/vp-keeper.c
+++ b/src/vp-keeper.c
@@ -36,10 +36,12 @@
   bool covers_ends;   /* it covers the workers' ends that were staged */
   bool covers_roster; /* it keeps the list of workers */
   int64_t roster_next_ms;
-  bool is_sent;      /* an answer is awaited */
-  uint32_t copies;   /* sent since the last answer */
-  int64_t sent_ms;   /* the last of them */
-  bool is_uncertain; /* an earlier sending may have reached the store */
+  bool is_sent;         /* an answer is awaited */
+  uint32_t copies;      /* sent since the last answer */
+  int64_t sent_ms;      /* the last of them */
+  int64_t built_ms;     /* the first sending of @write */
+  int64_t confirmed_ms; /* of the last commit that succeeded: its @built_ms; 0: none yet */
+  bool is_uncertain;    /* an earlier sending may have reached the store */
   bool is_last;
   bool is_failing; /* the last answer was no success */
   bool is_finishing;
@@ -239,6 +241,7 @@
 
   vp_store_write_clear (write);
   write->serial = ++keeper->last_serial;
+  keeper->built_ms = now_ms;
   write->record_revision = keeper->desc.lead->record_revision;
   write->keys = g_ptr_array_new_with_free_func (g_free);
   write->values = g_ptr_array_new_with_free_func ((GDestroyNotify)g_bytes_unref);
@@ -334,6 +337,7 @@
   keeper->is_finished = keeper->is_last;
   keeper->write.serial = 0;
   keeper->written_ms = now_ms;
+  keeper->confirmed_ms = keeper->built_ms;
 }
 
 /* Whether the record that stands there is the one of the commit under way. */
@@ -407,6 +411,12 @@
   return now_ms - keeper->written_ms;
 }
 
+int64_t
+vp_keeper_confirmed_ms (const VpKeeper *keeper)
+{
+  return keeper->confirmed_ms;
+}
+
 bool
 vp_keeper_is_failing (const VpKeeper *keeper)
 {
--- a/src/vp-keeper.h
+++ b/src/vp-keeper.h
@@ -35,6 +35,9 @@
 vp_keeper_written (VpKeeper *keeper, const VpStoreWritten *written, GArray *kept, int64_t now_ms);
 /* Since the last successful write. */
 int64_t vp_keeper_age_ms (const VpKeeper *keeper, int64_t now_ms);
+/* The record certainly was this leader's at this time: the last commit that succeeded was first
+ * sent then. 0: none yet. */
+int64_t vp_keeper_confirmed_ms (const VpKeeper *keeper);
 /* True if the last commit was turned away or not answered. */
 bool vp_keeper_is_failing (const VpKeeper *keeper);
 /* True if the job certainly stands in no commit that may have reached the store. */
--- a/src/vp-lead.c
+++ b/src/vp-lead.c
@@ -62,6 +62,13 @@
     lead->has_record = false;
 }
 
+void
+vp_lead_learn_term (VpLead *lead, uint64_t term)
+{
+  if (term > lead->term)
+    _vp_lead_follow (lead, term, "");
+}
+
 void
 vp_lead_invite (VpLead *lead, uint64_t term, int64_t now_ms)
 {
@@ -134,6 +141,7 @@
   if (lead->claimable_since_ms != 0 && !_vp_lead_is_yielding (lead, view, now_ms)) {
     lead->state = VP_LEAD_CLAIMING;
     lead->is_after_clean = lead->record.is_clean || lead->record.term == 0;
+    lead->claimed_ms = now_ms;
     memset (&lead->claim, 0, sizeof lead->claim);
     lead->claim.term = MAX (lead->record.term, lead->term) + 1;
     g_strlcpy (lead->claim.leader, lead->name, sizeof lead->claim.leader);
--- a/src/vp-lead.h
+++ b/src/vp-lead.h
@@ -59,6 +59,7 @@
   VpLeadRecord record;
   int64_t still_since_ms; /* the record has had this revision since */
   VpLeadRecord claim;     /* to be written */
+  int64_t claimed_ms;     /* it was sent then */
   bool is_after_clean;    /* the term before the own one ended with a complete commit */
 } VpLead;
 
@@ -67,6 +68,8 @@
 /* A ping of @name arrived, which says that it leads @term. */
 void
 vp_lead_heard (VpLead *lead, const char *name, uint64_t term, int64_t store_age_ms, int64_t now_ms);
+/* A process follows a leader of @term: the record has been claimed since the terms before it. */
+void vp_lead_learn_term (VpLead *lead, uint64_t term);
 /* The leader hands over to this process. */
 void vp_lead_invite (VpLead *lead, uint64_t term, int64_t now_ms);
 VpLeadAction vp_lead_tick (VpLead *lead, const VpLeadView *view, int64_t now_ms);
--- a/src/vp-members.c
+++ b/src/vp-members.c
@@ -112,6 +112,21 @@
   }
 }
 
+int64_t
+vp_members_all_heard_ms (GHashTable *members, int64_t now_ms)
+{
+  GHashTableIter iter;
+  gpointer value;
+
+  g_hash_table_iter_init (&iter, members);
+  while (g_hash_table_iter_next (&iter, NULL, &value)) {
+    const VpMemberState *member = value;
+    if (member->is_listed)
+      now_ms = MIN (now_ms, member->heard_ms);
+  }
+  return now_ms;
+}
+
 bool
 vp_members_is_cut_off (GHashTable *members, int64_t now_ms)
 {
--- a/src/vp-members.h
+++ b/src/vp-members.h
@@ -40,6 +40,9 @@
  * go. */
 void vp_members_choose_partners (GHashTable *members, const char *self);
 void vp_members_view (GHashTable *members, int64_t now_ms, VpLeadView *view);
+/* Every process that the platform lists was heard at this time or later; @now_ms if there are none.
+ */
+int64_t vp_members_all_heard_ms (GHashTable *members, int64_t now_ms);
 /* Fewer than half of the processes are in reach, so no leader will be soon. */
 bool vp_members_is_cut_off (GHashTable *members, int64_t now_ms);
 /* Who takes the leader's place best: of the strongest VMs the process that started last, since
--- a/src/vp-node.c
+++ b/src/vp-node.c
@@ -16,6 +16,8 @@
 #define VP_NODE_STORE_SLOW_MS 2000
 /* A process that has been up for this long has heard those in its reach. */
 #define VP_NODE_LISTEN_MS 1000
+/* A ping that arrives now may have been sent this long ago. */
+#define VP_NODE_PING_DELAY_MS 500
 /* Where most others are out of reach, a leader that could not write for this long can't serve. */
 #define VP_NODE_VAIN_MS 1000
 /* The configuration is asked for again from a process with a newer one after this. */
@@ -69,6 +71,7 @@
   int64_t hand_over_ms;  /* it gives its place up since; 0: it does not */
   int64_t yield_next_ms; /* it does so for a stronger VM no earlier */
   bool is_load_out;
+  bool is_limited; /* it gives no leases, as another process may lead */
   GArray *answers; /* VpBrokerAnswer */
 };
 
@@ -243,6 +246,8 @@
   vp_member_heard (_vp_node_member (node, ping->from), ping, now_ms);
   if (ping->is_leader)
     vp_lead_heard (&node->lead, ping->from, ping->term, ping->store_age_ms, now_ms);
+  else
+    vp_lead_learn_term (&node->lead, ping->term);
   if (now_ms >= node->conf_ask_next_ms
       && ping->conf_version > (node->conf == NULL ? 0 : node->conf->version)) {
     node->conf_ask_next_ms = now_ms + VP_NODE_CONF_ASK_MS;
@@ -418,7 +423,7 @@
     vp_cell_set_conf (node->cell, node->conf);
   node->load_serial = node->lead.term;
   node->load_next_ms = node->led_ms = now_ms;
-  node->is_load_out = false;
+  node->is_load_out = node->is_limited = false;
   node->ping_next_ms = now_ms;
   vp_node_effects_add (effects, VP_NODE_WATCH_WORKERS)->is_on = true;
   vp_log (now_ms, "lead", "term=%" G_GUINT64_FORMAT " revision=%" G_GUINT64_FORMAT " clean=%d",
@@ -774,6 +779,34 @@
   _vp_node_begin_hand_over (node, now_ms);
 }
 
+/* When no later leader had begun its term for certain: the store said so, or every other process
+ * was heard and none follows one. */
+static int64_t
+_vp_node_confirmed_ms (const VpNode *node, int64_t now_ms)
+{
+  int64_t confirmed_ms = MAX (node->lead.claimed_ms, vp_keeper_confirmed_ms (node->keeper));
+
+  return MAX (confirmed_ms,
+              vp_members_all_heard_ms (node->members, now_ms) - VP_NODE_PING_DELAY_MS);
+}
+
+/* A leader that may have been replaced gives no leases: the next one waits for their end. */
+static void
+_vp_node_limit_orders (VpNode *node, int64_t now_ms)
+{
+  int64_t confirmed_ms = _vp_node_confirmed_ms (node, now_ms);
+  bool is_limited = now_ms > confirmed_ms + VP_ROSTER_UNCONFIRMED_MS;
+
+  vp_cell_limit_orders (node->cell, confirmed_ms + VP_ROSTER_UNCONFIRMED_MS);
+  if (is_limited == node->is_limited)
+    return;
+  node->is_limited = is_limited;
+  vp_log (now_ms, is_limited ? "orders-held" : "orders-again",
+          "term=%" G_GUINT64_FORMAT " unconfirmed_ms=%" G_GINT64_FORMAT
+          " commit_age_ms=%" G_GINT64_FORMAT,
+          node->lead.term, now_ms - confirmed_ms, vp_keeper_age_ms (node->keeper, now_ms));
+}
+
 static void
 _vp_node_step_cell (VpNode *node, int64_t now_ms, VpNodeEffects *effects)
 {
@@ -795,6 +828,7 @@
   vp_cell_set_askers (node->cell, view.heard_count + 1);
   cell_effects = g_array_new (FALSE, FALSE, sizeof (VpCellEffect));
   _vp_node_yield (node, now_ms);
+  _vp_node_limit_orders (node, now_ms);
   if (node->hand_over_ms == 0)
     vp_cell_decide (node->cell, now_ms, cell_effects);
   _vp_node_pass_cell_effects (node, cell_effects, now_ms, effects);
--- a/src/vp-roster.c
+++ b/src/vp-roster.c
@@ -14,8 +14,6 @@
 #define VP_ROSTER_SLOWNESS_WEIGHT 0.15
 #define VP_ROSTER_SLOWNESS_MIN    0.3
 #define VP_ROSTER_SLOWNESS_MAX    5.0
-/* Longest time for which an earlier scheduler that has lost its place goes on renewing leases. */
-#define VP_ROSTER_PREDECESSOR_MS 2000
 
 static void
 _vp_roster_worker_free (gpointer data)
@@ -27,7 +25,7 @@
 }
 
 VpRoster *
-vp_roster_setup (int64_t hold_max_ms)
+vp_roster_setup (int64_t hold_max_ms, int64_t now_ms)
 {
   VpRoster *roster = g_new0 (VpRoster, 1);
 
@@ -35,6 +33,10 @@
   roster->workers = g_ptr_array_new_with_free_func (_vp_roster_worker_free);
   roster->racks = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
   roster->hold_max_ms = hold_max_ms;
+  roster->inherited_until_ms
+      = now_ms
+        + (hold_max_ms + VP_ROSTER_UNCONFIRMED_MS) * 1000 / (1000 - VP_ROSTER_CLOCK_SLOW_MILLI)
+        + VP_ROSTER_LAPSE_MARGIN_MS;
   return roster;
 }
 
@@ -61,17 +63,13 @@
 }
 
 VpRosterWorker *
-vp_roster_put (VpRoster *roster, const VpWorkerEntry *entry, int64_t now_ms)
+vp_roster_put (VpRoster *roster, const VpWorkerEntry *entry)
 {
   VpRosterWorker *worker = vp_roster_find (roster, entry->id);
 
   if (worker == NULL) {
     worker = g_new0 (VpRosterWorker, 1);
     worker->tasks = g_hash_table_new (NULL, NULL);
-    worker->blind_until_ms = now_ms
-                             + (roster->hold_max_ms + VP_ROSTER_PREDECESSOR_MS) * 1000
-                                   / (1000 - VP_ROSTER_CLOCK_SLOW_MILLI)
-                             + VP_ROSTER_LAPSE_MARGIN_MS;
     worker->pace_percent = 100;
     worker->slowness = 1;
     worker->entry = *entry;
@@ -171,12 +169,12 @@
 }
 
 bool
-vp_roster_is_lapsed (const VpRosterWorker *worker, int64_t now_ms)
+vp_roster_is_lapsed (const VpRoster *roster, const VpRosterWorker *worker, int64_t now_ms)
 {
   if (worker->is_over)
     return true;
   if (worker->clock_at_ms == 0)
-    return now_ms > worker->blind_until_ms;
+    return now_ms > roster->inherited_until_ms;
   return vp_roster_clock_ms (worker, now_ms) > worker->lease_end_ms + VP_ROSTER_LAPSE_MARGIN_MS;
 }
 
--- a/src/vp-roster.h
+++ b/src/vp-roster.h
@@ -1,7 +1,7 @@
 /* Workers of a cell as the scheduler sees them: room, contact, leases and health.
  *
- *   VpRoster *roster = vp_roster_setup (hold_max_ms);
- *   VpRosterWorker *worker = vp_roster_put (roster, &entry, now_ms);
+ *   VpRoster *roster = vp_roster_setup (hold_max_ms, now_ms);
+ *   VpRosterWorker *worker = vp_roster_put (roster, &entry);
  *   vp_roster_heard (roster, worker, clock_ms, received_ms);   // any answer with a clock
  *   if (vp_roster_is_lapsed (roster, worker, now_ms))
  *     ... nothing can run there any more ...
@@ -21,6 +21,10 @@
  * the kill itself. */
 #define VP_ROSTER_LAPSE_MARGIN_MS 100
 
+/* A scheduler that can't confirm that it still leads renews leases and starts tasks for this long;
+ * the next scheduler relies on that. */
+#define VP_ROSTER_UNCONFIRMED_MS 2000
+
 /* What a worker tells of itself in the platform's list. */
 typedef struct {
   char id[VP_NAME_MAX];
@@ -57,7 +61,6 @@
   int64_t clock_ms;         /* worker's clock, as told in an answer received at ... */
   int64_t clock_at_ms;      /* ... this time; 0: never heard */
   int64_t lease_end_ms;     /* latest lease that was ordered, on its clock */
-  int64_t blind_until_ms;   /* never heard: nothing of an earlier scheduler runs after this */
   bool is_hold_out;         /* a HOLD is under way */
   int64_t hold_next_ms;     /* earliest time of the next HOLD */
   int64_t heard_ms;         /* last answer */
@@ -80,13 +83,15 @@
   GPtrArray *workers; /* VpRosterWorker, in order of first appearance */
   GHashTable *racks;  /* "dc/rack" -> index + 1 */
   int64_t hold_max_ms;
-  bool is_changed; /* since it was last kept */
+  int64_t inherited_until_ms; /* all leases that an earlier scheduler ordered are over after this */
+  bool is_changed;            /* since it was last kept */
 } VpRoster;
 
-VpRoster *vp_roster_setup (int64_t hold_max_ms);
+/* @now_ms: earlier schedulers have lost their place by then. */
+VpRoster *vp_roster_setup (int64_t hold_max_ms, int64_t now_ms);
 void vp_roster_shutdown (VpRoster *roster);
 /* Adds a worker or takes over what its entry says now. */
-VpRosterWorker *vp_roster_put (VpRoster *roster, const VpWorkerEntry *entry, int64_t now_ms);
+VpRosterWorker *vp_roster_put (VpRoster *roster, const VpWorkerEntry *entry);
 VpRosterWorker *vp_roster_find (const VpRoster *roster, const char *id);
 /* The worker must have no tasks. */
 void vp_roster_remove (VpRoster *roster, VpRosterWorker *worker);
@@ -105,7 +110,7 @@
 /* Another worker answers at its address. */
 void vp_roster_over (VpRosterWorker *worker);
 /* True if every lease that was ordered is over for certain. */
-bool vp_roster_is_lapsed (const VpRosterWorker *worker, int64_t now_ms);
+bool vp_roster_is_lapsed (const VpRoster *roster, const VpRosterWorker *worker, int64_t now_ms);
 /* Last answer of any worker in the DC of @worker. */
 int64_t vp_roster_dc_heard_ms (const VpRoster *roster, const VpRosterWorker *worker);
 /* None of the workers in the DC of @worker is usable until one of them is heard. */
--- a/tests/test-advise.c
+++ b/tests/test-advise.c
@@ -33,7 +33,7 @@
 _setup (Fixture *fixture)
 {
   memset (fixture, 0, sizeof *fixture);
-  fixture->roster = vp_roster_setup (6000);
+  fixture->roster = vp_roster_setup (6000, NOW_MS);
   fixture->jobs = vp_joblist_setup ();
   fixture->advise = vp_advise_setup (0);
   vp_advise_set_askers (fixture->advise, ASKERS);
@@ -41,7 +41,7 @@
     VpWorkerEntry entry = { .service = "service", .capacity = { .cpu_milli = 16000 } };
     VpRosterWorker *worker;
     g_snprintf (entry.id, sizeof entry.id, "w%u", i);
-    worker = vp_roster_put (fixture->roster, &entry, NOW_MS);
+    worker = vp_roster_put (fixture->roster, &entry);
     worker->is_synced = worker->is_reachable = true;
   }
   fixture->pool = vp_place_pool_new (fixture->roster, "service", NOW_MS);
--- a/tests/test-cell-takeover.c
+++ b/tests/test-cell-takeover.c
@@ -206,7 +206,8 @@
   _teardown (&fixture);
 }
 
-/* One of them is missing from the platform's list: it may be back within the time for that. */
+/* One of them is missing from the platform's list: it may be cut off and run what the last
+ * scheduler started until its lease is over, on a clock that is 2 % slow. */
 static void
 test_kept_worker_missing (void)
 {
@@ -214,12 +215,68 @@
 
   _setup_kept (&fixture, 1);
   g_assert_null (_find (&fixture, VP_ORDER_START));
-  fixture.now_ms += 2300;
+  g_assert_cmpuint (vp_cell_unknown_count (fixture.cell, fixture.now_ms), ==, 1);
+  fixture.now_ms += (6000 + VP_ROSTER_UNCONFIRMED_MS) * 100 / 98;
   _decide (&fixture);
   g_assert_null (_find (&fixture, VP_ORDER_START));
-  fixture.now_ms += 200;
+  fixture.now_ms += VP_ROSTER_LAPSE_MARGIN_MS;
+  _decide (&fixture);
+  g_assert_nonnull (_find (&fixture, VP_ORDER_START));
+  g_assert_cmpuint (vp_cell_unknown_count (fixture.cell, fixture.now_ms), ==, 0);
+  _teardown (&fixture);
+}
+
+/* It comes back with the run that was not kept: that run goes on. */
+static void
+test_kept_worker_returns (void)
+{
+  Fixture fixture;
+  VpRunningEntry running = { .is_task = true, .run = 1, .percent = 100, .task.job = 1 };
+  VpWorkerEntry entry = _entry (1);
+  VpOrderResult result;
+
+  _setup_kept (&fixture, 1);
+  fixture.now_ms += 5000;
+  vp_cell_worker (fixture.cell, &entry, fixture.now_ms);
+  result = _list (&fixture, "w1");
+  g_array_append_val (result.running, running);
+  _take (&fixture, &result);
+  _decide (&fixture);
+  g_assert_null (_find (&fixture, VP_ORDER_START));
+  g_assert_cmpuint (vp_joblist_find (vp_cell_jobs (fixture.cell), 1)->out_count, ==, 1);
+  _teardown (&fixture);
+}
+
+/* After the limit neither leases are renewed nor tasks started, but workers are still listened to.
+ */
+static void
+test_limited_orders (void)
+{
+  Fixture fixture;
+  VpOrderResult result;
+
+  _setup (&fixture, 1, false);
+  _sync (&fixture);
+  _run_one (&fixture, 1000);
+  _submit (&fixture, 1, 1000);
+  vp_cell_limit_orders (fixture.cell, fixture.now_ms - 1);
+  result = _list (&fixture, "w0");
+  result.running->len = 0;
+  _take (&fixture, &result);
+  fixture.now_ms += 500;
+  _decide (&fixture);
+  g_assert_null (_find (&fixture, VP_ORDER_START));
+  g_assert_nonnull (_find (&fixture, VP_ORDER_HOLD));
+  g_assert_cmpint (_find (&fixture, VP_ORDER_HOLD)->lease_end_ms, ==, 0);
+  vp_cell_limit_orders (fixture.cell, fixture.now_ms);
   _decide (&fixture);
   g_assert_nonnull (_find (&fixture, VP_ORDER_START));
+  result = _list (&fixture, "w0");
+  _take (&fixture, &result);
+  fixture.now_ms += 500;
+  vp_cell_limit_orders (fixture.cell, fixture.now_ms);
+  _decide (&fixture);
+  g_assert_cmpint (_find (&fixture, VP_ORDER_HOLD)->lease_end_ms, >, 0);
   _teardown (&fixture);
 }
 
@@ -397,6 +454,8 @@
   g_test_add_func ("/cell/relisted", test_relisted);
   g_test_add_func ("/cell/kept-roster", test_kept_roster);
   g_test_add_func ("/cell/kept-worker-missing", test_kept_worker_missing);
+  g_test_add_func ("/cell/kept-worker-returns", test_kept_worker_returns);
+  g_test_add_func ("/cell/limited-orders", test_limited_orders);
   g_test_add_func ("/cell/withheld-worker", test_withheld_worker);
   g_test_add_func ("/cell/fenced", test_fenced);
   g_test_add_func ("/cell/unkept-failures", test_unkept_failures);
--- a/tests/test-node-cut.c
+++ b/tests/test-node-cut.c
@@ -1,4 +1,5 @@
 /* DCs that are cut off together with the leader, in simulated time. */
+#include "vp-log.h"
 #include "world.h"
 
 static void
@@ -55,32 +56,52 @@
   _leader_cut_off (41, 30000);
 }
 
-/* A leader that is cut off with some workers must let its leases there end: the tasks start
- * elsewhere. */
+/* A leader that is cut off with some workers gives no more leases. @cpu_milli of a task decides
+ * whether tasks run in that DC too, which then start elsewhere, or only outside, where the next
+ * leader takes them on. */
 static void
-test_leases_of_cut_off_leader (void)
+_lasting_tasks_over_a_cut (uint32_t seed, uint32_t width, int64_t cpu_milli, bool is_inside)
 {
-  World *world = _world_of_dcs (42);
-  uint64_t job
-      = world_submit (world, 0, &(WorldJob){ .steps = 1, .width = 18, .is_lasting = true });
-  uint32_t starts;
+  World *world = _world_of_dcs (seed);
+  uint64_t job = world_submit (
+      world, 0,
+      &(WorldJob){ .steps = 1, .width = width, .cpu_milli = cpu_milli, .is_lasting = true });
 
   world_run (world, 1000);
-  starts = world_starts (world);
+  g_assert_cmpuint (world_starts (world), ==, width);
   world_dc_cut (world, world_dc (world, world_leader (world)), 30000);
   world_run (world, 20000);
   g_assert_cmpint (world_state (world, job), ==, VP_JOB_RUNNING);
-  g_assert_cmpuint (world_starts (world), >, starts);
+  if (is_inside)
+    g_assert_cmpuint (world_starts (world), >, width);
+  else
+    g_assert_cmpuint (world_starts (world), ==, width);
   world_run (world, 15000);
   world_free (world);
 }
 
+static void
+test_leases_of_cut_off_leader (void)
+{
+  _lasting_tasks_over_a_cut (42, 12, 5000, true);
+}
+
+static void
+test_starts_of_cut_off_leader (void)
+{
+  _lasting_tasks_over_a_cut (42, 18, 1000, false);
+}
+
 int
 main (int argc, char **argv)
 {
   g_test_init (&argc, &argv, NULL);
+  /* Shows the decisions. */
+  if (g_getenv ("VP_LOG") != NULL)
+    vp_log_setup ("world");
   g_test_add_func ("/node-cut/leader-cut-off-with-workers", test_leader_cut_off_with_workers);
   g_test_add_func ("/node-cut/leader-cut-off-for-long", test_leader_cut_off_for_long);
   g_test_add_func ("/node-cut/leases-of-cut-off-leader", test_leases_of_cut_off_leader);
+  g_test_add_func ("/node-cut/starts-of-cut-off-leader", test_starts_of_cut_off_leader);
   return g_test_run ();
 }
--- a/tests/test-node.c
+++ b/tests/test-node.c
@@ -164,7 +164,7 @@
 }
 
 /* The process started while the store was away and heard of its return with the configuration: the
- * platform's list of workers may still lack some. */
+ * platform's list of workers may still lack some, where the last leader kept none of its own. */
 static void
 test_first_configuration_after_outage (void)
 {
@@ -179,7 +179,6 @@
       = { .kind = VP_NODE_WRITTEN, .written = { .outcome = VP_WRITE_OK, .revision = 6 } };
   VpNodeEvent loaded = { .kind = VP_NODE_LOADED, .loaded = { .serial = 2, .is_ok = true } };
   VpNodeEvent workers = { .kind = VP_NODE_WORKERS };
-  const char *kept[] = { "w0" };
 
   now_ms += 5000;
   _configure (node, now_ms, &effects);
@@ -194,8 +193,7 @@
   loaded.loaded.ended = g_ptr_array_new ();
   loaded.loaded.jobs = g_ptr_array_new ();
   loaded.loaded.progress = g_ptr_array_new ();
-  loaded.loaded.workers = g_ptr_array_new_with_free_func ((GDestroyNotify)g_bytes_unref);
-  g_ptr_array_add (loaded.loaded.workers, vp_node_serialise (g_variant_new_strv (kept, 1)));
+  loaded.loaded.workers = g_ptr_array_new ();
   vp_node_apply (node, &loaded, now_ms, &effects);
   vp_node_event_clear (&loaded);
   workers.workers = g_array_new (FALSE, FALSE, sizeof (VpWorkerEntry));
@@ -560,14 +558,30 @@
   }
 }
 
+/* In half of the cases the leader's DC, in some during an outage of the store. */
+static void
+_random_dc_cut (World *world, uint32_t dc_count)
+{
+  GRand *rand = world_rand (world);
+  uint32_t dc = g_rand_boolean (rand) ? world_dc (world, world_leader (world))
+                                      : (uint32_t)g_rand_int_range (rand, 0, (gint32)dc_count);
+
+  if (g_rand_int_range (rand, 0, 3) == 0) {
+    world_store_down (world, -1, g_rand_boolean (rand), g_rand_int_range (rand, 1000, 6000));
+    world_run (world, g_rand_int_range (rand, 100, 2000));
+  }
+  world_dc_cut (world, dc, g_rand_int_range (rand, 1000, 15000));
+}
+
 /* Random faults in series; all accepted jobs complete once they are over. */
 static void
-_random_day (uint32_t seed, uint32_t strong_count)
+_random_day (uint32_t seed, uint32_t strong_count, uint32_t dc_count)
 {
   World *world = world_new (&(WorldDesc){ .seed = seed,
                                           .strong_count = strong_count,
-                                          .node_count = 3,
-                                          .worker_count = 4,
+                                          .node_count = 3 * dc_count,
+                                          .worker_count = 4 * dc_count,
+                                          .dc_count = dc_count,
                                           .has_advice = seed % 2 == 0,
                                           .attempts_max = 100 });
   GRand *rand = world_rand (world);
@@ -583,14 +597,16 @@
     g_array_append_val (jobs, job);
     if (g_rand_int_range (rand, 0, 3) == 0)
       _random_fault (world);
+    if (dc_count > 1 && g_rand_int_range (rand, 0, 8) == 0)
+      _random_dc_cut (world, dc_count);
     world_run (world, 1000);
   }
   world_run (world, 40000);
   for (guint i = 0; i < jobs->len; i++) {
     uint64_t job = g_array_index (jobs, uint64_t, i);
     if (world_is_accepted (world, job) && world_state (world, job) != VP_JOB_COMPLETED)
-      g_error ("seed %u, %u strong: job %016" G_GINT64_MODIFIER "x is %s", seed, strong_count, job,
-               vp_job_state_token (world_state (world, job)));
+      g_error ("seed %u, %u strong, %u DCs: job %016" G_GINT64_MODIFIER "x is %s", seed,
+               strong_count, dc_count, job, vp_job_state_token (world_state (world, job)));
   }
   world_free (world);
 }
@@ -602,7 +618,7 @@
 
 /* Plays the seed that VP_SEED names, or 20 seeds, or as many as VP_SEEDS says. */
 static void
-_random_days (bool is_mixed)
+_random_days (bool is_mixed, uint32_t dc_count)
 {
   const char *only = g_getenv ("VP_SEED");
   const char *count = g_getenv ("VP_SEEDS");
@@ -611,22 +627,29 @@
       = count == NULL ? (only == NULL ? 20 : 1) : (uint32_t)g_ascii_strtoull (count, NULL, 10);
 
   for (uint32_t seed = first; seed < first + seeds; seed++)
-    _random_day (seed, is_mixed ? 1 + seed % 2 : 0);
+    _random_day (seed, is_mixed ? 1 + seed % 2 : 0, dc_count);
 }
 
 static void
 test_random (void)
 {
   for (guint i = 0; g_getenv ("VP_SEED") == NULL && i < G_N_ELEMENTS (kept_seeds); i++)
-    _random_day (kept_seeds[i], 0);
-  _random_days (false);
+    _random_day (kept_seeds[i], 0, 1);
+  _random_days (false, 1);
 }
 
 /* VMs of different strength: leaders also change without a fault. */
 static void
 test_random_mixed (void)
 {
-  _random_days (true);
+  _random_days (true, 1);
+}
+
+/* DCs are cut off too, with and without the leader. */
+static void
+test_random_dcs (void)
+{
+  _random_days (false, 3);
 }
 
 int
@@ -660,5 +683,6 @@
   g_test_add_func ("/node/advice-is-bounded", test_advice_is_bounded);
   g_test_add_func ("/node/random", test_random);
   g_test_add_func ("/node/random-mixed", test_random_mixed);
+  g_test_add_func ("/node/random-dcs", test_random_dcs);
   return g_test_run ();
 }
--- a/tests/test-turns.c
+++ b/tests/test-turns.c
@@ -25,7 +25,7 @@
 static void
 _setup (Fixture *fixture)
 {
-  fixture->roster = vp_roster_setup (6000);
+  fixture->roster = vp_roster_setup (6000, NOW_MS);
   fixture->jobs = vp_joblist_setup ();
   fixture->conf = vp_cellconf_new (1);
   _add_queue (fixture->conf, "urgent", 0);
