A new leader asks all workers of its predecessor, also those off the platform's list

Cause: the leader kept only the identities of its workers, so its successor could not call one that the platform did not list. After an outage entries are missing for up to 2 s, and those of workers that are cut off from the store for longer, though they answer calls.

Change: identity, address and DC are kept. The next leader puts them into its roster at once and sends a HOLD to each; one that the platform doesn't list gets no new work. A list that can't be read now means that any worker may be missing; it meant a wait of 2.5 s.

--- a/src/vp-cell-scan.c
+++ b/src/vp-cell-scan.c
@@ -1,4 +1,5 @@
 #include "vp-cell-private.h"
+#include "vp-counters.h"
 #include "vp-log.h"
 #include "vp-pace.h"
 
@@ -142,12 +143,27 @@
   _vp_cell_pace_worker (cell, worker, now_ms, effects);
 }
 
-/* A worker without tasks of ours: nothing of an earlier scheduler runs there either. */
+/* A worker off the list without tasks of ours: nothing of an earlier scheduler runs there either.
+ * One that was never on this scheduler's list has time to come back. */
 static bool
-_vp_cell_is_idle_for_certain (const VpCell *cell, const VpRosterWorker *worker, int64_t now_ms)
+_vp_cell_may_forget (const VpCell *cell, const VpRosterWorker *worker, int64_t now_ms)
 {
-  return (worker->is_synced && worker->foreign_count == 0)
-         || vp_roster_is_lapsed (cell->roster, worker, now_ms);
+  if (worker->is_listed || worker->is_hold_out || g_hash_table_size (worker->tasks) > 0)
+    return false;
+  if (worker->is_synced && worker->foreign_count == 0)
+    return worker->was_listed || now_ms > cell->roster->inherited_until_ms;
+  return vp_roster_is_lapsed (cell->roster, worker, now_ms);
+}
+
+static void
+_vp_cell_forget (VpCell *cell, VpRosterWorker *worker, int64_t now_ms)
+{
+  if (worker->clock_at_ms == 0 && !worker->is_over) {
+    vp_counters_add (VP_COUNT_WORKERS_GIVEN_UP, 1);
+    vp_log (now_ms, "worker-given-up", "worker=%s why=leases-over waited_ms=%" G_GINT64_FORMAT,
+            worker->entry.id, now_ms - cell->started_ms);
+  }
+  vp_roster_remove (cell->roster, worker);
 }
 
 void
@@ -160,9 +176,8 @@
   for (guint i = 0; i < cell->roster->workers->len;) {
     VpRosterWorker *worker = cell->roster->workers->pdata[i];
     _vp_cell_scan_worker (cell, worker, now_ms, effects);
-    if (!worker->is_listed && !worker->is_hold_out && g_hash_table_size (worker->tasks) == 0
-        && _vp_cell_is_idle_for_certain (cell, worker, now_ms))
-      vp_roster_remove (cell->roster, worker);
+    if (_vp_cell_may_forget (cell, worker, now_ms))
+      _vp_cell_forget (cell, worker, now_ms);
     else
       i++;
   }
--- a/src/vp-cell.c
+++ b/src/vp-cell.c
@@ -49,7 +49,6 @@
   vp_roster_shutdown (cell->roster);
   vp_reconcile_shutdown (&cell->reconcile);
   vp_advise_shutdown (cell->advise);
-  g_clear_pointer (&cell->expected, g_hash_table_unref);
   g_clear_pointer (&cell->conf, vp_cellconf_unref);
   g_free (cell);
 }
@@ -117,14 +116,12 @@
   bool was_draining = known != NULL && known->entry.is_draining;
   bool is_new = known == NULL;
 
-  if (is_new)
+  if (is_new || !known->is_listed)
     vp_log (now_ms, "worker-listed", "worker=%s address=%s service=%s", entry->id, entry->address,
             entry->service);
   known = vp_roster_put (cell->roster, entry);
   if (is_new)
-    known->is_withheld
-        = cell->desc.keeps_roster
-          && (cell->expected == NULL || !g_hash_table_remove (cell->expected, entry->id));
+    known->is_withheld = cell->desc.keeps_roster;
   /* Its entry tells of a restart before its lists do. */
   if (entry->born_ms != 0 && known->born_ms != 0 && entry->born_ms > known->born_ms) {
     vp_reconcile_lost (&cell->reconcile, known, "born-again", now_ms);
@@ -168,38 +165,30 @@
 static bool
 _vp_cell_may_lack_workers (const VpCell *cell, int64_t now_ms)
 {
-  if (!cell->has_list)
-    return true;
-  if (cell->expected == NULL)
-    return now_ms < cell->started_ms + cell->desc.relist_ms;
-  return g_hash_table_size (cell->expected) > 0 && now_ms <= cell->roster->inherited_until_ms;
+  if (cell->has_kept)
+    return false;
+  return !cell->has_list || now_ms < cell->started_ms + cell->desc.relist_ms
+         || (cell->is_kept_unknown && now_ms <= cell->roster->inherited_until_ms);
 }
 
 uint32_t
 vp_cell_unknown_count (const VpCell *cell, int64_t now_ms)
 {
-  uint32_t count = cell->expected == NULL ? 0 : g_hash_table_size (cell->expected);
+  uint32_t count = 0;
 
   for (guint i = 0; !cell->is_settled && i < cell->roster->workers->len; i++)
     count += _vp_cell_is_settled_worker (cell, cell->roster->workers->pdata[i], now_ms) ? 0 : 1;
   return count;
 }
 
-static void
-_vp_cell_give_up_expected (VpCell *cell, int64_t now_ms)
+static uint32_t
+_vp_cell_silent_count (const VpCell *cell)
 {
-  GHashTableIter iter;
-  gpointer id;
+  uint32_t count = 0;
 
-  if (cell->expected == NULL || g_hash_table_size (cell->expected) == 0)
-    return;
-  g_hash_table_iter_init (&iter, cell->expected);
-  while (g_hash_table_iter_next (&iter, &id, NULL))
-    vp_log (now_ms, "worker-given-up", "worker=%s why=leases-over waited_ms=%" G_GINT64_FORMAT,
-            (const char *)id, now_ms - cell->started_ms);
-  vp_counters_add (VP_COUNT_WORKERS_GIVEN_UP, g_hash_table_size (cell->expected));
-  g_hash_table_remove_all (cell->expected);
-  cell->roster->is_changed = true;
+  for (guint i = 0; i < cell->roster->workers->len; i++)
+    count += ((VpRosterWorker *)cell->roster->workers->pdata[i])->is_synced ? 0 : 1;
+  return count;
 }
 
 /* Whether every worker that an earlier scheduler may have used has told what it runs. */
@@ -212,11 +201,10 @@
     if (!_vp_cell_is_settled_worker (cell, cell->roster->workers->pdata[i], now_ms))
       return;
   }
+  vp_log (now_ms, "settled", "after_ms=%" G_GINT64_FORMAT " workers=%u silent=%u kept=%d",
+          now_ms - cell->started_ms, cell->roster->workers->len, _vp_cell_silent_count (cell),
+          cell->has_kept);
   cell->is_settled = true;
-  vp_log (now_ms, "settled", "after_ms=%" G_GINT64_FORMAT " workers=%u gone=%u",
-          now_ms - cell->started_ms, cell->roster->workers->len,
-          cell->expected == NULL ? 0 : g_hash_table_size (cell->expected));
-  _vp_cell_give_up_expected (cell, now_ms);
 }
 
 void
@@ -431,24 +419,17 @@
 GVariant *
 vp_cell_stage_roster (VpCell *cell)
 {
-  GVariantBuilder ids;
-  GHashTableIter iter;
-  gpointer id;
+  GVariantBuilder rows;
 
-  g_variant_builder_init (&ids, G_VARIANT_TYPE (VP_CELL_ROSTER_TYPE));
+  g_variant_builder_init (&rows, G_VARIANT_TYPE (VP_CELL_ROSTER_TYPE));
   for (guint i = 0; i < cell->roster->workers->len; i++) {
     VpRosterWorker *worker = cell->roster->workers->pdata[i];
     worker->is_staged = true;
-    g_variant_builder_add (&ids, "s", worker->entry.id);
-  }
-  /* Those that aren't found yet stay expected if this scheduler ends before it knows more. */
-  if (cell->expected != NULL) {
-    g_hash_table_iter_init (&iter, cell->expected);
-    while (g_hash_table_iter_next (&iter, &id, NULL))
-      g_variant_builder_add (&ids, "s", (const char *)id);
+    g_variant_builder_add (&rows, "(sss)", worker->entry.id, worker->entry.address,
+                           worker->entry.dc);
   }
   cell->roster->is_changed = false;
-  return g_variant_builder_end (&ids);
+  return g_variant_builder_end (&rows);
 }
 
 void
@@ -470,20 +451,27 @@
 }
 
 void
-vp_cell_expect_roster (VpCell *cell, GVariant *ids)
+vp_cell_expect_roster (VpCell *cell, GVariant *kept)
 {
   GVariantIter iter;
-  const char *id;
+  const char *id, *address, *dc;
 
-  cell->expected = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
-  g_variant_iter_init (&iter, ids);
-  while (g_variant_iter_next (&iter, "&s", &id)) {
-    VpRosterWorker *worker = vp_roster_find (cell->roster, id);
-    if (worker != NULL)
-      worker->is_withheld = false;
-    else
-      g_hash_table_add (cell->expected, g_strdup (id));
+  if (kept == NULL) {
+    cell->is_kept_unknown = true;
+    return;
+  }
+  g_variant_iter_init (&iter, kept);
+  while (g_variant_iter_next (&iter, "(&s&s&s)", &id, &address, &dc)) {
+    VpWorkerEntry entry = { .remaining_ms = -1 };
+    if (!vp_name_copy (entry.id, sizeof entry.id, id)
+        || !vp_name_copy (entry.address, sizeof entry.address, address)
+        || !vp_name_copy (entry.dc, sizeof entry.dc, dc)) {
+      cell->is_kept_unknown = true;
+      continue;
+    }
+    vp_roster_expect (cell->roster, &entry)->is_withheld = false;
   }
+  cell->has_kept = !cell->is_kept_unknown;
 }
 
 VpJob *
--- a/src/vp-cell.h
+++ b/src/vp-cell.h
@@ -73,18 +73,19 @@
 void vp_cell_stage_ends (VpCell *cell);
 void vp_cell_ends_durable (VpCell *cell, int64_t now_ms);
 bool vp_cell_has_unstaged_ends (const VpCell *cell);
-/* The identities of all workers that tasks may run on ("as"), for a later scheduler: once it has
- * heard all of them it knows all that runs. One that is missing from the platform's list may be cut
- * off together with the last scheduler, so it counts as gone only when all leases are over. */
-#define VP_CELL_ROSTER_TYPE "as"
+/* Identity, address and DC of all workers that tasks may run on, for a later scheduler: once it has
+ * heard all of them it knows all that runs, also of those that the platform's list lacks. One that
+ * is silent may be cut off together with the last scheduler, so it counts as gone only when all
+ * leases are over. */
+#define VP_CELL_ROSTER_TYPE "a(sss)"
 bool vp_cell_has_unstaged_roster (const VpCell *cell);
 /* Floating; the commit that is built now keeps it. */
 GVariant *vp_cell_stage_roster (VpCell *cell);
 void vp_cell_roster_durable (VpCell *cell);
 /* The commit had no effect. */
 void vp_cell_unstage_roster (VpCell *cell);
-/* What the last scheduler kept. */
-void vp_cell_expect_roster (VpCell *cell, GVariant *ids);
+/* What the last scheduler kept; NULL: it can't be read. */
+void vp_cell_expect_roster (VpCell *cell, GVariant *kept);
 /* Starts, stops, leases, advice: appends VpCellEffect. */
 void vp_cell_decide (VpCell *cell, int64_t now_ms, GArray *effects);
 /* When vp_cell_decide() has something to do without news. */
--- a/src/vp-keeper.c
+++ b/src/vp-keeper.c
@@ -113,19 +113,16 @@
   return bad_count;
 }
 
-/* Without a readable list of workers the scheduler waits for the platform's list to be whole. */
 static uint32_t
 _vp_keeper_load_roster (VpKeeper *keeper, const GPtrArray *values)
 {
-  g_autoptr (GVariant) ids = NULL;
+  g_autoptr (GVariant) kept = NULL;
 
   if (values->len == 0)
     return 0;
-  ids = vp_node_parse (values->pdata[0], VP_CELL_ROSTER_TYPE);
-  if (ids == NULL)
-    return 1;
-  vp_cell_expect_roster (keeper->desc.cell, ids);
-  return 0;
+  kept = vp_node_parse (values->pdata[0], VP_CELL_ROSTER_TYPE);
+  vp_cell_expect_roster (keeper->desc.cell, kept);
+  return kept == NULL ? 1 : 0;
 }
 
 uint32_t
--- a/src/vp-roster.c
+++ b/src/vp-roster.c
@@ -63,23 +63,32 @@
 }
 
 VpRosterWorker *
-vp_roster_put (VpRoster *roster, const VpWorkerEntry *entry)
+vp_roster_expect (VpRoster *roster, const VpWorkerEntry *entry)
 {
   VpRosterWorker *worker = vp_roster_find (roster, entry->id);
 
-  if (worker == NULL) {
-    worker = g_new0 (VpRosterWorker, 1);
-    worker->tasks = g_hash_table_new (NULL, NULL);
-    worker->pace_percent = 100;
-    worker->slowness = 1;
-    worker->entry = *entry;
-    roster->is_changed = true;
-    g_ptr_array_add (roster->workers, worker);
-    g_hash_table_insert (roster->by_id, worker->entry.id, worker);
-  }
+  if (worker != NULL)
+    return worker;
+  worker = g_new0 (VpRosterWorker, 1);
+  worker->tasks = g_hash_table_new (NULL, NULL);
+  worker->pace_percent = 100;
+  worker->slowness = 1;
+  worker->entry = *entry;
+  worker->rack_index = _vp_roster_rack (roster, entry);
+  roster->is_changed = true;
+  g_ptr_array_add (roster->workers, worker);
+  g_hash_table_insert (roster->by_id, worker->entry.id, worker);
+  return worker;
+}
+
+VpRosterWorker *
+vp_roster_put (VpRoster *roster, const VpWorkerEntry *entry)
+{
+  VpRosterWorker *worker = vp_roster_expect (roster, entry);
+
   worker->entry = *entry;
   worker->rack_index = _vp_roster_rack (roster, entry);
-  worker->is_listed = true;
+  worker->is_listed = worker->was_listed = true;
   worker->has_left = false;
   return worker;
 }
--- a/src/vp-roster.h
+++ b/src/vp-roster.h
@@ -50,6 +50,7 @@
   GHashTable *tasks;        /* committed tasks, by address */
   uint32_t foreign_count;   /* listed runs that no known task accounts for */
   bool is_listed;           /* in the platform's list now */
+  bool was_listed;          /* now or before, in this scheduler's time */
   bool is_withheld;         /* a later scheduler would not know of it yet: gets no work */
   bool is_staged;           /* the commit under way keeps it */
   bool is_over;             /* another life has its address: nothing of this one runs */
@@ -92,6 +93,9 @@
 void vp_roster_shutdown (VpRoster *roster);
 /* Adds a worker or takes over what its entry says now. */
 VpRosterWorker *vp_roster_put (VpRoster *roster, const VpWorkerEntry *entry);
+/* Adds a worker that an earlier scheduler used, unless it is known. Only the identity, the address
+ * and the DC of @entry are needed; it gets no work until the platform lists it. */
+VpRosterWorker *vp_roster_expect (VpRoster *roster, const VpWorkerEntry *entry);
 VpRosterWorker *vp_roster_find (const VpRoster *roster, const char *id);
 /* The worker must have no tasks. */
 void vp_roster_remove (VpRoster *roster, VpRosterWorker *worker);
--- a/tests/test-cell-takeover.c
+++ b/tests/test-cell-takeover.c
@@ -174,7 +174,7 @@
 static void
 _setup_kept (Fixture *fixture, uint32_t worker_count)
 {
-  GVariantBuilder ids;
+  GVariantBuilder rows;
   g_autoptr (GVariant) kept = NULL;
 
   _setup_cell (fixture,
@@ -184,12 +184,16 @@
                               .relist_ms = 2500,
                               .keeps_roster = true },
                worker_count, false);
-  g_variant_builder_init (&ids, G_VARIANT_TYPE (VP_CELL_ROSTER_TYPE));
-  g_variant_builder_add (&ids, "s", "w0");
-  g_variant_builder_add (&ids, "s", "w1");
-  kept = g_variant_ref_sink (g_variant_builder_end (&ids));
+  g_variant_builder_init (&rows, G_VARIANT_TYPE (VP_CELL_ROSTER_TYPE));
+  g_variant_builder_add (&rows, "(sss)", "w0", "127.0.0.1:1", "dc");
+  g_variant_builder_add (&rows, "(sss)", "w1", "127.0.0.1:2", "dc");
+  kept = g_variant_ref_sink (g_variant_builder_end (&rows));
+  for (uint32_t i = 0; i < worker_count; i++) {
+    g_autofree char *id = g_strdup_printf ("w%u", i);
+    VpOrderResult result = _list (fixture, id);
+    _take (fixture, &result);
+  }
   vp_cell_expect_roster (fixture->cell, kept);
-  _sync (fixture);
   fixture->now_ms += 100;
   _submit (fixture, 1, 1000)->is_inherited = true;
   _decide (fixture);
@@ -226,6 +230,61 @@
   _teardown (&fixture);
 }
 
+/* It is asked at the address that was kept: nothing else can run, so there is no wait. Its work
+ * goes on, and it gets new work once it is listed. */
+static void
+test_kept_worker_off_the_list (void)
+{
+  Fixture fixture;
+  VpRunningEntry running = { .is_task = true, .run = 1, .percent = 100, .task.job = 1 };
+  VpOrderResult result;
+  bool is_asked = false;
+
+  _setup_kept (&fixture, 1);
+  for (guint i = 0; i < fixture.effects->len; i++) {
+    const VpOrder *order = &g_array_index (fixture.effects, VpCellEffect, i).order;
+    is_asked = is_asked
+               || (strcmp (order->worker, "w1") == 0 && strcmp (order->address, "127.0.0.1:2") == 0
+                   && order->kind == VP_ORDER_HOLD);
+  }
+  g_assert_true (is_asked);
+  result = _list (&fixture, "w1");
+  g_array_append_val (result.running, running);
+  _take (&fixture, &result);
+  _submit (&fixture, 5, 1000);
+  _decide (&fixture);
+  g_assert_cmpuint (vp_cell_unknown_count (fixture.cell, fixture.now_ms), ==, 0);
+  g_assert_cmpuint (vp_joblist_find (vp_cell_jobs (fixture.cell), 1)->out_count, ==, 1);
+  g_assert_cmpuint (_count (&fixture, VP_ORDER_START), ==, 4);
+  /* It is not forgotten before it had time to come back on the list. */
+  result = _list (&fixture, "w1");
+  result.sent_ms++;
+  _take (&fixture, &result);
+  fixture.now_ms += 2000;
+  _decide (&fixture);
+  g_assert_cmpuint (vp_cell_roster (fixture.cell)->workers->len, ==, 2);
+  _teardown (&fixture);
+}
+
+/* What the last scheduler kept of its workers can't be read: any worker may be missing. */
+static void
+test_kept_list_unreadable (void)
+{
+  Fixture fixture;
+
+  _setup (&fixture, 1, false);
+  vp_cell_expect_roster (fixture.cell, NULL);
+  _submit (&fixture, 1, 1000)->is_inherited = true;
+  _sync (&fixture);
+  fixture.now_ms += (6000 + VP_ROSTER_UNCONFIRMED_MS) * 100 / 98 + VP_ROSTER_LAPSE_MARGIN_MS;
+  _decide (&fixture);
+  g_assert_null (_find (&fixture, VP_ORDER_START));
+  fixture.now_ms++;
+  _decide (&fixture);
+  g_assert_nonnull (_find (&fixture, VP_ORDER_START));
+  _teardown (&fixture);
+}
+
 /* It comes back with the run that was not kept: that run goes on. */
 static void
 test_kept_worker_returns (void)
@@ -454,6 +513,8 @@
   g_test_add_func ("/cell/relisted", test_relisted);
   g_test_add_func ("/cell/kept-roster", test_kept_roster);
   g_test_add_func ("/cell/kept-worker-missing", test_kept_worker_missing);
+  g_test_add_func ("/cell/kept-worker-off-the-list", test_kept_worker_off_the_list);
+  g_test_add_func ("/cell/kept-list-unreadable", test_kept_list_unreadable);
   g_test_add_func ("/cell/kept-worker-returns", test_kept_worker_returns);
   g_test_add_func ("/cell/limited-orders", test_limited_orders);
   g_test_add_func ("/cell/withheld-worker", test_withheld_worker);
--- a/tests/test-node-cut.c
+++ b/tests/test-node-cut.c
@@ -92,6 +92,25 @@
   _lasting_tasks_over_a_cut (42, 18, 1000, false);
 }
 
+/* After an outage workers are off the platform's list for up to 2 s. A leader that takes over then
+ * asks the workers of its predecessor itself. */
+static void
+test_takeover_after_outage (void)
+{
+  World *world = _world_of_dcs (43);
+  uint64_t job = world_submit (world, 0, &(WorldJob){ .steps = 3, .width = 12, .work_ms = 500 });
+
+  world_run (world, 300);
+  world_store_down (world, -1, true, 7000);
+  world_run (world, 6900);
+  world_kill (world, world_leader (world), 20000);
+  while (!world_has_leader (world))
+    world_run (world, 10);
+  _assert_completes (world, job, 300);
+  g_assert_cmpuint (world_starts (world), ==, 36);
+  world_free (world);
+}
+
 int
 main (int argc, char **argv)
 {
@@ -103,5 +122,6 @@
   g_test_add_func ("/node-cut/leader-cut-off-for-long", test_leader_cut_off_for_long);
   g_test_add_func ("/node-cut/leases-of-cut-off-leader", test_leases_of_cut_off_leader);
   g_test_add_func ("/node-cut/starts-of-cut-off-leader", test_starts_of_cut_off_leader);
+  g_test_add_func ("/node-cut/takeover-after-outage", test_takeover_after_outage);
   return g_test_run ();
 }
