Workers that are out of use don't hold up the next leader

Cause: the list said which workers may run tasks, not on which of them starts may be missing from what is kept.

Change: each row of the list says whether the worker is open for starts that aren't kept first. A worker that drains, is unlisted, or silent for 1 s gets no starts, and the next commit that covers all starts closes it. A later leader waits only for open workers that it can't hear; tasks that are kept as running on a closed one wait for that one alone. A worker of which the leader itself doesn't know what it runs stays open. What a later scheduler finds of workers has a file of its own.

--- a/src/vp-cell-private.h
+++ b/src/vp-cell-private.h
@@ -1,5 +1,5 @@
 /* State of the scheduler, for the files that it is made of: vp-cell.c, vp-cell-orders.c,
- * vp-cell-scan.c. */
+ * vp-cell-scan.c, vp-cell-succession.c. */
 #pragma once
 
 #include "vp-advise.h"
@@ -34,6 +34,12 @@
 /* Orders the present run of an assigned task; again if it was ordered before. */
 void _vp_cell_order_start (VpCell *cell, VpJobTask *task, int64_t now_ms, GArray *effects);
 void _vp_cell_order_stop (VpCell *cell, VpJobTask *task, int64_t now_ms, GArray *effects);
+/* Whether it is known what an earlier scheduler has running there. */
+bool _vp_cell_is_settled_worker (const VpCell *cell, const VpRosterWorker *worker, int64_t now_ms);
+/* Notes when all is known that an earlier scheduler may have started. */
+void _vp_cell_settle (VpCell *cell, int64_t now_ms);
+/* Closes a worker that is out of use for work that isn't kept first, and opens it again. */
+void _vp_cell_review_worker (VpCell *cell, VpRosterWorker *worker, int64_t now_ms);
 /* Looks at all running tasks: stops those that must not go on, repeats starts without an answer,
  * gives up what silent workers ran, and removes workers that are gone. */
 void _vp_cell_scan (VpCell *cell, int64_t now_ms, GArray *effects);
--- a/src/vp-cell-scan.c
+++ b/src/vp-cell-scan.c
@@ -176,6 +176,7 @@
   for (guint i = 0; i < cell->roster->workers->len;) {
     VpRosterWorker *worker = cell->roster->workers->pdata[i];
     _vp_cell_scan_worker (cell, worker, now_ms, effects);
+    _vp_cell_review_worker (cell, worker, now_ms);
     if (_vp_cell_may_forget (cell, worker, now_ms))
       _vp_cell_forget (cell, worker, now_ms);
     else
--- a/src/vp-cell.c
+++ b/src/vp-cell.c
@@ -155,58 +155,6 @@
   }
 }
 
-static bool
-_vp_cell_is_settled_worker (const VpCell *cell, const VpRosterWorker *worker, int64_t now_ms)
-{
-  return worker->is_synced || vp_roster_is_lapsed (cell->roster, worker, now_ms);
-}
-
-/* Whether workers may be missing that an earlier scheduler used. */
-static bool
-_vp_cell_may_lack_workers (const VpCell *cell, int64_t now_ms)
-{
-  if (cell->has_kept)
-    return false;
-  return !cell->has_list || now_ms < cell->started_ms + cell->desc.relist_ms
-         || (cell->is_kept_unknown && now_ms <= cell->roster->inherited_until_ms);
-}
-
-uint32_t
-vp_cell_unknown_count (const VpCell *cell, int64_t now_ms)
-{
-  uint32_t count = 0;
-
-  for (guint i = 0; !cell->is_settled && i < cell->roster->workers->len; i++)
-    count += _vp_cell_is_settled_worker (cell, cell->roster->workers->pdata[i], now_ms) ? 0 : 1;
-  return count;
-}
-
-static uint32_t
-_vp_cell_silent_count (const VpCell *cell)
-{
-  uint32_t count = 0;
-
-  for (guint i = 0; i < cell->roster->workers->len; i++)
-    count += ((VpRosterWorker *)cell->roster->workers->pdata[i])->is_synced ? 0 : 1;
-  return count;
-}
-
-/* Whether every worker that an earlier scheduler may have used has told what it runs. */
-static void
-_vp_cell_settle (VpCell *cell, int64_t now_ms)
-{
-  if (cell->is_settled || _vp_cell_may_lack_workers (cell, now_ms))
-    return;
-  for (guint i = 0; i < cell->roster->workers->len; i++) {
-    if (!_vp_cell_is_settled_worker (cell, cell->roster->workers->pdata[i], now_ms))
-      return;
-  }
-  vp_log (now_ms, "settled", "after_ms=%" G_GINT64_FORMAT " workers=%u silent=%u kept=%d",
-          now_ms - cell->started_ms, cell->roster->workers->len, _vp_cell_silent_count (cell),
-          cell->has_kept);
-  cell->is_settled = true;
-}
-
 void
 vp_cell_set_askers (VpCell *cell, uint32_t count)
 {
@@ -410,70 +358,6 @@
   }
 }
 
-bool
-vp_cell_has_unstaged_roster (const VpCell *cell)
-{
-  return cell->desc.keeps_roster && cell->roster->is_changed;
-}
-
-GVariant *
-vp_cell_stage_roster (VpCell *cell)
-{
-  GVariantBuilder rows;
-
-  g_variant_builder_init (&rows, G_VARIANT_TYPE (VP_CELL_ROSTER_TYPE));
-  for (guint i = 0; i < cell->roster->workers->len; i++) {
-    VpRosterWorker *worker = cell->roster->workers->pdata[i];
-    worker->is_staged = true;
-    g_variant_builder_add (&rows, "(sss)", worker->entry.id, worker->entry.address,
-                           worker->entry.dc);
-  }
-  cell->roster->is_changed = false;
-  return g_variant_builder_end (&rows);
-}
-
-void
-vp_cell_roster_durable (VpCell *cell)
-{
-  for (guint i = 0; i < cell->roster->workers->len; i++) {
-    VpRosterWorker *worker = cell->roster->workers->pdata[i];
-    if (worker->is_staged)
-      worker->is_withheld = false;
-  }
-}
-
-void
-vp_cell_unstage_roster (VpCell *cell)
-{
-  for (guint i = 0; i < cell->roster->workers->len; i++)
-    ((VpRosterWorker *)cell->roster->workers->pdata[i])->is_staged = false;
-  cell->roster->is_changed = true;
-}
-
-void
-vp_cell_expect_roster (VpCell *cell, GVariant *kept)
-{
-  GVariantIter iter;
-  const char *id, *address, *dc;
-
-  if (kept == NULL) {
-    cell->is_kept_unknown = true;
-    return;
-  }
-  g_variant_iter_init (&iter, kept);
-  while (g_variant_iter_next (&iter, "(&s&s&s)", &id, &address, &dc)) {
-    VpWorkerEntry entry = { .remaining_ms = -1 };
-    if (!vp_name_copy (entry.id, sizeof entry.id, id)
-        || !vp_name_copy (entry.address, sizeof entry.address, address)
-        || !vp_name_copy (entry.dc, sizeof entry.dc, dc)) {
-      cell->is_kept_unknown = true;
-      continue;
-    }
-    vp_roster_expect (cell->roster, &entry)->is_withheld = false;
-  }
-  cell->has_kept = !cell->is_kept_unknown;
-}
-
 VpJob *
 vp_cell_submit (VpCell *cell, VpJobSpec *spec, int64_t now_ms)
 {
--- a/src/vp-cell.h
+++ b/src/vp-cell.h
@@ -73,15 +73,17 @@
 void vp_cell_stage_ends (VpCell *cell);
 void vp_cell_ends_durable (VpCell *cell, int64_t now_ms);
 bool vp_cell_has_unstaged_ends (const VpCell *cell);
-/* Identity, address and DC of all workers that tasks may run on, for a later scheduler: once it has
- * heard all of them it knows all that runs, also of those that the platform's list lacks. One that
- * is silent may be cut off together with the last scheduler, so it counts as gone only when all
- * leases are over. */
-#define VP_CELL_ROSTER_TYPE "a(sss)"
+/* Identity, address and DC of all workers that tasks may run on, for a later scheduler, and whether
+ * starts there may be missing from what is kept of the jobs. Once the later one has heard all those
+ * workers it knows all that runs, also of workers that the platform's list lacks. One that is
+ * silent may be cut off together with the last scheduler, so it counts as gone only when all leases
+ * are over. Workers that are out of use get no starts, and the next complete commit closes them. */
+#define VP_CELL_ROSTER_TYPE "a(sssb)"
 bool vp_cell_has_unstaged_roster (const VpCell *cell);
-/* Floating; the commit that is built now keeps it. */
-GVariant *vp_cell_stage_roster (VpCell *cell);
-void vp_cell_roster_durable (VpCell *cell);
+/* Floating; the commit that is built now keeps it. @is_complete: with it all is kept that was
+ * ordered so far. */
+GVariant *vp_cell_stage_roster (VpCell *cell, bool is_complete, int64_t now_ms);
+void vp_cell_roster_durable (VpCell *cell, int64_t now_ms);
 /* The commit had no effect. */
 void vp_cell_unstage_roster (VpCell *cell);
 /* What the last scheduler kept; NULL: it can't be read. */
--- a/src/vp-keeper.c
+++ b/src/vp-keeper.c
@@ -248,17 +248,19 @@
   g_array_set_size (keeper->touched, 0);
   _vp_keeper_sweep (keeper, now_ms);
   keeper->covers_roster = _vp_keeper_is_roster_due (keeper, now_ms);
-  if (keeper->covers_roster) {
-    keeper->roster_next_ms = now_ms + VP_KEEPER_ROSTER_GAP_MS;
-    size += _vp_keeper_set (write, g_strdup ("workers"), vp_cell_stage_roster (keeper->desc.cell));
-  }
   while (!g_queue_is_empty (&jobs->dirty) && size < VP_KEEPER_BYTES_MAX
-         && write->keys->len + write->removed->len + VP_KEEPER_ENTRIES_JOB <= VP_KEEPER_ENTRIES_MAX)
+         && write->keys->len + write->removed->len + VP_KEEPER_ENTRIES_JOB + keeper->covers_roster
+                <= VP_KEEPER_ENTRIES_MAX)
     size += _vp_keeper_add_job (keeper, vp_joblist_take_dirty (jobs));
   /* Ends are covered when all that they changed stands in this commit or an earlier one. */
   keeper->covers_ends = g_queue_is_empty (&jobs->dirty);
   if (keeper->covers_ends)
     vp_cell_stage_ends (keeper->desc.cell);
+  if (keeper->covers_roster) {
+    keeper->roster_next_ms = now_ms + VP_KEEPER_ROSTER_GAP_MS;
+    _vp_keeper_set (write, g_strdup ("workers"),
+                    vp_cell_stage_roster (keeper->desc.cell, keeper->covers_ends, now_ms));
+  }
   keeper->is_last = keeper->is_finishing && keeper->covers_ends;
   record.commit++;
   /* A leader that has not heard all workers can't vouch for what they run. */
@@ -326,7 +328,7 @@
   if (keeper->covers_ends)
     vp_cell_ends_durable (keeper->desc.cell, now_ms);
   if (keeper->covers_roster)
-    vp_cell_roster_durable (keeper->desc.cell);
+    vp_cell_roster_durable (keeper->desc.cell, now_ms);
   vp_counters_add (VP_COUNT_LEDGER_COMMITS, 1);
   if (keeper->is_failing)
     vp_log (now_ms, "commits-again", "after_ms=%" G_GINT64_FORMAT, now_ms - keeper->written_ms);
--- a/src/vp-roster.h
+++ b/src/vp-roster.h
@@ -52,7 +52,9 @@
   bool is_listed;           /* in the platform's list now */
   bool was_listed;          /* now or before, in this scheduler's time */
   bool is_withheld;         /* a later scheduler would not know of it yet: gets no work */
-  bool is_staged;           /* the commit under way keeps it */
+  bool is_open;             /* kept as one that may get work that isn't kept first */
+  bool is_staged_open;      /* the commit under way keeps it so */
+  bool is_unknown;          /* an earlier scheduler may have started there what it didn't keep */
   bool is_over;             /* another life has its address: nothing of this one runs */
   bool has_left;            /* it drained and left the list; gone once it doesn't answer */
   bool is_synced;           /* its runs are known since this scheduler took over */
--- a/tests/test-cell-takeover.c
+++ b/tests/test-cell-takeover.c
@@ -172,7 +172,7 @@
 
 /* What a scheduler that keeps its list of workers finds: "w0" and "w1" were kept. */
 static void
-_setup_kept (Fixture *fixture, uint32_t worker_count)
+_setup_kept_as (Fixture *fixture, uint32_t worker_count, bool is_open)
 {
   GVariantBuilder rows;
   g_autoptr (GVariant) kept = NULL;
@@ -185,8 +185,8 @@
                               .keeps_roster = true },
                worker_count, false);
   g_variant_builder_init (&rows, G_VARIANT_TYPE (VP_CELL_ROSTER_TYPE));
-  g_variant_builder_add (&rows, "(sss)", "w0", "127.0.0.1:1", "dc");
-  g_variant_builder_add (&rows, "(sss)", "w1", "127.0.0.1:2", "dc");
+  g_variant_builder_add (&rows, "(sssb)", "w0", "127.0.0.1:1", "dc", TRUE);
+  g_variant_builder_add (&rows, "(sssb)", "w1", "127.0.0.1:2", "dc", (gboolean)is_open);
   kept = g_variant_ref_sink (g_variant_builder_end (&rows));
   for (uint32_t i = 0; i < worker_count; i++) {
     g_autofree char *id = g_strdup_printf ("w%u", i);
@@ -199,6 +199,23 @@
   _decide (fixture);
 }
 
+static void
+_setup_kept (Fixture *fixture, uint32_t worker_count)
+{
+  _setup_kept_as (fixture, worker_count, true);
+}
+
+/* A missing worker that was kept as closed runs nothing that isn't known. */
+static void
+test_kept_closed (void)
+{
+  Fixture fixture;
+
+  _setup_kept_as (&fixture, 1, false);
+  g_assert_nonnull (_find (&fixture, VP_ORDER_START));
+  _teardown (&fixture);
+}
+
 /* All workers that were kept are listed and heard: nothing else can run, so there is no wait. */
 static void
 test_kept_roster (void)
@@ -230,6 +247,87 @@
   _teardown (&fixture);
 }
 
+static bool
+_is_kept_open (GVariant *kept, const char *worker)
+{
+  GVariantIter iter;
+  const char *id, *address, *dc;
+  gboolean is_open;
+
+  g_variant_iter_init (&iter, kept);
+  while (g_variant_iter_next (&iter, "(&s&s&sb)", &id, &address, &dc, &is_open)) {
+    if (strcmp (id, worker) == 0)
+      return is_open;
+  }
+  g_assert_not_reached ();
+}
+
+/* What the next commit keeps of @worker. */
+static bool
+_keep_roster (Fixture *fixture, bool is_complete, const char *worker)
+{
+  g_autoptr (GVariant) kept
+      = g_variant_ref_sink (vp_cell_stage_roster (fixture->cell, is_complete, fixture->now_ms));
+
+  vp_cell_roster_durable (fixture->cell, fixture->now_ms);
+  return _is_kept_open (kept, worker);
+}
+
+/* A draining worker gets no starts; once a commit keeps all that was started there it is closed. */
+static void
+test_closed_worker (void)
+{
+  Fixture fixture;
+  VpWorkerEntry entry = _entry (1);
+  VpOrderResult result;
+
+  _setup_kept (&fixture, 2);
+  g_assert_true (_keep_roster (&fixture, true, "w1"));
+  entry.is_draining = true;
+  vp_cell_worker (fixture.cell, &entry, fixture.now_ms);
+  _decide (&fixture);
+  g_assert_true (vp_cell_has_unstaged_roster (fixture.cell));
+  g_assert_true (_keep_roster (&fixture, false, "w1"));
+  g_assert_true (vp_cell_has_unstaged_roster (fixture.cell));
+  g_assert_false (_keep_roster (&fixture, true, "w1"));
+  g_assert_false (vp_cell_has_unstaged_roster (fixture.cell));
+  /* It is back in use only after a commit that opens it. */
+  entry.is_draining = false;
+  vp_cell_worker (fixture.cell, &entry, fixture.now_ms);
+  for (int i = 0; i < 8; i++)
+    _submit (&fixture, 1, 2000);
+  fixture.now_ms += 100;
+  _decide (&fixture);
+  for (guint i = 0; i < fixture.effects->len; i++) {
+    const VpOrder *order = &g_array_index (fixture.effects, VpCellEffect, i).order;
+    g_assert_true (order->kind != VP_ORDER_START || strcmp (order->worker, "w1") != 0);
+  }
+  g_assert_true (_keep_roster (&fixture, true, "w1"));
+  result = _list (&fixture, "w1");
+  _take (&fixture, &result);
+  _decide (&fixture);
+  g_assert_cmpstr (_find (&fixture, VP_ORDER_START)->worker, ==, "w1");
+  _teardown (&fixture);
+}
+
+/* A scheduler that is not sure itself what runs on a silent worker leaves it open for the next one;
+ * once all leases are over the worker is closed. */
+static void
+test_unknown_worker_stays_open (void)
+{
+  Fixture fixture;
+
+  _setup_kept (&fixture, 1);
+  fixture.now_ms += 3000;
+  _decide (&fixture);
+  g_assert_true (_keep_roster (&fixture, true, "w1"));
+  fixture.now_ms += 5300;
+  vp_cell_decide (fixture.cell, fixture.now_ms, fixture.effects);
+  g_assert_true (vp_cell_has_unstaged_roster (fixture.cell));
+  g_assert_false (_keep_roster (&fixture, true, "w1"));
+  _teardown (&fixture);
+}
+
 /* It is asked at the address that was kept: nothing else can run, so there is no wait. Its work
  * goes on, and it gets new work once it is listed. */
 static void
@@ -361,14 +459,14 @@
     g_assert_true (order->kind != VP_ORDER_START || strcmp (order->worker, "w2") != 0);
   }
   g_assert_true (vp_cell_has_unstaged_roster (fixture.cell));
-  g_variant_unref (g_variant_ref_sink (vp_cell_stage_roster (fixture.cell)));
+  g_variant_unref (g_variant_ref_sink (vp_cell_stage_roster (fixture.cell, true, fixture.now_ms)));
   vp_cell_unstage_roster (fixture.cell);
   g_assert_true (vp_cell_has_unstaged_roster (fixture.cell));
-  ids = g_variant_ref_sink (vp_cell_stage_roster (fixture.cell));
+  ids = g_variant_ref_sink (vp_cell_stage_roster (fixture.cell, true, fixture.now_ms));
   g_assert_cmpuint (g_variant_n_children (ids), ==, 3);
   _decide (&fixture);
   g_assert_null (_find (&fixture, VP_ORDER_START));
-  vp_cell_roster_durable (fixture.cell);
+  vp_cell_roster_durable (fixture.cell, fixture.now_ms);
   g_assert_false (vp_cell_has_unstaged_roster (fixture.cell));
   _decide (&fixture);
   g_assert_cmpstr (_find (&fixture, VP_ORDER_START)->worker, ==, "w2");
@@ -513,6 +611,9 @@
   g_test_add_func ("/cell/relisted", test_relisted);
   g_test_add_func ("/cell/kept-roster", test_kept_roster);
   g_test_add_func ("/cell/kept-worker-missing", test_kept_worker_missing);
+  g_test_add_func ("/cell/kept-closed", test_kept_closed);
+  g_test_add_func ("/cell/closed-worker", test_closed_worker);
+  g_test_add_func ("/cell/unknown-worker-stays-open", test_unknown_worker_stays_open);
   g_test_add_func ("/cell/kept-worker-off-the-list", test_kept_worker_off_the_list);
   g_test_add_func ("/cell/kept-list-unreadable", test_kept_list_unreadable);
   g_test_add_func ("/cell/kept-worker-returns", test_kept_worker_returns);
--- a/tests/test-node-cut.c
+++ b/tests/test-node-cut.c
@@ -111,6 +111,28 @@
   world_free (world);
 }
 
+/* A worker drains and leaves just before the leader hands over, then all processes lose power:
+ * nothing that isn't kept can run on it, so waiting tasks don't wait for its leases. */
+static void
+test_takeover_after_drain (void)
+{
+  World *world = _world_of_dcs (44);
+  uint64_t job;
+
+  world_worker_drain (world, 0, 1000);
+  world_run (world, 1010);
+  world_stop (world, world_leader (world), 0);
+  world_run (world, 3000);
+  job = world_submit (world, 1, &(WorldJob){ .steps = 3, .width = 12, .work_ms = 300 });
+  world_run (world, 200);
+  for (uint32_t i = 0; i < 6; i++)
+    world_kill (world, i, 500);
+  while (!world_has_leader (world))
+    world_run (world, 10);
+  _assert_completes (world, job, 1500);
+  world_free (world);
+}
+
 int
 main (int argc, char **argv)
 {
@@ -123,5 +145,6 @@
   g_test_add_func ("/node-cut/leases-of-cut-off-leader", test_leases_of_cut_off_leader);
   g_test_add_func ("/node-cut/starts-of-cut-off-leader", test_starts_of_cut_off_leader);
   g_test_add_func ("/node-cut/takeover-after-outage", test_takeover_after_outage);
+  g_test_add_func ("/node-cut/takeover-after-drain", test_takeover_after_drain);
   return g_test_run ();
 }
