--- a/tests/world.c
+++ b/tests/world.c
@@ -929,6 +929,18 @@
   }
 }
 
+void
+world_members_lapse (World *world, uint32_t node)
+{
+  for (guint i = 0; i < world->nodes->len; i++) {
+    VpNodeEvent *event;
+    if (i == node)
+      continue;
+    event = _post (world, node, VP_NODE_MEMBER, STORE_MS);
+    g_strlcpy (event->member.name, _node (world, i)->name, sizeof event->member.name);
+  }
+}
+
 void
 world_store_lossy (World *world, double share, int64_t for_ms)
 {
--- a/tests/world.h
+++ b/tests/world.h
@@ -61,6 +61,8 @@
 /* The store turns the node away, or all nodes and the workers with -1. Entries of workers that
  * can't renew them lapse; they are back up to 2 s after the worker reaches the store again. */
 void world_store_down (World *world, int32_t node, bool is_silent, int64_t for_ms);
+/* The node finds the entries of all others gone from the store, once. */
+void world_members_lapse (World *world, uint32_t node);
 /* A part of the store's writes is carried out without an answer, at once or 1 to 5 s later. */
 void world_store_lossy (World *world, double share, int64_t for_ms);
 /* The worker's process ends and starts again under its identity. */
