A leader confirms its place by answers to its own pings

In simulated time a leader that had stood still for 5 s, and was cut off meanwhile, took the pings that waited for it as heard now, gave leases again (orders-again with commits 5 s old) and ran tasks that the next leader had taken on: node-silence/frozen-leader-behind-a-cut.

Cause: when a ping arrives says nothing of when it was sent, and the 500 ms allowed for its way had no base in the transport.

Change: a ping carries the sender's time and the time of the receiver's last ping that has arrived. A leader counts from the time of its own pings that all others have answered to, so no assumption on delays is left.

--- a/src/vp-members.c
+++ b/src/vp-members.c
@@ -32,6 +32,8 @@
 vp_member_heard (VpMemberState *member, const VpNodeMsg *ping, int64_t now_ms)
 {
   member->heard_ms = now_ms;
+  member->sent_ms = ping->sent_ms;
+  member->echo_ms = MAX (member->echo_ms, MIN (ping->echo_ms, now_ms));
   member->hears_leader = ping->hears_leader;
   member->is_stopping = ping->is_stopping;
   member->has_conf = ping->conf_version != 0;
@@ -113,7 +115,7 @@
 }
 
 int64_t
-vp_members_all_heard_ms (GHashTable *members, int64_t now_ms)
+vp_members_echo_ms (GHashTable *members, int64_t now_ms)
 {
   GHashTableIter iter;
   gpointer value;
@@ -121,8 +123,7 @@
   g_hash_table_iter_init (&iter, members);
   while (g_hash_table_iter_next (&iter, NULL, &value)) {
     const VpMemberState *member = value;
-    if (member->is_listed)
-      now_ms = MIN (now_ms, member->heard_ms);
+    now_ms = MIN (now_ms, member->echo_ms);
   }
   return now_ms;
 }
--- a/src/vp-members.h
+++ b/src/vp-members.h
@@ -18,6 +18,8 @@
   char address[VP_ADDRESS_MAX]; /* empty: never listed */
   bool is_listed;
   int64_t heard_ms; /* last ping */
+  int64_t sent_ms;  /* on its clock, when it sent that one */
+  int64_t echo_ms;  /* on our clock, when we sent the last ping that it has got; 0: not known */
   bool hears_leader;
   bool is_stopping;
   bool has_conf;      /* it knows a configuration, so it can lead */
@@ -40,9 +42,9 @@
  * go. */
 void vp_members_choose_partners (GHashTable *members, const char *self);
 void vp_members_view (GHashTable *members, int64_t now_ms, VpLeadView *view);
-/* Every process that the platform lists was heard at this time or later; @now_ms if there are none.
- */
-int64_t vp_members_all_heard_ms (GHashTable *members, int64_t now_ms);
+/* All members have answered to pings that were sent at this time or later; @now_ms if there are
+ * none. Unlisted ones count: their entries lapse in an outage of the store. */
+int64_t vp_members_echo_ms (GHashTable *members, int64_t now_ms);
 /* Fewer than half of the processes are in reach, so no leader will be soon. */
 bool vp_members_is_cut_off (GHashTable *members, int64_t now_ms);
 /* Who takes the leader's place best: of the strongest VMs the process that started last, since
--- a/src/vp-node.c
+++ b/src/vp-node.c
@@ -16,8 +16,6 @@
 #define VP_NODE_STORE_SLOW_MS 2000
 /* A process that has been up for this long has heard those in its reach. */
 #define VP_NODE_LISTEN_MS 1000
-/* A ping that arrives now may have been sent this long ago. */
-#define VP_NODE_PING_DELAY_MS 500
 /* Where most others are out of reach, a leader that could not write for this long can't serve. */
 #define VP_NODE_VAIN_MS 1000
 /* The configuration is asked for again from a process with a newer one after this. */
@@ -197,6 +195,8 @@
                         .is_stopping = node->is_stopping,
                         .cpu_milli = node->desc.cpu_milli,
                         .age_ms = now_ms - node->started_ms,
+                        .sent_ms = now_ms,
+                        .echo_ms = member->sent_ms,
                         .conf_version = node->conf == NULL ? 0 : node->conf->version };
     ping.store_age_ms = _vp_node_store_age_ms (node, now_ms);
     _vp_node_send (node, member->name, &ping, effects);
@@ -779,15 +779,14 @@
   _vp_node_begin_hand_over (node, now_ms);
 }
 
-/* When no later leader had begun its term for certain: the store said so, or every other process
- * was heard and none follows one. */
+/* When no later leader had begun its term for certain: the store said so, or all others have
+ * answered to pings since then and none follows one. */
 static int64_t
 _vp_node_confirmed_ms (const VpNode *node, int64_t now_ms)
 {
   int64_t confirmed_ms = MAX (node->lead.claimed_ms, vp_keeper_confirmed_ms (node->keeper));
 
-  return MAX (confirmed_ms,
-              vp_members_all_heard_ms (node->members, now_ms) - VP_NODE_PING_DELAY_MS);
+  return MAX (confirmed_ms, vp_members_echo_ms (node->members, now_ms));
 }
 
 /* A leader that may have been replaced gives no leases: the next one waits for their end. */
--- a/src/vp-nodemsg.c
+++ b/src/vp-nodemsg.c
@@ -2,8 +2,8 @@
 
 #include <string.h>
 
-#define VP_NODEMSG_TYPE    "(yysttbbbuxxttsuuuumv)"
-#define VP_NODEMSG_VERSION 2
+#define VP_NODEMSG_TYPE    "(yysttbbbuxxxxttsuuuumv)"
+#define VP_NODEMSG_VERSION 3
 /* A configuration of some hundred queues or a job of 64 steps is below this. */
 #define VP_NODEMSG_BYTES_MAX (4U * 1024 * 1024)
 
@@ -12,11 +12,12 @@
 {
   GVariant *body = message->body == NULL ? NULL : g_variant_new_variant (message->body);
   GVariant *value = g_variant_new (
-      "(yysttbbbuxxttsuuuu@mv)", (guchar)VP_NODEMSG_VERSION, (guchar)message->kind, message->from,
+      "(yysttbbbuxxxxttsuuuu@mv)", (guchar)VP_NODEMSG_VERSION, (guchar)message->kind, message->from,
       message->serial, message->term, (gboolean)message->is_leader, (gboolean)message->hears_leader,
-      (gboolean)message->is_stopping, message->cpu_milli, message->age_ms, message->store_age_ms,
-      message->conf_version, message->job, message->queue, (guint32)message->answer, message->state,
-      message->count, message->retry_after_ms, g_variant_new_maybe (G_VARIANT_TYPE_VARIANT, body));
+      (gboolean)message->is_stopping, message->cpu_milli, message->age_ms, message->sent_ms,
+      message->echo_ms, message->store_age_ms, message->conf_version, message->job, message->queue,
+      (guint32)message->answer, message->state, message->count, message->retry_after_ms,
+      g_variant_new_maybe (G_VARIANT_TYPE_VARIANT, body));
   GBytes *wire;
 
   g_variant_ref_sink (value);
@@ -43,10 +44,10 @@
       g_variant_new_from_bytes (G_VARIANT_TYPE (VP_NODEMSG_TYPE), wire, FALSE));
   if (!g_variant_is_normal_form (value))
     return false;
-  g_variant_get (value, "(yy&sttbbbuxxtt&suuuu@mv)", &version, &kind, &from, &out->serial,
+  g_variant_get (value, "(yy&sttbbbuxxxxtt&suuuu@mv)", &version, &kind, &from, &out->serial,
                  &out->term, &is_leader, &hears_leader, &is_stopping, &out->cpu_milli, &out->age_ms,
-                 &out->store_age_ms, &out->conf_version, &out->job, &queue, &answer, &out->state,
-                 &out->count, &out->retry_after_ms, &maybe);
+                 &out->sent_ms, &out->echo_ms, &out->store_age_ms, &out->conf_version, &out->job,
+                 &queue, &answer, &out->state, &out->count, &out->retry_after_ms, &maybe);
   if (version != VP_NODEMSG_VERSION || kind >= VP_NODEMSG_KIND_COUNT || answer >= VP_ANSWER_COUNT_OF
       || !vp_name_copy (out->from, sizeof out->from, from)
       || !vp_name_copy (out->queue, sizeof out->queue, queue))
--- a/src/vp-nodemsg.h
+++ b/src/vp-nodemsg.h
@@ -46,9 +46,11 @@
   uint64_t term;
   bool is_leader;
   bool hears_leader;
-  bool is_stopping;     /* PING: it will not take the leader's place */
-  uint32_t cpu_milli;   /* PING: processor time of its VM */
-  int64_t age_ms;       /* PING: since its start */
+  bool is_stopping;   /* PING: it will not take the leader's place */
+  uint32_t cpu_milli; /* PING: processor time of its VM */
+  int64_t age_ms;     /* PING: since its start */
+  int64_t sent_ms;    /* PING: on the sender's clock */
+  int64_t echo_ms;    /* PING: @sent_ms of the receiver's last ping that the sender has; 0: none */
   int64_t store_age_ms; /* PING of the leader: since its last successful write */
   uint64_t conf_version;
   uint64_t job;
