A leader without listed others does not confirm its place by itself

Cause: only listed processes counted; with none listed all had answered.

Change: unlisted processes count too until they are forgotten, after 60 s instead of 10 and not while the leader can't write; and none of this counts before the list of processes was read once. A follower that is told of a later term by another follower stays with the leader that it hears until that one pings, so it stays ready.

--- a/src/vp-lead.c
+++ b/src/vp-lead.c
@@ -65,7 +65,7 @@
 void
 vp_lead_learn_term (VpLead *lead, uint64_t term)
 {
-  if (term > lead->term)
+  if (lead->state == VP_LEAD_LEADING && term > lead->term)
     _vp_lead_follow (lead, term, "");
 }
 
--- a/src/vp-lead.h
+++ b/src/vp-lead.h
@@ -68,7 +68,8 @@
 /* A ping of @name arrived, which says that it leads @term. */
 void
 vp_lead_heard (VpLead *lead, const char *name, uint64_t term, int64_t store_age_ms, int64_t now_ms);
-/* A process follows a leader of @term: the record has been claimed since the terms before it. */
+/* A process follows a leader of @term. An earlier leader steps down: the record has been claimed.
+ */
 void vp_lead_learn_term (VpLead *lead, uint64_t term);
 /* The leader hands over to this process. */
 void vp_lead_invite (VpLead *lead, uint64_t term, int64_t now_ms);
--- a/src/vp-members.c
+++ b/src/vp-members.c
@@ -6,8 +6,9 @@
 #define VP_MEMBERS_HEARD_MS 1000
 /* Fewest partners of a process in a large cell, about; there are up to twice as many. */
 #define VP_MEMBERS_PARTNERS 16
-/* A process that is unlisted and silent is forgotten after this. */
-#define VP_MEMBERS_FORGET_MS 10000
+/* A process that is unlisted and silent is forgotten after this: longer than a DC is cut off as a
+ * rule, since its processes may lead when they are back. */
+#define VP_MEMBERS_FORGET_MS 60000
 
 GHashTable *
 vp_members_new (void)
--- a/src/vp-node.c
+++ b/src/vp-node.c
@@ -49,6 +49,7 @@
   VpCellConf *conf;
   GBytes *conf_text;
   GHashTable *members; /* see vp-members.h */
+  bool has_members;    /* it was told of its own entry, so of the others' too */
   int64_t ping_next_ms;
   int64_t conf_ask_next_ms;
   int64_t busy_until_ms; /* own advice calls */
@@ -180,7 +181,8 @@
     return;
   _vp_node_set_gauges (node, now_ms);
   node->ping_next_ms = now_ms + (is_leader ? VP_NODE_PING_LEADER_MS : VP_NODE_PING_MS);
-  if (vp_members_forget (node->members, now_ms))
+  /* A leader that can't write must not take silent processes as gone: one of them may lead. */
+  if (_vp_node_store_age_ms (node, now_ms) == 0 && vp_members_forget (node->members, now_ms))
     vp_members_choose_partners (node->members, node->name);
   g_hash_table_iter_init (&iter, node->members);
   while (g_hash_table_iter_next (&iter, NULL, &value)) {
@@ -224,8 +226,10 @@
   VpMemberState *member;
   VpNodeEffect *effect;
 
-  if (strcmp (name, node->name) == 0)
+  if (strcmp (name, node->name) == 0) {
+    node->has_members = true;
     return;
+  }
   member = _vp_node_member (node, name);
   member->is_listed = address[0] != '\0';
   if (!member->is_listed || strcmp (member->address, address) == 0)
@@ -786,6 +790,8 @@
 {
   int64_t confirmed_ms = MAX (node->lead.claimed_ms, vp_keeper_confirmed_ms (node->keeper));
 
+  if (!node->has_members)
+    return confirmed_ms;
   return MAX (confirmed_ms, vp_members_echo_ms (node->members, now_ms));
 }
 
--- a/tests/test-members.c
+++ b/tests/test-members.c
@@ -102,6 +102,31 @@
   g_assert_cmpstr (vp_members_successor (members, NOW_MS)->name, ==, "node-002");
 }
 
+/* The member that has answered to the oldest ping decides, listed or not; an echo does not go back.
+ */
+static void
+test_echo (void)
+{
+  g_autoptr (GHashTable) members = _members (0, 3);
+  VpMemberState *one = vp_members_get (members, "node-001");
+  VpMemberState *two = vp_members_get (members, "node-002");
+  g_autoptr (GHashTable) none = vp_members_new ();
+
+  g_assert_cmpint (vp_members_echo_ms (none, NOW_MS), ==, NOW_MS);
+  g_assert_cmpint (vp_members_echo_ms (members, NOW_MS), ==, 0);
+  vp_member_heard (one, &(VpNodeMsg){ .sent_ms = 5, .echo_ms = NOW_MS - 300 }, NOW_MS);
+  vp_member_heard (two, &(VpNodeMsg){ .sent_ms = 6, .echo_ms = NOW_MS - 700 }, NOW_MS);
+  g_assert_cmpint (one->sent_ms, ==, 5);
+  g_assert_cmpint (vp_members_echo_ms (members, NOW_MS), ==, NOW_MS - 700);
+  two->is_listed = false;
+  g_assert_cmpint (vp_members_echo_ms (members, NOW_MS), ==, NOW_MS - 700);
+  vp_member_heard (one, &(VpNodeMsg){ .echo_ms = 0 }, NOW_MS);
+  g_assert_cmpint (one->echo_ms, ==, NOW_MS - 300);
+  /* Of an earlier life of this process, on a clock that was ahead. */
+  vp_member_heard (two, &(VpNodeMsg){ .echo_ms = NOW_MS + 5000 }, NOW_MS);
+  g_assert_cmpint (vp_members_echo_ms (members, NOW_MS), ==, NOW_MS - 300);
+}
+
 int
 main (int argc, char *argv[])
 {
@@ -109,5 +134,6 @@
   g_test_add_func ("/members/partners-are-mutual", test_partners_are_mutual);
   g_test_add_func ("/members/cut-off-by-partners", test_cut_off_by_partners);
   g_test_add_func ("/members/successor", test_successor);
+  g_test_add_func ("/members/echo", test_echo);
   return g_test_run ();
 }
--- a/tests/test-node.c
+++ b/tests/test-node.c
@@ -258,6 +258,8 @@
   g_assert_cmpuint (effects.items[1].write.serial, ==, written.serial);
   g_assert_true (vp_keeper_written (keeper, &written, kept, now_ms + 510));
   g_assert_cmpuint (lead.record.commit, ==, 1);
+  /* Either copy may have been the one that was carried out. */
+  g_assert_cmpint (vp_keeper_confirmed_ms (keeper), ==, now_ms);
   /* The other copy's answer comes late. */
   written.outcome = VP_WRITE_CONFLICT;
   g_assert_true (vp_keeper_written (keeper, &written, kept, now_ms + 900));
@@ -316,6 +318,26 @@
   g_assert_cmpint (lead.store_away_ms, ==, 30000);
 }
 
+/* A leader that hears of a later term steps down; a process that follows waits for the leader
+ * itself and stays ready meanwhile. */
+static void
+test_later_term (void)
+{
+  VpLead lead;
+
+  vp_lead_setup (&lead, "node-0", 500, 1000);
+  vp_lead_heard (&lead, "node-1", 3, 0, 2000);
+  vp_lead_learn_term (&lead, 4);
+  g_assert_cmpuint (lead.term, ==, 3);
+  g_assert_true (vp_lead_is_known (&lead, 2000));
+  lead.state = VP_LEAD_LEADING;
+  vp_lead_learn_term (&lead, 3);
+  g_assert_cmpint (lead.state, ==, VP_LEAD_LEADING);
+  vp_lead_learn_term (&lead, 4);
+  g_assert_cmpint (lead.state, ==, VP_LEAD_FOLLOWING);
+  g_assert_cmpuint (lead.term, ==, 4);
+}
+
 /* The strongest VM leads from the start, and takes its place back after it was away. */
 static void
 test_strongest_leads (void)
@@ -665,6 +687,7 @@
   g_test_add_func ("/node/takeover-keeps-running", test_takeover_keeps_running);
   g_test_add_func ("/node/takeover-time", test_takeover_time);
   g_test_add_func ("/node/store-away", test_store_away);
+  g_test_add_func ("/node/later-term", test_later_term);
   g_test_add_func ("/node/starting-waits", test_starting_waits);
   g_test_add_func ("/node/no-claim-without-configuration", test_no_claim_without_configuration);
   g_test_add_func ("/node/first-configuration-after-outage", test_first_configuration_after_outage);
