An answer from a worker's old address says nothing of the worker

A worker may start again under its identity at another address. The kept list went on naming the old one, where another worker may answer, and an order that was still on its way there had the worker taken as over: its tasks were started elsewhere (node-silence/kept-address, node-silence/moved-worker, both failed).

--- a/src/vp-cell.c
+++ b/src/vp-cell.c
@@ -119,6 +119,12 @@
   if (is_new || !known->is_listed)
     vp_log (now_ms, "worker-listed", "worker=%s address=%s service=%s", entry->id, entry->address,
             entry->service);
+  if (!is_new && strcmp (known->entry.address, entry->address) != 0) {
+    vp_log (now_ms, "worker-moved", "worker=%s from=%s to=%s", entry->id, known->entry.address,
+            entry->address);
+    known->moved_ms = now_ms;
+    cell->roster->is_changed = true;
+  }
   known = vp_roster_put (cell->roster, entry);
   if (is_new)
     known->is_withheld = cell->desc.keeps_roster;
@@ -166,6 +172,19 @@
   cell->has_list = true;
 }
 
+/* Another worker answers at the address that the order went to. */
+static void
+_vp_cell_other_life (VpCell *cell,
+                     VpRosterWorker *worker,
+                     const VpOrderResult *result,
+                     int64_t now_ms)
+{
+  if (result->sent_ms < worker->moved_ms)
+    return;
+  vp_reconcile_lost (&cell->reconcile, worker, "other-life", now_ms);
+  vp_roster_over (worker);
+}
+
 static void
 _vp_cell_hold_result (VpCell *cell,
                       VpRosterWorker *worker,
@@ -185,8 +204,7 @@
       worker->hold_next_ms = now_ms;
     break;
   case VP_ORDER_OTHER_LIFE:
-    vp_reconcile_lost (&cell->reconcile, worker, "other-life", now_ms);
-    vp_roster_over (worker);
+    _vp_cell_other_life (cell, worker, result, now_ms);
     worker->hold_next_ms = now_ms + VP_CELL_HOLD_RETRY_MS;
     break;
   case VP_ORDER_UNREACHABLE:
@@ -312,10 +330,8 @@
     _vp_cell_start_result (cell, worker, task, result, now_ms);
   else if (result->kind == VP_ORDER_STOP)
     _vp_cell_stop_result (cell, task, result);
-  if (result->outcome == VP_ORDER_OTHER_LIFE) {
-    vp_reconcile_lost (&cell->reconcile, worker, "other-life", now_ms);
-    vp_roster_over (worker);
-  }
+  if (result->outcome == VP_ORDER_OTHER_LIFE)
+    _vp_cell_other_life (cell, worker, result, now_ms);
 }
 
 /* What a commit covers. */
--- a/src/vp-roster.h
+++ b/src/vp-roster.h
@@ -66,6 +66,7 @@
   bool is_hold_out;         /* a HOLD is under way */
   int64_t hold_next_ms;     /* earliest time of the next HOLD */
   int64_t heard_ms;         /* last answer */
+  int64_t moved_ms;         /* its address changed; answers to earlier orders tell nothing of it */
   uint64_t seen;            /* highest end that was taken note of */
   uint64_t seen_staged;     /* covered by the commit under way */
   uint64_t seen_durable;    /* may be forgotten by the worker */
--- a/tests/test-node-silence.c
+++ b/tests/test-node-silence.c
@@ -92,6 +92,32 @@
   _teardown (&fixture);
 }
 
+/* Another worker answers at the address that the worker had before. */
+static void
+test_moved_worker (void)
+{
+  Fixture fixture;
+  VpWorkerEntry entry = _entry (0);
+  VpOrderResult result;
+  VpJob *job;
+
+  _setup (&fixture, 2, false);
+  _sync (&fixture);
+  job = _run_one (&fixture, 1000);
+  result = _list (&fixture, job->runs[0].steps[0].tasks[0].worker->entry.id);
+  result.outcome = VP_ORDER_OTHER_LIFE;
+  fixture.now_ms += 10;
+  g_strlcpy (entry.id, result.worker, sizeof entry.id);
+  g_strlcpy (entry.address, "127.0.0.1:2", sizeof entry.address);
+  vp_cell_worker (fixture.cell, &entry, fixture.now_ms);
+  _take (&fixture, &result);
+  fixture.now_ms += 500;
+  _decide (&fixture);
+  g_assert_cmpuint (job->out_count, ==, 1);
+  g_assert_null (_find (&fixture, VP_ORDER_START));
+  _teardown (&fixture);
+}
+
 int
 main (int argc, char **argv)
 {
@@ -103,5 +129,6 @@
   g_test_add_func ("/node-silence/leader-without-listed-others", test_leader_without_listed_others);
   g_test_add_func ("/node-silence/frozen-leader-behind-a-cut", test_frozen_leader_behind_a_cut);
   g_test_add_func ("/node-silence/kept-address", test_kept_address);
+  g_test_add_func ("/node-silence/moved-worker", test_moved_worker);
   return g_test_run ();
 }
