--- a/tests/test-node.c
+++ b/tests/test-node.c
@@ -580,7 +580,8 @@
   }
 }
 
-/* In half of the cases the leader's DC, in some during an outage of the store. */
+/* In half of the cases the leader's DC. Some come during an outage of the store, while the leader
+ * stands still or a worker drains, or are followed by the loss of processes. */
 static void
 _random_dc_cut (World *world, uint32_t dc_count)
 {
@@ -592,7 +593,18 @@
     world_store_down (world, -1, g_rand_boolean (rand), g_rand_int_range (rand, 1000, 6000));
     world_run (world, g_rand_int_range (rand, 100, 2000));
   }
+  if (g_rand_int_range (rand, 0, 4) == 0) {
+    world_freeze (world, world_leader (world), g_rand_int_range (rand, 500, 6000));
+    world_run (world, g_rand_int_range (rand, 50, 1000));
+  }
+  if (g_rand_int_range (rand, 0, 4) == 0)
+    world_worker_drain (world, (uint32_t)g_rand_int_range (rand, 0, 2),
+                        g_rand_int_range (rand, 1000, 12000));
   world_dc_cut (world, dc, g_rand_int_range (rand, 1000, 15000));
+  if (g_rand_int_range (rand, 0, 4) == 0) {
+    world_run (world, g_rand_int_range (rand, 100, 3000));
+    world_kill (world, world_leader (world), g_rand_int_range (rand, 200, 3000));
+  }
 }
 
 /* Random faults in series; all accepted jobs complete once they are over. */
