--- a/src/vp-log.c
+++ b/src/vp-log.c
@@ -6,8 +6,7 @@
 #include <string.h>
 #include <unistd.h>
 
-#define VP_LOG_EVENTS   64  /* kinds of lines whose rate is bounded */
-#define VP_LOG_LINE_MAX 512 /* bytes; longer lines are cut */
+#define VP_LOG_EVENTS 64 /* kinds of lines whose rate is bounded */
 /* A pipe that polls writable takes this many bytes without blocking (PIPE_BUF). */
 #define VP_LOG_CHUNK 4096
 
@@ -102,6 +101,14 @@
   _log.dropped++;
 }
 
+uint32_t
+vp_log_text_max (const char *event)
+{
+  size_t keys = strlen ("t=-9223372036854775808 node= event= \n") + 1;
+
+  return VP_LOG_LINE_MAX - (uint32_t)(keys + strlen (_log.node) + strlen (event));
+}
+
 void
 vp_log_flush (void)
 {
--- a/src/vp-log.h
+++ b/src/vp-log.h
@@ -15,12 +15,15 @@
 #include <stdint.h>
 
 #define VP_LOG_BUFFER_BYTES 65536
+#define VP_LOG_LINE_MAX     512 /* bytes with the newline and a NUL; longer lines are cut */
 /* Of one event in a second; a burst of starts on a deployment of some hundred workers passes it. */
 #define VP_LOG_LINES_PER_S 400
 
 void vp_log_setup (const char *node);
 /* @event is a static string. */
 void vp_log (int64_t now_ms, const char *event, const char *format, ...) G_GNUC_PRINTF (3, 4);
+/* Bytes of text after the event that a line holds without being cut. */
+uint32_t vp_log_text_max (const char *event);
 /* Writes as much as standard output takes at once. */
 void vp_log_flush (void);
 /* Bytes that wait to be written. */
