--- a/src/vp-cell-scan.c
+++ b/src/vp-cell-scan.c
@@ -73,7 +73,7 @@
       task->still_count++;
       vp_roster_note_failed (task->worker, task->step->run->job->spec->id, now_ms);
     }
-    vp_jobtask_log (task, "stop", _vp_stop_tokens[reason], now_ms);
+    vp_runlog_add (&cell->reconcile.log, "stop", _vp_stop_tokens[reason], task, now_ms);
     _vp_cell_order_stop (cell, task, now_ms, effects);
     return;
   }
@@ -83,7 +83,8 @@
     if (task->start_tries < VP_CELL_START_TRIES
         && now_ms - task->ordered_ms > VP_CELL_START_HEDGE_MS * task->start_tries) {
       bool is_dc_silent = vp_roster_dc_heard_ms (cell->roster, task->worker) < task->started_ms;
-      vp_jobtask_log (task, "start-again", is_dc_silent ? "silent-dc" : "slow-answer", now_ms);
+      vp_runlog_add (&cell->reconcile.log, "start-again",
+                     is_dc_silent ? "silent-dc" : "slow-answer", task, now_ms);
       /* Its other workers would not answer either, and what is ordered there stays uncertain until
        * their leases are over. */
       if (is_dc_silent)
@@ -98,7 +99,7 @@
   if (task->start_tries < VP_CELL_START_TRIES) {
     _vp_cell_order_start (cell, task, now_ms, effects);
   } else {
-    vp_jobtask_log (task, "stop", "start-unanswered", now_ms);
+    vp_runlog_add (&cell->reconcile.log, "stop", "start-unanswered", task, now_ms);
     _vp_cell_order_stop (cell, task, now_ms, effects);
   }
 }
--- a/src/vp-cell.c
+++ b/src/vp-cell.c
@@ -275,7 +275,8 @@
 static void
 _vp_cell_not_started (VpCell *cell, VpJobTask *task, const VpOrderResult *result, int64_t now_ms)
 {
-  vp_jobtask_log (task, "not-started", vp_order_outcome_token (result->outcome), now_ms);
+  vp_runlog_add (&cell->reconcile.log, "not-started", vp_order_outcome_token (result->outcome),
+                 task, now_ms);
   vp_counters_add (VP_COUNT_START_REFUSED, 1);
   vp_jobtask_release (cell->jobs, task);
 }
@@ -354,6 +355,13 @@
     cell->scan_next_ms = 0;
 }
 
+static void
+_vp_cell_flush_log (VpCell *cell, int64_t now_ms)
+{
+  vp_runlog_flush (&cell->reconcile.done_log, now_ms);
+  vp_runlog_flush (&cell->reconcile.log, now_ms);
+}
+
 void
 vp_cell_order_result (VpCell *cell, const VpOrderResult *result, int64_t now_ms)
 {
@@ -366,6 +374,7 @@
     cell->is_fenced = true;
   if (result->kind == VP_ORDER_HOLD) {
     _vp_cell_hold_result (cell, worker, result, now_ms);
+    _vp_cell_flush_log (cell, now_ms);
     return;
   }
   if (result->clock_ms > 0)
@@ -381,6 +390,7 @@
     vp_reconcile_lost (&cell->reconcile, worker, "other-life", now_ms);
     vp_roster_over (worker);
   }
+  _vp_cell_flush_log (cell, now_ms);
 }
 
 /* What a commit covers. */
@@ -592,7 +602,7 @@
   vp_place_slot_update (slot);
   if (task->step->spec->is_one_rack && task->step->rack < 0)
     task->step->rack = (int32_t)worker->rack_index;
-  vp_jobtask_log (task, "start", is_unsure ? "inherited" : "fits", now_ms);
+  vp_runlog_add (&cell->reconcile.log, "start", is_unsure ? "inherited" : "fits", task, now_ms);
   _vp_cell_order_start (cell, task, now_ms, effects);
 }
 
@@ -741,10 +751,11 @@
     _vp_cell_hold (cell, cell->roster->workers->pdata[i], now_ms, effects);
   _vp_cell_settle (cell, now_ms);
   _vp_cell_scan (cell, now_ms, effects);
-  if (cell->is_paused || cell->conf == NULL)
-    return;
-  vp_joblist_open_due (cell->jobs, now_ms);
-  _vp_cell_place (cell, now_ms, effects);
+  if (!cell->is_paused && cell->conf != NULL) {
+    vp_joblist_open_due (cell->jobs, now_ms);
+    _vp_cell_place (cell, now_ms, effects);
+  }
+  _vp_cell_flush_log (cell, now_ms);
 }
 
 int64_t
--- a/src/vp-joblist.c
+++ b/src/vp-joblist.c
@@ -1,5 +1,4 @@
 #include "vp-joblist.h"
-#include "vp-log.h"
 
 #include <string.h>
 
@@ -357,18 +356,6 @@
                        .index = task->index };
 }
 
-void
-vp_jobtask_log (const VpJobTask *task, const char *event, const char *why, int64_t now_ms)
-{
-  char name[VP_TASK_NAME_MAX];
-  VpTaskName parts;
-
-  vp_jobtask_name (task, &parts);
-  vp_task_name_format (&parts, name);
-  vp_log (now_ms, event, "task=%s run=%u worker=%s why=%s failures=%u", name, task->run,
-          task->worker == NULL ? "-" : task->worker->entry.id, why, task->failures);
-}
-
 VpSize
 vp_jobtask_room (const VpJobTask *task)
 {
--- a/src/vp-joblist.h
+++ b/src/vp-joblist.h
@@ -173,8 +173,6 @@
 uint32_t vp_joblist_pending (const VpJobList *list, const char *queue);
 
 void vp_jobtask_name (const VpJobTask *task, VpTaskName *out);
-/* Logs a decision on the task. @event and @why are static strings. */
-void vp_jobtask_log (const VpJobTask *task, const char *event, const char *why, int64_t now_ms);
 /* What the task takes of its worker. */
 VpSize vp_jobtask_room (const VpJobTask *task);
 /* Takes room at @worker for run @run. */
--- a/src/vp-reconcile.c
+++ b/src/vp-reconcile.c
@@ -6,6 +6,8 @@
 
 /* A list with this many ends is cut; the rest follows (platform). */
 #define VP_RECONCILE_ENDS_MAX 500
+/* Workers list ends one by one; those of this time share lines of the log. */
+#define VP_RECONCILE_DONE_LOG_MS 100
 
 void
 vp_reconcile_setup (VpReconcile *reconcile, VpRoster *roster, VpJobList *jobs, uint64_t fence)
@@ -16,11 +18,15 @@
   reconcile->fence = fence;
   reconcile->durations = vp_durations_setup ();
   reconcile->strays = g_array_new (FALSE, FALSE, sizeof (VpOrder));
+  vp_runlog_setup (&reconcile->log, &(VpRunlogDesc){ 0 });
+  vp_runlog_setup (&reconcile->done_log, &(VpRunlogDesc){ .wait_ms = VP_RECONCILE_DONE_LOG_MS });
 }
 
 void
 vp_reconcile_shutdown (VpReconcile *reconcile)
 {
+  vp_runlog_shutdown (&reconcile->done_log);
+  vp_runlog_shutdown (&reconcile->log);
   g_array_unref (reconcile->strays);
   vp_durations_shutdown (reconcile->durations);
 }
@@ -35,8 +41,10 @@
 
   vp_log (now_ms, "worker-lost", "worker=%s why=%s tasks=%u heard_ms_ago=%" G_GINT64_FORMAT,
           worker->entry.id, why, count, now_ms - worker->heard_ms);
-  for (guint i = 0; i < count; i++)
+  for (guint i = 0; i < count; i++) {
+    vp_runlog_add (&reconcile->log, "end", why, tasks[i], now_ms);
     vp_jobtask_end (reconcile->jobs, tasks[i], VP_RUN_LAPSED, 1, now_ms);
+  }
   worker->foreign_count = 0;
 }
 
@@ -106,7 +114,8 @@
     _vp_reconcile_stray_end (reconcile, task, entry, now_ms);
     return;
   }
-  vp_jobtask_log (task, "end", vp_run_end_token (entry->end), now_ms);
+  vp_runlog_add (entry->end == VP_RUN_DONE ? &reconcile->done_log : &reconcile->log, "end",
+                 vp_run_end_token (entry->end), task, now_ms);
   _vp_reconcile_note_end (reconcile, worker, task, entry->end, now_ms);
   if (entry->checkpoint[0] != '\0')
     g_strlcpy (task->checkpoint, entry->checkpoint, sizeof task->checkpoint);
@@ -160,7 +169,7 @@
   vp_jobtask_assign (reconcile->jobs, task, worker, entry->run, now_ms);
   task->phase = VP_PHASE_RUNNING;
   task->confirmed_ms = now_ms;
-  vp_jobtask_log (task, "adopt", "listed", now_ms);
+  vp_runlog_add (&reconcile->log, "adopt", "listed", task, now_ms);
 }
 
 static void
@@ -207,7 +216,7 @@
     if (task->confirmed_ms == 0 || task->confirmed_ms >= result->sent_ms
         || g_hash_table_contains (listed, task) || task->worker != worker)
       continue;
-    vp_jobtask_log (task, "end", "not-listed", now_ms);
+    vp_runlog_add (&reconcile->log, "end", "not-listed", task, now_ms);
     vp_jobtask_end (reconcile->jobs, task, VP_RUN_LAPSED, 1, now_ms);
   }
 }
--- a/src/vp-reconcile.h
+++ b/src/vp-reconcile.h
@@ -14,7 +14,7 @@
 
 #include "vp-cellconf.h"
 #include "vp-durations.h"
-#include "vp-joblist.h"
+#include "vp-runlog.h"
 
 typedef struct {
   VpRoster *roster; /* borrowed, as the next two */
@@ -24,6 +24,8 @@
   uint64_t fence;
   GArray *strays;    /* VpOrder: stops that are to be sent */
   bool has_new_ends; /* since it was last cleared */
+  VpRunlog log;      /* flushed by the caller after each decision, as the next */
+  VpRunlog done_log; /* runs that ended as done: most of all lines */
 } VpReconcile;
 
 void vp_reconcile_setup (VpReconcile *reconcile, VpRoster *roster, VpJobList *jobs, uint64_t fence);
@@ -33,6 +35,6 @@
                         VpRosterWorker *worker,
                         const VpOrderResult *result,
                         int64_t now_ms);
-/* Nothing that was ordered there can be running any more; @why is for the log. */
+/* Nothing that was ordered there can be running any more; @why, static, is for the log. */
 void
 vp_reconcile_lost (VpReconcile *reconcile, VpRosterWorker *worker, const char *why, int64_t now_ms);
