List workers that come together in one line of the log

At a takeover the platform's whole list is taken over at once, with a line of 113 bytes for each worker. vp_log_item() lets calls with the same time, event and keys share a line as far as it goes; any other line, and a flush, ends it.

--- a/src/vp-cell.c
+++ b/src/vp-cell.c
@@ -103,6 +103,17 @@
 
 /* Workers. */
 
+static void
+_vp_cell_log_listed (const VpWorkerEntry *entry, int64_t now_ms)
+{
+  char keys[VP_NAME_MAX + 32];
+  char item[VP_NAME_MAX + VP_ADDRESS_MAX];
+
+  g_snprintf (keys, sizeof keys, "service=%s workers=", entry->service);
+  g_snprintf (item, sizeof item, "%s@%s", entry->id, entry->address);
+  vp_log_item (now_ms, "worker-listed", keys, item);
+}
+
 void
 vp_cell_worker (VpCell *cell, const VpWorkerEntry *entry, int64_t now_ms)
 {
@@ -111,8 +122,7 @@
   bool is_new = known == NULL;
 
   if (is_new)
-    vp_log (now_ms, "worker-listed", "worker=%s address=%s service=%s", entry->id, entry->address,
-            entry->service);
+    _vp_cell_log_listed (entry, now_ms);
   known = vp_roster_put (cell->roster, entry, now_ms);
   if (is_new)
     known->is_withheld
--- a/src/vp-log.c
+++ b/src/vp-log.c
@@ -21,6 +21,10 @@
   char node[64];
   char buffer[VP_LOG_BUFFER_BYTES];
   uint32_t size;
+  char open_line[VP_LOG_LINE_MAX]; /* of items; no newline yet */
+  uint32_t open_head_size;         /* bytes before its first item */
+  uint32_t open_size;              /* 0: none */
+  VpLogRate *open_rate;
   VpLogRate rates[VP_LOG_EVENTS];
   uint32_t rate_count;
   uint64_t dropped;
@@ -76,6 +80,25 @@
   return rate->lines++ < VP_LOG_LINES_PER_S;
 }
 
+static void
+_vp_log_drop (VpLogRate *rate)
+{
+  rate->dropped++;
+  _log.dropped++;
+}
+
+/* Ends the line of items. */
+static void
+_vp_log_close (void)
+{
+  if (_log.open_size == 0)
+    return;
+  _log.open_line[_log.open_size++] = '\n';
+  if (!_vp_log_append (_log.open_line, _log.open_size))
+    _vp_log_drop (_log.open_rate);
+  _log.open_size = 0;
+}
+
 void
 vp_log (int64_t now_ms, const char *event, const char *format, ...)
 {
@@ -86,6 +109,7 @@
 
   if (_log.node[0] == '\0')
     return;
+  _vp_log_close ();
   if (_vp_log_admit (rate, now_ms)) {
     size = (size_t)g_snprintf (line, sizeof line, "t=%" G_GINT64_FORMAT " node=%s event=%s ",
                                now_ms, _log.node, event);
@@ -97,8 +121,36 @@
     if (_vp_log_append (line, size))
       return;
   }
-  rate->dropped++;
-  _log.dropped++;
+  _vp_log_drop (rate);
+}
+
+void
+vp_log_item (int64_t now_ms, const char *event, const char *keys, const char *item)
+{
+  char head[VP_LOG_LINE_MAX];
+  uint32_t size;
+
+  if (_log.node[0] == '\0')
+    return;
+  g_snprintf (head, sizeof head, "t=%" G_GINT64_FORMAT " node=%s event=%s %s", now_ms, _log.node,
+              event, keys);
+  size = (uint32_t)strlen (head);
+  if (_log.open_size > 0 && _log.open_head_size == size && memcmp (_log.open_line, head, size) == 0
+      && _log.open_size + 1 + strlen (item) < sizeof _log.open_line - 1) {
+    _log.open_line[_log.open_size++] = ',';
+  } else {
+    VpLogRate *rate = _vp_log_rate (event);
+    _vp_log_close ();
+    if (!_vp_log_admit (rate, now_ms)) {
+      _vp_log_drop (rate);
+      return;
+    }
+    memcpy (_log.open_line, head, size);
+    _log.open_head_size = _log.open_size = size;
+    _log.open_rate = rate;
+  }
+  g_strlcpy (_log.open_line + _log.open_size, item, sizeof _log.open_line - 1 - _log.open_size);
+  _log.open_size += (uint32_t)strlen (_log.open_line + _log.open_size);
 }
 
 uint32_t
@@ -115,6 +167,7 @@
   struct pollfd out = { .fd = STDOUT_FILENO, .events = POLLOUT };
   uint32_t done = 0;
 
+  _vp_log_close ();
   while (done < _log.size && poll (&out, 1, 0) == 1 && (out.revents & POLLOUT) != 0) {
     ssize_t count = write (STDOUT_FILENO, _log.buffer + done, MIN (_log.size - done, VP_LOG_CHUNK));
     if (count <= 0)
@@ -130,7 +183,7 @@
 uint32_t
 vp_log_pending (void)
 {
-  return _log.size;
+  return _log.size + _log.open_size;
 }
 
 uint64_t
--- a/src/vp-log.h
+++ b/src/vp-log.h
@@ -22,6 +22,9 @@
 void vp_log_setup (const char *node);
 /* @event is a static string. */
 void vp_log (int64_t now_ms, const char *event, const char *format, ...) G_GNUC_PRINTF (3, 4);
+/* Lists @item in a line of the event after @keys, as "service=a workers=". Calls that follow one
+ * another with the same time, event and keys share a line as far as it goes. */
+void vp_log_item (int64_t now_ms, const char *event, const char *keys, const char *item);
 /* Bytes of text after the event that a line holds without being cut. */
 uint32_t vp_log_text_max (const char *event);
 /* Writes as much as standard output takes at once. */
--- a/tests/test-runlog.c
+++ b/tests/test-runlog.c
@@ -1,10 +1,8 @@
 /* Lines of runs: how they are joined, split and bounded. */
-#include "vp-log.h"
+#include "log-capture.h"
 #include "vp-runlog.h"
 
-#include <stdio.h>
 #include <string.h>
-#include <unistd.h>
 
 #define NOW_MS 1789369418790
 #define JOB_A  0x20127c9b96d3bd88
@@ -17,8 +15,7 @@
   VpRoster *roster;
   VpJobList *jobs;
   VpRunlog log;
-  int output; /* standard output of the test */
-  FILE *file; /* stands in for it */
+  LogCapture capture;
 } Fixture;
 
 static void
@@ -26,12 +23,8 @@
 {
   fixture->roster = vp_roster_setup (6000);
   fixture->jobs = vp_joblist_setup ();
-  vp_log_setup ("edge-1");
   vp_runlog_setup (&fixture->log, &(VpRunlogDesc){ .wait_ms = wait_ms });
-  fflush (stdout);
-  fixture->output = dup (STDOUT_FILENO);
-  fixture->file = tmpfile ();
-  g_assert_cmpint (dup2 (fileno (fixture->file), STDOUT_FILENO), ==, STDOUT_FILENO);
+  log_capture_setup (&fixture->capture);
 }
 
 static void
@@ -40,9 +33,7 @@
   vp_runlog_shutdown (&fixture->log);
   vp_joblist_shutdown (fixture->jobs);
   vp_roster_shutdown (fixture->roster);
-  g_assert_cmpint (dup2 (fixture->output, STDOUT_FILENO), ==, STDOUT_FILENO);
-  close (fixture->output);
-  fclose (fixture->file);
+  log_capture_teardown (&fixture->capture);
 }
 
 static VpRosterWorker *
@@ -83,24 +74,11 @@
   vp_runlog_add (&fixture->log, "start", "fits", task, NOW_MS);
 }
 
-/* Lines written so far. */
-static char *
-_read (Fixture *fixture)
-{
-  g_autofree char *text = g_malloc0 (1 << 20);
-
-  vp_log_flush ();
-  g_assert_cmpuint (vp_log_pending (), ==, 0);
-  rewind (fixture->file);
-  text[fread (text, 1, (1 << 20) - 1, fixture->file)] = '\0';
-  return g_steal_pointer (&text);
-}
-
 static char *
 _flush (Fixture *fixture)
 {
   vp_runlog_flush (&fixture->log, NOW_MS);
-  return _read (fixture);
+  return log_capture_read (&fixture->capture);
 }
 
 static void
@@ -319,19 +297,19 @@
   step = _step (&fixture, JOB_A, 3);
   _start (&fixture, step, 1, 1, 1);
   vp_runlog_flush (&fixture.log, NOW_MS + 99);
-  before = _read (&fixture);
+  before = log_capture_read (&fixture.capture);
   g_assert_cmpstr (before, ==, "");
   vp_jobtask_assign (fixture.jobs, &step->tasks[0], _worker (&fixture, 1), 1, NOW_MS);
   vp_runlog_add (&fixture.log, "start", "fits", &step->tasks[0], NOW_MS + 60);
   vp_runlog_flush (&fixture.log, NOW_MS + 100);
-  after = _read (&fixture);
+  after = log_capture_read (&fixture.capture);
   g_assert_cmpstr (after, ==,
                    "t=1789369418890 node=edge-1 event=start why=fits run=1 within_ms=100 "
                    "tasks=20127c9b96d3bd88.0.0:i-0000000001:0-1\n");
   _start (&fixture, step, 2, 1, 1);
   vp_runlog_shutdown (&fixture.log);
   vp_runlog_setup (&fixture.log, &(VpRunlogDesc){ 0 });
-  last = _read (&fixture);
+  last = log_capture_read (&fixture.capture);
   g_assert_true (g_str_has_suffix (last, HEAD "20127c9b96d3bd88.0.0:i-0000000001:2\n"));
   _teardown (&fixture);
 }
