Write ends at once when none were written of late

A collection of runs that may wait was held for its time even when nothing else was logged, so on a quiet cell each end was told 100 ms late.

test-cell-log covers what the scheduler logs: starts, ends and stops in groups, ends as done that are held and are not lost with the scheduler, runs lost with their worker. Its tests and those of test-runlog fail without the flush, the split, the groups by run, the write of a full collection and the lines of lost runs (each tried by hand).

--- a/src/vp-reconcile.c
+++ b/src/vp-reconcile.c
@@ -6,7 +6,8 @@
 
 /* A list with this many ends is cut; the rest follows (platform). */
 #define VP_RECONCILE_ENDS_MAX 500
-/* Workers list ends one by one; those of this time share lines of the log. */
+/* Workers list ends one by one, some hundred a second; those of this time share lines of the log.
+ */
 #define VP_RECONCILE_DONE_LOG_MS 100
 
 void
--- a/src/vp-runlog.c
+++ b/src/vp-runlog.c
@@ -163,6 +163,7 @@
   for (uint32_t i = 0; i < log->count;)
     i = _vp_runlog_write_group (log, i, now_ms);
   log->count = log->group_count = 0;
+  log->written_ms = now_ms;
 }
 
 static bool
@@ -209,8 +210,7 @@
 void
 vp_runlog_flush (VpRunlog *log, int64_t now_ms)
 {
-  /* The first entry is the oldest: they are put in order only when they are written. */
-  if (log->count > 0 && now_ms - log->entries[0].at_ms >= log->desc.wait_ms)
+  if (log->count > 0 && now_ms - log->written_ms >= log->desc.wait_ms)
     _vp_runlog_write_all (log, now_ms);
 }
 
--- a/src/vp-runlog.h
+++ b/src/vp-runlog.h
@@ -34,7 +34,7 @@
 } VpRunlogEntry;
 
 typedef struct {
-  int64_t wait_ms; /* a flush leaves runs that are younger than this for the next; 0: none */
+  int64_t wait_ms; /* a flush this short after the last one that wrote does nothing */
 } VpRunlogDesc;
 
 typedef struct {
@@ -42,6 +42,7 @@
   VpRunlogEntry *entries;
   uint32_t count;
   uint32_t group_count;
+  int64_t written_ms; /* last time that runs were written */
 } VpRunlog;
 
 void vp_runlog_setup (VpRunlog *log, const VpRunlogDesc *desc);
@@ -52,5 +53,5 @@
                     const char *why,
                     const VpJobTask *task,
                     int64_t now_ms);
-/* Writes all runs once the oldest is old enough. */
+/* Writes all runs, unless some were written less than wait_ms ago. */
 void vp_runlog_flush (VpRunlog *log, int64_t now_ms);
--- /dev/null
+++ b/tests/test-cell-log.c
@@ -0,0 +1,121 @@
+/* What the scheduler logs of runs. */
+#include "cell-fixture.h"
+#include "log-capture.h"
+
+/* Bytes that were read before; the next call of _assert_new() looks at what follows. */
+static size_t _seen;
+
+/* Fails unless exactly @count new lines were logged since the last call and one of them holds
+ * @part. */
+static void
+_assert_new (LogCapture *capture, uint32_t count, const char *part)
+{
+  g_autofree char *text = log_capture_read (capture);
+  uint32_t lines = 0;
+
+  for (const char *at = text + _seen; *at != '\0'; at++)
+    lines += *at == '\n' ? 1 : 0;
+  if (lines != count || (part != NULL && strstr (text + _seen, part) == NULL))
+    g_error ("not %u lines with \"%s\": %s", count, part == NULL ? "" : part, text + _seen);
+  _seen = strlen (text);
+}
+
+static void
+_start (LogCapture *capture, Fixture *fixture, uint32_t width)
+{
+  log_capture_setup (capture);
+  _seen = 0;
+  _setup (fixture, 1, false);
+  _sync (fixture);
+  _decide (fixture);
+  _assert_new (capture, 3, "event=worker-listed service=service workers=w0@127.0.0.1:1\n");
+  _submit (fixture, width, 100);
+  _decide (fixture);
+}
+
+static void
+_end (Fixture *fixture, uint32_t number, uint32_t index, VpRunEnd end)
+{
+  VpOrderResult result = _list (fixture, "w0");
+  VpEndedEntry ended = { .number = number, .is_task = true, .run = 1, .end = end };
+
+  ended.task = (VpTaskName){ .job = 1, .index = index };
+  g_array_append_val (result.ended, ended);
+  for (uint32_t i = index + 1; i < 4; i++) {
+    VpRunningEntry running = { .task = { .job = 1, .index = i }, .is_task = true, .run = 1 };
+    g_array_append_val (result.running, running);
+  }
+  _take (fixture, &result);
+}
+
+/* Guards against runs that are logged late or one a line. */
+static void
+test_runs (void)
+{
+  LogCapture capture;
+  Fixture fixture;
+
+  _start (&capture, &fixture, 4);
+  _assert_new (&capture, 1, "event=start why=fits run=1 tasks=0000000000000001.0.0:w0:0-3\n");
+  _end (&fixture, 1, 0, VP_RUN_FAILED);
+  _assert_new (&capture, 1, "event=end why=failed run=1 tasks=0000000000000001.0.0:w0:0\n");
+  g_assert_true (vp_cell_cancel (fixture.cell, 1, fixture.now_ms));
+  _decide (&fixture);
+  _assert_new (&capture, 1, "event=stop why=job-ended run=1 tasks=0000000000000001.0.0:w0:1-3\n");
+  _teardown (&fixture);
+  log_capture_teardown (&capture);
+}
+
+/* Guards against ends that are held for more than their time, or lost with the scheduler. */
+static void
+test_done (void)
+{
+  LogCapture capture;
+  Fixture fixture;
+
+  _start (&capture, &fixture, 4);
+  _assert_new (&capture, 1, NULL);
+  _end (&fixture, 1, 0, VP_RUN_DONE);
+  _assert_new (&capture, 1, "event=end why=done run=1 tasks=0000000000000001.0.0:w0:0\n");
+  fixture.now_ms += 10;
+  _end (&fixture, 2, 1, VP_RUN_DONE);
+  _assert_new (&capture, 0, NULL);
+  fixture.now_ms += 90;
+  _decide (&fixture);
+  _assert_new (&capture, 1,
+               "event=end why=done run=1 within_ms=90 tasks=0000000000000001.0.0:w0:1\n");
+  _end (&fixture, 3, 2, VP_RUN_DONE);
+  _assert_new (&capture, 0, NULL);
+  _teardown (&fixture);
+  _assert_new (&capture, 1, "event=end why=done run=1 tasks=0000000000000001.0.0:w0:2\n");
+  log_capture_teardown (&capture);
+}
+
+/* Guards against runs that are lost with their worker and that no line names. */
+static void
+test_lost (void)
+{
+  LogCapture capture;
+  Fixture fixture;
+  VpWorkerEntry entry = _entry (0);
+
+  _start (&capture, &fixture, 2);
+  _assert_new (&capture, 1, NULL);
+  entry.born_ms = 2;
+  vp_cell_worker (fixture.cell, &entry, fixture.now_ms);
+  vp_cell_pause (fixture.cell);
+  _decide (&fixture);
+  _assert_new (&capture, 2, "event=end why=born-again run=1 tasks=0000000000000001.0.0:w0:0-1\n");
+  _teardown (&fixture);
+  log_capture_teardown (&capture);
+}
+
+int
+main (int argc, char **argv)
+{
+  g_test_init (&argc, &argv, NULL);
+  g_test_add_func ("/cell-log/runs", test_runs);
+  g_test_add_func ("/cell-log/done", test_done);
+  g_test_add_func ("/cell-log/lost", test_lost);
+  return g_test_run ();
+}
