--- a/src/vp-cell.c
+++ b/src/vp-cell.c
@@ -109,6 +109,17 @@
 
 /* Workers. */
 
+static void
+_vp_cell_log_listed (const VpWorkerEntry *entry, int64_t now_ms)
+{
+  char keys[VP_NAME_MAX + 32];
+  char item[VP_NAME_MAX + VP_ADDRESS_MAX];
+
+  g_snprintf (keys, sizeof keys, "service=%s workers=", entry->service);
+  g_snprintf (item, sizeof item, "%s@%s", entry->id, entry->address);
+  vp_log_item (now_ms, "worker-listed", keys, item);
+}
+
 void
 vp_cell_worker (VpCell *cell, const VpWorkerEntry *entry, int64_t now_ms)
 {
@@ -117,8 +128,7 @@
   bool is_new = known == NULL;
 
   if (is_new || !known->is_listed)
-    vp_log (now_ms, "worker-listed", "worker=%s address=%s service=%s", entry->id, entry->address,
-            entry->service);
+    _vp_cell_log_listed (entry, now_ms);
   if (!is_new && strcmp (known->entry.address, entry->address) != 0) {
     vp_log (now_ms, "worker-moved", "worker=%s from=%s to=%s", entry->id, known->entry.address,
             entry->address);
@@ -228,7 +238,8 @@
 static void
 _vp_cell_not_started (VpCell *cell, VpJobTask *task, const VpOrderResult *result, int64_t now_ms)
 {
-  vp_jobtask_log (task, "not-started", vp_order_outcome_token (result->outcome), now_ms);
+  vp_runlog_add (&cell->reconcile.log, "not-started", vp_order_outcome_token (result->outcome),
+                 task, now_ms);
   vp_counters_add (VP_COUNT_START_REFUSED, 1);
   vp_jobtask_release (cell->jobs, task);
 }
@@ -307,6 +318,13 @@
     cell->scan_next_ms = 0;
 }
 
+static void
+_vp_cell_flush_log (VpCell *cell, int64_t now_ms)
+{
+  vp_runlog_flush (&cell->reconcile.done_log, now_ms);
+  vp_runlog_flush (&cell->reconcile.log, now_ms);
+}
+
 void
 vp_cell_order_result (VpCell *cell, const VpOrderResult *result, int64_t now_ms)
 {
@@ -319,6 +337,7 @@
     cell->is_fenced = true;
   if (result->kind == VP_ORDER_HOLD) {
     _vp_cell_hold_result (cell, worker, result, now_ms);
+    _vp_cell_flush_log (cell, now_ms);
     return;
   }
   if (result->clock_ms > 0)
@@ -332,6 +351,7 @@
     _vp_cell_stop_result (cell, task, result);
   if (result->outcome == VP_ORDER_OTHER_LIFE)
     _vp_cell_other_life (cell, worker, result, now_ms);
+  _vp_cell_flush_log (cell, now_ms);
 }
 
 /* What a commit covers. */
@@ -480,7 +500,7 @@
   vp_place_slot_update (slot);
   if (task->step->spec->is_one_rack && task->step->rack < 0)
     task->step->rack = (int32_t)worker->rack_index;
-  vp_jobtask_log (task, "start", is_unsure ? "inherited" : "fits", now_ms);
+  vp_runlog_add (&cell->reconcile.log, "start", is_unsure ? "inherited" : "fits", task, now_ms);
   _vp_cell_order_start (cell, task, now_ms, effects);
 }
 
@@ -629,10 +649,11 @@
     _vp_cell_hold (cell, cell->roster->workers->pdata[i], now_ms, effects);
   _vp_cell_settle (cell, now_ms);
   _vp_cell_scan (cell, now_ms, effects);
-  if (cell->is_paused || cell->conf == NULL || now_ms > cell->orders_until_ms)
-    return;
-  vp_joblist_open_due (cell->jobs, now_ms);
-  _vp_cell_place (cell, now_ms, effects);
+  if (!cell->is_paused && cell->conf != NULL && now_ms <= cell->orders_until_ms) {
+    vp_joblist_open_due (cell->jobs, now_ms);
+    _vp_cell_place (cell, now_ms, effects);
+  }
+  _vp_cell_flush_log (cell, now_ms);
 }
 
 int64_t
