--- a/src/vp-cell-private.h
+++ b/src/vp-cell-private.h
@@ -23,9 +23,9 @@
   int64_t orders_until_ms; /* no lease is given after this */
   bool is_fenced;
   bool is_paused;
-  bool has_list;        /* the platform's list of workers was read */
-  bool has_kept;        /* the workers that the last scheduler used are all in the roster */
-  bool is_kept_unknown; /* its list of them can't be read */
+  bool has_list;           /* the platform's list of workers was read */
+  bool has_kept;           /* the workers that the last scheduler used are all in the roster */
+  bool is_kept_unreadable; /* its list of them can't be read */
   bool is_settled;
 };
 
--- a/src/vp-cell-succession.c
+++ b/src/vp-cell-succession.c
@@ -17,7 +17,7 @@
   if (cell->has_kept)
     return false;
   return !cell->has_list || now_ms < cell->started_ms + cell->desc.relist_ms
-         || (cell->is_kept_unknown && now_ms <= cell->roster->inherited_until_ms);
+         || (cell->is_kept_unreadable && now_ms <= cell->roster->inherited_until_ms);
 }
 
 /* Without a list of the last scheduler's workers any worker may have been one. */
@@ -53,7 +53,7 @@
   }
   cell->is_settled = true;
   cell->roster->is_changed = true;
-  vp_log (now_ms, "settled", "after_ms=%" G_GINT64_FORMAT " workers=%u silent=%u kept=%d",
+  vp_log (now_ms, "settled", "after_ms=%" G_GINT64_FORMAT " workers=%u silent=%u has_list=%d",
           now_ms - cell->started_ms, cell->roster->workers->len, silent_count, cell->has_kept);
 }
 
@@ -129,14 +129,14 @@
 }
 
 void
-vp_cell_expect_roster (VpCell *cell, GVariant *kept)
+vp_cell_load_roster (VpCell *cell, GVariant *kept)
 {
   GVariantIter iter;
   const char *id, *address, *dc;
   gboolean is_open;
 
   if (kept == NULL) {
-    cell->is_kept_unknown = true;
+    cell->is_kept_unreadable = true;
     return;
   }
   g_variant_iter_init (&iter, kept);
@@ -146,12 +146,12 @@
     if (!vp_name_copy (entry.id, sizeof entry.id, id)
         || !vp_name_copy (entry.address, sizeof entry.address, address)
         || !vp_name_copy (entry.dc, sizeof entry.dc, dc)) {
-      cell->is_kept_unknown = true;
+      cell->is_kept_unreadable = true;
       continue;
     }
-    worker = vp_roster_expect (cell->roster, &entry);
+    worker = vp_roster_add (cell->roster, &entry);
     worker->is_open = worker->is_staged_open = worker->is_unknown = is_open;
     worker->is_withheld = !is_open;
   }
-  cell->has_kept = !cell->is_kept_unknown;
+  cell->has_kept = !cell->is_kept_unreadable;
 }
--- a/src/vp-cell.h
+++ b/src/vp-cell.h
@@ -86,7 +86,7 @@
 /* The commit had no effect. */
 void vp_cell_unstage_roster (VpCell *cell);
 /* What the last scheduler kept; NULL: it can't be read. */
-void vp_cell_expect_roster (VpCell *cell, GVariant *kept);
+void vp_cell_load_roster (VpCell *cell, GVariant *kept);
 /* Starts, stops, leases, advice: appends VpCellEffect. */
 void vp_cell_decide (VpCell *cell, int64_t now_ms, GArray *effects);
 /* When vp_cell_decide() has something to do without news. */
--- a/src/vp-keeper.c
+++ b/src/vp-keeper.c
@@ -121,7 +121,7 @@
   if (values->len == 0)
     return 0;
   kept = vp_node_parse (values->pdata[0], VP_CELL_ROSTER_TYPE);
-  vp_cell_expect_roster (keeper->desc.cell, kept);
+  vp_cell_load_roster (keeper->desc.cell, kept);
   return kept == NULL ? 1 : 0;
 }
 
--- a/src/vp-roster.c
+++ b/src/vp-roster.c
@@ -63,7 +63,7 @@
 }
 
 VpRosterWorker *
-vp_roster_expect (VpRoster *roster, const VpWorkerEntry *entry)
+vp_roster_add (VpRoster *roster, const VpWorkerEntry *entry)
 {
   VpRosterWorker *worker = vp_roster_find (roster, entry->id);
 
@@ -84,7 +84,7 @@
 VpRosterWorker *
 vp_roster_put (VpRoster *roster, const VpWorkerEntry *entry)
 {
-  VpRosterWorker *worker = vp_roster_expect (roster, entry);
+  VpRosterWorker *worker = vp_roster_add (roster, entry);
 
   worker->entry = *entry;
   worker->rack_index = _vp_roster_rack (roster, entry);
--- a/src/vp-roster.h
+++ b/src/vp-roster.h
@@ -97,7 +97,7 @@
 VpRosterWorker *vp_roster_put (VpRoster *roster, const VpWorkerEntry *entry);
 /* Adds a worker that an earlier scheduler used, unless it is known. Only the identity, the address
  * and the DC of @entry are needed; it gets no work until the platform lists it. */
-VpRosterWorker *vp_roster_expect (VpRoster *roster, const VpWorkerEntry *entry);
+VpRosterWorker *vp_roster_add (VpRoster *roster, const VpWorkerEntry *entry);
 VpRosterWorker *vp_roster_find (const VpRoster *roster, const char *id);
 /* The worker must have no tasks. */
 void vp_roster_remove (VpRoster *roster, VpRosterWorker *worker);
--- a/tests/test-cell-takeover.c
+++ b/tests/test-cell-takeover.c
@@ -190,7 +190,7 @@
     VpOrderResult result = _list (fixture, id);
     _take (fixture, &result);
   }
-  vp_cell_expect_roster (fixture->cell, kept);
+  vp_cell_load_roster (fixture->cell, kept);
   fixture->now_ms += 100;
   _submit (fixture, 1, 1000)->is_inherited = true;
   _decide (fixture);
@@ -368,7 +368,7 @@
   Fixture fixture;
 
   _setup (&fixture, 1, false);
-  vp_cell_expect_roster (fixture.cell, NULL);
+  vp_cell_load_roster (fixture.cell, NULL);
   _submit (&fixture, 1, 1000)->is_inherited = true;
   _sync (&fixture);
   fixture.now_ms += (6000 + VP_ROSTER_UNCONFIRMED_MS) * 100 / 98 + VP_ROSTER_LAPSE_MARGIN_MS;
