Failures of a task's later runs after a change of leader count too

Cause: failures are told apart by 64 bits from the last run that was kept. A leader leaves a gap of 8 runs before each start of an inherited task, so the eighth start had used them up, and all further failures fell on the last bit and counted once. Starts that workers turn away use up runs too: the task's runs were 8, 16, 64, 72, 80, 88, and of the failures of 64 to 88 one was counted.

Change: the gap is left once, before this leader's first start. Failures beyond the 64 runs are counted by the number of the last one, as those runs are the leader's own and end in order.

--- a/src/vp-cell.c
+++ b/src/vp-cell.c
@@ -433,7 +433,7 @@
 static uint32_t
 _vp_cell_next_run (const VpCell *cell, const VpJobTask *task)
 {
-  bool is_exact = cell->desc.is_clean || !task->step->run->job->is_inherited;
+  bool is_exact = cell->desc.is_clean || !task->step->run->job->is_inherited || task->is_own_run;
 
   return task->run + (is_exact ? 1 : VP_CELL_RUN_GAP);
 }
@@ -497,6 +497,7 @@
     vp_counters_observe (VP_HIST_WAIT_MS, now_ms - job->arrived_ms);
   vp_counters_add (VP_COUNT_INHERITED_STARTS, is_unsure ? 1 : 0);
   vp_jobtask_assign (cell->jobs, task, worker, run, now_ms);
+  task->is_own_run = true;
   vp_place_slot_update (slot);
   if (task->step->spec->is_one_rack && task->step->rack < 0)
     task->step->rack = (int32_t)worker->rack_index;
--- a/src/vp-joblist.c
+++ b/src/vp-joblist.c
@@ -14,6 +14,8 @@
 #define VP_PACKED_FAILURES_SHIFT 11
 #define VP_PACKED_FAILURES_MAX   0xfU
 #define VP_PACKED_RUN_MAX        0x7ffU
+/* Runs after the kept one whose failures are told apart in any order: bits of a word. */
+#define VP_FAILED_RUNS_MAX 64
 
 static void
 _vp_job_free (gpointer data)
@@ -485,6 +487,29 @@
     vp_jobtask_done (list, &step->tasks[i], now_ms);
 }
 
+/* Notes the failure of @run; false if it is counted already. */
+static bool
+_vp_task_count_failed (VpJobTask *task, uint32_t run)
+{
+  uint32_t offset = run - task->kept_run;
+  uint64_t bit;
+
+  if (run < task->kept_run || (run == task->kept_run && run > 0 && !task->is_kept_out))
+    return false;
+  /* A scheduler that has got this far has ordered these runs itself, one after the other. */
+  if (offset >= VP_FAILED_RUNS_MAX) {
+    if (run <= task->failed_last)
+      return false;
+    task->failed_last = run;
+    return true;
+  }
+  bit = UINT64_C (1) << offset;
+  if ((task->failed_runs & bit) != 0)
+    return false;
+  task->failed_runs |= bit;
+  return true;
+}
+
 void
 vp_jobtask_note_failed (VpJobList *list,
                         VpJobTask *task,
@@ -493,12 +518,9 @@
                         int64_t now_ms)
 {
   VpJob *job = task->step->run->job;
-  bool is_kept = run < task->kept_run || (run == task->kept_run && run > 0 && !task->is_kept_out);
-  uint64_t bit = is_kept ? 0 : UINT64_C (1) << MIN (run - task->kept_run, 63U);
 
-  if (is_kept || (task->failed_runs & bit) != 0)
+  if (!_vp_task_count_failed (task, run))
     return;
-  task->failed_runs |= bit;
   vp_joblist_touch (list, job);
   task->failures++;
   task->not_before_ms = now_ms + (VP_JOB_RETRY_MS << MIN (task->failures - 1, 5U));
--- a/src/vp-joblist.h
+++ b/src/vp-joblist.h
@@ -49,6 +49,8 @@
   uint32_t kept_run;    /* last one that an earlier scheduler had kept; its ends are counted ... */
   bool is_kept_out;     /* ... but for this last one if it was running then */
   uint64_t failed_runs; /* bit N: the failure of run @kept_run + N is counted */
+  uint32_t failed_last; /* the last one that was counted of those beyond */
+  bool is_own_run;      /* this scheduler has ordered a run */
   uint32_t failures;    /* ends that count against the queue's attempts */
   VpRosterWorker *worker; /* while it takes room there */
   char checkpoint[VP_CHECKPOINT_MAX];
--- a/tests/test-cell-takeover.c
+++ b/tests/test-cell-takeover.c
@@ -512,6 +512,53 @@
   _teardown (&fixture);
 }
 
+/* Workers turn a start of an inherited task away many times, then its runs fail. All failures
+ * count, and the job fails with the second of its two attempts. */
+static void
+test_failures_after_many_runs (void)
+{
+  Fixture fixture;
+  VpEndedEntry ended = { .is_task = true, .end = VP_RUN_FAILED };
+  VpOrderResult result;
+  const VpOrder *start;
+  uint32_t run = 0;
+  VpJob *job;
+
+  _setup (&fixture, 1, false);
+  job = _submit (&fixture, 1, 1000);
+  job->is_inherited = true;
+  ended.task.job = job->spec->id;
+  _sync (&fixture);
+  for (int i = 0; i < 70; i++) {
+    fixture.now_ms += 600;
+    _sync (&fixture);
+    _decide (&fixture);
+    start = _find (&fixture, VP_ORDER_START);
+    g_assert_cmpuint (start->run, >, run);
+    run = start->run;
+    _answer (&fixture, start, VP_ORDER_NO_ROOM);
+  }
+  /* The gap to runs that an earlier scheduler may have ordered is needed once. */
+  g_assert_cmpuint (run, <=, 8 + 70);
+  for (int i = 0; i < 2; i++) {
+    g_assert_cmpint (job->state, !=, VP_JOB_FAILED);
+    fixture.now_ms += 3000;
+    _sync (&fixture);
+    _decide (&fixture);
+    start = _find (&fixture, VP_ORDER_START);
+    ended.number = (uint64_t)i + 1;
+    ended.run = start->run;
+    _answer (&fixture, start, VP_ORDER_OK);
+    for (int k = 0; k < 2; k++) {
+      result = _list (&fixture, "w0");
+      g_array_append_val (result.ended, ended);
+      _take (&fixture, &result);
+    }
+  }
+  g_assert_cmpint (job->state, ==, VP_JOB_FAILED);
+  _teardown (&fixture);
+}
+
 /* A worker is forgotten behind a cut and comes back with an end that was counted before. */
 static void
 test_end_listed_twice (void)
@@ -618,6 +665,7 @@
   g_test_add_func ("/cell/withheld-worker", test_withheld_worker);
   g_test_add_func ("/cell/fenced", test_fenced);
   g_test_add_func ("/cell/unkept-failures", test_unkept_failures);
+  g_test_add_func ("/cell/failures-after-many-runs", test_failures_after_many_runs);
   g_test_add_func ("/cell/end-listed-twice", test_end_listed_twice);
   g_test_add_func ("/cell/kept-failure", test_kept_failure);
   g_test_add_func ("/cell/reborn", test_reborn);
