Bench: decisions while steps wait for advice and a part of the cell is free

bench-cell measured a full cell only, where the look at the room ends most of the work. On the grown sites the leader's decisions are slowest while workers have room that the waiting steps have no ticket for.

--- a/bench/bench-cell.c
+++ b/bench/bench-cell.c
@@ -4,7 +4,8 @@
  *                         curves as {"curve","series","x","y"}
  *
  * The load is a cell that is nearly full, where advice rules most workers out and some tasks end
- * between decisions. Workers and the advice service answer at once, by hand. All random choices
+ * between decisions. Workers and the advice service answer at once, by hand. A second load has a
+ * third of the cell free, and steps that wait for advice, which takes its time. All random choices
  * have fixed seeds.
  */
 #include "vp-cell.h"
@@ -20,6 +21,17 @@
 #define STEP_WIDTH  16
 #define RACK_SIZE   20
 #define ESTIMATE_MS 4000
+/* The second load. */
+#define ADVISED_SHARE     0.7
+#define ADVISED_MS        100 /* from an advice call to its answer */
+#define ADVISED_ASKERS    43
+#define ADVISED_FREE_PART 3 /* one part in three is free */
+
+typedef struct {
+  uint64_t serial;
+  GPtrArray *workers; /* ids */
+  int64_t due_ms;
+} BenchAsk;
 
 typedef struct {
   VpCell *cell;
@@ -27,6 +39,9 @@
   GArray *effects;     /* VpCellEffect */
   GArray *running;     /* VpOrder: starts that were answered */
   GHashTable *numbers; /* worker -> number of its last end */
+  GQueue *asks;        /* BenchAsk: advice calls under way */
+  int64_t advice_ms;   /* time of one */
+  double good_share;   /* part of the workers that advice allows */
   int64_t now_ms;
   uint64_t last_job;
 } Bench;
@@ -66,13 +81,33 @@
 }
 
 static void
-_advise (Bench *bench, const VpAdviceAsk *ask)
+_ask_free (gpointer data)
+{
+  BenchAsk *ask = data;
+
+  g_ptr_array_unref (ask->workers);
+  g_free (ask);
+}
+
+static void
+_ask (Bench *bench, const VpAdviceAsk *effect)
+{
+  BenchAsk *ask = g_new (BenchAsk, 1);
+
+  *ask = (BenchAsk){ .serial = effect->serial,
+                     .workers = g_ptr_array_ref (effect->workers),
+                     .due_ms = bench->now_ms + bench->advice_ms };
+  g_queue_push_tail (bench->asks, ask);
+}
+
+static void
+_advise (Bench *bench, const BenchAsk *ask)
 {
   g_autoptr (GArray) rows = g_array_new (FALSE, TRUE, sizeof (VpAdviceRow));
 
   for (guint i = 0; i < ask->workers->len; i++) {
     VpAdviceRow row = { .valid_until_ms = bench->now_ms + 2500 };
-    if (g_rand_double (bench->rand) > GOOD_SHARE)
+    if (g_rand_double (bench->rand) > bench->good_share)
       continue;
     g_strlcpy (row.worker, ask->workers->pdata[i], sizeof row.worker);
     g_strlcpy (row.ticket, "ticket", sizeof row.ticket);
@@ -81,13 +116,24 @@
   vp_cell_advice (bench->cell, ask->serial, rows, bench->now_ms);
 }
 
+static void
+_advise_due (Bench *bench)
+{
+  const BenchAsk *ask;
+
+  while ((ask = g_queue_peek_head (bench->asks)) != NULL && ask->due_ms <= bench->now_ms) {
+    _advise (bench, ask);
+    _ask_free (g_queue_pop_head (bench->asks));
+  }
+}
+
 static void
 _carry_out (Bench *bench)
 {
   for (guint i = 0; i < bench->effects->len; i++) {
     VpCellEffect *effect = &g_array_index (bench->effects, VpCellEffect, i);
     if (effect->kind == VP_CELL_ADVISE) {
-      _advise (bench, &effect->ask);
+      _ask (bench, &effect->ask);
     } else if (effect->order.kind == VP_ORDER_START) {
       _answer (bench, &effect->order, NULL);
       g_array_append_val (bench->running, effect->order);
@@ -97,6 +143,7 @@
     vp_cell_effect_clear (effect);
   }
   g_array_set_size (bench->effects, 0);
+  _advise_due (bench);
 }
 
 static void
@@ -143,8 +190,9 @@
   VpTeamConf team = { .name = "team" };
   VpCellConf *conf = vp_cellconf_new (1);
 
-  *bench = (Bench){ .now_ms = 1000000, .rand = g_rand_new_with_seed (1) };
+  *bench = (Bench){ .now_ms = 1000000, .rand = g_rand_new_with_seed (1), .good_share = GOOD_SHARE };
   bench->effects = g_array_new (FALSE, FALSE, sizeof (VpCellEffect));
+  bench->asks = g_queue_new ();
   bench->running = g_array_new (FALSE, FALSE, sizeof (VpOrder));
   bench->numbers = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
   bench->cell = vp_cell_setup (
@@ -166,6 +214,7 @@
   vp_cell_shutdown (bench->cell);
   g_array_unref (bench->effects);
   g_array_unref (bench->running);
+  g_queue_free_full (bench->asks, _ask_free);
   g_hash_table_unref (bench->numbers);
   g_rand_free (bench->rand);
 }
@@ -188,6 +237,17 @@
   return count;
 }
 
+static void
+_fill (Bench *bench, uint32_t step_count)
+{
+  for (uint32_t round = 0; round < ROUNDS; round++) {
+    if (_waiting (bench) < step_count)
+      _submit (bench);
+    _decide (bench);
+    _carry_out (bench);
+  }
+}
+
 /* Mean time of a decision with @step_count steps waiting on a full cell, in microseconds. */
 static double
 _measure (uint32_t worker_count, uint32_t step_count)
@@ -196,25 +256,55 @@
   int64_t spent_us = 0;
 
   _setup (&bench, worker_count);
-  /* Fills the cell. */
+  _fill (&bench, step_count);
   for (uint32_t round = 0; round < ROUNDS; round++) {
-    if (_waiting (&bench) < step_count)
+    int64_t start_us;
+    while (_waiting (&bench) < step_count)
       _submit (&bench);
+    for (uint32_t i = 0; i < ENDS_ROUND && bench.running->len > 0; i++)
+      _end_task (&bench);
+    start_us = g_get_monotonic_time ();
     _decide (&bench);
+    spent_us += g_get_monotonic_time () - start_us;
     _carry_out (&bench);
   }
-  for (uint32_t round = 0; round < ROUNDS; round++) {
+  _teardown (&bench);
+  return (double)spent_us / ROUNDS;
+}
+
+/* The same while a part of the cell is free and the steps wait for advice; in @starts_s the tasks
+ * that start in a second. */
+static double
+_measure_advised (uint32_t worker_count, uint32_t step_count, double *starts_s)
+{
+  Bench bench;
+  int64_t spent_us = 0;
+  uint32_t start_count = 0;
+  guint most;
+
+  _setup (&bench, worker_count);
+  bench.good_share = ADVISED_SHARE;
+  _fill (&bench, step_count);
+  most = bench.running->len - bench.running->len / ADVISED_FREE_PART;
+  bench.advice_ms = ADVISED_MS;
+  vp_cell_set_askers (bench.cell, ADVISED_ASKERS);
+  for (uint32_t round = 0; round < 2 * ROUNDS; round++) {
     int64_t start_us;
+    guint before;
     while (_waiting (&bench) < step_count)
       _submit (&bench);
-    for (uint32_t i = 0; i < ENDS_ROUND && bench.running->len > 0; i++)
+    while (bench.running->len > most)
       _end_task (&bench);
+    before = bench.running->len;
     start_us = g_get_monotonic_time ();
     _decide (&bench);
-    spent_us += g_get_monotonic_time () - start_us;
+    /* The first rounds use the room that the calls before have found. */
+    spent_us += round < ROUNDS ? 0 : g_get_monotonic_time () - start_us;
     _carry_out (&bench);
+    start_count += round < ROUNDS ? 0 : bench.running->len - before;
   }
   _teardown (&bench);
+  *starts_s = (double)start_count * 1000 / (ROUNDS * ROUND_MS);
   return (double)spent_us / ROUNDS;
 }
 
@@ -227,12 +317,20 @@
   for (guint w = 0; w < G_N_ELEMENTS (workers); w++) {
     for (guint s = 0; s < G_N_ELEMENTS (steps); s++) {
       double mean_us = _measure (workers[w], steps[s]);
+      double starts_s;
       printf ("{\"curve\":\"cell-decision-time\",\"series\":\"%u waiting "
               "steps\",\"x\":%u,\"y\":%.4g}\n",
               steps[s], workers[w], mean_us);
       printf (
           "{\"measure\":\"cell_decide_us_%u_workers_%u_waiting\",\"value\":%.4g,\"unit\":\"us\"}\n",
           workers[w], steps[s], mean_us);
+      mean_us = _measure_advised (workers[w], steps[s], &starts_s);
+      printf ("{\"measure\":\"cell_decide_us_%u_workers_%u_waiting_for_advice\",\"value\":%.4g,"
+              "\"unit\":\"us\"}\n",
+              workers[w], steps[s], mean_us);
+      printf ("{\"measure\":\"cell_starts_%u_workers_%u_waiting_for_advice\",\"value\":%.4g,"
+              "\"unit\":\"1/s\"}\n",
+              workers[w], steps[s], starts_s);
     }
   }
   return 0;
