Advice calls at the same time name different workers

Cause: steps that ask at the same moment all named the workers with most room. The first answer took the room, the others' tickets were of no use, and those steps asked again.

Change: a call claims the room that it is meant for at the workers it names, until its answer or its loss. Candidates whose room is claimed come last, and count with the rest of their room otherwise. Urgent calls heed urgent ones only.

Tests, the first two seen to fail without the change (8 workers named instead of 16): advise/calls-at-once, advise/urgent-beside-batch, advise/no-size.

--- a/src/vp-advise.c
+++ b/src/vp-advise.c
@@ -24,6 +24,7 @@
   int64_t expires_ms;
   bool is_urgent;
   GPtrArray *workers; /* ids asked about; a reference */
+  GArray *claims;     /* VpSize: room at each of them that the call is meant for */
 } VpAdvisePending;
 
 static void
@@ -32,12 +33,17 @@
   VpAdvisePending *ask = data;
 
   g_ptr_array_unref (ask->workers);
+  g_array_unref (ask->claims);
   g_free (ask);
 }
 
 struct _VpAdvise {
   GHashTable *pending;     /* serial -> VpAdvisePending */
   GHashTable *good_shares; /* queue -> double */
+  /* Worker id -> VpSize: room that calls under way are meant for. Steps that ask at the same time
+   * would all name the workers with most room otherwise, and most answers would come too late. */
+  GHashTable *claims;
+  GHashTable *urgent_claims; /* of urgent calls only */
   uint64_t last_serial;
   uint32_t asker_count;
   uint32_t deferrable_count; /* calls under way that aren't urgent */
@@ -51,6 +57,8 @@
   advise->pending
       = g_hash_table_new_full (g_int64_hash, g_int64_equal, g_free, _vp_advise_pending_free);
   advise->good_shares = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
+  advise->claims = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
+  advise->urgent_claims = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
   advise->last_serial = last_serial;
   advise->asker_count = 1;
   return advise;
@@ -61,6 +69,8 @@
 {
   g_hash_table_unref (advise->pending);
   g_hash_table_unref (advise->good_shares);
+  g_hash_table_unref (advise->claims);
+  g_hash_table_unref (advise->urgent_claims);
   g_free (advise);
 }
 
@@ -83,6 +93,56 @@
   return share;
 }
 
+static void
+_vp_advise_claim (GHashTable *claims, const char *worker, const VpSize *size)
+{
+  VpSize *claim = g_hash_table_lookup (claims, worker);
+
+  if (claim == NULL) {
+    claim = g_new0 (VpSize, 1);
+    g_hash_table_insert (claims, g_strdup (worker), claim);
+  }
+  vp_size_add (claim, size);
+}
+
+static void
+_vp_advise_unclaim (GHashTable *claims, const char *worker, const VpSize *size)
+{
+  VpSize *claim = g_hash_table_lookup (claims, worker);
+
+  /* Claims of tasks without a size leave nothing behind. */
+  if (claim == NULL)
+    return;
+  vp_size_sub (claim, size);
+  if (claim->cpu_milli == 0 && claim->mem_mib == 0 && claim->accel_count == 0)
+    g_hash_table_remove (claims, worker);
+}
+
+/* The call is under way. */
+static void
+_vp_advise_open (VpAdvise *advise, const VpAdvisePending *ask)
+{
+  advise->deferrable_count += ask->is_urgent ? 0 : 1;
+  for (guint i = 0; i < ask->workers->len; i++) {
+    const VpSize *size = &g_array_index (ask->claims, VpSize, i);
+    _vp_advise_claim (advise->claims, ask->workers->pdata[i], size);
+    if (ask->is_urgent)
+      _vp_advise_claim (advise->urgent_claims, ask->workers->pdata[i], size);
+  }
+}
+
+static void
+_vp_advise_close (VpAdvise *advise, const VpAdvisePending *ask)
+{
+  advise->deferrable_count -= ask->is_urgent ? 0 : 1;
+  for (guint i = 0; i < ask->workers->len; i++) {
+    const VpSize *size = &g_array_index (ask->claims, VpSize, i);
+    _vp_advise_unclaim (advise->claims, ask->workers->pdata[i], size);
+    if (ask->is_urgent)
+      _vp_advise_unclaim (advise->urgent_claims, ask->workers->pdata[i], size);
+  }
+}
+
 static void
 _vp_advise_forget (VpAdvise *advise, uint64_t serial)
 {
@@ -90,7 +150,7 @@
 
   if (ask == NULL)
     return;
-  advise->deferrable_count -= ask->is_urgent ? 0 : 1;
+  _vp_advise_close (advise, ask);
   g_hash_table_remove (advise->pending, &serial);
 }
 
@@ -113,14 +173,17 @@
                int64_t now_ms,
                VpAdviceAsk *out)
 {
-  g_autoptr (GPtrArray) workers = g_ptr_array_new ();
+  g_autoptr (GArray) candidates = g_array_new (FALSE, FALSE, sizeof (VpPlaceCandidate));
+  bool is_urgent = queue->priority == 0;
   VpAdvisePending *pending;
 
   if (step->ask_serial != 0 || now_ms < step->ask_next_ms
-      || !_vp_advise_has_asker (advise, queue->priority == 0))
+      || !_vp_advise_has_asker (advise, is_urgent))
     return false;
-  vp_place_candidates (pool, step, *_vp_advise_good_share (advise, queue->name), now_ms, workers);
-  if (workers->len == 0) {
+  /* Urgent calls are short, and their steps go first: they heed each other only. */
+  vp_place_candidates (pool, step, *_vp_advise_good_share (advise, queue->name),
+                       is_urgent ? advise->urgent_claims : advise->claims, now_ms, candidates);
+  if (candidates->len == 0) {
     step->ask_next_ms = now_ms + VP_ADVISE_NONE_MS;
     return false;
   }
@@ -128,23 +191,29 @@
   vp_jobtask_name (&step->tasks[0], &out->step);
   out->serial = step->ask_serial = ++advise->last_serial;
   out->expected_ms
-      = (int64_t)(queue->advice_decide_ms + queue->advice_worker_ms * workers->len) + 1;
+      = (int64_t)(queue->advice_decide_ms + queue->advice_worker_ms * candidates->len) + 1;
   out->workers = g_ptr_array_new_with_free_func (g_free);
-  for (guint i = 0; i < workers->len; i++)
-    g_ptr_array_add (out->workers, g_strdup (((VpRosterWorker *)workers->pdata[i])->entry.id));
   pending = g_new (VpAdvisePending, 1);
   *pending = (VpAdvisePending){ .step = out->step,
                                 .expires_ms = now_ms + out->expected_ms + VP_ADVISE_GRACE_MS,
-                                .is_urgent = queue->priority == 0,
-                                .workers = g_ptr_array_ref (out->workers) };
-  advise->deferrable_count += pending->is_urgent ? 0 : 1;
+                                .is_urgent = is_urgent,
+                                .workers = g_ptr_array_ref (out->workers),
+                                .claims = g_array_new (FALSE, FALSE, sizeof (VpSize)) };
+  for (guint i = 0; i < candidates->len; i++) {
+    const VpPlaceCandidate *candidate = &g_array_index (candidates, VpPlaceCandidate, i);
+    VpSize claim = vp_jobtask_room (&step->tasks[0]);
+    vp_size_scale (&claim, MIN (candidate->capacity, step->waiting_count));
+    g_ptr_array_add (out->workers, g_strdup (candidate->worker->entry.id));
+    g_array_append_val (pending->claims, claim);
+  }
+  _vp_advise_open (advise, pending);
   g_hash_table_insert (advise->pending, g_memdup2 (&out->serial, sizeof out->serial), pending);
   if (step->advice == NULL)
     step->advice = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, g_free);
   vp_log (now_ms, "ask",
           "job=%016" G_GINT64_MODIFIER "x step=%u serial=%" G_GUINT64_FORMAT
           " workers=%u waiting=%u",
-          out->step.job, out->step.step, out->serial, workers->len, step->waiting_count);
+          out->step.job, out->step.step, out->serial, candidates->len, step->waiting_count);
   return true;
 }
 
@@ -219,7 +288,7 @@
     task = vp_joblist_task (jobs, &ask->step);
     if (task != NULL)
       task->step->ask_serial = 0;
-    advise->deferrable_count -= ask->is_urgent ? 0 : 1;
+    _vp_advise_close (advise, ask);
     g_hash_table_iter_remove (&iter);
   }
 }
--- a/src/vp-place.c
+++ b/src/vp-place.c
@@ -266,29 +266,28 @@
          && _vp_place_gang_in (pool, step, queue, -1, now_ms, out);
 }
 
-/* How many tasks of the step the worker has room for now. */
+/* How many tasks of the step the worker can take into @free. */
 static uint32_t
-_vp_place_capacity (const VpJobStep *step, const VpPlaceSlot *slot)
+_vp_place_capacity (const VpJobStep *step, const VpRosterWorker *worker, const VpSize *free)
 {
   VpSize room = _vp_place_room (step);
   int64_t count = step->spec->task_count;
 
   if (room.cpu_milli > 0)
-    count = MIN (count, slot->free.cpu_milli / room.cpu_milli);
+    count = MIN (count, free->cpu_milli / room.cpu_milli);
   if (room.mem_mib > 0)
-    count = MIN (count, slot->free.mem_mib / room.mem_mib);
+    count = MIN (count, free->mem_mib / room.mem_mib);
   if (room.accel_count > 0)
-    count = MIN (count, slot->free.accel_count / room.accel_count);
+    count = MIN (count, free->accel_count / room.accel_count);
   if (count > 0 && step->spec->spread_max > 0)
-    count
-        = MIN (count, (int64_t)step->spec->spread_max - _vp_place_count_here (step, slot->worker));
+    count = MIN (count, (int64_t)step->spec->spread_max - _vp_place_count_here (step, worker));
   return (uint32_t)MAX (count, 0);
 }
 
 typedef struct {
-  VpRosterWorker *worker;
-  uint32_t capacity;
-  bool is_known; /* allowed earlier; only its ticket has expired */
+  VpPlaceCandidate candidate;
+  bool is_claimed; /* other calls are meant for all of its room */
+  bool is_known;   /* allowed earlier; only its ticket has expired */
   bool is_far;
 } VpPlaceOption;
 
@@ -297,31 +296,59 @@
 {
   const VpPlaceOption *one = a;
   const VpPlaceOption *two = b;
+  uint32_t one_capacity = one->candidate.capacity;
+  uint32_t two_capacity = two->candidate.capacity;
 
+  if (one->is_claimed != two->is_claimed)
+    return one->is_claimed ? 1 : -1;
   if (one->is_known != two->is_known)
     return one->is_known ? -1 : 1;
   if (one->is_far != two->is_far)
     return one->is_far ? 1 : -1;
-  return one->capacity == two->capacity ? 0 : one->capacity > two->capacity ? -1 : 1;
+  return one_capacity == two_capacity ? 0 : one_capacity > two_capacity ? -1 : 1;
+}
+
+/* Takes the room that other calls are meant for off the option, unless that is all of it. */
+static void
+_vp_place_heed_claim (const VpJobStep *step,
+                      const VpPlaceSlot *slot,
+                      const VpSize *claim,
+                      VpPlaceOption *option)
+{
+  VpSize free = slot->free;
+  uint32_t capacity;
+
+  vp_size_sub (&free, claim);
+  capacity = _vp_place_capacity (step, slot->worker, &free);
+  option->is_claimed = capacity == 0;
+  if (capacity > 0)
+    option->candidate.capacity = capacity;
 }
 
 void
 vp_place_candidates (const VpPlacePool *pool,
                      const VpJobStep *step,
                      double good_share,
+                     GHashTable *claims,
                      int64_t now_ms,
-                     GPtrArray *out)
+                     GArray *out)
 {
   g_autoptr (GArray) options = g_array_new (FALSE, FALSE, sizeof (VpPlaceOption));
   double wanted = (double)step->waiting_count * VP_PLACE_ASK_FACTOR;
 
   for (guint i = 0; i < pool->slots->len; i++) {
     const VpPlaceSlot *slot = &g_array_index (pool->slots, VpPlaceSlot, i);
-    VpPlaceOption option = { .worker = slot->worker, .capacity = _vp_place_capacity (step, slot) };
-    if (option.capacity == 0 || !_vp_place_is_eligible (step, slot->worker)
+    VpPlaceOption option
+        = { .candidate = { .worker = slot->worker,
+                           .capacity = _vp_place_capacity (step, slot->worker, &slot->free) } };
+    const VpSize *claim;
+    if (option.candidate.capacity == 0 || !_vp_place_is_eligible (step, slot->worker)
         || _vp_place_is_ruled_out (step, slot->worker)
         || vp_place_ticket (step, slot->worker, now_ms) != NULL)
       continue;
+    claim = g_hash_table_lookup (claims, slot->worker->entry.id);
+    if (claim != NULL)
+      _vp_place_heed_claim (step, slot, claim, &option);
     option.is_known
         = step->advice != NULL && g_hash_table_contains (step->advice, slot->worker->entry.id);
     option.is_far = _vp_place_is_far (step->spec, slot->worker);
@@ -332,7 +359,7 @@
     const VpPlaceOption *option = &g_array_index (options, VpPlaceOption, i);
     if (wanted <= 0 && i >= VP_PLACE_ASK_MIN)
       break;
-    g_ptr_array_add (out, option->worker);
-    wanted -= option->capacity * (option->is_known ? 1.0 : good_share);
+    g_array_append_val (out, option->candidate);
+    wanted -= option->candidate.capacity * (option->is_known ? 1.0 : good_share);
   }
 }
--- a/src/vp-place.h
+++ b/src/vp-place.h
@@ -6,7 +6,7 @@
  *   vp_place_slot_update (slot);
  *   if (vp_place_gang (pool, step, queue, now_ms, slots))                   // one for each task
  *     ...
- *   vp_place_candidates (pool, step, share, now_ms, workers);               // to ask advice about
+ *   vp_place_candidates (pool, step, share, claims, now_ms, candidates);    // to ask advice about
  *   vp_place_pool_free (pool);
  */
 #pragma once
@@ -28,6 +28,11 @@
   GArray *slots; /* VpPlaceSlot */
 } VpPlacePool;
 
+typedef struct {
+  const VpRosterWorker *worker;
+  uint32_t capacity; /* tasks of the step that it has room for */
+} VpPlaceCandidate;
+
 VpPlacePool *vp_place_pool_new (const VpRoster *roster, const char *service, int64_t now_ms);
 void vp_place_pool_free (VpPlacePool *pool);
 /* Takes over what is committed to the slot's worker now. */
@@ -45,13 +50,15 @@
                     const VpQueueConf *queue,
                     int64_t now_ms,
                     VpPlaceSlot **out);
-/* Appends the workers (VpRosterWorker) worth an advice call for the tasks that wait: those with
+/* Appends the workers (VpPlaceCandidate) worth an advice call for the tasks that wait: those with
  * room that have no valid ticket and aren't known to be ruled out, best first, no more than the
- * tasks are likely to need if @good_share of the unknown ones are allowed. */
+ * tasks are likely to need if @good_share of the unknown ones are allowed. @claims: worker id ->
+ * VpSize, room that other calls under way are meant for; workers without other room come last. */
 void vp_place_candidates (const VpPlacePool *pool,
                           const VpJobStep *step,
                           double good_share,
+                          GHashTable *claims,
                           int64_t now_ms,
-                          GPtrArray *out);
+                          GArray *out);
 /* The valid ticket of the step for the worker; NULL: none. */
 const char *vp_place_ticket (const VpJobStep *step, const VpRosterWorker *worker, int64_t now_ms);
--- a/tests/test-advise.c
+++ b/tests/test-advise.c
@@ -5,6 +5,9 @@
 
 #define NOW_MS 1000000
 #define ASKERS 8
+/* With half of the workers allowed, a call for so many tasks of 1 core names 8 workers of 16. */
+#define STEP_TASKS   40
+#define CALL_WORKERS 8
 
 typedef struct {
   VpRoster *roster;
@@ -30,14 +33,14 @@
 }
 
 static void
-_setup (Fixture *fixture)
+_setup (Fixture *fixture, uint32_t worker_count)
 {
   memset (fixture, 0, sizeof *fixture);
   fixture->roster = vp_roster_setup (6000);
   fixture->jobs = vp_joblist_setup ();
   fixture->advise = vp_advise_setup (0);
   vp_advise_set_askers (fixture->advise, ASKERS);
-  for (uint32_t i = 0; i < 4; i++) {
+  for (uint32_t i = 0; i < worker_count; i++) {
     VpWorkerEntry entry = { .service = "service", .capacity = { .cpu_milli = 16000 } };
     VpRosterWorker *worker;
     g_snprintf (entry.id, sizeof entry.id, "w%u", i);
@@ -58,25 +61,51 @@
   vp_roster_shutdown (fixture->roster);
 }
 
-/* A call for a new step of the queue; returns its serial, 0: none is made. */
-static uint64_t
-_ask (Fixture *fixture, const VpQueueConf *queue)
+/* A call for a new step of @task_count tasks of a size, in @ask; false: none is made. */
+static bool
+_ask_for (Fixture *fixture,
+          const VpQueueConf *queue,
+          uint32_t task_count,
+          int64_t cpu_milli,
+          VpAdviceAsk *ask)
 {
   g_autoptr (VpJobSpec) spec = vp_jobspec_new (1);
-  VpAdviceAsk ask = { 0 };
   VpJob *job;
 
   spec->id = ++fixture->last_job;
   spec->text = g_strdup ("text");
   g_strlcpy (spec->queue, queue->name, sizeof spec->queue);
-  spec->steps[0] = (VpStepSpec){ .task_count = 1, .size = { .cpu_milli = 1000 } };
+  spec->steps[0] = (VpStepSpec){ .task_count = task_count, .size = { .cpu_milli = cpu_milli } };
   job = vp_joblist_add (fixture->jobs, spec, NOW_MS, NOW_MS);
-  if (!vp_advise_ask (fixture->advise, fixture->pool, &job->runs[0].steps[0], queue, NOW_MS, &ask))
+  return vp_advise_ask (fixture->advise, fixture->pool, &job->runs[0].steps[0], queue, NOW_MS, ask);
+}
+
+/* The same for one task; returns the call's serial, 0: none is made. */
+static uint64_t
+_ask (Fixture *fixture, const VpQueueConf *queue)
+{
+  VpAdviceAsk ask = { 0 };
+
+  if (!_ask_for (fixture, queue, 1, 1000, &ask))
     return 0;
   g_ptr_array_unref (ask.workers);
   return ask.serial;
 }
 
+/* A call for a new step of STEP_TASKS tasks; adds the workers that it names to @named and returns
+ * its serial. */
+static uint64_t
+_ask_into (Fixture *fixture, const VpQueueConf *queue, GHashTable *named)
+{
+  VpAdviceAsk ask = { 0 };
+
+  g_assert_true (_ask_for (fixture, queue, STEP_TASKS, 1000, &ask));
+  for (guint i = 0; i < ask.workers->len; i++)
+    g_hash_table_add (named, g_strdup (ask.workers->pdata[i]));
+  g_ptr_array_unref (ask.workers);
+  return ask.serial;
+}
+
 /* A crowd of batch steps, whose calls take half a second each, leaves processes free for urgent
  * ones. */
 static void
@@ -87,7 +116,7 @@
   uint64_t last = 0;
   uint64_t serial;
 
-  _setup (&fixture);
+  _setup (&fixture, 4);
   while ((serial = _ask (&fixture, &fixture.batch)) != 0) {
     last = serial;
     count++;
@@ -110,7 +139,7 @@
   Fixture fixture;
   uint32_t count = 0;
 
-  _setup (&fixture);
+  _setup (&fixture, 4);
   while (_ask (&fixture, &fixture.batch) != 0)
     count++;
   vp_advise_expire (fixture.advise, fixture.jobs, NOW_MS + 60000);
@@ -120,11 +149,81 @@
   _teardown (&fixture);
 }
 
+/* Steps that ask at the same time name different workers while there is room that no other call is
+ * meant for; the answer, or its loss, gives the room free again. */
+static void
+test_calls_at_once (void)
+{
+  g_autoptr (GHashTable) named = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
+  Fixture fixture;
+  uint64_t serial = 0;
+
+  _setup (&fixture, 3 * CALL_WORKERS);
+  for (uint32_t i = 1; i <= 3; i++) {
+    _ask_into (&fixture, &fixture.urgent, named);
+    g_assert_cmpuint (g_hash_table_size (named), ==, i * CALL_WORKERS);
+  }
+  /* Where all room is asked for, workers are named twice. */
+  _ask_into (&fixture, &fixture.urgent, named);
+  vp_advise_expire (fixture.advise, fixture.jobs, NOW_MS + 60000);
+  g_hash_table_remove_all (named);
+  for (uint32_t i = 1; i <= 2; i++) {
+    serial = _ask_into (&fixture, &fixture.urgent, named);
+    g_assert_cmpuint (g_hash_table_size (named), ==, i * CALL_WORKERS);
+  }
+  vp_advise_answer (fixture.advise, fixture.roster, fixture.jobs, serial, NULL, NOW_MS);
+  g_hash_table_remove_all (named);
+  for (uint32_t i = 1; i <= 2; i++) {
+    _ask_into (&fixture, &fixture.urgent, named);
+    g_assert_cmpuint (g_hash_table_size (named), ==, i * CALL_WORKERS);
+  }
+  _teardown (&fixture);
+}
+
+/* Calls for batch steps take half a second, so the room that they are meant for stays open to
+ * urgent ones. */
+static void
+test_urgent_beside_batch (void)
+{
+  g_autoptr (GHashTable) named = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
+  Fixture fixture;
+
+  _setup (&fixture, 2 * CALL_WORKERS);
+  _ask_into (&fixture, &fixture.batch, named);
+  _ask_into (&fixture, &fixture.urgent, named);
+  g_assert_cmpuint (g_hash_table_size (named), ==, CALL_WORKERS);
+  _ask_into (&fixture, &fixture.batch, named);
+  g_assert_cmpuint (g_hash_table_size (named), ==, 2 * CALL_WORKERS);
+  _teardown (&fixture);
+}
+
+/* Calls for tasks that take no room at all. */
+static void
+test_no_size (void)
+{
+  Fixture fixture;
+  uint64_t serials[3];
+
+  _setup (&fixture, 4);
+  for (guint i = 0; i < G_N_ELEMENTS (serials); i++) {
+    VpAdviceAsk ask = { 0 };
+    g_assert_true (_ask_for (&fixture, &fixture.urgent, 2, i == 1 ? 1000 : 0, &ask));
+    g_ptr_array_unref (ask.workers);
+    serials[i] = ask.serial;
+  }
+  for (guint i = 0; i < G_N_ELEMENTS (serials); i++)
+    vp_advise_answer (fixture.advise, fixture.roster, fixture.jobs, serials[i], NULL, NOW_MS);
+  _teardown (&fixture);
+}
+
 int
 main (int argc, char *argv[])
 {
   g_test_init (&argc, &argv, NULL);
   g_test_add_func ("/advise/crowd-of-batch", test_crowd_of_batch);
   g_test_add_func ("/advise/lost-answers", test_lost_answers);
+  g_test_add_func ("/advise/calls-at-once", test_calls_at_once);
+  g_test_add_func ("/advise/urgent-beside-batch", test_urgent_beside_batch);
+  g_test_add_func ("/advise/no-size", test_no_size);
   return g_test_run ();
 }
