Look at the workers that a step has tickets for, not at all with room

Cause: each waiting step looked its ticket up in a hash table for every worker with room.

Change: the step goes through its tickets, some ten, and finds their workers' places in the list. The choice is the same.

Test: place/pick compares the choice with a search through all workers, 200 seeds; it passes before and after.

--- a/src/vp-place.c
+++ b/src/vp-place.c
@@ -37,6 +37,7 @@
         || strcmp (slot.worker->entry.service, service) != 0)
       continue;
     vp_place_slot_update (&slot);
+    slot.worker->slot_index = pool->slots->len;
     g_array_append_val (pool->slots, slot);
   }
   return pool;
@@ -55,14 +56,20 @@
   slot->free = vp_roster_free (slot->worker);
 }
 
+/* The ticket must still be good on arrival. */
+static bool
+_vp_place_is_ticket (const VpAdviceRow *row, int64_t now_ms)
+{
+  return row->ticket[0] != '\0' && now_ms + VP_PLACE_TICKET_MARGIN_MS <= row->valid_until_ms;
+}
+
 const char *
 vp_place_ticket (const VpJobStep *step, const VpRosterWorker *worker, int64_t now_ms)
 {
   const VpAdviceRow *row
       = step->advice == NULL ? NULL : g_hash_table_lookup (step->advice, worker->entry.id);
 
-  if (row == NULL || row->ticket[0] == '\0' || row->born_ms != worker->born_ms
-      || now_ms + VP_PLACE_TICKET_MARGIN_MS > row->valid_until_ms)
+  if (row == NULL || row->born_ms != worker->born_ms || !_vp_place_is_ticket (row, now_ms))
     return NULL;
   return row->ticket;
 }
@@ -158,7 +165,15 @@
          && free->cpu_milli - worker->filling_cpu_milli < spec->size.cpu_milli / 2;
 }
 
-/* Advice and spread, for a worker that has @taken_count tasks of the step chosen for it already. */
+/* For a worker that has @taken_count tasks of the step chosen for it already. */
+static bool
+_vp_place_is_spread (const VpJobStep *step, const VpRosterWorker *worker, uint32_t taken_count)
+{
+  return step->spec->spread_max == 0
+         || _vp_place_count_here (step, worker) + taken_count < step->spec->spread_max;
+}
+
+/* Advice and spread. */
 static bool
 _vp_place_is_allowed (const VpJobStep *step,
                       const VpQueueConf *queue,
@@ -168,8 +183,7 @@
 {
   if (queue->has_advice && vp_place_ticket (step, worker, now_ms) == NULL)
     return false;
-  return step->spec->spread_max == 0
-         || _vp_place_count_here (step, worker) + taken_count < step->spec->spread_max;
+  return _vp_place_is_spread (step, worker, taken_count);
 }
 
 /* True if no worker has a valid ticket for the step. */
@@ -187,6 +201,47 @@
          && now_ms < task->not_before_ms + VP_PLACE_ELSEWHERE_MS;
 }
 
+typedef struct {
+  VpPlaceSlot *slot;
+  double score;
+} VpPlaceChoice;
+
+/* Takes @slot if the task can run there and no better one was found; of equal ones the first. */
+static void
+_vp_place_consider (const VpJobTask *task,
+                    const VpQueueConf *queue,
+                    VpPlaceSlot *slot,
+                    int64_t now_ms,
+                    VpPlaceChoice *best)
+{
+  const VpJobStep *step = task->step;
+  VpSize room = _vp_place_room (step);
+  double score;
+
+  /* Most workers of a full cell lack the room, so that is looked at first. */
+  if (!vp_size_fits (&room, &slot->free) || !_vp_place_is_eligible (step, slot->worker)
+      || !_vp_place_is_spread (step, slot->worker, 0)
+      || _vp_place_has_failed_there (task, slot->worker, now_ms)
+      || _vp_place_may_wait (step, slot->worker, &slot->free, now_ms))
+    return;
+  score = _vp_place_score (step, queue->priority == 0, slot->worker, &slot->free);
+  if (best->slot == NULL || score < best->score || (score == best->score && slot < best->slot))
+    *best = (VpPlaceChoice){ .slot = slot, .score = score };
+}
+
+/* The slot of the worker that the row names; NULL: it has none. */
+static VpPlaceSlot *
+_vp_place_slot_of (const VpPlacePool *pool, const VpAdviceRow *row)
+{
+  const VpRosterWorker *worker = vp_roster_find (pool->roster, row->worker);
+  VpPlaceSlot *slot;
+
+  if (worker == NULL || worker->born_ms != row->born_ms || worker->slot_index >= pool->slots->len)
+    return NULL;
+  slot = &g_array_index (pool->slots, VpPlaceSlot, worker->slot_index);
+  return slot->worker == worker ? slot : NULL;
+}
+
 VpPlaceSlot *
 vp_place_pick (const VpPlacePool *pool,
                const VpJobTask *task,
@@ -194,28 +249,29 @@
                int64_t now_ms)
 {
   const VpJobStep *step = task->step;
-  VpSize room = _vp_place_room (step);
-  VpPlaceSlot *best = NULL;
-  double best_score = 0;
-
-  if (_vp_place_lacks_tickets (step, queue, now_ms))
+  VpPlaceChoice best = { 0 };
+  GHashTableIter iter;
+  gpointer value;
+
+  if (!queue->has_advice) {
+    for (guint i = 0; i < pool->slots->len; i++)
+      _vp_place_consider (task, queue, &g_array_index (pool->slots, VpPlaceSlot, i), now_ms, &best);
+    return best.slot;
+  }
+  if (step->advice == NULL || _vp_place_lacks_tickets (step, queue, now_ms))
     return NULL;
-  for (guint i = 0; i < pool->slots->len; i++) {
-    VpPlaceSlot *slot = &g_array_index (pool->slots, VpPlaceSlot, i);
-    double score;
-    /* Most workers of a full cell lack the room, so that is looked at first. */
-    if (!vp_size_fits (&room, &slot->free) || !_vp_place_is_eligible (step, slot->worker)
-        || !_vp_place_is_allowed (step, queue, slot->worker, 0, now_ms)
-        || _vp_place_has_failed_there (task, slot->worker, now_ms)
-        || _vp_place_may_wait (step, slot->worker, &slot->free, now_ms))
+  /* Tickets are few, while many workers may have room. */
+  g_hash_table_iter_init (&iter, step->advice);
+  while (g_hash_table_iter_next (&iter, NULL, &value)) {
+    const VpAdviceRow *row = value;
+    VpPlaceSlot *slot;
+    if (!_vp_place_is_ticket (row, now_ms))
       continue;
-    score = _vp_place_score (step, queue->priority == 0, slot->worker, &slot->free);
-    if (best == NULL || score < best_score) {
-      best = slot;
-      best_score = score;
-    }
+    slot = _vp_place_slot_of (pool, row);
+    if (slot != NULL)
+      _vp_place_consider (task, queue, slot, now_ms, &best);
   }
-  return best;
+  return best.slot;
 }
 
 /* Places all tasks of the step within the rack, or anywhere if @rack is negative. */
--- a/src/vp-roster.h
+++ b/src/vp-roster.h
@@ -70,6 +70,7 @@
   uint32_t failed_runs;
   uint32_t suspect_level; /* times that it was put aside in a row */
   int64_t avoid_until_ms; /* gets no work before */
+  uint32_t slot_index;    /* in the newest pool of its service, see vp-place.h */
   int64_t paced_ms;       /* last change of pace */
   uint32_t pace_percent;  /* of the tasks that use what is left */
   int64_t over_since_ms;  /* a serving task has been near or over its target since; 0: none */
--- /dev/null
+++ b/tests/test-place.c
@@ -0,0 +1,123 @@
+/* The choice of a worker against a search through all workers. */
+#include "vp-place.h"
+
+#include <string.h>
+
+#define NOW_MS       1000000
+#define SEEDS        200
+#define WORKER_COUNT 24
+#define TICKET_MS    100 /* a ticket must be good for so long */
+
+static void
+_add_worker (VpRoster *roster, GRand *rand, uint32_t number)
+{
+  VpWorkerEntry entry = { .service = "service", .dc = "dc", .kind = "a" };
+  VpRosterWorker *worker;
+
+  g_snprintf (entry.id, sizeof entry.id, "w%u", number);
+  g_snprintf (entry.rack, sizeof entry.rack, "r%u", number / 4);
+  /* Few sizes, so that workers are often equally good. */
+  entry.capacity.cpu_milli = 1000 * g_rand_int_range (rand, 1, 5);
+  if (g_rand_int_range (rand, 0, 8) == 0)
+    g_strlcpy (entry.service, "other", sizeof entry.service);
+  worker = vp_roster_put (roster, &entry, NOW_MS);
+  worker->is_synced = g_rand_int_range (rand, 0, 8) != 0;
+  worker->is_reachable = true;
+  worker->born_ms = 1;
+  worker->slowness = g_rand_int_range (rand, 1, 3);
+}
+
+/* Rows that name nobody, have expired, rule a worker out or are of its earlier life are among them.
+ */
+static void
+_add_advice (VpJobStep *step, GRand *rand)
+{
+  step->advice = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, g_free);
+  step->tickets_until_ms = NOW_MS + 2000;
+  for (uint32_t i = 0; i < WORKER_COUNT + 4; i++) {
+    VpAdviceRow *row;
+    if (g_rand_int_range (rand, 0, 3) == 0)
+      continue;
+    row = g_new0 (VpAdviceRow, 1);
+    g_snprintf (row->worker, sizeof row->worker, "w%u", i);
+    if (g_rand_int_range (rand, 0, 3) != 0)
+      g_strlcpy (row->ticket, "ticket", sizeof row->ticket);
+    row->valid_until_ms = NOW_MS + g_rand_int_range (rand, 0, 4) * TICKET_MS;
+    row->born_ms = g_rand_int_range (rand, 0, 6) == 0 ? 2 : 1;
+    g_hash_table_replace (step->advice, row->worker, row);
+  }
+}
+
+static bool
+_is_allowed (const VpJobStep *step, const VpPlaceSlot *slot)
+{
+  const VpAdviceRow *row = g_hash_table_lookup (step->advice, slot->worker->entry.id);
+
+  return row != NULL && row->ticket[0] != '\0' && row->born_ms == slot->worker->born_ms
+         && row->valid_until_ms >= NOW_MS + TICKET_MS
+         && slot->free.cpu_milli >= step->spec->size.cpu_milli;
+}
+
+/* With queue->has_advice off, the search looks at each worker; those that advice does not allow
+ * have no room in @pool then. */
+static VpPlaceSlot *
+_search (VpPlacePool *pool, const VpJobStep *step, VpQueueConf queue)
+{
+  for (guint i = 0; i < pool->slots->len; i++) {
+    VpPlaceSlot *slot = &g_array_index (pool->slots, VpPlaceSlot, i);
+    if (!_is_allowed (step, slot))
+      slot->free = (VpSize){ 0 };
+  }
+  queue.has_advice = false;
+  return vp_place_pick (pool, &step->tasks[0], &queue, NOW_MS);
+}
+
+static void
+_compare (uint32_t seed, uint32_t *found_count)
+{
+  g_autoptr (GRand) rand = g_rand_new_with_seed (seed);
+  g_autoptr (VpJobSpec) spec = vp_jobspec_new (1);
+  VpQueueConf queue = { .name = "q", .has_advice = true };
+  VpRoster *roster = vp_roster_setup (6000);
+  VpJobList *jobs = vp_joblist_setup ();
+  VpPlacePool *pool;
+  VpPlacePool *other;
+  VpPlaceSlot *slot;
+  VpJobStep *step;
+
+  for (uint32_t i = 0; i < WORKER_COUNT; i++)
+    _add_worker (roster, rand, i);
+  spec->id = 1;
+  spec->text = g_strdup ("text");
+  spec->steps[0] = (VpStepSpec){ .task_count = 4, .size = { .cpu_milli = 1500 } };
+  step = &vp_joblist_add (jobs, spec, NOW_MS, NOW_MS)->runs[0].steps[0];
+  _add_advice (step, rand);
+  /* Places in the pool of another service say nothing. */
+  pool = vp_place_pool_new (roster, "service", NOW_MS);
+  other = vp_place_pool_new (roster, "other", NOW_MS);
+  slot = vp_place_pick (pool, &step->tasks[0], &queue, NOW_MS);
+  g_assert_true (slot == _search (pool, step, queue));
+  *found_count += slot != NULL ? 1 : 0;
+  vp_place_pool_free (other);
+  vp_place_pool_free (pool);
+  vp_joblist_shutdown (jobs);
+  vp_roster_shutdown (roster);
+}
+
+static void
+test_pick (void)
+{
+  uint32_t found_count = 0;
+
+  for (uint32_t seed = 1; seed <= SEEDS; seed++)
+    _compare (seed, &found_count);
+  g_assert_cmpuint (found_count, >, SEEDS / 2);
+}
+
+int
+main (int argc, char *argv[])
+{
+  g_test_init (&argc, &argv, NULL);
+  g_test_add_func ("/place/pick", test_pick);
+  return g_test_run ();
+}
