Keep new jobs before the progress of others

Cause: changed jobs were kept in the order in which they changed. After an outage every job that runs has changed, and a commit takes about ten jobs, so new ones stood behind all of them.

Change: a job that isn't durable yet stands before all that are; among themselves the order is as before. Ends are still covered when nothing is left to keep, and a commit takes as many jobs as before.

Test: joblist/new-jobs-first, seen to fail without the change.

--- a/src/vp-joblist.c
+++ b/src/vp-joblist.c
@@ -113,14 +113,25 @@
   if (job->is_dirty)
     return;
   job->is_dirty = true;
-  g_queue_push_tail (&list->dirty, job);
+  if (job->is_durable) {
+    g_queue_push_tail (&list->dirty, job);
+  } else if (list->last_new == NULL) {
+    g_queue_push_head (&list->dirty, job);
+    list->last_new = list->dirty.head;
+  } else {
+    g_queue_insert_after (&list->dirty, list->last_new, job);
+    list->last_new = list->last_new->next;
+  }
 }
 
 VpJob *
 vp_joblist_take_dirty (VpJobList *list)
 {
-  VpJob *job = g_queue_pop_head (&list->dirty);
+  VpJob *job;
 
+  if (list->last_new == list->dirty.head)
+    list->last_new = NULL;
+  job = g_queue_pop_head (&list->dirty);
   if (job != NULL)
     job->is_dirty = false;
   return job;
@@ -272,8 +283,12 @@
 void
 vp_joblist_remove (VpJobList *list, VpJob *job)
 {
-  if (job->is_dirty)
-    g_queue_remove (&list->dirty, job);
+  if (job->is_dirty) {
+    GList *link = g_queue_find (&list->dirty, job);
+    if (list->last_new == link)
+      list->last_new = link->prev;
+    g_queue_delete_link (&list->dirty, link);
+  }
   _vp_job_close_steps (list, job);
   g_ptr_array_remove_fast (list->timed, job);
   if (!vp_job_is_ended (job)) {
--- a/src/vp-joblist.h
+++ b/src/vp-joblist.h
@@ -137,7 +137,8 @@
   GHashTable *jobs;      /* id -> VpJob */
   GPtrArray *open_steps; /* VpJobStep of jobs that aren't ended, not done */
   GPtrArray *timed;      /* VpJob with occurrences to come */
-  GQueue dirty;          /* VpJob */
+  GQueue dirty;          /* VpJob: first those that aren't durable yet, their callers wait */
+  GList *last_new;       /* the last of these in @dirty; NULL: none */
   GHashTable *teams;     /* name -> VpTeamUse */
   uint32_t live_count;   /* jobs that aren't ended */
 } VpJobList;
@@ -165,7 +166,7 @@
  * jobs a second; crowds of a second's share pass. */
 bool vp_teamuse_take_share (VpTeamUse *use, double weight, int64_t now_ms);
 void vp_joblist_touch (VpJobList *list, VpJob *job);
-/* The job that has waited longest to be kept; NULL: none. */
+/* The job to be kept next: new ones first, then the one that has waited longest; NULL: none. */
 VpJob *vp_joblist_take_dirty (VpJobList *list);
 /* Ends the job as cancelled; false if it had ended. Its running tasks are to be stopped. */
 bool vp_joblist_cancel (VpJobList *list, VpJob *job, int64_t now_ms);
--- /dev/null
+++ b/tests/test-joblist.c
@@ -0,0 +1,71 @@
+/* The order in which changed jobs are kept. */
+#include "vp-joblist.h"
+
+#define NOW_MS 1000000
+
+static VpJob *
+_add (VpJobList *list, uint64_t id, bool is_durable)
+{
+  g_autoptr (VpJobSpec) spec = vp_jobspec_new (1);
+  VpJob *job;
+
+  spec->id = id;
+  spec->text = g_strdup ("text");
+  spec->steps[0] = (VpStepSpec){ .task_count = 1, .size = { .cpu_milli = 1000 } };
+  job = vp_joblist_add (list, spec, NOW_MS, NOW_MS);
+  job->is_durable = is_durable;
+  vp_joblist_touch (list, job);
+  return job;
+}
+
+static void
+_assert_next (VpJobList *list, uint64_t id)
+{
+  const VpJob *job = vp_joblist_take_dirty (list);
+
+  g_assert_nonnull (job);
+  g_assert_cmpuint (job->spec->id, ==, id);
+}
+
+/* Callers wait for new jobs to be kept, which must not take as long as the progress of all others
+ * after an outage of the store. */
+static void
+test_new_jobs_first (void)
+{
+  VpJobList *list = vp_joblist_setup ();
+  VpJob *removed;
+
+  _add (list, 1, true);
+  _add (list, 2, true);
+  _add (list, 11, false);
+  _add (list, 12, false);
+  _add (list, 3, true);
+  _assert_next (list, 11);
+  _add (list, 13, false);
+  _assert_next (list, 12);
+  _assert_next (list, 13);
+  _assert_next (list, 1);
+  /* One that is removed, and those after it. */
+  _add (list, 14, false);
+  removed = _add (list, 15, false);
+  vp_joblist_remove (list, removed);
+  _add (list, 16, false);
+  _assert_next (list, 14);
+  _assert_next (list, 16);
+  removed = _add (list, 17, false);
+  vp_joblist_remove (list, removed);
+  _add (list, 18, false);
+  _assert_next (list, 18);
+  _assert_next (list, 2);
+  _assert_next (list, 3);
+  g_assert_null (vp_joblist_take_dirty (list));
+  vp_joblist_shutdown (list);
+}
+
+int
+main (int argc, char *argv[])
+{
+  g_test_init (&argc, &argv, NULL);
+  g_test_add_func ("/joblist/new-jobs-first", test_new_jobs_first);
+  return g_test_run ();
+}
