--- a/tests/test-place.c
+++ b/tests/test-place.c
@@ -83,6 +83,7 @@
   VpPlacePool *pool;
   VpPlacePool *other;
   VpPlaceSlot *slot;
+  VpPlaceSlot *expected;
   VpJobStep *step;
 
   for (uint32_t i = 0; i < WORKER_COUNT; i++)
@@ -96,7 +97,8 @@
   pool = vp_place_pool_new (roster, "service", NOW_MS);
   other = vp_place_pool_new (roster, "other", NOW_MS);
   slot = vp_place_pick (pool, &step->tasks[0], &queue, NOW_MS);
-  g_assert_true (slot == _search (pool, step, queue));
+  expected = _search (pool, step, queue);
+  g_assert_true (slot == expected);
   *found_count += slot != NULL ? 1 : 0;
   vp_place_pool_free (other);
   vp_place_pool_free (pool);
