--- a/src/vp-place.c
+++ b/src/vp-place.c
@@ -37,6 +37,7 @@
         || strcmp (slot.worker->entry.service, service) != 0)
       continue;
     vp_place_slot_update (&slot);
+    slot.worker->slot_index = pool->slots->len;
     g_array_append_val (pool->slots, slot);
   }
   return pool;
@@ -55,14 +56,20 @@
   slot->free = vp_roster_free (slot->worker);
 }
 
+/* The ticket must still be good on arrival. */
+static bool
+_vp_place_is_ticket (const VpAdviceRow *row, int64_t now_ms)
+{
+  return row->ticket[0] != '\0' && now_ms + VP_PLACE_TICKET_MARGIN_MS <= row->valid_until_ms;
+}
+
 const char *
 vp_place_ticket (const VpJobStep *step, const VpRosterWorker *worker, int64_t now_ms)
 {
   const VpAdviceRow *row
       = step->advice == NULL ? NULL : g_hash_table_lookup (step->advice, worker->entry.id);
 
-  if (row == NULL || row->ticket[0] == '\0' || row->born_ms != worker->born_ms
-      || now_ms + VP_PLACE_TICKET_MARGIN_MS > row->valid_until_ms)
+  if (row == NULL || row->born_ms != worker->born_ms || !_vp_place_is_ticket (row, now_ms))
     return NULL;
   return row->ticket;
 }
@@ -158,7 +165,15 @@
          && free->cpu_milli - worker->filling_cpu_milli < spec->size.cpu_milli / 2;
 }
 
-/* Advice and spread, for a worker that has @taken_count tasks of the step chosen for it already. */
+/* For a worker that has @taken_count tasks of the step chosen for it already. */
+static bool
+_vp_place_is_spread (const VpJobStep *step, const VpRosterWorker *worker, uint32_t taken_count)
+{
+  return step->spec->spread_max == 0
+         || _vp_place_count_here (step, worker) + taken_count < step->spec->spread_max;
+}
+
+/* Advice and spread. */
 static bool
 _vp_place_is_allowed (const VpJobStep *step,
                       const VpQueueConf *queue,
@@ -168,8 +183,7 @@
 {
   if (queue->has_advice && vp_place_ticket (step, worker, now_ms) == NULL)
     return false;
-  return step->spec->spread_max == 0
-         || _vp_place_count_here (step, worker) + taken_count < step->spec->spread_max;
+  return _vp_place_is_spread (step, worker, taken_count);
 }
 
 /* True if no worker has a valid ticket for the step. */
@@ -187,6 +201,47 @@
          && now_ms < task->not_before_ms + VP_PLACE_ELSEWHERE_MS;
 }
 
+typedef struct {
+  VpPlaceSlot *slot;
+  double score;
+} VpPlaceChoice;
+
+/* Takes @slot if the task can run there and no better one was found; of equal ones the first. */
+static void
+_vp_place_consider (const VpJobTask *task,
+                    const VpQueueConf *queue,
+                    VpPlaceSlot *slot,
+                    int64_t now_ms,
+                    VpPlaceChoice *best)
+{
+  const VpJobStep *step = task->step;
+  VpSize room = _vp_place_room (step);
+  double score;
+
+  /* Most workers of a full cell lack the room, so that is looked at first. */
+  if (!vp_size_fits (&room, &slot->free) || !_vp_place_is_eligible (step, slot->worker)
+      || !_vp_place_is_spread (step, slot->worker, 0)
+      || _vp_place_has_failed_there (task, slot->worker, now_ms)
+      || _vp_place_may_wait (step, slot->worker, &slot->free, now_ms))
+    return;
+  score = _vp_place_score (step, queue->priority == 0, slot->worker, &slot->free);
+  if (best->slot == NULL || score < best->score || (score == best->score && slot < best->slot))
+    *best = (VpPlaceChoice){ .slot = slot, .score = score };
+}
+
+/* The slot of the worker that the row names; NULL: it has none. */
+static VpPlaceSlot *
+_vp_place_slot_of (const VpPlacePool *pool, const VpAdviceRow *row)
+{
+  const VpRosterWorker *worker = vp_roster_find (pool->roster, row->worker);
+  VpPlaceSlot *slot;
+
+  if (worker == NULL || worker->born_ms != row->born_ms || worker->slot_index >= pool->slots->len)
+    return NULL;
+  slot = &g_array_index (pool->slots, VpPlaceSlot, worker->slot_index);
+  return slot->worker == worker ? slot : NULL;
+}
+
 VpPlaceSlot *
 vp_place_pick (const VpPlacePool *pool,
                const VpJobTask *task,
@@ -194,28 +249,29 @@
                int64_t now_ms)
 {
   const VpJobStep *step = task->step;
-  VpSize room = _vp_place_room (step);
-  VpPlaceSlot *best = NULL;
-  double best_score = 0;
-
-  if (_vp_place_lacks_tickets (step, queue, now_ms))
+  VpPlaceChoice best = { 0 };
+  GHashTableIter iter;
+  gpointer value;
+
+  if (!queue->has_advice) {
+    for (guint i = 0; i < pool->slots->len; i++)
+      _vp_place_consider (task, queue, &g_array_index (pool->slots, VpPlaceSlot, i), now_ms, &best);
+    return best.slot;
+  }
+  if (step->advice == NULL || _vp_place_lacks_tickets (step, queue, now_ms))
     return NULL;
-  for (guint i = 0; i < pool->slots->len; i++) {
-    VpPlaceSlot *slot = &g_array_index (pool->slots, VpPlaceSlot, i);
-    double score;
-    /* Most workers of a full cell lack the room, so that is looked at first. */
-    if (!vp_size_fits (&room, &slot->free) || !_vp_place_is_eligible (step, slot->worker)
-        || !_vp_place_is_allowed (step, queue, slot->worker, 0, now_ms)
-        || _vp_place_has_failed_there (task, slot->worker, now_ms)
-        || _vp_place_may_wait (step, slot->worker, &slot->free, now_ms))
+  /* Tickets are few, while many workers may have room. */
+  g_hash_table_iter_init (&iter, step->advice);
+  while (g_hash_table_iter_next (&iter, NULL, &value)) {
+    const VpAdviceRow *row = value;
+    VpPlaceSlot *slot;
+    if (!_vp_place_is_ticket (row, now_ms))
       continue;
-    score = _vp_place_score (step, queue->priority == 0, slot->worker, &slot->free);
-    if (best == NULL || score < best_score) {
-      best = slot;
-      best_score = score;
-    }
+    slot = _vp_place_slot_of (pool, row);
+    if (slot != NULL)
+      _vp_place_consider (task, queue, slot, now_ms, &best);
   }
-  return best;
+  return best.slot;
 }
 
 /* Places all tasks of the step within the rack, or anywhere if @rack is negative. */
@@ -266,29 +322,28 @@
          && _vp_place_gang_in (pool, step, queue, -1, now_ms, out);
 }
 
-/* How many tasks of the step the worker has room for now. */
+/* How many tasks of the step the worker can take into @free. */
 static uint32_t
-_vp_place_capacity (const VpJobStep *step, const VpPlaceSlot *slot)
+_vp_place_capacity (const VpJobStep *step, const VpRosterWorker *worker, const VpSize *free)
 {
   VpSize room = _vp_place_room (step);
   int64_t count = step->spec->task_count;
 
   if (room.cpu_milli > 0)
-    count = MIN (count, slot->free.cpu_milli / room.cpu_milli);
+    count = MIN (count, free->cpu_milli / room.cpu_milli);
   if (room.mem_mib > 0)
-    count = MIN (count, slot->free.mem_mib / room.mem_mib);
+    count = MIN (count, free->mem_mib / room.mem_mib);
   if (room.accel_count > 0)
-    count = MIN (count, slot->free.accel_count / room.accel_count);
+    count = MIN (count, free->accel_count / room.accel_count);
   if (count > 0 && step->spec->spread_max > 0)
-    count
-        = MIN (count, (int64_t)step->spec->spread_max - _vp_place_count_here (step, slot->worker));
+    count = MIN (count, (int64_t)step->spec->spread_max - _vp_place_count_here (step, worker));
   return (uint32_t)MAX (count, 0);
 }
 
 typedef struct {
-  VpRosterWorker *worker;
-  uint32_t capacity;
-  bool is_known; /* allowed earlier; only its ticket has expired */
+  VpPlaceCandidate candidate;
+  bool is_claimed; /* other calls are meant for all of its room */
+  bool is_known;   /* allowed earlier; only its ticket has expired */
   bool is_far;
 } VpPlaceOption;
 
@@ -297,31 +352,59 @@
 {
   const VpPlaceOption *one = a;
   const VpPlaceOption *two = b;
+  uint32_t one_capacity = one->candidate.capacity;
+  uint32_t two_capacity = two->candidate.capacity;
 
+  if (one->is_claimed != two->is_claimed)
+    return one->is_claimed ? 1 : -1;
   if (one->is_known != two->is_known)
     return one->is_known ? -1 : 1;
   if (one->is_far != two->is_far)
     return one->is_far ? 1 : -1;
-  return one->capacity == two->capacity ? 0 : one->capacity > two->capacity ? -1 : 1;
+  return one_capacity == two_capacity ? 0 : one_capacity > two_capacity ? -1 : 1;
+}
+
+/* Takes the room that other calls are meant for off the option, unless that is all of it. */
+static void
+_vp_place_heed_claim (const VpJobStep *step,
+                      const VpPlaceSlot *slot,
+                      const VpSize *claim,
+                      VpPlaceOption *option)
+{
+  VpSize free = slot->free;
+  uint32_t capacity;
+
+  vp_size_sub (&free, claim);
+  capacity = _vp_place_capacity (step, slot->worker, &free);
+  option->is_claimed = capacity == 0;
+  if (capacity > 0)
+    option->candidate.capacity = capacity;
 }
 
 void
 vp_place_candidates (const VpPlacePool *pool,
                      const VpJobStep *step,
                      double good_share,
+                     GHashTable *claims,
                      int64_t now_ms,
-                     GPtrArray *out)
+                     GArray *out)
 {
   g_autoptr (GArray) options = g_array_new (FALSE, FALSE, sizeof (VpPlaceOption));
   double wanted = (double)step->waiting_count * VP_PLACE_ASK_FACTOR;
 
   for (guint i = 0; i < pool->slots->len; i++) {
     const VpPlaceSlot *slot = &g_array_index (pool->slots, VpPlaceSlot, i);
-    VpPlaceOption option = { .worker = slot->worker, .capacity = _vp_place_capacity (step, slot) };
-    if (option.capacity == 0 || !_vp_place_is_eligible (step, slot->worker)
+    VpPlaceOption option
+        = { .candidate = { .worker = slot->worker,
+                           .capacity = _vp_place_capacity (step, slot->worker, &slot->free) } };
+    const VpSize *claim;
+    if (option.candidate.capacity == 0 || !_vp_place_is_eligible (step, slot->worker)
         || _vp_place_is_ruled_out (step, slot->worker)
         || vp_place_ticket (step, slot->worker, now_ms) != NULL)
       continue;
+    claim = g_hash_table_lookup (claims, slot->worker->entry.id);
+    if (claim != NULL)
+      _vp_place_heed_claim (step, slot, claim, &option);
     option.is_known
         = step->advice != NULL && g_hash_table_contains (step->advice, slot->worker->entry.id);
     option.is_far = _vp_place_is_far (step->spec, slot->worker);
@@ -332,7 +415,7 @@
     const VpPlaceOption *option = &g_array_index (options, VpPlaceOption, i);
     if (wanted <= 0 && i >= VP_PLACE_ASK_MIN)
       break;
-    g_ptr_array_add (out, option->worker);
-    wanted -= option->capacity * (option->is_known ? 1.0 : good_share);
+    g_array_append_val (out, option->candidate);
+    wanted -= option->candidate.capacity * (option->is_known ? 1.0 : good_share);
   }
 }
