--- a/tests/test-place.c
+++ b/tests/test-place.c
@@ -20,7 +20,7 @@
   entry.capacity.cpu_milli = 1000 * g_rand_int_range (rand, 1, 5);
   if (g_rand_int_range (rand, 0, 8) == 0)
     g_strlcpy (entry.service, "other", sizeof entry.service);
-  worker = vp_roster_put (roster, &entry, NOW_MS);
+  worker = vp_roster_put (roster, &entry);
   worker->is_synced = g_rand_int_range (rand, 0, 8) != 0;
   worker->is_reachable = true;
   worker->born_ms = 1;
@@ -78,7 +78,7 @@
   g_autoptr (GRand) rand = g_rand_new_with_seed (seed);
   g_autoptr (VpJobSpec) spec = vp_jobspec_new (1);
   VpQueueConf queue = { .name = "q", .has_advice = true };
-  VpRoster *roster = vp_roster_setup (6000);
+  VpRoster *roster = vp_roster_setup (6000, NOW_MS);
   VpJobList *jobs = vp_joblist_setup ();
   VpPlacePool *pool;
   VpPlacePool *other;
