--- a/tests/test-node-cut.c
+++ b/tests/test-node-cut.c
@@ -1,27 +1,6 @@
 /* DCs that are cut off together with the leader, in simulated time. */
 #include "vp-log.h"
-#include "world.h"
-
-static void
-_assert_completes (World *world, uint64_t job, int64_t within_ms)
-{
-  int64_t end_ms = world_now_ms (world) + within_ms;
-
-  while (world_now_ms (world) < end_ms && world_state (world, job) != VP_JOB_COMPLETED)
-    world_run (world, 50);
-  g_assert_cmpint (world_state (world, job), ==, VP_JOB_COMPLETED);
-}
-
-static World *
-_world_of_dcs (uint32_t seed)
-{
-  World *world
-      = world_new (&(WorldDesc){ .seed = seed, .node_count = 6, .worker_count = 6, .dc_count = 3 });
-
-  world_run (world, 2000);
-  g_assert_true (world_has_leader (world));
-  return world;
-}
+#include "world-fixture.h"
 
 /* The store is away while a leader runs steps in its own DC, which is then cut off until after the
  * store's return: another leader must not run again what ended there. */
--- a/tests/test-node-silence.c
+++ b/tests/test-node-silence.c
@@ -3,18 +3,7 @@
  */
 #include "cell-fixture.h"
 #include "vp-log.h"
-#include "world.h"
-
-static World *
-_world_of_dcs (uint32_t seed)
-{
-  World *world
-      = world_new (&(WorldDesc){ .seed = seed, .node_count = 6, .worker_count = 6, .dc_count = 3 });
-
-  world_run (world, 2000);
-  g_assert_true (world_has_leader (world));
-  return world;
-}
+#include "world-fixture.h"
 
 /* A draining worker behind a cut leaves the platform's list as its entry lapses, not because it has
  * exited: its runs go on until their leases are over. */
--- a/tests/test-node.c
+++ b/tests/test-node.c
@@ -2,7 +2,7 @@
 #include "vp-keeper.h"
 #include "vp-lead.h"
 #include "vp-log.h"
-#include "world.h"
+#include "world-fixture.h"
 
 static const WorldJob two_steps = { .steps = 2, .width = 6, .work_ms = 400 };
 
@@ -17,17 +17,6 @@
   return world;
 }
 
-static void
-_assert_completes (World *world, uint64_t job, int64_t within_ms)
-{
-  int64_t end_ms = world_now_ms (world) + within_ms;
-
-  while (world_now_ms (world) < end_ms && world_state (world, job) != VP_JOB_COMPLETED)
-    world_run (world, 50);
-  g_assert_cmpint (world_state (world, job), ==, VP_JOB_COMPLETED);
-  g_assert_true (world_is_accepted (world, job));
-}
-
 static void
 test_calm (void)
 {
