A leader that waits for silent workers keeps its place

What callers saw: nothing yet; found by reading. With VMs of different strength a leader that did not know all that runs after 4 s gave its place to a stronger VM, whose wait for the workers of a DC that is cut off began anew: inherited tasks would have waited 4 s and 8.3 s.

Cause: after 4 s it was taken as too weak to ever know, which was right while the wait was 2.5 s.

Change: it gives way then only if it does not know of half of the workers. The test node-cut/no-yield-while-waiting failed and passes.

--- a/src/vp-node.c
+++ b/src/vp-node.c
@@ -25,7 +25,8 @@
 /* A leader gives its place to a stronger VM that has been up for this long, after leading for as
  * long itself; and, if it does not know all that runs by then, ... */
 #define VP_NODE_YIELD_MS 1500
-/* ... after this: it may be too weak to ever know. */
+/* ... after this, if it knows of less than half of the workers: it is too weak. Else those that it
+ * doesn't know of may be cut off, and the next leader would wait for them anew. */
 #define VP_NODE_YIELD_BLIND_MS 4000
 /* It does so once in this time: a stronger VM that the store turns away can't take the place. */
 #define VP_NODE_YIELD_AGAIN_MS 15000
@@ -765,6 +766,16 @@
   _vp_node_step_down (node, node->is_stopping ? "stopping" : "weaker", now_ms, effects);
 }
 
+/* Whether the leader would be better placed on a stronger VM although it doesn't know all that
+ * runs. */
+static bool
+_vp_node_is_blind (const VpNode *node, int64_t now_ms)
+{
+  return now_ms - node->led_ms >= VP_NODE_YIELD_BLIND_MS
+         && 2 * vp_cell_unknown_count (node->cell, now_ms)
+                > vp_cell_roster (node->cell)->workers->len;
+}
+
 /* Hands over to a stronger VM. */
 static void
 _vp_node_yield (VpNode *node, int64_t now_ms)
@@ -774,7 +785,7 @@
   if (node->hand_over_ms != 0 || now_ms < node->yield_next_ms || best == NULL
       || best->cpu_milli <= node->desc.cpu_milli || now_ms - best->started_ms < VP_NODE_YIELD_MS
       || now_ms - node->led_ms < VP_NODE_YIELD_MS
-      || (!vp_cell_is_exact (node->cell) && now_ms - node->led_ms < VP_NODE_YIELD_BLIND_MS))
+      || (!vp_cell_is_exact (node->cell) && !_vp_node_is_blind (node, now_ms)))
     return;
   vp_log (now_ms, "yield", "to=%s cpu_milli=%u own_milli=%u", best->name, best->cpu_milli,
           node->desc.cpu_milli);
--- a/tests/test-node-cut.c
+++ b/tests/test-node-cut.c
@@ -112,6 +112,27 @@
   world_free (world);
 }
 
+/* The next leader waits for the workers of a DC that is cut off. A stronger VM that comes back gets
+ * the place only after that, since its own wait would begin anew. */
+static void
+test_no_yield_while_waiting (void)
+{
+  World *world = world_new (&(WorldDesc){
+      .seed = 45, .node_count = 6, .worker_count = 6, .dc_count = 3, .strong_count = 1 });
+  uint64_t job;
+
+  world_run (world, 2500);
+  g_assert_cmpuint (world_leader (world), ==, 0);
+  job = world_submit (world, 2, &(WorldJob){ .steps = 2, .width = 12, .work_ms = 400 });
+  world_run (world, 200);
+  world_dc_cut (world, 1, 30000);
+  world_kill (world, 0, 1000);
+  while (!world_has_leader (world))
+    world_run (world, 10);
+  _assert_completes (world, job, 9500);
+  world_free (world);
+}
+
 int
 main (int argc, char **argv)
 {
@@ -125,5 +146,6 @@
   g_test_add_func ("/node-cut/starts-of-cut-off-leader", test_starts_of_cut_off_leader);
   g_test_add_func ("/node-cut/takeover-after-outage", test_takeover_after_outage);
   g_test_add_func ("/node-cut/takeover-after-drain", test_takeover_after_drain);
+  g_test_add_func ("/node-cut/no-yield-while-waiting", test_no_yield_while_waiting);
   return g_test_run ();
 }
