Soak: lasting tasks don't take the room that a step needs

The stand-in's advice allows it on w4 alone. Twelve tasks of lasting jobs ran there and left four of sixteen cores, and nothing that lasts is moved, so it could not start: the leader asked for a ticket every 2 s and found no room.

Change: tasks of lasting jobs take 0.1 core and 64 MB, so that they can't fill a worker. The check and its bound stand.

--- a/soak/callers.c
+++ b/soak/callers.c
@@ -130,8 +130,12 @@
 
   shape.is_gang = kind == 0;
   shape.is_lasting = kind == 1;
-  if (shape.is_lasting)
+  /* Small, so that they never take the room of a step that only one worker is allowed for. */
+  if (shape.is_lasting) {
     shape.steps = 1;
+    shape.cpu_milli = 100;
+    shape.mem_mib = 64;
+  }
   if (shape.is_gang)
     shape.failing_share = 0;
   job = world_jobs_new (((uint64_t)g_rand_int (rand) << 32) | g_rand_int (rand), &shape);
