Which runs of a task have failed is kept for the next leader

Cause: only the number of failures was kept, and a new leader took the failure of any run up to the last kept one as counted. A run that is given up without an end is not: its order was carried out late, at 21.755 s, failed at 21.997 s, and its end reached the next leader, which started run 10 at 33.992 s.

Change: the mask of counted runs is absolute, and kept with the progress of tasks that have failed.

Evidence: cell/late-failure-of-lost-run, which failed.

--- a/src/vp-joblist.c
+++ b/src/vp-joblist.c
@@ -14,7 +14,7 @@
 #define VP_PACKED_FAILURES_SHIFT 11
 #define VP_PACKED_FAILURES_MAX   0xfU
 #define VP_PACKED_RUN_MAX        0x7ffU
-/* Runs after the kept one whose failures are told apart in any order: bits of a word. */
+/* Runs whose failures are told apart in any order, also by later schedulers: bits of a word. */
 #define VP_FAILED_RUNS_MAX 64
 
 static void
@@ -506,19 +506,16 @@
 static bool
 _vp_task_count_failed (VpJobTask *task, uint32_t run)
 {
-  uint32_t offset = run - task->kept_run;
   uint64_t bit;
 
-  if (run < task->kept_run || (run == task->kept_run && run > 0 && !task->is_kept_out))
-    return false;
-  /* A scheduler that has got this far has ordered these runs itself, one after the other. */
-  if (offset >= VP_FAILED_RUNS_MAX) {
-    if (run <= task->failed_last)
+  /* Of later runs a scheduler counts those that it has ordered itself, one after the other. */
+  if (run == 0 || run > VP_FAILED_RUNS_MAX) {
+    if (run <= MAX (task->kept_run, task->failed_last))
       return false;
     task->failed_last = run;
     return true;
   }
-  bit = UINT64_C (1) << offset;
+  bit = UINT64_C (1) << (run - 1);
   if ((task->failed_runs & bit) != 0)
     return false;
   task->failed_runs |= bit;
@@ -609,9 +606,10 @@
 _vp_step_encode (const VpJobStep *step, GVariantBuilder *out)
 {
   g_autoptr (GArray) packed = g_array_new (FALSE, FALSE, sizeof (uint16_t));
-  GVariantBuilder assigned;
+  GVariantBuilder assigned, failed;
 
   g_variant_builder_init (&assigned, G_VARIANT_TYPE ("a(us)"));
+  g_variant_builder_init (&failed, G_VARIANT_TYPE ("a(ut)"));
   for (uint32_t i = 0; i < step->spec->task_count; i++) {
     const VpJobTask *task = &step->tasks[i];
     uint16_t bits
@@ -623,11 +621,13 @@
       g_variant_builder_add (&assigned, "(us)", i, task->worker->entry.id);
     else if (task->last_worker[0] != '\0')
       g_variant_builder_add (&assigned, "(us)", i, task->last_worker);
+    if (task->failed_runs != 0 && task->phase != VP_PHASE_DONE)
+      g_variant_builder_add (&failed, "(ut)", i, task->failed_runs);
   }
-  g_variant_builder_add (out, "(uu@aqa(us))", step->run->number, step->index,
+  g_variant_builder_add (out, "(uu@aqa(us)a(ut))", step->run->number, step->index,
                          g_variant_new_fixed_array (G_VARIANT_TYPE_UINT16, packed->data,
                                                     step->spec->task_count, sizeof (uint16_t)),
-                         &assigned);
+                         &assigned, &failed);
 }
 
 GVariant *
@@ -635,12 +635,12 @@
 {
   GVariantBuilder steps;
 
-  g_variant_builder_init (&steps, G_VARIANT_TYPE ("a(uuaqa(us))"));
+  g_variant_builder_init (&steps, G_VARIANT_TYPE ("a(uuaqa(us)a(ut))"));
   for (uint32_t k = 0; k < job->spec->run_count; k++) {
     for (uint32_t s = 0; job->runs[k].steps != NULL && s < job->spec->step_count; s++)
       _vp_step_encode (&job->runs[k].steps[s], &steps);
   }
-  return g_variant_new ("(tba(uuaqa(us)))", job->spec->id, (gboolean)job->is_started, &steps);
+  return g_variant_new (VP_PROGRESS_TYPE, job->spec->id, (gboolean)job->is_started, &steps);
 }
 
 static void
@@ -658,21 +658,25 @@
                   uint32_t task_count,
                   GVariant *packed,
                   GVariantIter *assigned,
+                  GVariantIter *failed,
                   int64_t now_ms)
 {
   const uint16_t *items;
   const char *worker;
   gsize count;
+  uint64_t runs;
   uint32_t index;
 
   items = g_variant_get_fixed_array (packed, &count, sizeof (uint16_t));
   for (uint32_t i = 0; i < MIN (count, task_count); i++)
     _vp_task_restore (list, &step->tasks[i], items[i], now_ms);
   while (g_variant_iter_next (assigned, "(u&s)", &index, &worker)) {
-    if (index < task_count) {
-      step->tasks[index].is_kept_out = true;
+    if (index < task_count)
       vp_jobtask_set_last_worker (list, &step->tasks[index], worker);
-    }
+  }
+  while (g_variant_iter_next (failed, "(ut)", &index, &runs)) {
+    if (index < task_count)
+      step->tasks[index].failed_runs = runs;
   }
 }
 
@@ -683,13 +687,14 @@
                       uint32_t index,
                       GVariant *packed,
                       GVariantIter *assigned,
+                      GVariantIter *failed,
                       int64_t now_ms)
 {
   if (run->steps == NULL)
     _vp_run_create (run);
   if (run->steps[index].tasks != NULL)
     _vp_step_restore (list, &run->steps[index], job->spec->steps[index].task_count, packed,
-                      assigned, now_ms);
+                      assigned, failed, now_ms);
 }
 
 bool
@@ -697,7 +702,7 @@
 {
   g_autoptr (GVariantIter) steps = NULL;
   GVariant *packed;
-  GVariantIter *assigned;
+  GVariantIter *assigned, *failed;
   uint64_t id;
   gboolean is_started;
   uint32_t number, index;
@@ -705,7 +710,7 @@
 
   if (!g_variant_is_of_type (value, G_VARIANT_TYPE (VP_PROGRESS_TYPE)))
     return false;
-  g_variant_get (value, "(tba(uuaqa(us)))", &id, &is_started, &steps);
+  g_variant_get (value, VP_PROGRESS_TYPE, &id, &is_started, &steps);
   job = vp_joblist_find (list, id);
   if (job == NULL || job->runs == NULL)
     return false;
@@ -714,11 +719,13 @@
     job->is_started = true;
     job->state = MAX (job->state, VP_JOB_RUNNING);
   }
-  while (g_variant_iter_next (steps, "(uu@aqa(us))", &number, &index, &packed, &assigned)) {
+  while (g_variant_iter_next (steps, "(uu@aqa(us)a(ut))", &number, &index, &packed, &assigned,
+                              &failed)) {
     if (number < job->spec->run_count && index < job->spec->step_count)
-      _vp_job_restore_step (list, job, &job->runs[number], index, packed, assigned, now_ms);
+      _vp_job_restore_step (list, job, &job->runs[number], index, packed, assigned, failed, now_ms);
     g_variant_unref (packed);
     g_variant_iter_free (assigned);
+    g_variant_iter_free (failed);
   }
   return true;
 }
--- a/src/vp-joblist.h
+++ b/src/vp-joblist.h
@@ -17,7 +17,7 @@
 
 /* Types of the kept values: a job, its progress, its end. */
 #define VP_JOB_TYPE      "(" VP_JOBSPEC_TYPE "x)"
-#define VP_PROGRESS_TYPE "(tba(uuaqa(us)))"
+#define VP_PROGRESS_TYPE "(tba(uuaqa(us)a(ut)))"
 #define VP_JOB_END_TYPE  "(tsyx)"
 
 typedef struct _VpJob VpJob;
@@ -45,13 +45,12 @@
   VpJobStep *step;
   uint32_t index;
   VpPhase phase;
-  uint32_t run;         /* last one that was ordered */
-  uint32_t kept_run;    /* last one that an earlier scheduler had kept; its ends are counted ... */
-  bool is_kept_out;     /* ... but for this last one if it was running then */
-  uint64_t failed_runs; /* bit N: the failure of run @kept_run + N is counted */
-  uint32_t failed_last; /* the last one that was counted of those beyond */
-  bool is_own_run;      /* this scheduler has ordered a run */
-  uint32_t failures;    /* ends that count against the queue's attempts */
+  uint32_t run;           /* last one that was ordered */
+  uint32_t kept_run;      /* last one that an earlier scheduler had kept */
+  uint64_t failed_runs;   /* bit N: the failure of run N + 1 is counted */
+  uint32_t failed_last;   /* the last one that was counted of those beyond */
+  bool is_own_run;        /* this scheduler has ordered a run */
+  uint32_t failures;      /* ends that count against the queue's attempts */
   VpRosterWorker *worker; /* while it takes room there */
   char checkpoint[VP_CHECKPOINT_MAX];
   char failed_on[VP_NAME_MAX]; /* worker of the last run that failed */
--- a/tests/test-cell-takeover.c
+++ b/tests/test-cell-takeover.c
@@ -559,6 +559,46 @@
   _teardown (&fixture);
 }
 
+/* An earlier scheduler counted the failure of run 1 and gave run 2 up without an end; both are
+ * listed now. Run 1 does not count again, run 2 does. */
+static void
+test_late_failure_of_lost_run (void)
+{
+  Fixture fixture;
+  VpEndedEntry ended = { .number = 1, .is_task = true, .run = 1, .end = VP_RUN_FAILED };
+  g_autoptr (GVariant) progress = NULL;
+  VpOrderResult result;
+  VpJobTask *task;
+  VpJob *job;
+
+  _setup (&fixture, 1, false);
+  job = _submit (&fixture, 1, 1000);
+  task = &job->runs[0].steps[0].tasks[0];
+  vp_jobtask_note_failed (vp_cell_jobs (fixture.cell), task, 1, 2, fixture.now_ms);
+  task->run = 2;
+  progress = g_variant_ref_sink (vp_job_encode_progress (job));
+  _teardown (&fixture);
+
+  _setup (&fixture, 1, false);
+  job = _submit (&fixture, 1, 1000);
+  job->is_inherited = true;
+  g_assert_true (
+      vp_joblist_decode_progress (vp_cell_jobs (fixture.cell), progress, fixture.now_ms));
+  task = &job->runs[0].steps[0].tasks[0];
+  g_assert_cmpuint (task->run, ==, 2);
+  ended.task.job = job->spec->id;
+  result = _list (&fixture, "w0");
+  g_array_append_val (result.ended, ended);
+  _take (&fixture, &result);
+  g_assert_cmpuint (task->failures, ==, 1);
+  ended.number = ended.run = 2;
+  result = _list (&fixture, "w0");
+  g_array_append_val (result.ended, ended);
+  _take (&fixture, &result);
+  g_assert_cmpint (job->state, ==, VP_JOB_FAILED);
+  _teardown (&fixture);
+}
+
 /* A worker is forgotten behind a cut and comes back with an end that was counted before. */
 static void
 test_end_listed_twice (void)
@@ -612,6 +652,7 @@
   task = &job->runs[0].steps[0].tasks[0];
   task->run = task->kept_run = 1;
   task->failures = 1;
+  task->failed_runs = 1;
   ended.task.job = job->spec->id;
   result = _list (&fixture, "w0");
   g_array_append_val (result.ended, ended);
@@ -666,6 +707,7 @@
   g_test_add_func ("/cell/fenced", test_fenced);
   g_test_add_func ("/cell/unkept-failures", test_unkept_failures);
   g_test_add_func ("/cell/failures-after-many-runs", test_failures_after_many_runs);
+  g_test_add_func ("/cell/late-failure-of-lost-run", test_late_failure_of_lost_run);
   g_test_add_func ("/cell/end-listed-twice", test_end_listed_twice);
   g_test_add_func ("/cell/kept-failure", test_kept_failure);
   g_test_add_func ("/cell/reborn", test_reborn);
