Reserve capacity for waiting steps on workers instead of as a sum

Cause: a step that waited for advice took its size off the sum of all free capacity, and later steps asked for advice only if the rest fitted them.

A waiting step reserves what it can use: free capacity of workers that it may use or has asked for, and for wide tasks the allowed worker that is expected to be free first. Later steps use the rest, or reserved capacity if they end before it is needed. Advice requests for wide tasks also name busy workers, as permissions last, and ask again for a ticket before an allowed worker becomes free.

--- a/src/vp-advise.c
+++ b/src/vp-advise.c
@@ -190,7 +190,7 @@
     return false;
   /* Urgent calls are short and their steps are placed first, so only reservations of other urgent
    * requests matter to them. */
-  vp_place_candidates (pool, step, *_vp_advise_approval_rate (advise, queue->name),
+  vp_place_candidates (pool, step, queue, *_vp_advise_approval_rate (advise, queue->name),
                        is_urgent ? advise->urgent_reservations : advise->reservations, now_ms,
                        candidates);
   if (candidates->len == 0) {
--- a/src/vp-cell.c
+++ b/src/vp-cell.c
@@ -620,8 +620,11 @@
     is_placed = _vp_cell_place_gang (cell, pool, step, item->queue, now_ms, effects);
   else
     is_placed = _vp_cell_place_tasks (cell, pool, step, item->queue, now_ms, effects);
-  if (!is_placed && item->queue->has_advice && vp_stepqueue_reserve (step_queue, item))
+  if (is_placed)
+    return;
+  if (item->queue->has_advice && vp_stepqueue_has_spare (step_queue, item))
     _vp_cell_request_advice (cell, pool, item, now_ms, effects);
+  vp_stepqueue_reserve (step_queue, item, now_ms);
 }
 
 static void
--- a/src/vp-place.c
+++ b/src/vp-place.c
@@ -27,6 +27,9 @@
 /* Number of tasks for which an advice request looks for capacity, relative to the number of waiting
  * tasks of the step. */
 #define VP_PLACE_CANDIDATES_FACTOR 1.5
+/* Workers that only add to what is known of permissions prolong an advice call by at most this
+ * share of its fixed time. */
+#define VP_PLACE_LEARNING_SHARE 0.25
 
 VpPlacePool *
 vp_place_pool_new (const VpWorkerList *worker_list, const char *service, int64_t now_ms)
@@ -81,14 +84,22 @@
   return row->ticket;
 }
 
-/* Returns true if the advice service doesn't allow the worker to run the step. */
-static bool
-_vp_place_is_excluded (const VpJobStep *step, const VpCellWorker *worker)
+/* Whether the advice service allows the worker to run the step. */
+typedef enum {
+  VP_PERMISSION_UNKNOWN,
+  VP_PERMISSION_ALLOWED, /* the ticket may have expired */
+  VP_PERMISSION_EXCLUDED,
+} VpPlacePermission;
+
+static VpPlacePermission
+_vp_place_permission (const VpJobStep *step, const VpCellWorker *worker)
 {
   const VpAdviceRow *row
       = step->advice == NULL ? NULL : g_hash_table_lookup (step->advice, worker->entry.id);
 
-  return row != NULL && row->ticket[0] == '\0' && row->booted_ms == worker->booted_ms;
+  if (row == NULL || row->booted_ms != worker->booted_ms)
+    return VP_PERMISSION_UNKNOWN;
+  return row->ticket[0] == '\0' ? VP_PERMISSION_EXCLUDED : VP_PERMISSION_ALLOWED;
 }
 
 /* Returns the number of tasks of the step that are assigned to the worker. */
@@ -221,6 +232,18 @@
          && now_ms < task->not_before_ms + VP_PLACE_AVOID_FAILED_MS;
 }
 
+/* Returns true if the worker has capacity for a task of the step that no earlier step needs. */
+static bool
+_vp_place_has_capacity (const VpJobStep *step, const VpPlaceSlot *slot, int64_t now_ms)
+{
+  VpResources demand = _vp_place_demand (step);
+  int64_t duration_ms = step->spec->is_long_running
+                            ? INT64_MAX - now_ms
+                            : (int64_t)((double)step->spec->estimate_ms * slot->worker->slowness);
+
+  return vp_reservation_admits (&slot->reservation, &slot->free, &demand, duration_ms, now_ms);
+}
+
 typedef struct {
   VpPlaceSlot *slot;
   double cost;
@@ -236,11 +259,10 @@
                     VpPlaceChoice *best)
 {
   const VpJobStep *step = task->step;
-  VpResources demand = _vp_place_demand (step);
   double cost;
 
   /* In a full cell most workers lack the capacity, so that is checked first. */
-  if (!vp_resources_fits (&demand, &slot->free) || !_vp_place_is_eligible (step, slot->worker)
+  if (!_vp_place_has_capacity (step, slot, now_ms) || !_vp_place_is_eligible (step, slot->worker)
       || !_vp_place_is_below_spread_max (step, slot->worker, 0)
       || _vp_place_has_failed_on (task, slot->worker, now_ms)
       || _vp_place_should_wait (step, slot->worker, &slot->free, now_ms))
@@ -312,11 +334,12 @@
 
   for (guint i = 0; i < pool->slots->len && placed < step->spec->task_count; i++) {
     VpPlaceSlot *slot = &g_array_index (pool->slots, VpPlaceSlot, i);
-    VpResources free = slot->free;
+    VpResources free;
     uint32_t taken_count = 0;
     if ((rack >= 0 && slot->worker->rack_index != (uint32_t)rack)
         || !_vp_place_is_eligible (step, slot->worker))
       continue;
+    free = vp_reservation_left (&slot->reservation, &slot->free);
     while (placed < step->spec->task_count && vp_resources_fits (&demand, &free)
            && _vp_place_is_allowed (step, queue, slot->worker, taken_count, now_ms)) {
       out[placed++] = slot;
@@ -367,8 +390,9 @@
 typedef struct {
   VpPlaceCandidate candidate;
   bool is_reserved; /* pending requests are meant to fill all of its free capacity */
-  bool is_known;    /* the worker was allowed before and only its ticket has expired */
+  bool is_allowed;  /* the worker was allowed before and only its ticket has expired */
   bool is_remote;   /* the step's data is on another rack */
+  bool is_busy;     /* it has no free capacity, and whether it is allowed isn't known */
 } VpPlaceOption;
 
 static gint
@@ -379,10 +403,12 @@
   uint32_t one_capacity = one->candidate.capacity;
   uint32_t two_capacity = two->candidate.capacity;
 
+  if (one->is_busy != two->is_busy)
+    return one->is_busy ? 1 : -1;
   if (one->is_reserved != two->is_reserved)
     return one->is_reserved ? 1 : -1;
-  if (one->is_known != two->is_known)
-    return one->is_known ? -1 : 1;
+  if (one->is_allowed != two->is_allowed)
+    return one->is_allowed ? -1 : 1;
   if (one->is_remote != two->is_remote)
     return one->is_remote ? 1 : -1;
   return one_capacity == two_capacity ? 0 : one_capacity > two_capacity ? -1 : 1;
@@ -406,41 +432,209 @@
     option->candidate.capacity = capacity;
 }
 
-void
-vp_place_candidates (const VpPlacePool *pool,
-                     const VpJobStep *step,
-                     double approval_rate,
-                     GHashTable *reservations,
-                     int64_t now_ms,
-                     GArray *out)
+/* Returns the time at which a wide task of the step is expected to find capacity on the worker, or
+ * INT64_MAX if the task isn't wide there, or if earlier steps wait for the worker. */
+static int64_t
+_vp_place_available_ms (const VpJobStep *step, const VpPlaceSlot *slot, int64_t now_ms)
 {
-  g_autoptr (GArray) options = g_array_new (FALSE, FALSE, sizeof (VpPlaceOption));
-  double wanted = (double)step->waiting_count * VP_PLACE_CANDIDATES_FACTOR;
+  VpResources demand = _vp_place_demand (step);
+
+  if (!vp_reservation_is_wide (&demand, slot->worker)
+      || !vp_resources_is_zero (&slot->reservation.size))
+    return INT64_MAX;
+  return vp_reservation_available_ms (slot->worker, &slot->free, &demand, now_ms);
+}
+
+/* Fills in an option for a worker without free capacity. Returns false if it is of no use. */
+static bool
+_vp_place_evaluate_busy (const VpJobStep *step,
+                         const VpQueueConfig *queue,
+                         const VpPlaceSlot *slot,
+                         int64_t now_ms,
+                         VpPlaceOption *option)
+{
+  VpResources demand = _vp_place_demand (step);
+
+  if (!vp_reservation_is_wide (&demand, slot->worker))
+    return false;
+  option->is_busy = !option->is_allowed;
+  if (option->is_busy)
+    return vp_resources_fits (&demand, &slot->worker->entry.capacity);
+  option->candidate.capacity = 1;
+  return _vp_place_available_ms (step, slot, now_ms) <= now_ms + (int64_t)queue->advice_decide_ms;
+}
+
+/* Returns the workers that an advice request for the step may name, best first. */
+static GArray *
+_vp_place_options (const VpPlacePool *pool,
+                   const VpJobStep *step,
+                   const VpQueueConfig *queue,
+                   GHashTable *reservations,
+                   int64_t now_ms)
+{
+  GArray *options = g_array_new (FALSE, FALSE, sizeof (VpPlaceOption));
 
   for (guint i = 0; i < pool->slots->len; i++) {
     const VpPlaceSlot *slot = &g_array_index (pool->slots, VpPlaceSlot, i);
-    VpPlaceOption option
-        = { .candidate = { .worker = slot->worker,
-                           .capacity = _vp_place_capacity (step, slot->worker, &slot->free) } };
+    VpResources left = vp_reservation_left (&slot->reservation, &slot->free);
+    VpPlaceOption option = { .candidate = { .worker = slot->worker } };
+    VpPlacePermission permission;
     const VpResources *reserved;
-    if (option.candidate.capacity == 0 || !_vp_place_is_eligible (step, slot->worker)
-        || _vp_place_is_excluded (step, slot->worker)
+    option.candidate.capacity = _vp_place_capacity (step, slot->worker, &left);
+    if (!_vp_place_is_eligible (step, slot->worker))
+      continue;
+    permission = _vp_place_permission (step, slot->worker);
+    option.is_allowed = permission == VP_PERMISSION_ALLOWED;
+    if (permission == VP_PERMISSION_EXCLUDED
+        || (option.candidate.capacity == 0
+            && !_vp_place_evaluate_busy (step, queue, slot, now_ms, &option))
         || vp_place_find_ticket (step, slot->worker, now_ms) != NULL)
       continue;
     reserved = g_hash_table_lookup (reservations, slot->worker->entry.id);
-    if (reserved != NULL)
+    if (reserved != NULL && !option.is_busy)
       _vp_place_subtract_reservation (step, slot, reserved, &option);
-    option.is_known
-        = step->advice != NULL && g_hash_table_contains (step->advice, slot->worker->entry.id);
     option.is_remote = _vp_place_is_remote (step->spec, slot->worker);
     g_array_append_val (options, option);
   }
   g_array_sort (options, _vp_place_compare_options);
-  for (guint i = 0; i < options->len && i < VP_PLACE_CANDIDATES_MAX; i++) {
+  return options;
+}
+
+/* Returns the number of workers up to which a request may be filled with busy ones. */
+static guint
+_vp_place_learning_max (const VpJobStep *step, const VpQueueConfig *queue)
+{
+  uint32_t allowed_count = 0;
+  GHashTableIter iter;
+  gpointer value;
+
+  if (step->advice != NULL) {
+    g_hash_table_iter_init (&iter, step->advice);
+    while (g_hash_table_iter_next (&iter, NULL, &value))
+      allowed_count += ((const VpAdviceRow *)value)->ticket[0] != '\0' ? 1 : 0;
+  }
+  if (allowed_count >= step->waiting_count)
+    return 0;
+  if (queue->advice_worker_ms <= 0)
+    return VP_PLACE_CANDIDATES_MAX;
+  return (guint)CLAMP (VP_PLACE_LEARNING_SHARE * queue->advice_decide_ms / queue->advice_worker_ms,
+                       VP_PLACE_CANDIDATES_MIN, VP_PLACE_CANDIDATES_MAX);
+}
+
+void
+vp_place_candidates (const VpPlacePool *pool,
+                     const VpJobStep *step,
+                     const VpQueueConfig *queue,
+                     double approval_rate,
+                     GHashTable *reservations,
+                     int64_t now_ms,
+                     GArray *out)
+{
+  g_autoptr (GArray) options = _vp_place_options (pool, step, queue, reservations, now_ms);
+  guint learning_max = _vp_place_learning_max (step, queue);
+  double wanted = (double)step->waiting_count * VP_PLACE_CANDIDATES_FACTOR;
+
+  for (guint i = 0; i < options->len && out->len < VP_PLACE_CANDIDATES_MAX; i++) {
     const VpPlaceOption *option = &g_array_index (options, VpPlaceOption, i);
-    if (wanted <= 0 && i >= VP_PLACE_CANDIDATES_MIN)
-      break;
+    if (option->is_busy ? out->len >= learning_max
+                        : wanted <= 0 && out->len >= VP_PLACE_CANDIDATES_MIN)
+      continue;
     g_array_append_val (out, option->candidate);
-    wanted -= option->candidate.capacity * (option->is_known ? 1.0 : approval_rate);
+    wanted -= option->candidate.capacity * (option->is_allowed ? 1.0 : approval_rate);
+  }
+}
+
+VpResources
+vp_place_spare (const VpPlacePool *pool)
+{
+  VpResources spare = { 0 };
+
+  for (guint i = 0; i < pool->slots->len; i++) {
+    const VpPlaceSlot *slot = &g_array_index (pool->slots, VpPlaceSlot, i);
+    VpResources left = vp_reservation_left (&slot->reservation, &slot->free);
+    vp_resources_add (&spare, &left);
+  }
+  return spare;
+}
+
+/* Reserves free capacity for up to @count tasks on workers with the given permission. Returns the
+ * number of tasks. */
+static uint32_t
+_vp_place_reserve_free (const VpPlacePool *pool,
+                        const VpJobStep *step,
+                        VpPlacePermission permission,
+                        uint32_t count,
+                        int64_t now_ms)
+{
+  uint32_t reserved = 0;
+
+  for (guint i = 0; i < pool->slots->len && reserved < count; i++) {
+    VpPlaceSlot *slot = &g_array_index (pool->slots, VpPlaceSlot, i);
+    VpResources size = _vp_place_demand (step);
+    VpResources left = vp_reservation_left (&slot->reservation, &slot->free);
+    uint32_t capacity;
+    if (!vp_resources_fits (&size, &left) || !_vp_place_is_eligible (step, slot->worker)
+        || _vp_place_permission (step, slot->worker) != permission)
+      continue;
+    capacity = MIN (_vp_place_capacity (step, slot->worker, &left), count - reserved);
+    if (capacity == 0)
+      continue;
+    vp_resources_scale (&size, capacity);
+    vp_reservation_add (&slot->reservation, &size, now_ms);
+    reserved += capacity;
+  }
+  return reserved;
+}
+
+/* Reserves capacity for one wide task on the worker that is expected to have it first. Returns
+ * false if there is none. */
+static bool
+_vp_place_reserve_busy (const VpPlacePool *pool,
+                        const VpJobStep *step,
+                        const VpQueueConfig *queue,
+                        int64_t now_ms)
+{
+  VpResources demand = _vp_place_demand (step);
+  VpPlaceSlot *best = NULL;
+  int64_t best_ms = INT64_MAX;
+
+  for (guint i = 0; i < pool->slots->len; i++) {
+    VpPlaceSlot *slot = &g_array_index (pool->slots, VpPlaceSlot, i);
+    int64_t available_ms;
+    if (!_vp_place_is_eligible (step, slot->worker)
+        || (queue->has_advice && _vp_place_permission (step, slot->worker) != VP_PERMISSION_ALLOWED)
+        || !_vp_place_is_below_spread_max (step, slot->worker, 0))
+      continue;
+    available_ms = _vp_place_available_ms (step, slot, now_ms);
+    if (available_ms < best_ms) {
+      best = slot;
+      best_ms = available_ms;
+    }
+  }
+  if (best == NULL)
+    return false;
+  vp_reservation_add (&best->reservation, &demand, best_ms);
+  return true;
+}
+
+void
+vp_place_reserve (const VpPlacePool *pool,
+                  const VpJobStep *step,
+                  const VpQueueConfig *queue,
+                  int64_t now_ms)
+{
+  uint32_t count = step->waiting_count;
+  bool is_wide = false;
+
+  /* A step that has no request under way can't use workers whose permission it doesn't know. */
+  if (queue->has_advice)
+    count -= _vp_place_reserve_free (pool, step, VP_PERMISSION_ALLOWED, count, now_ms);
+  if (queue->has_advice && step->advice_serial != 0)
+    count -= _vp_place_reserve_free (pool, step, VP_PERMISSION_UNKNOWN, count, now_ms);
+  if (pool->slots->len > 0) {
+    VpResources demand = _vp_place_demand (step);
+    is_wide = vp_reservation_is_wide (&demand, g_array_index (pool->slots, VpPlaceSlot, 0).worker);
   }
+  while (is_wide && count > 0 && _vp_place_reserve_busy (pool, step, queue, now_ms))
+    count--;
 }
--- a/src/vp-place.h
+++ b/src/vp-place.h
@@ -12,12 +12,13 @@
 #pragma once
 
 #include "vp-cellconfig.h"
-#include "vp-joblist.h"
+#include "vp-reservation.h"
 
 /* A worker that may get tasks, and its capacity that isn't assigned. */
 typedef struct {
   VpCellWorker *worker;
   VpResources free;
+  VpReservation reservation; /* capacity that steps which come first wait for */
 } VpPlaceSlot;
 
 /* The usable workers of one service at the time of one decision. The slots are small and contiguous
@@ -39,6 +40,15 @@
 /* Updates the free capacity of the slot after a task was assigned to its worker. */
 void vp_place_slot_update (VpPlaceSlot *slot);
 
+/* Reserves capacity for the waiting tasks of a step that can't start now, so that steps which are
+ * placed later in this decision don't use it: capacity that is free and waits for the step's
+ * advice, and capacity that wide tasks wait for on workers that the step may use. */
+void vp_place_reserve (const VpPlacePool *pool,
+                       const VpJobStep *step,
+                       const VpQueueConfig *queue,
+                       int64_t now_ms);
+/* Returns the sum of the capacity of all workers that is neither assigned nor reserved. */
+VpResources vp_place_spare (const VpPlacePool *pool);
 /* Returns the best worker for a waiting task, or NULL. Free capacity, label, limit per worker and
  * advice must allow the task there, and it must not have failed there a short time ago. */
 VpPlaceSlot *vp_place_pick (const VpPlacePool *pool,
@@ -56,9 +66,14 @@
  * first: workers with free capacity that have no valid ticket and that the service hasn't excluded.
  * There are no more than the tasks are likely to need if the service allows @approval_rate of the
  * workers without advice so far. @reservations maps worker ids to the capacity (VpResources) that
- * other pending requests are meant to fill; workers without any other capacity come last. */
+ * other pending requests are meant to fill; workers without any other capacity come last.
+ *
+ * For wide tasks the request may also name workers without free capacity: allowed ones that are
+ * expected to have it when the answer arrives, and, as permissions don't change, others as far as
+ * they hardly prolong the call, so that the step knows for which workers it can wait. */
 void vp_place_candidates (const VpPlacePool *pool,
                           const VpJobStep *step,
+                          const VpQueueConfig *queue,
                           double approval_rate,
                           GHashTable *reservations,
                           int64_t now_ms,
--- a/src/vp-stepqueue.c
+++ b/src/vp-stepqueue.c
@@ -28,22 +28,25 @@
 }
 
 bool
-vp_stepqueue_reserve (VpStepQueue *step_queue, const VpStepQueueItem *item)
+vp_stepqueue_has_spare (VpStepQueue *step_queue, const VpStepQueueItem *item)
 {
   VpStepQueuePool *pool = &g_array_index (step_queue->pools, VpStepQueuePool, item->pool);
   VpResources need = vp_jobtask_demand (&item->step->tasks[0]);
 
   if (!pool->has_spare) {
     pool->has_spare = true;
-    for (guint i = 0; i < pool->place_pool->slots->len; i++)
-      vp_resources_add (&pool->spare,
-                        &g_array_index (pool->place_pool->slots, VpPlaceSlot, i).free);
+    pool->spare = vp_place_spare (pool->place_pool);
   }
-  if (!vp_resources_fits (&need, &pool->spare))
-    return false;
-  vp_resources_scale (&need, item->step->waiting_count);
-  vp_resources_sub (&pool->spare, &need);
-  return true;
+  return vp_resources_fits (&need, &pool->spare);
+}
+
+void
+vp_stepqueue_reserve (VpStepQueue *step_queue, const VpStepQueueItem *item, int64_t now_ms)
+{
+  VpStepQueuePool *pool = &g_array_index (step_queue->pools, VpStepQueuePool, item->pool);
+
+  vp_place_reserve (pool->place_pool, item->step, item->queue, now_ms);
+  pool->has_spare = false;
 }
 
 static gint
--- a/src/vp-stepqueue.h
+++ b/src/vp-stepqueue.h
@@ -34,7 +34,7 @@
 /* The workers of one service at the time of this decision. */
 typedef struct {
   VpPlacePool *place_pool;
-  bool has_spare;    /* @spare has been computed */
+  bool has_spare;    /* @spare has been computed since the last reservation */
   VpResources spare; /* free capacity that no earlier item has reserved */
 } VpStepQueuePool;
 
@@ -50,8 +50,10 @@
                          const VpCellConfig *config,
                          int64_t now_ms);
 void vp_stepqueue_shutdown (VpStepQueue *step_queue);
-/* Reserves capacity for the item's waiting tasks, so that later items don't request advice for the
- * same capacity. Returns false if not even one task would fit. */
-bool vp_stepqueue_reserve (VpStepQueue *step_queue, const VpStepQueueItem *item);
+/* Returns true if a task of the item fits into the sum of the capacity that no earlier item has
+ * used or reserved. If not, a request for advice is of no use. */
+bool vp_stepqueue_has_spare (VpStepQueue *step_queue, const VpStepQueueItem *item);
+/* Reserves capacity for the tasks of the item that can't start now. */
+void vp_stepqueue_reserve (VpStepQueue *step_queue, const VpStepQueueItem *item, int64_t now_ms);
 /* Returns the workers of the service that runs the item's step. */
 VpPlacePool *vp_stepqueue_pool (const VpStepQueue *step_queue, const VpStepQueueItem *item);
