Put late work of normal queues after on-time work of the queues behind

Change: only urgent queues (priority 0) come before all others; behind them rate and lateness come before priority. Ruled out: the same for urgent queues, since batch work would delay them further just when they are late.

Test: /stepqueue/late-after-on-time fails before.

--- a/src/vp-stepqueue.c
+++ b/src/vp-stepqueue.c
@@ -55,15 +55,18 @@
   const VpStepQueueItem *one = a;
   const VpStepQueueItem *two = b;
   bool is_worthless = one->lateness == VP_LATENESS_WORTHLESS;
+  bool is_urgent = one->queue->priority == 0;
 
   if (is_worthless != (two->lateness == VP_LATENESS_WORTHLESS))
     return is_worthless ? 1 : -1;
-  if (one->queue->priority != two->queue->priority)
-    return one->queue->priority < two->queue->priority ? -1 : 1;
+  if (is_urgent != (two->queue->priority == 0))
+    return is_urgent ? -1 : 1;
   if (one->is_over_rate != two->is_over_rate)
     return one->is_over_rate ? 1 : -1;
   if (one->lateness != two->lateness)
     return one->lateness < two->lateness ? -1 : 1;
+  if (one->queue->priority != two->queue->priority)
+    return one->queue->priority < two->queue->priority ? -1 : 1;
   return one->latest_start_ms == two->latest_start_ms  ? 0
          : one->latest_start_ms < two->latest_start_ms ? -1
                                                        : 1;
--- a/src/vp-stepqueue.h
+++ b/src/vp-stepqueue.h
@@ -1,10 +1,13 @@
-/* Priority queue of waiting steps. Steps are sorted by the priority of their queue, then jobs
- * within their team's rate before others, then steps that can still meet their objective before
- * late ones, then by least slack. Steps that are far too late come last. The queue is built anew
- * for each decision.
+/* Priority queue of waiting steps. Steps that are far too late come last. Steps of the urgent
+ * queues, those of priority 0, come before all others. Within each of these groups jobs within
+ * their team's rate come first, then steps that can still meet their objective, then the lower
+ * priority, then the least slack. The queue is built anew for each decision.
  *
- * Under overload, sorting by objective alone would use the capacity for steps that are late anyway
- * and so make all steps late, and a burst of one team would delay all other teams.
+ * Load patterns: under overload, sorting by objective alone would use the capacity for steps that
+ * are late anyway and so make all steps late, and a burst of one team would delay all other teams.
+ * If a queue that isn't urgent offers more than the workers can do, sorting by priority before
+ * lateness would use all capacity for its late jobs, while jobs of the queues after it, which could
+ * be on time, would never start.
  *
  *   VpStepQueue step_queue;
  *   vp_stepqueue_setup (&step_queue, worker_list, jobs, config, now_ms);
--- a/tests/test-stepqueue.c
+++ b/tests/test-stepqueue.c
@@ -29,6 +29,7 @@
   fixture->jobs = vp_joblist_setup ();
   fixture->config = vp_cellconfig_new (1);
   _add_queue (fixture->config, "urgent", 0);
+  _add_queue (fixture->config, "normal", 1);
   _add_queue (fixture->config, "batch", 2);
   vp_cellconfig_seal (fixture->config);
 }
@@ -129,6 +130,23 @@
   _teardown (&fixture);
 }
 
+/* Guards against a queue that offers more than the workers can do and starves the queues after it:
+ * its late jobs come after their jobs that can still be on time. */
+static void
+test_late_after_on_time (void)
+{
+  static const uint64_t order[] = { 4, 2, 3, 1 };
+  Fixture fixture;
+
+  _setup (&fixture);
+  _add_job (&fixture, 1, "normal", 1, 1000, NOW_MS - 2000);
+  _add_job (&fixture, 2, "normal", 1, 1000, NOW_MS - 100);
+  _add_job (&fixture, 3, "batch", 1, 1000, NOW_MS - 400);
+  _add_job (&fixture, 4, "urgent", 1, 1000, NOW_MS - 2000);
+  _assert_order (&fixture, order, G_N_ELEMENTS (order));
+  _teardown (&fixture);
+}
+
 /* Guards against one team delaying all others: jobs beyond the rate of their team come after those
  * of other teams, also after late ones. */
 static void
@@ -186,6 +204,7 @@
   g_test_add_func ("/stepqueue/burst", test_burst);
   g_test_add_func ("/stepqueue/slack", test_slack);
   g_test_add_func ("/stepqueue/priority", test_priority);
+  g_test_add_func ("/stepqueue/late-after-on-time", test_late_after_on_time);
   g_test_add_func ("/stepqueue/team-over-rate", test_team_over_rate);
   g_test_add_func ("/stepqueue/occurrence", test_occurrence);
   g_test_add_func ("/stepqueue/rate", test_rate);
