Let only wide tasks reserve workers

Change: only wide tasks, of 0.45 of the largest worker or more, reserve on workers, and at most 16 of them on busy ones in a decision. Other steps reduce the sum of the free capacity as before, and the sum is kept with the pool.

--- a/src/vp-cell.c
+++ b/src/vp-cell.c
@@ -501,6 +501,7 @@
 /* Assigns the task to the worker of the slot and sends the start. */
 static void
 _vp_cell_start_task (VpCell *cell,
+                     VpPlacePool *pool,
                      VpJobTask *task,
                      VpPlaceSlot *slot,
                      uint32_t run,
@@ -517,7 +518,7 @@
   vp_metrics_add (VP_COUNTER_INHERITED_STARTS, may_be_running ? 1 : 0);
   vp_jobtask_assign (cell->jobs, task, worker, run, now_ms);
   task->is_own_run = true;
-  vp_place_slot_update (slot);
+  vp_place_slot_update (pool, slot);
   if (task->step->spec->is_one_rack && task->step->rack < 0)
     task->step->rack = (int32_t)worker->rack_index;
   vp_runlog_add (&cell->reconcile.log, "start", may_be_running ? "inherited" : "fits", task,
@@ -528,7 +529,7 @@
 /* Starts all tasks of a gang or none. Returns false if the gang only waits for suitable workers. */
 static bool
 _vp_cell_place_gang (VpCell *cell,
-                     const VpPlacePool *pool,
+                     VpPlacePool *pool,
                      VpJobStep *step,
                      const VpQueueConfig *queue,
                      int64_t now_ms,
@@ -555,14 +556,14 @@
     return false;
   }
   for (uint32_t i = 0; i < count; i++)
-    _vp_cell_start_task (cell, &step->tasks[i], slots[i], run, now_ms, effects);
+    _vp_cell_start_task (cell, pool, &step->tasks[i], slots[i], run, now_ms, effects);
   return true;
 }
 
 /* Starts tasks of the step. Returns false if at least one task only waits for a suitable worker. */
 static bool
 _vp_cell_place_tasks (VpCell *cell,
-                      const VpPlacePool *pool,
+                      VpPlacePool *pool,
                       VpJobStep *step,
                       const VpQueueConfig *queue,
                       int64_t now_ms,
@@ -583,7 +584,7 @@
     slot = vp_place_pick (pool, task, queue, now_ms);
     if (slot == NULL)
       return false;
-    _vp_cell_start_task (cell, task, slot, _vp_cell_next_run (cell, task), now_ms, effects);
+    _vp_cell_start_task (cell, pool, task, slot, _vp_cell_next_run (cell, task), now_ms, effects);
   }
   return true;
 }
@@ -610,7 +611,7 @@
                      int64_t now_ms,
                      GArray *effects)
 {
-  const VpPlacePool *pool = vp_stepqueue_pool (step_queue, item);
+  VpPlacePool *pool = vp_stepqueue_pool (step_queue, item);
   VpJobStep *step = item->step;
   bool is_placed;
 
@@ -622,9 +623,9 @@
     is_placed = _vp_cell_place_tasks (cell, pool, step, item->queue, now_ms, effects);
   if (is_placed)
     return;
-  if (item->queue->has_advice && vp_stepqueue_has_spare (step_queue, item))
+  if (item->queue->has_advice && vp_place_has_spare (pool, step))
     _vp_cell_request_advice (cell, pool, item, now_ms, effects);
-  vp_stepqueue_reserve (step_queue, item, now_ms);
+  vp_place_reserve (pool, step, item->queue, now_ms);
 }
 
 static void
--- a/src/vp-place.c
+++ b/src/vp-place.c
@@ -30,6 +30,9 @@
 /* Workers that only add to what is known of permissions prolong an advice call by at most this
  * share of its fixed time. */
 #define VP_PLACE_LEARNING_SHARE 0.25
+/* Maximum number of wide tasks for which busy workers are reserved in one decision, as the search
+ * for each one looks at all tasks on the workers that it may use. */
+#define VP_PLACE_BUSY_RESERVATIONS_MAX 16
 
 VpPlacePool *
 vp_place_pool_new (const VpWorkerList *worker_list, const char *service, int64_t now_ms)
@@ -44,8 +47,11 @@
     if (!vp_workerlist_is_usable (slot.worker, now_ms)
         || strcmp (slot.worker->entry.service, service) != 0)
       continue;
-    vp_place_slot_update (&slot);
+    slot.free = vp_workerlist_free_capacity (slot.worker);
     slot.worker->slot_index = pool->slots->len;
+    vp_resources_add (&pool->spare, &slot.free);
+    pool->largest = vp_resources_max (&pool->largest, &slot.free);
+    pool->capacity_max = vp_resources_max (&pool->capacity_max, &slot.worker->entry.capacity);
     g_array_append_val (pool->slots, slot);
   }
   return pool;
@@ -59,9 +65,11 @@
 }
 
 void
-vp_place_slot_update (VpPlaceSlot *slot)
+vp_place_slot_update (VpPlacePool *pool, VpPlaceSlot *slot)
 {
+  vp_resources_sub (&pool->spare, &slot->free);
   slot->free = vp_workerlist_free_capacity (slot->worker);
+  vp_resources_add (&pool->spare, &slot->free);
 }
 
 /* Returns true if the row has a ticket that will still be valid when a start arrives at the worker.
@@ -432,15 +440,14 @@
     option->candidate.capacity = capacity;
 }
 
-/* Returns the time at which a wide task of the step is expected to find capacity on the worker, or
- * INT64_MAX if the task isn't wide there, or if earlier steps wait for the worker. */
+/* Returns the time at which a task of the step is expected to find capacity on the worker, or
+ * INT64_MAX if earlier steps wait for the worker. */
 static int64_t
 _vp_place_available_ms (const VpJobStep *step, const VpPlaceSlot *slot, int64_t now_ms)
 {
   VpResources demand = _vp_place_demand (step);
 
-  if (!vp_reservation_is_wide (&demand, slot->worker)
-      || !vp_resources_is_zero (&slot->reservation.size))
+  if (!vp_resources_is_zero (&slot->reservation.size))
     return INT64_MAX;
   return vp_reservation_available_ms (slot->worker, &slot->free, &demand, now_ms);
 }
@@ -455,8 +462,6 @@
 {
   VpResources demand = _vp_place_demand (step);
 
-  if (!vp_reservation_is_wide (&demand, slot->worker))
-    return false;
   option->is_busy = !option->is_allowed;
   if (option->is_busy)
     return vp_resources_fits (&demand, &slot->worker->entry.capacity);
@@ -473,6 +478,8 @@
                    int64_t now_ms)
 {
   GArray *options = g_array_new (FALSE, FALSE, sizeof (VpPlaceOption));
+  VpResources demand = _vp_place_demand (step);
+  bool is_wide = vp_reservation_is_wide (&demand, &pool->capacity_max);
 
   for (guint i = 0; i < pool->slots->len; i++) {
     const VpPlaceSlot *slot = &g_array_index (pool->slots, VpPlaceSlot, i);
@@ -481,7 +488,7 @@
     VpPlacePermission permission;
     const VpResources *reserved;
     option.candidate.capacity = _vp_place_capacity (step, slot->worker, &left);
-    if (!_vp_place_is_eligible (step, slot->worker))
+    if ((option.candidate.capacity == 0 && !is_wide) || !_vp_place_is_eligible (step, slot->worker))
       continue;
     permission = _vp_place_permission (step, slot->worker);
     option.is_allowed = permission == VP_PERMISSION_ALLOWED;
@@ -544,97 +551,139 @@
   }
 }
 
-VpResources
-vp_place_spare (const VpPlacePool *pool)
+bool
+vp_place_has_spare (const VpPlacePool *pool, const VpJobStep *step)
 {
-  VpResources spare = { 0 };
+  VpResources demand = _vp_place_demand (step);
 
-  for (guint i = 0; i < pool->slots->len; i++) {
-    const VpPlaceSlot *slot = &g_array_index (pool->slots, VpPlaceSlot, i);
-    VpResources left = vp_reservation_left (&slot->reservation, &slot->free);
-    vp_resources_add (&spare, &left);
-  }
-  return spare;
+  return vp_resources_fits (&demand, &pool->spare);
 }
 
-/* Reserves free capacity for up to @count tasks on workers with the given permission. Returns the
- * number of tasks. */
+/* Reserves the slot's free capacity for up to @count tasks of the step. Returns their number, and
+ * takes their size off @pool->spare. */
 static uint32_t
-_vp_place_reserve_free (const VpPlacePool *pool,
+_vp_place_reserve_slot (VpPlacePool *pool,
                         const VpJobStep *step,
-                        VpPlacePermission permission,
+                        VpPlaceSlot *slot,
                         uint32_t count,
                         int64_t now_ms)
 {
-  uint32_t reserved = 0;
+  VpResources size = _vp_place_demand (step);
+  VpResources left = vp_reservation_left (&slot->reservation, &slot->free);
+  uint32_t capacity;
 
-  for (guint i = 0; i < pool->slots->len && reserved < count; i++) {
-    VpPlaceSlot *slot = &g_array_index (pool->slots, VpPlaceSlot, i);
-    VpResources size = _vp_place_demand (step);
-    VpResources left = vp_reservation_left (&slot->reservation, &slot->free);
-    uint32_t capacity;
-    if (!vp_resources_fits (&size, &left) || !_vp_place_is_eligible (step, slot->worker)
-        || _vp_place_permission (step, slot->worker) != permission)
-      continue;
-    capacity = MIN (_vp_place_capacity (step, slot->worker, &left), count - reserved);
-    if (capacity == 0)
-      continue;
-    vp_resources_scale (&size, capacity);
-    vp_reservation_add (&slot->reservation, &size, now_ms);
-    reserved += capacity;
-  }
-  return reserved;
+  if (!vp_resources_fits (&size, &left) || !_vp_place_is_eligible (step, slot->worker))
+    return 0;
+  capacity = MIN (_vp_place_capacity (step, slot->worker, &left), count);
+  if (capacity == 0)
+    return 0;
+  vp_resources_scale (&size, capacity);
+  vp_reservation_add (&slot->reservation, &size, now_ms);
+  vp_resources_sub (&pool->spare, &size);
+  return capacity;
 }
 
-/* Reserves capacity for one wide task on the worker that is expected to have it first. Returns
- * false if there is none. */
+/* Reserves capacity for one wide task on the allowed worker that is expected to have it first.
+ * Returns false if there is none. */
 static bool
-_vp_place_reserve_busy (const VpPlacePool *pool,
-                        const VpJobStep *step,
-                        const VpQueueConfig *queue,
-                        int64_t now_ms)
+_vp_place_reserve_busy (VpPlacePool *pool, const VpJobStep *step, int64_t now_ms)
 {
   VpResources demand = _vp_place_demand (step);
   VpPlaceSlot *best = NULL;
   int64_t best_ms = INT64_MAX;
+  VpResources left;
+  GHashTableIter iter;
+  gpointer value;
 
-  for (guint i = 0; i < pool->slots->len; i++) {
-    VpPlaceSlot *slot = &g_array_index (pool->slots, VpPlaceSlot, i);
+  g_hash_table_iter_init (&iter, step->advice);
+  while (g_hash_table_iter_next (&iter, NULL, &value)) {
+    const VpAdviceRow *row = value;
+    VpPlaceSlot *slot = row->ticket[0] == '\0' ? NULL : _vp_place_find_slot (pool, row);
     int64_t available_ms;
-    if (!_vp_place_is_eligible (step, slot->worker)
-        || (queue->has_advice && _vp_place_permission (step, slot->worker) != VP_PERMISSION_ALLOWED)
+    if (slot == NULL || !_vp_place_is_eligible (step, slot->worker)
         || !_vp_place_is_below_spread_max (step, slot->worker, 0))
       continue;
     available_ms = _vp_place_available_ms (step, slot, now_ms);
-    if (available_ms < best_ms) {
+    if (available_ms < best_ms || (available_ms == best_ms && best != NULL && slot < best)) {
       best = slot;
       best_ms = available_ms;
     }
   }
   if (best == NULL)
     return false;
+  left = vp_reservation_left (&best->reservation, &best->free);
+  left = vp_resources_min (&left, &demand);
+  vp_resources_sub (&pool->spare, &left);
   vp_reservation_add (&best->reservation, &demand, best_ms);
   return true;
 }
 
+/* Reserves free capacity for up to @count tasks on workers whose permission isn't known, since any
+ * of them may turn out to be allowed. Returns the number of tasks. */
+static uint32_t
+_vp_place_reserve_unknown (VpPlacePool *pool, const VpJobStep *step, uint32_t count, int64_t now_ms)
+{
+  VpResources demand = _vp_place_demand (step);
+  VpResources largest = { 0 };
+  uint32_t reserved = 0;
+
+  for (guint i = 0; i < pool->slots->len && reserved < count; i++) {
+    VpPlaceSlot *slot = &g_array_index (pool->slots, VpPlaceSlot, i);
+    VpResources left = vp_reservation_left (&slot->reservation, &slot->free);
+    largest = vp_resources_max (&largest, &left);
+    if (vp_resources_fits (&demand, &left)
+        && _vp_place_permission (step, slot->worker) == VP_PERMISSION_UNKNOWN)
+      reserved += _vp_place_reserve_slot (pool, step, slot, count - reserved, now_ms);
+  }
+  /* After a search through all workers the bound is exact, and later steps can skip theirs. */
+  if (reserved < count)
+    pool->largest = vp_resources_min (&pool->largest, &largest);
+  return reserved;
+}
+
+/* Reserves capacity for the waiting tasks of a step of wide tasks. */
+static void
+_vp_place_reserve_wide (VpPlacePool *pool, const VpJobStep *step, int64_t now_ms)
+{
+  VpResources demand = _vp_place_demand (step);
+  uint32_t count = step->waiting_count;
+  bool may_fit = vp_resources_fits (&demand, &pool->largest);
+  GHashTableIter iter;
+  gpointer value;
+
+  if (may_fit && step->advice != NULL) {
+    g_hash_table_iter_init (&iter, step->advice);
+    while (count > 0 && g_hash_table_iter_next (&iter, NULL, &value)) {
+      const VpAdviceRow *row = value;
+      VpPlaceSlot *slot = row->ticket[0] == '\0' ? NULL : _vp_place_find_slot (pool, row);
+      if (slot != NULL)
+        count -= _vp_place_reserve_slot (pool, step, slot, count, now_ms);
+    }
+  }
+  if (may_fit && count > 0)
+    count -= _vp_place_reserve_unknown (pool, step, count, now_ms);
+  while (step->advice != NULL && count > 0
+         && pool->busy_reservation_count < VP_PLACE_BUSY_RESERVATIONS_MAX
+         && _vp_place_reserve_busy (pool, step, now_ms)) {
+    pool->busy_reservation_count++;
+    count--;
+  }
+}
+
 void
-vp_place_reserve (const VpPlacePool *pool,
+vp_place_reserve (VpPlacePool *pool,
                   const VpJobStep *step,
                   const VpQueueConfig *queue,
                   int64_t now_ms)
 {
-  uint32_t count = step->waiting_count;
-  bool is_wide = false;
-
-  /* A step that has no request under way can't use workers whose permission it doesn't know. */
-  if (queue->has_advice)
-    count -= _vp_place_reserve_free (pool, step, VP_PERMISSION_ALLOWED, count, now_ms);
-  if (queue->has_advice && step->advice_serial != 0)
-    count -= _vp_place_reserve_free (pool, step, VP_PERMISSION_UNKNOWN, count, now_ms);
-  if (pool->slots->len > 0) {
-    VpResources demand = _vp_place_demand (step);
-    is_wide = vp_reservation_is_wide (&demand, g_array_index (pool->slots, VpPlaceSlot, 0).worker);
+  VpResources size = _vp_place_demand (step);
+
+  if (!queue->has_advice || !vp_place_has_spare (pool, step))
+    return;
+  if (vp_reservation_is_wide (&size, &pool->capacity_max)) {
+    _vp_place_reserve_wide (pool, step, now_ms);
+    return;
   }
-  while (is_wide && count > 0 && _vp_place_reserve_busy (pool, step, queue, now_ms))
-    count--;
+  vp_resources_scale (&size, step->waiting_count);
+  vp_resources_sub (&pool->spare, &size);
 }
--- a/src/vp-reservation.c
+++ b/src/vp-reservation.c
@@ -1,7 +1,7 @@
 #include "vp-reservation.h"
 
 /* A demand of at least this share of a worker is wide. */
-#define VP_RESERVATION_WIDE_SHARE 0.25
+#define VP_RESERVATION_WIDE_SHARE 0.45
 /* Expected remaining time of a task that has taken longer than estimated, or that is being stopped.
  */
 #define VP_RESERVATION_OVERDUE_MS 200
@@ -42,9 +42,9 @@
 }
 
 bool
-vp_reservation_is_wide (const VpResources *demand, const VpCellWorker *worker)
+vp_reservation_is_wide (const VpResources *demand, const VpResources *capacity)
 {
-  return vp_resources_dominant_share (demand, &worker->entry.capacity) >= VP_RESERVATION_WIDE_SHARE;
+  return vp_resources_dominant_share (demand, capacity) >= VP_RESERVATION_WIDE_SHARE;
 }
 
 /* Returns the time at which the assigned task is expected to end; INT64_MAX: it doesn't end by
--- a/src/vp-reservation.h
+++ b/src/vp-reservation.h
@@ -34,9 +34,9 @@
                             const VpResources *demand,
                             int64_t duration_ms,
                             int64_t now_ms);
-/* Returns true if the demand is so large a part of the worker that tasks of that size may not find
- * a worker although the sum of the free capacity would suffice. */
-bool vp_reservation_is_wide (const VpResources *demand, const VpCellWorker *worker);
+/* Returns true if the demand is so large a part of a worker's capacity that tasks of that size may
+ * not find a worker although the sum of the free capacity would suffice. */
+bool vp_reservation_is_wide (const VpResources *demand, const VpResources *capacity);
 /* Returns the time at which the worker is expected to have @demand unassigned, from the estimated
  * times of its tasks. @free is its unassigned capacity now. INT64_MAX: not before tasks that don't
  * end by themselves are stopped. */
--- a/src/vp-stepqueue.c
+++ b/src/vp-stepqueue.c
@@ -9,44 +9,18 @@
 static guint
 _vp_stepqueue_add_pool (VpStepQueue *step_queue, const char *service, int64_t now_ms)
 {
-  VpStepQueuePool pool = { 0 };
-
   for (guint i = 0; i < step_queue->pools->len; i++) {
-    if (strcmp (g_array_index (step_queue->pools, VpStepQueuePool, i).place_pool->service, service)
-        == 0)
+    if (strcmp (((VpPlacePool *)step_queue->pools->pdata[i])->service, service) == 0)
       return i;
   }
-  pool.place_pool = vp_place_pool_new (step_queue->worker_list, service, now_ms);
-  g_array_append_val (step_queue->pools, pool);
+  g_ptr_array_add (step_queue->pools, vp_place_pool_new (step_queue->worker_list, service, now_ms));
   return step_queue->pools->len - 1;
 }
 
 VpPlacePool *
 vp_stepqueue_pool (const VpStepQueue *step_queue, const VpStepQueueItem *item)
 {
-  return g_array_index (step_queue->pools, VpStepQueuePool, item->pool).place_pool;
-}
-
-bool
-vp_stepqueue_has_spare (VpStepQueue *step_queue, const VpStepQueueItem *item)
-{
-  VpStepQueuePool *pool = &g_array_index (step_queue->pools, VpStepQueuePool, item->pool);
-  VpResources need = vp_jobtask_demand (&item->step->tasks[0]);
-
-  if (!pool->has_spare) {
-    pool->has_spare = true;
-    pool->spare = vp_place_spare (pool->place_pool);
-  }
-  return vp_resources_fits (&need, &pool->spare);
-}
-
-void
-vp_stepqueue_reserve (VpStepQueue *step_queue, const VpStepQueueItem *item, int64_t now_ms)
-{
-  VpStepQueuePool *pool = &g_array_index (step_queue->pools, VpStepQueuePool, item->pool);
-
-  vp_place_reserve (pool->place_pool, item->step, item->queue, now_ms);
-  pool->has_spare = false;
+  return step_queue->pools->pdata[item->pool];
 }
 
 static gint
@@ -129,7 +103,7 @@
 {
   step_queue->worker_list = worker_list;
   step_queue->items = g_array_new (FALSE, FALSE, sizeof (VpStepQueueItem));
-  step_queue->pools = g_array_new (FALSE, FALSE, sizeof (VpStepQueuePool));
+  step_queue->pools = g_ptr_array_new_with_free_func ((GDestroyNotify)vp_place_pool_free);
   for (guint i = 0; i < jobs->ready_steps->len; i++)
     _vp_stepqueue_add_step (step_queue, jobs->ready_steps->pdata[i], config, now_ms);
   g_array_sort (step_queue->items, _vp_stepqueue_compare_items);
@@ -139,7 +113,5 @@
 vp_stepqueue_shutdown (VpStepQueue *step_queue)
 {
   g_array_unref (step_queue->items);
-  for (guint i = 0; i < step_queue->pools->len; i++)
-    vp_place_pool_free (g_array_index (step_queue->pools, VpStepQueuePool, i).place_pool);
-  g_array_unref (step_queue->pools);
+  g_ptr_array_unref (step_queue->pools);
 }
--- a/src/vp-stepqueue.h
+++ b/src/vp-stepqueue.h
@@ -34,17 +34,10 @@
   int64_t latest_start_ms; /* latest start that still meets the job's objective */
 } VpStepQueueItem;
 
-/* The workers of one service at the time of this decision. */
-typedef struct {
-  VpPlacePool *place_pool;
-  bool has_spare;    /* @spare has been computed since the last reservation */
-  VpResources spare; /* free capacity that no earlier item has reserved */
-} VpStepQueuePool;
-
 typedef struct {
   const VpWorkerList *worker_list;
-  GArray *items; /* VpStepQueueItem in order of priority */
-  GArray *pools; /* VpStepQueuePool, one for each service */
+  GArray *items;    /* VpStepQueueItem in order of priority */
+  GPtrArray *pools; /* VpPlacePool, one for each service */
 } VpStepQueue;
 
 void vp_stepqueue_setup (VpStepQueue *step_queue,
@@ -53,10 +46,5 @@
                          const VpCellConfig *config,
                          int64_t now_ms);
 void vp_stepqueue_shutdown (VpStepQueue *step_queue);
-/* Returns true if a task of the item fits into the sum of the capacity that no earlier item has
- * used or reserved. If not, a request for advice is of no use. */
-bool vp_stepqueue_has_spare (VpStepQueue *step_queue, const VpStepQueueItem *item);
-/* Reserves capacity for the tasks of the item that can't start now. */
-void vp_stepqueue_reserve (VpStepQueue *step_queue, const VpStepQueueItem *item, int64_t now_ms);
 /* Returns the workers of the service that runs the item's step. */
 VpPlacePool *vp_stepqueue_pool (const VpStepQueue *step_queue, const VpStepQueueItem *item);
