--- a/src/vp-command.c
+++ b/src/vp-command.c
@@ -40,6 +40,19 @@
          && *rest == '\0';
 }
 
+void
+vp_command_result_begin (VpCommandResult *result, const VpCommand *command, int64_t sent_ms)
+{
+  result->kind = command->kind;
+  result->task = command->task;
+  result->run = command->run;
+  result->fence = command->fence;
+  result->serial = command->serial;
+  result->sent_ms = sent_ms;
+  g_strlcpy (result->worker, command->worker, sizeof result->worker);
+  g_strlcpy (result->requester, command->requester, sizeof result->requester);
+}
+
 void
 vp_command_result_clear (VpCommandResult *result)
 {
--- a/src/vp-command.h
+++ b/src/vp-command.h
@@ -30,7 +30,9 @@
 
 typedef struct {
   VpCommandKind kind;
-  char worker[VP_NAME_MAX]; /* identity of the worker */
+  char requester[VP_NAME_MAX]; /* process that gets the result; empty: this one */
+  uint32_t serial;             /* number that the requester gave to the command */
+  char worker[VP_NAME_MAX];    /* identity of the worker */
   char address[VP_ADDRESS_MAX];
   VpTaskName task;
   uint32_t run;         /* number of the run; increases with each run of the task */
@@ -91,6 +93,8 @@
 
 typedef struct {
   VpCommandKind kind;
+  char requester[VP_NAME_MAX]; /* as in the command */
+  uint32_t serial;             /* as in the command */
   char worker[VP_NAME_MAX];
   VpTaskName task;
   uint32_t run;
@@ -109,6 +113,8 @@
  * returns false for any other text. */
 void vp_task_name_format (const VpTaskName *name, char out[VP_TASK_NAME_MAX]);
 bool vp_task_name_parse (const char *text, VpTaskName *out);
+/* Sets the fields of @result that it has in common with the command. */
+void vp_command_result_begin (VpCommandResult *result, const VpCommand *command, int64_t sent_ms);
 /* Frees the members of the result. */
 void vp_command_result_clear (VpCommandResult *result);
 /* Names of outcomes and ends in log lines. */
--- a/src/vp-members.c
+++ b/src/vp-members.c
@@ -41,9 +41,16 @@
   member->is_stopping = ping->is_stopping;
   member->has_config = ping->config_version != 0;
   member->cpu_milli = ping->cpu_milli;
+  g_strlcpy (member->dc, ping->dc, sizeof member->dc);
   member->started_ms = now_ms - ping->age_ms;
 }
 
+bool
+vp_member_is_reachable (const VpMemberState *member, int64_t now_ms)
+{
+  return now_ms - member->ping_received_ms < VP_MEMBERS_REACHABLE_TIMEOUT_MS;
+}
+
 bool
 vp_members_remove_stale (GHashTable *members, int64_t now_ms)
 {
@@ -93,12 +100,6 @@
   }
 }
 
-static bool
-_vp_member_is_reachable (const VpMemberState *member, int64_t now_ms)
-{
-  return now_ms - member->ping_received_ms < VP_MEMBERS_REACHABLE_TIMEOUT_MS;
-}
-
 void
 vp_members_view (GHashTable *members, int64_t now_ms, VpElectionView *view)
 {
@@ -109,7 +110,7 @@
   g_hash_table_iter_init (&iter, members);
   while (g_hash_table_iter_next (&iter, NULL, &value)) {
     const VpMemberState *member = value;
-    bool is_reachable = _vp_member_is_reachable (member, now_ms);
+    bool is_reachable = vp_member_is_reachable (member, now_ms);
     view->member_count += (member->is_listed && member->is_ping_partner) || is_reachable ? 1 : 0;
     view->reachable_count += is_reachable ? 1 : 0;
     view->no_leader_count += is_reachable && !member->hears_leader ? 1 : 0;
@@ -152,7 +153,7 @@
   while (g_hash_table_iter_next (&iter, NULL, &value)) {
     const VpMemberState *member = value;
     if (member->is_listed && !member->is_stopping && member->has_config
-        && _vp_member_is_reachable (member, now_ms)
+        && vp_member_is_reachable (member, now_ms)
         && (best == NULL || member->cpu_milli > best->cpu_milli
             || (member->cpu_milli == best->cpu_milli && member->started_ms > best->started_ms)))
       best = member;
@@ -171,7 +172,7 @@
   while (g_hash_table_iter_next (&iter, NULL, &value)) {
     VpMemberState *member = value;
     int64_t free_ms = MAX (member->advice_until_ms, now_ms);
-    if (_vp_member_is_reachable (member, now_ms) && free_ms < before_ms) {
+    if (vp_member_is_reachable (member, now_ms) && free_ms < before_ms) {
       best = member;
       before_ms = free_ms;
     }
--- a/src/vp-members.h
+++ b/src/vp-members.h
@@ -16,6 +16,7 @@
 typedef struct {
   char name[VP_NAME_MAX];
   char address[VP_ADDRESS_MAX]; /* empty: the process was never listed */
+  char dc[VP_NAME_MAX];         /* its DC; empty: not known yet */
   bool is_listed;
   int64_t ping_received_ms; /* time of the last ping */
   int64_t sent_ms;          /* send time of the last ping, on the clock of its sender */
@@ -35,6 +36,8 @@
 /* Returns the member, adding it if it isn't in the table. */
 VpMemberState *vp_members_get (GHashTable *members, const char *name);
 void vp_member_handle_ping (VpMemberState *member, const VpNodeMsg *ping, int64_t now_ms);
+/* Returns true if a ping of the member arrived a short time ago. */
+bool vp_member_is_reachable (const VpMemberState *member, int64_t now_ms);
 /* Removes members that are no longer listed and have been silent for long. Returns true if any were
  * removed. */
 bool vp_members_remove_stale (GHashTable *members, int64_t now_ms);
--- a/src/vp-node.c
+++ b/src/vp-node.c
@@ -6,6 +6,7 @@
 #include "vp-log.h"
 #include "vp-members.h"
 #include "vp-metrics.h"
+#include "vp-relay.h"
 
 #include <string.h>
 
@@ -52,6 +53,7 @@
 struct _VpNode {
   VpNodeDesc desc;
   char name[VP_NAME_MAX];
+  char dc[VP_NAME_MAX];
   VpElection election;
   VpFrontend *frontend;
   VpCellConfig *config;
@@ -68,10 +70,12 @@
   bool is_closing; /* requests that can't be finished are rejected at once */
   bool is_exiting;
   int64_t stop_began_ms;
+  VpRelayResults relay_results; /* of commands that this process has sent for the leader */
   /* The following members are set only while this process leads. */
   VpCell *cell;
   VpCommitter *committer;
   VpJobService *service;
+  VpRelay *relay;
   uint64_t load_serial; /* serial of the read of all jobs; 0: the jobs are loaded */
   int64_t load_next_ms;
   int64_t term_began_ms;
@@ -90,6 +94,8 @@
   node->desc = *desc;
   g_strlcpy (node->name, desc->name, sizeof node->name);
   node->desc.name = node->name;
+  g_strlcpy (node->dc, desc->dc == NULL ? "" : desc->dc, sizeof node->dc);
+  node->desc.dc = node->dc;
   node->started_ms = node->unready_since_ms = now_ms;
   vp_election_setup (&node->election, node->name, desc->cpu_milli, now_ms);
   node->frontend = vp_frontend_setup (node->name);
@@ -104,6 +110,8 @@
   vp_jobservice_shutdown (node->service);
   vp_committer_shutdown (node->committer);
   vp_cell_shutdown (node->cell);
+  vp_relay_shutdown (node->relay);
+  node->relay = NULL;
   node->service = NULL;
   node->committer = NULL;
   node->cell = NULL;
@@ -113,6 +121,10 @@
 void
 vp_node_shutdown (VpNode *node)
 {
+  VpRelayMessage results;
+
+  if (vp_relay_results_take (&node->relay_results, &results))
+    g_variant_unref (g_variant_ref_sink (results.message.body));
   _vp_node_free_cell (node);
   vp_frontend_shutdown (node->frontend);
   g_hash_table_unref (node->members);
@@ -213,6 +225,7 @@
                         .sent_ms = now_ms,
                         .echo_ms = member->sent_ms,
                         .config_version = node->config == NULL ? 0 : node->config->version };
+    g_strlcpy (ping.dc, node->dc, sizeof ping.dc);
     ping.store_failing_ms = _vp_node_store_failing_ms (node, now_ms);
     _vp_node_send (node, member->name, &ping, effects);
   }
@@ -433,6 +446,99 @@
   vp_cell_advice_result (node->cell, message->serial, rows, now_ms);
 }
 
+/* Commands to workers. A leader of many workers has them sent by other processes. */
+
+static void
+_vp_node_send_relay_message (VpNode *node, VpRelayMessage *out, VpNodeEffects *effects)
+{
+  _vp_node_send (node, out->to, &out->message, effects);
+}
+
+/* Sends the commands in a leader's message to the workers. */
+static void
+_vp_node_handle_commands (const VpNodeMsg *message, int64_t now_ms, VpNodeEffects *effects)
+{
+  g_autoptr (GArray) commands = g_array_new (FALSE, FALSE, sizeof (VpCommand));
+
+  if (!vp_relay_decode_commands (message, commands))
+    vp_log (now_ms, "commands-malformed", "from=%s", message->from);
+  for (guint i = 0; i < commands->len; i++)
+    vp_node_effects_add (effects, VP_NODE_EFFECT_COMMAND)->command
+        = g_array_index (commands, VpCommand, i);
+}
+
+static void
+_vp_node_handle_command_result (VpNode *node,
+                                const VpCommandResult *result,
+                                int64_t now_ms,
+                                VpNodeEffects *effects)
+{
+  VpRelayMessage full;
+
+  if (result->requester[0] == '\0') {
+    if (node->cell != NULL)
+      vp_cell_command_result (node->cell, result, now_ms);
+    return;
+  }
+  vp_relay_results_add (&node->relay_results, result, now_ms, &full);
+  if (full.to[0] != '\0')
+    _vp_node_send_relay_message (node, &full, effects);
+}
+
+/* Passes results that came from relays to the scheduler and frees them. */
+static void
+_vp_node_take_relayed_results (VpNode *node, GArray *results, int64_t now_ms)
+{
+  for (guint i = 0; i < results->len; i++) {
+    VpCommandResult *result = &g_array_index (results, VpCommandResult, i);
+    vp_cell_command_result (node->cell, result, now_ms);
+    vp_command_result_clear (result);
+  }
+}
+
+static void
+_vp_node_handle_relayed_results (VpNode *node, const VpNodeMsg *message, int64_t now_ms)
+{
+  g_autoptr (GArray) results = g_array_new (FALSE, FALSE, sizeof (VpCommandResult));
+
+  if (node->relay == NULL)
+    return;
+  vp_relay_handle_results (node->relay, message, now_ms, results);
+  _vp_node_take_relayed_results (node, results, now_ms);
+}
+
+/* Sends the collected results to the leader that gave the commands, once they are due. */
+static void
+_vp_node_step_relay_results (VpNode *node, int64_t now_ms, VpNodeEffects *effects)
+{
+  VpRelayMessage out;
+
+  if (now_ms >= vp_relay_results_due_ms (&node->relay_results)
+      && vp_relay_results_take (&node->relay_results, &out))
+    _vp_node_send_relay_message (node, &out, effects);
+}
+
+/* Gives up results that are overdue, and chooses the relays. */
+static void
+_vp_node_step_relay (VpNode *node, int64_t now_ms)
+{
+  g_autoptr (GArray) results = g_array_new (FALSE, FALSE, sizeof (VpCommandResult));
+
+  vp_relay_expire (node->relay, now_ms, results);
+  _vp_node_take_relayed_results (node, results, now_ms);
+  vp_relay_update (node->relay, node->members, vp_cell_workers (node->cell), now_ms);
+}
+
+static void
+_vp_node_send_relay_batches (VpNode *node, VpNodeEffects *effects)
+{
+  g_autoptr (GArray) messages = g_array_new (FALSE, FALSE, sizeof (VpRelayMessage));
+
+  vp_relay_flush (node->relay, messages);
+  for (guint i = 0; i < messages->len; i++)
+    _vp_node_send_relay_message (node, &g_array_index (messages, VpRelayMessage, i), effects);
+}
+
 /* Start and end of this process's terms as leader. */
 
 static void
@@ -452,6 +558,8 @@
                                                 .retention_ms = node->desc.retention_ms },
                             now_ms);
   node->service = vp_jobservice_setup (node->cell, node->committer, node->election.term);
+  node->relay = vp_relay_setup (
+      &(VpRelayDesc){ .term = node->election.term, .cpu_milli = node->desc.cpu_milli });
   if (node->config != NULL)
     vp_cell_set_config (node->cell, node->config);
   node->load_serial = node->election.term;
@@ -641,6 +749,12 @@
   case VP_NODEMSG_CONFIG:
     _vp_node_decode_config (node, message, effects);
     break;
+  case VP_NODEMSG_COMMANDS:
+    _vp_node_handle_commands (message, now_ms, effects);
+    break;
+  case VP_NODEMSG_RESULTS:
+    _vp_node_handle_relayed_results (node, message, now_ms);
+    break;
   case VP_NODEMSG_HANDOVER:
     if (!node->is_stopping)
       vp_election_handle_handover (&node->election, message->term, now_ms);
@@ -688,8 +802,7 @@
     _vp_node_handle_jobs_loaded (node, &event->loaded, now_ms);
     break;
   case VP_NODE_EVENT_COMMAND_RESULT:
-    if (node->cell != NULL)
-      vp_cell_command_result (node->cell, &event->command, now_ms);
+    _vp_node_handle_command_result (node, &event->command, now_ms, effects);
     break;
   case VP_NODE_EVENT_ADVICE_RESULT:
     _vp_node_handle_advice_result (node, event, now_ms, effects);
@@ -777,12 +890,15 @@
   for (guint i = 0; i < cell_effects->len; i++) {
     VpCellEffect *effect = &g_array_index (cell_effects, VpCellEffect, i);
     if (effect->kind == VP_CELL_COMMAND) {
+      if (vp_relay_add (node->relay, &effect->command, now_ms))
+        continue;
       vp_node_effects_add (effects, VP_NODE_EFFECT_COMMAND)->command = effect->command;
       continue;
     }
     _vp_node_dispatch_advice_request (node, &effect->advice_request, now_ms, effects);
     vp_cell_effect_clear (effect);
   }
+  _vp_node_send_relay_batches (node, effects);
 }
 
 /* Asks the best successor to take over and steps down, once the last commit is done or has taken
@@ -885,6 +1001,7 @@
   vp_members_view (node->members, now_ms, &view);
   vp_cell_set_advice_client_count (node->cell, view.reachable_count + 1);
   cell_effects = g_array_new (FALSE, FALSE, sizeof (VpCellEffect));
+  _vp_node_step_relay (node, now_ms);
   _vp_node_yield (node, now_ms);
   _vp_node_limit_leases (node, now_ms);
   if (node->handover_began_ms == 0)
@@ -972,6 +1089,7 @@
   _vp_node_step_frontend (node, now_ms, effects);
   _vp_node_step_cell (node, now_ms, effects);
   _vp_node_deliver_answers (node, now_ms, effects);
+  _vp_node_step_relay_results (node, now_ms, effects);
   _vp_node_send_pings (node, now_ms, effects);
   if (node->is_stopping && !node->is_closing
       && now_ms >= _vp_node_exit_ms (node) - VP_NODE_CLOSING_MS) {
@@ -991,6 +1109,7 @@
 {
   int64_t next_ms = MIN (node->ping_next_ms, vp_frontend_next_ms (node->frontend));
 
+  next_ms = MIN (next_ms, vp_relay_results_due_ms (&node->relay_results));
   if (node->config != NULL)
     next_ms = MIN (next_ms, vp_election_next_ms (&node->election, now_ms));
   if (node->is_stopping)
@@ -1000,6 +1119,7 @@
   if (node->load_serial != 0)
     return node->is_loading ? next_ms : MIN (next_ms, node->load_next_ms);
   next_ms = MIN (next_ms, vp_committer_next_ms (node->committer, now_ms));
+  next_ms = MIN (next_ms, vp_relay_next_ms (node->relay));
   return node->handover_began_ms != 0 ? next_ms
                                       : MIN (next_ms, vp_cell_next_ms (node->cell, now_ms));
 }
--- a/src/vp-node.h
+++ b/src/vp-node.h
@@ -8,8 +8,8 @@
  *
  * A node is a state machine without I/O: it takes events and returns effects. Every node accepts
  * callers' requests and forwards them to the leader. Only the leader schedules and writes to the
- * store. Nodes ping each other, pass on the newest configuration and make advice calls for the
- * leader.
+ * store. Nodes ping each other, pass on the newest configuration, make advice calls for the leader
+ * and send its commands to workers.
  */
 #pragma once
 
@@ -19,6 +19,7 @@
 
 typedef struct {
   const char *name;
+  const char *dc;      /* DC of this VM; NULL: unknown */
   uint32_t cpu_milli;  /* CPU share of this VM, in thousandths of a core; the strongest VM in reach
                           leads */
   int64_t hold_max_ms; /* longest lease that workers accept */
--- a/src/vp-nodemsg.c
+++ b/src/vp-nodemsg.c
@@ -2,8 +2,8 @@
 
 #include <string.h>
 
-#define VP_NODEMSG_TYPE    "(yysttbbbuxxxxttsuuuumv)"
-#define VP_NODEMSG_VERSION 3
+#define VP_NODEMSG_TYPE    "(yysttbbbsuxxxxttsuuuumv)"
+#define VP_NODEMSG_VERSION 4
 /* Maximum size of a message, far more than a configuration of some hundred queues or a job of 64
  * steps needs. */
 #define VP_NODEMSG_BYTES_MAX (4U * 1024 * 1024)
@@ -13,12 +13,13 @@
 {
   GVariant *body = message->body == NULL ? NULL : g_variant_new_variant (message->body);
   GVariant *value = g_variant_new (
-      "(yysttbbbuxxxxttsuuuu@mv)", (guchar)VP_NODEMSG_VERSION, (guchar)message->kind, message->from,
-      message->serial, message->term, (gboolean)message->is_leader, (gboolean)message->hears_leader,
-      (gboolean)message->is_stopping, message->cpu_milli, message->age_ms, message->sent_ms,
-      message->echo_ms, message->store_failing_ms, message->config_version, message->job,
-      message->queue, (guint32)message->answer, message->state, message->count,
-      message->retry_after_ms, g_variant_new_maybe (G_VARIANT_TYPE_VARIANT, body));
+      "(yysttbbbsuxxxxttsuuuu@mv)", (guchar)VP_NODEMSG_VERSION, (guchar)message->kind,
+      message->from, message->serial, message->term, (gboolean)message->is_leader,
+      (gboolean)message->hears_leader, (gboolean)message->is_stopping, message->dc,
+      message->cpu_milli, message->age_ms, message->sent_ms, message->echo_ms,
+      message->store_failing_ms, message->config_version, message->job, message->queue,
+      (guint32)message->answer, message->state, message->count, message->retry_after_ms,
+      g_variant_new_maybe (G_VARIANT_TYPE_VARIANT, body));
   GBytes *wire;
 
   g_variant_ref_sink (value);
@@ -35,7 +36,7 @@
   g_autoptr (GVariant) boxed = NULL;
   guchar version, kind;
   guint32 answer;
-  const char *from, *queue;
+  const char *from, *dc, *queue;
   gboolean is_leader, hears_leader, is_stopping;
 
   memset (out, 0, sizeof *out);
@@ -45,13 +46,14 @@
       g_variant_new_from_bytes (G_VARIANT_TYPE (VP_NODEMSG_TYPE), wire, FALSE));
   if (!g_variant_is_normal_form (value))
     return false;
-  g_variant_get (value, "(yy&sttbbbuxxxxtt&suuuu@mv)", &version, &kind, &from, &out->serial,
-                 &out->term, &is_leader, &hears_leader, &is_stopping, &out->cpu_milli, &out->age_ms,
-                 &out->sent_ms, &out->echo_ms, &out->store_failing_ms, &out->config_version,
-                 &out->job, &queue, &answer, &out->state, &out->count, &out->retry_after_ms,
-                 &maybe);
+  g_variant_get (value, "(yy&sttbbb&suxxxxtt&suuuu@mv)", &version, &kind, &from, &out->serial,
+                 &out->term, &is_leader, &hears_leader, &is_stopping, &dc, &out->cpu_milli,
+                 &out->age_ms, &out->sent_ms, &out->echo_ms, &out->store_failing_ms,
+                 &out->config_version, &out->job, &queue, &answer, &out->state, &out->count,
+                 &out->retry_after_ms, &maybe);
   if (version != VP_NODEMSG_VERSION || kind >= VP_NODEMSG_KIND_COUNT
       || answer >= VP_ANSWER_KIND_COUNT || !vp_name_copy (out->from, sizeof out->from, from)
+      || !vp_name_copy (out->dc, sizeof out->dc, dc)
       || !vp_name_copy (out->queue, sizeof out->queue, queue))
     return false;
   out->kind = (VpNodeMsgKind)kind;
@@ -73,8 +75,9 @@
 const char *
 vp_nodemsg_kind_token (VpNodeMsgKind kind)
 {
-  static const char *const tokens[] = { "ping", "submit", "query",    "cancel", "pending", "answer",
-                                        "ask",  "advice", "conf-ask", "conf",   "handover" };
+  static const char *const tokens[]
+      = { "ping",   "submit",   "query", "cancel",   "pending",  "answer", "ask",
+          "advice", "conf-ask", "conf",  "handover", "commands", "results" };
 
   return tokens[kind];
 }
--- a/src/vp-nodemsg.h
+++ b/src/vp-nodemsg.h
@@ -22,6 +22,8 @@
   VP_NODEMSG_CONFIG_REQUEST, /* requests the configuration */
   VP_NODEMSG_CONFIG,         /* body: the text of the configuration */
   VP_NODEMSG_HANDOVER,       /* the sender's term ends; the receiver may claim leadership */
+  VP_NODEMSG_COMMANDS,       /* commands that the receiver sends to workers, see vp-relay.h */
+  VP_NODEMSG_RESULTS,        /* results of such commands */
   VP_NODEMSG_KIND_COUNT,
 } VpNodeMsgKind;
 
@@ -39,19 +41,20 @@
 
 /* A PING carries the highest term that the sender knows, which is its own if it leads. The other
  * requests carry a @serial, which the answer repeats together with the term of the answering
- * leader. */
+ * leader. COMMANDS and RESULTS carry the term of the leader that gives the commands. */
 typedef struct {
   VpNodeMsgKind kind;
   char from[VP_NAME_MAX];
   uint64_t serial;
   uint64_t term;
-  bool is_leader;     /* PING: the sender leads @term */
-  bool hears_leader;  /* PING: pings of the leader arrive at the sender, or it leads itself */
-  bool is_stopping;   /* PING: the sender stops and will not become leader */
-  uint32_t cpu_milli; /* PING: CPU share of the sender's VM, in thousandths of a core */
-  int64_t age_ms;     /* PING: time since the sender started */
-  int64_t sent_ms;    /* PING: send time on the sender's clock */
-  int64_t echo_ms;    /* PING: @sent_ms of the receiver's last ping that the sender has; 0: none */
+  bool is_leader;       /* PING: the sender leads @term */
+  bool hears_leader;    /* PING: pings of the leader arrive at the sender, or it leads itself */
+  bool is_stopping;     /* PING: the sender stops and will not become leader */
+  char dc[VP_NAME_MAX]; /* PING: DC of the sender */
+  uint32_t cpu_milli;   /* PING: CPU share of the sender's VM, in thousandths of a core */
+  int64_t age_ms;       /* PING: time since the sender started */
+  int64_t sent_ms;      /* PING: send time on the sender's clock */
+  int64_t echo_ms; /* PING: @sent_ms of the receiver's last ping that the sender has; 0: none */
   int64_t store_failing_ms; /* PING of the leader: time without a commit while commits fail */
   uint64_t config_version;  /* PING, CONFIG: version of the configuration; 0: none */
   uint64_t job;
--- /dev/null
+++ b/src/vp-relay.c
@@ -0,0 +1,633 @@
+#include "vp-relay.h"
+#include "vp-log.h"
+#include "vp-metrics.h"
+
+#include <string.h>
+
+/* CPU share, in thousandths of a core, that a process should have for each worker that it calls. */
+#define VP_RELAY_CPU_MILLI_PER_WORKER 4
+/* A relay that hasn't returned the result of a command after this time is avoided. It is less than
+ * the time-out of calls to workers, so a relay is also avoided for some time after a worker was
+ * silent; its other workers are then called through another relay. */
+#define VP_RELAY_SLOW_MS 1600
+/* The same for HOLD commands, in addition to the time that the worker may delay its answer. */
+#define VP_RELAY_SLOW_HOLD_MS 3600
+/* A relay from which nothing has arrived for this long while results are outstanding is avoided, as
+ * it may have died. */
+#define VP_RELAY_SILENT_MS 600
+/* Time for which a slow relay is avoided. */
+#define VP_RELAY_AVOID_MS 2000
+/* Interval at which outstanding results are checked. */
+#define VP_RELAY_CHECK_MS 100
+/* Maximum number of results in a batch, and the time that the first one waits for others. */
+#define VP_RELAY_RESULTS_MAX      64
+#define VP_RELAY_RESULTS_DELAY_MS 15
+
+/* A batch of commands: identity and address of each worker, texts of jobs, and the commands. */
+#define VP_RELAY_COMMAND_TYPE  "(uyuutuuuuxsstuu)"
+#define VP_RELAY_COMMANDS_TYPE "(a(ss)asa" VP_RELAY_COMMAND_TYPE ")"
+#define VP_RELAY_RUNNING_TYPE  "(tuuubusux)"
+#define VP_RELAY_ENDED_TYPE    "(ttuuubuys)"
+#define VP_RELAY_RESULT_TYPE   "(uybxxa" VP_RELAY_RUNNING_TYPE "a" VP_RELAY_ENDED_TYPE ")"
+#define VP_RELAY_RESULTS_TYPE  "a" VP_RELAY_RESULT_TYPE
+
+#define VP_RELAY_NO_TEXT G_MAXUINT32
+
+/* A process that sends commands, and the batch that is being built for it. */
+typedef struct {
+  char name[VP_NAME_MAX];
+  char dc[VP_NAME_MAX];
+  uint32_t cpu_milli;
+  uint32_t worker_count;
+  int64_t heard_ms;       /* time of the last results; or when it got work after being idle */
+  int64_t avoid_until_ms; /* it gets no commands before this time */
+  uint32_t pending_count; /* commands without a result */
+  GHashTable *workers;    /* identity of a worker in the batch -> index + 1 */
+  GHashTable *texts;      /* job -> index of its text in the batch + 1 */
+  GVariantBuilder worker_builder;
+  GVariantBuilder text_builder;
+  GVariantBuilder command_builder;
+  uint32_t batch_count;
+} VpRelayProcess;
+
+/* A command without a result. */
+typedef struct {
+  VpCommandResult result; /* the result if none arrives */
+  VpRelayProcess *process;
+  int64_t due_ms; /* the relay counts as slow after this time */
+} VpRelayPending;
+
+struct _VpRelay {
+  VpRelayDesc desc;
+  GHashTable *processes; /* name -> VpRelayProcess, never removed */
+  GHashTable *by_worker; /* identity of a worker -> VpRelayProcess */
+  GHashTable *pending;   /* serial -> VpRelayPending */
+  uint32_t last_serial;
+  uint64_t signature; /* of the members and workers that @by_worker was made for */
+  int64_t check_next_ms;
+};
+
+static void
+_vp_relay_begin_batch (VpRelayProcess *process)
+{
+  g_hash_table_remove_all (process->workers);
+  g_hash_table_remove_all (process->texts);
+  g_variant_builder_init (&process->worker_builder, G_VARIANT_TYPE ("a(ss)"));
+  g_variant_builder_init (&process->text_builder, G_VARIANT_TYPE ("as"));
+  g_variant_builder_init (&process->command_builder, G_VARIANT_TYPE ("a" VP_RELAY_COMMAND_TYPE));
+  process->batch_count = 0;
+}
+
+static void
+_vp_relay_process_free (gpointer data)
+{
+  VpRelayProcess *process = data;
+
+  g_hash_table_unref (process->workers);
+  g_hash_table_unref (process->texts);
+  g_variant_builder_clear (&process->worker_builder);
+  g_variant_builder_clear (&process->text_builder);
+  g_variant_builder_clear (&process->command_builder);
+  g_free (process);
+}
+
+VpRelay *
+vp_relay_setup (const VpRelayDesc *desc)
+{
+  VpRelay *relay = g_new0 (VpRelay, 1);
+
+  relay->desc = *desc;
+  relay->processes = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, _vp_relay_process_free);
+  relay->by_worker = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
+  relay->pending = g_hash_table_new_full (NULL, NULL, NULL, g_free);
+  return relay;
+}
+
+void
+vp_relay_shutdown (VpRelay *relay)
+{
+  if (relay == NULL)
+    return;
+  g_hash_table_unref (relay->by_worker);
+  g_hash_table_unref (relay->pending);
+  g_hash_table_unref (relay->processes);
+  g_free (relay);
+}
+
+/* Choice of relays. */
+
+static VpRelayProcess *
+_vp_relay_get_process (VpRelay *relay, const VpMemberState *member)
+{
+  VpRelayProcess *process = g_hash_table_lookup (relay->processes, member->name);
+
+  if (process == NULL) {
+    process = g_new0 (VpRelayProcess, 1);
+    g_strlcpy (process->name, member->name, sizeof process->name);
+    process->workers = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
+    process->texts = g_hash_table_new_full (g_int64_hash, g_int64_equal, g_free, NULL);
+    _vp_relay_begin_batch (process);
+    g_hash_table_insert (relay->processes, process->name, process);
+  }
+  g_strlcpy (process->dc, member->dc, sizeof process->dc);
+  process->cpu_milli = member->cpu_milli;
+  return process;
+}
+
+static guint
+_vp_relay_pair_hash (const char *process, const char *worker)
+{
+  guint hash = g_str_hash (process) * 31 + g_str_hash (worker);
+
+  /* Similar names must not lead to similar values. */
+  hash ^= hash >> 16;
+  hash *= 0x7feb352dU;
+  hash ^= hash >> 15;
+  hash *= 0x846ca68bU;
+  return hash ^ hash >> 16;
+}
+
+/* Returns the process for the worker among those in @processes that are in @dc (NULL: in any) and
+ * have at least @cpu_milli. Rendezvous hashing keeps most choices when processes come and go. */
+static VpRelayProcess *
+_vp_relay_choose (const GPtrArray *processes,
+                  const char *dc,
+                  uint32_t cpu_milli,
+                  const VpCellWorker *worker)
+{
+  VpRelayProcess *best = NULL;
+  guint best_hash = 0;
+
+  for (guint i = 0; i < processes->len; i++) {
+    VpRelayProcess *process = processes->pdata[i];
+    guint hash;
+    if ((dc != NULL && strcmp (process->dc, dc) != 0) || process->cpu_milli < cpu_milli)
+      continue;
+    hash = _vp_relay_pair_hash (process->name, worker->entry.id);
+    if (best == NULL || hash > best_hash) {
+      best = process;
+      best_hash = hash;
+    }
+  }
+  return best;
+}
+
+/* The workers of a DC, and the strength from which on processes are relays for them. */
+typedef struct {
+  uint32_t worker_count;
+  uint32_t cpu_milli_min;
+} VpRelayDc;
+
+static gint
+_vp_relay_compare_strength (gconstpointer a, gconstpointer b)
+{
+  const VpRelayProcess *one = *(VpRelayProcess *const *)a;
+  const VpRelayProcess *two = *(VpRelayProcess *const *)b;
+
+  return one->cpu_milli == two->cpu_milli  ? strcmp (one->name, two->name)
+         : one->cpu_milli > two->cpu_milli ? -1
+                                           : 1;
+}
+
+/* Sets the strength that the relays of the DC need, so that together they can call its workers.
+ * @processes are sorted by strength. */
+static void
+_vp_relay_select_strength (const GPtrArray *processes, const char *name, VpRelayDc *dc)
+{
+  uint32_t cpu_milli = 0;
+
+  for (guint i = 0; i < processes->len; i++) {
+    const VpRelayProcess *process = processes->pdata[i];
+    if (strcmp (process->dc, name) != 0)
+      continue;
+    if (cpu_milli >= dc->worker_count * VP_RELAY_CPU_MILLI_PER_WORKER
+        && process->cpu_milli < dc->cpu_milli_min)
+      break;
+    cpu_milli += process->cpu_milli;
+    dc->cpu_milli_min = process->cpu_milli;
+  }
+}
+
+/* Returns the processes that can be relays, strongest first. */
+static GPtrArray *
+_vp_relay_usable_processes (VpRelay *relay, GHashTable *members, int64_t now_ms)
+{
+  GPtrArray *processes = g_ptr_array_new ();
+  GHashTableIter iter;
+  gpointer value;
+
+  g_hash_table_iter_init (&iter, members);
+  while (g_hash_table_iter_next (&iter, NULL, &value)) {
+    const VpMemberState *member = value;
+    VpRelayProcess *process;
+    if (!vp_member_is_reachable (member, now_ms) || member->is_stopping)
+      continue;
+    process = _vp_relay_get_process (relay, member);
+    if (now_ms >= process->avoid_until_ms)
+      g_ptr_array_add (processes, process);
+  }
+  g_ptr_array_sort (processes, _vp_relay_compare_strength);
+  return processes;
+}
+
+/* Returns a number that changes if the choice of relays has to be made again. */
+static uint64_t
+_vp_relay_signature (const GPtrArray *processes, const VpWorkerList *worker_list)
+{
+  uint64_t signature = worker_list->workers->len;
+
+  for (guint i = 0; i < processes->len; i++)
+    signature
+        = signature * 1099511628211U + g_str_hash (((VpRelayProcess *)processes->pdata[i])->name);
+  for (guint i = 0; i < worker_list->workers->len; i++)
+    signature += (uint64_t)g_str_hash (((VpCellWorker *)worker_list->workers->pdata[i])->entry.id)
+                 * 0x9e3779b97f4a7c15U;
+  return signature;
+}
+
+void
+vp_relay_update (VpRelay *relay,
+                 GHashTable *members,
+                 const VpWorkerList *worker_list,
+                 int64_t now_ms)
+{
+  g_autoptr (GPtrArray) processes = NULL;
+  g_autoptr (GHashTable) dcs = NULL;
+  uint64_t signature;
+  GHashTableIter iter;
+  gpointer name, dc;
+
+  if (now_ms < relay->check_next_ms)
+    return;
+  relay->check_next_ms = now_ms + VP_RELAY_CHECK_MS;
+  if (worker_list->workers->len * VP_RELAY_CPU_MILLI_PER_WORKER <= relay->desc.cpu_milli) {
+    g_hash_table_remove_all (relay->by_worker);
+    relay->signature = 0;
+    return;
+  }
+  processes = _vp_relay_usable_processes (relay, members, now_ms);
+  signature = _vp_relay_signature (processes, worker_list);
+  if (signature == relay->signature)
+    return;
+  relay->signature = signature;
+  g_hash_table_remove_all (relay->by_worker);
+  dcs = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, g_free);
+  for (guint i = 0; i < worker_list->workers->len; i++) {
+    const VpCellWorker *worker = worker_list->workers->pdata[i];
+    VpRelayDc *found = g_hash_table_lookup (dcs, worker->entry.dc);
+    if (found == NULL) {
+      found = g_new0 (VpRelayDc, 1);
+      g_hash_table_insert (dcs, (gpointer)worker->entry.dc, found);
+    }
+    found->worker_count++;
+  }
+  g_hash_table_iter_init (&iter, dcs);
+  while (g_hash_table_iter_next (&iter, &name, &dc))
+    _vp_relay_select_strength (processes, name, dc);
+  for (guint i = 0; i < worker_list->workers->len; i++) {
+    const VpCellWorker *worker = worker_list->workers->pdata[i];
+    const VpRelayDc *own = g_hash_table_lookup (dcs, worker->entry.dc);
+    VpRelayProcess *process
+        = _vp_relay_choose (processes, worker->entry.dc, own->cpu_milli_min, worker);
+    if (process == NULL)
+      process = _vp_relay_choose (processes, NULL, 0, worker);
+    if (process != NULL)
+      g_hash_table_insert (relay->by_worker, g_strdup (worker->entry.id), process);
+  }
+  vp_log (now_ms, "relays", "usable=%u workers=%u", processes->len, worker_list->workers->len);
+}
+
+/* Commands. */
+
+static uint32_t
+_vp_relay_worker_index (VpRelayProcess *process, const VpCommand *command)
+{
+  guint index = GPOINTER_TO_UINT (g_hash_table_lookup (process->workers, command->worker));
+
+  if (index == 0) {
+    index = g_hash_table_size (process->workers) + 1;
+    g_hash_table_insert (process->workers, g_strdup (command->worker), GUINT_TO_POINTER (index));
+    g_variant_builder_add (&process->worker_builder, "(ss)", command->worker, command->address);
+  }
+  return index - 1;
+}
+
+static uint32_t
+_vp_relay_text_index (VpRelayProcess *process, const VpCommand *command)
+{
+  guint index;
+
+  if (command->text == NULL)
+    return VP_RELAY_NO_TEXT;
+  index = GPOINTER_TO_UINT (g_hash_table_lookup (process->texts, &command->task.job));
+  if (index == 0) {
+    index = g_hash_table_size (process->texts) + 1;
+    g_hash_table_insert (process->texts, g_memdup2 (&command->task.job, sizeof (uint64_t)),
+                         GUINT_TO_POINTER (index));
+    g_variant_builder_add (&process->text_builder, "s", command->text);
+  }
+  return index - 1;
+}
+
+bool
+vp_relay_add (VpRelay *relay, VpCommand *command, int64_t now_ms)
+{
+  VpRelayProcess *process = g_hash_table_lookup (relay->by_worker, command->worker);
+  VpRelayPending *pending;
+  uint32_t serial;
+
+  if (process == NULL)
+    return false;
+  serial = ++relay->last_serial;
+  g_variant_builder_add (&process->command_builder, VP_RELAY_COMMAND_TYPE, serial,
+                         (guchar)command->kind, _vp_relay_worker_index (process, command),
+                         _vp_relay_text_index (process, command), command->task.job,
+                         command->task.occurrence, command->task.step, command->task.index,
+                         command->run, command->lease_end_ms, command->checkpoint, command->ticket,
+                         command->acked_end, (guint32)command->wait_ms, command->percent);
+  process->batch_count++;
+  pending = g_new0 (VpRelayPending, 1);
+  pending->process = process;
+  pending->due_ms
+      = now_ms + (command->kind == VP_COMMAND_HOLD ? VP_RELAY_SLOW_HOLD_MS : VP_RELAY_SLOW_MS);
+  pending->result = (VpCommandResult){ .kind = command->kind,
+                                       .task = command->task,
+                                       .run = command->run,
+                                       .outcome = VP_COMMAND_UNCERTAIN,
+                                       .fence = command->fence,
+                                       .sent_ms = now_ms };
+  g_strlcpy (pending->result.worker, command->worker, sizeof pending->result.worker);
+  g_hash_table_insert (relay->pending, GUINT_TO_POINTER (serial), pending);
+  if (process->pending_count++ == 0)
+    process->heard_ms = now_ms;
+  g_clear_pointer (&command->text, g_free);
+  return true;
+}
+
+void
+vp_relay_flush (VpRelay *relay, GArray *messages)
+{
+  GHashTableIter iter;
+  gpointer value;
+
+  g_hash_table_iter_init (&iter, relay->processes);
+  while (g_hash_table_iter_next (&iter, NULL, &value)) {
+    VpRelayProcess *process = value;
+    VpRelayMessage out = { .message = { .kind = VP_NODEMSG_COMMANDS, .term = relay->desc.term } };
+    if (process->batch_count == 0)
+      continue;
+    g_strlcpy (out.to, process->name, sizeof out.to);
+    out.message.body
+        = g_variant_new ("(a(ss)asa" VP_RELAY_COMMAND_TYPE ")", &process->worker_builder,
+                         &process->text_builder, &process->command_builder);
+    g_array_append_val (messages, out);
+    _vp_relay_begin_batch (process);
+  }
+}
+
+bool
+vp_relay_decode_commands (const VpNodeMsg *message, GArray *commands)
+{
+  g_autoptr (GVariant) workers = NULL;
+  g_autoptr (GVariant) texts = NULL;
+  g_autoptr (GVariantIter) iter = NULL;
+  VpCommand command = { .fence = message->term };
+  const char *checkpoint, *ticket;
+  guint32 worker, text, wait_ms;
+  guchar kind;
+
+  if (message->body == NULL
+      || !g_variant_is_of_type (message->body, G_VARIANT_TYPE (VP_RELAY_COMMANDS_TYPE)))
+    return false;
+  g_variant_get (message->body, "(@a(ss)@asa" VP_RELAY_COMMAND_TYPE ")", &workers, &texts, &iter);
+  while (g_variant_iter_next (iter, "(uyuutuuuux&s&stuu)", &command.serial, &kind, &worker, &text,
+                              &command.task.job, &command.task.occurrence, &command.task.step,
+                              &command.task.index, &command.run, &command.lease_end_ms, &checkpoint,
+                              &ticket, &command.acked_end, &wait_ms, &command.percent)) {
+    const char *id, *address;
+    command.text = NULL;
+    if (kind > VP_COMMAND_THROTTLE || worker >= g_variant_n_children (workers)
+        || (text != VP_RELAY_NO_TEXT && text >= g_variant_n_children (texts)))
+      return false;
+    command.kind = (VpCommandKind)kind;
+    command.wait_ms = wait_ms;
+    g_variant_get_child (workers, worker, "(&s&s)", &id, &address);
+    if (!vp_name_copy (command.worker, sizeof command.worker, id)
+        || !vp_name_copy (command.address, sizeof command.address, address)
+        || !vp_name_copy (command.checkpoint, sizeof command.checkpoint, checkpoint)
+        || !vp_name_copy (command.ticket, sizeof command.ticket, ticket)
+        || !vp_name_copy (command.requester, sizeof command.requester, message->from))
+      return false;
+    if (text != VP_RELAY_NO_TEXT)
+      g_variant_get_child (texts, text, "s", &command.text);
+    g_array_append_val (commands, command);
+  }
+  return true;
+}
+
+/* Results. */
+
+static void
+_vp_relay_encode_lists (const VpCommandResult *result, GVariantBuilder *builder)
+{
+  g_variant_builder_open (builder, G_VARIANT_TYPE ("a" VP_RELAY_RUNNING_TYPE));
+  for (guint i = 0; result->running != NULL && i < result->running->len; i++) {
+    const VpRunningEntry *entry = &g_array_index (result->running, VpRunningEntry, i);
+    g_variant_builder_add (builder, VP_RELAY_RUNNING_TYPE, entry->task.job, entry->task.occurrence,
+                           entry->task.step, entry->task.index, (gboolean)entry->is_task,
+                           entry->run, entry->checkpoint, entry->percent, entry->gauge);
+  }
+  g_variant_builder_close (builder);
+  g_variant_builder_open (builder, G_VARIANT_TYPE ("a" VP_RELAY_ENDED_TYPE));
+  for (guint i = 0; result->ended != NULL && i < result->ended->len; i++) {
+    const VpEndedEntry *entry = &g_array_index (result->ended, VpEndedEntry, i);
+    g_variant_builder_add (builder, VP_RELAY_ENDED_TYPE, entry->number, entry->task.job,
+                           entry->task.occurrence, entry->task.step, entry->task.index,
+                           (gboolean)entry->is_task, entry->run, (guchar)entry->end,
+                           entry->checkpoint);
+  }
+  g_variant_builder_close (builder);
+}
+
+void
+vp_relay_results_add (VpRelayResults *results,
+                      const VpCommandResult *result,
+                      int64_t now_ms,
+                      VpRelayMessage *full)
+{
+  memset (full, 0, sizeof *full);
+  if (results->count >= VP_RELAY_RESULTS_MAX
+      || (results->count > 0
+          && (strcmp (results->leader, result->requester) != 0 || results->term != result->fence)))
+    vp_relay_results_take (results, full);
+  if (results->count == 0) {
+    g_strlcpy (results->leader, result->requester, sizeof results->leader);
+    results->term = result->fence;
+    results->since_ms = now_ms;
+    results->builder = g_variant_builder_new (G_VARIANT_TYPE (VP_RELAY_RESULTS_TYPE));
+  }
+  results->count++;
+  g_variant_builder_open (results->builder, G_VARIANT_TYPE (VP_RELAY_RESULT_TYPE));
+  g_variant_builder_add (results->builder, "u", result->serial);
+  g_variant_builder_add (results->builder, "y", (guchar)result->outcome);
+  g_variant_builder_add (results->builder, "b", (gboolean)result->is_repeated);
+  g_variant_builder_add (results->builder, "x", result->clock_ms);
+  g_variant_builder_add (results->builder, "x", result->booted_ms);
+  _vp_relay_encode_lists (result, results->builder);
+  g_variant_builder_close (results->builder);
+}
+
+int64_t
+vp_relay_results_due_ms (const VpRelayResults *results)
+{
+  return results->count == 0 ? INT64_MAX : results->since_ms + VP_RELAY_RESULTS_DELAY_MS;
+}
+
+bool
+vp_relay_results_take (VpRelayResults *results, VpRelayMessage *out)
+{
+  memset (out, 0, sizeof *out);
+  if (results->count == 0)
+    return false;
+  g_strlcpy (out->to, results->leader, sizeof out->to);
+  out->message.kind = VP_NODEMSG_RESULTS;
+  out->message.term = results->term;
+  out->message.body = g_variant_builder_end (results->builder);
+  g_variant_builder_unref (results->builder);
+  memset (results, 0, sizeof *results);
+  return true;
+}
+
+static bool
+_vp_relay_decode_running (GVariantIter *iter, GArray *running)
+{
+  VpRunningEntry entry = { 0 };
+  const char *checkpoint;
+  gboolean is_task;
+
+  while (g_variant_iter_next (iter, "(tuuubu&sux)", &entry.task.job, &entry.task.occurrence,
+                              &entry.task.step, &entry.task.index, &is_task, &entry.run,
+                              &checkpoint, &entry.percent, &entry.gauge)) {
+    entry.is_task = is_task;
+    if (!vp_name_copy (entry.checkpoint, sizeof entry.checkpoint, checkpoint))
+      return false;
+    g_array_append_val (running, entry);
+  }
+  return true;
+}
+
+static bool
+_vp_relay_decode_ended (GVariantIter *iter, GArray *ended)
+{
+  VpEndedEntry entry = { 0 };
+  const char *checkpoint;
+  gboolean is_task;
+  guchar end;
+
+  while (g_variant_iter_next (iter, "(ttuuubuy&s)", &entry.number, &entry.task.job,
+                              &entry.task.occurrence, &entry.task.step, &entry.task.index, &is_task,
+                              &entry.run, &end, &checkpoint)) {
+    entry.is_task = is_task;
+    entry.end = (VpRunEnd)MIN (end, VP_RUN_OTHER);
+    if (!vp_name_copy (entry.checkpoint, sizeof entry.checkpoint, checkpoint))
+      return false;
+    g_array_append_val (ended, entry);
+  }
+  return true;
+}
+
+/* Takes the command with the serial out of the table of pending commands. Returns NULL if it isn't
+ * there. */
+static VpRelayPending *
+_vp_relay_take_pending (VpRelay *relay, uint32_t serial)
+{
+  gpointer pending = NULL;
+
+  if (!g_hash_table_steal_extended (relay->pending, GUINT_TO_POINTER (serial), NULL, &pending))
+    return NULL;
+  ((VpRelayPending *)pending)->process->pending_count--;
+  return pending;
+}
+
+void
+vp_relay_handle_results (VpRelay *relay, const VpNodeMsg *message, int64_t now_ms, GArray *results)
+{
+  VpRelayProcess *process = g_hash_table_lookup (relay->processes, message->from);
+  GVariantIter iter;
+  GVariantIter *running, *ended;
+  guint32 serial;
+  guchar outcome;
+  gboolean is_repeated;
+  int64_t clock_ms, booted_ms;
+
+  if (process == NULL || message->term != relay->desc.term || message->body == NULL
+      || !g_variant_is_of_type (message->body, G_VARIANT_TYPE (VP_RELAY_RESULTS_TYPE)))
+    return;
+  process->heard_ms = now_ms;
+  g_variant_iter_init (&iter, message->body);
+  while (g_variant_iter_next (&iter, "(uybxxa" VP_RELAY_RUNNING_TYPE "a" VP_RELAY_ENDED_TYPE ")",
+                              &serial, &outcome, &is_repeated, &clock_ms, &booted_ms, &running,
+                              &ended)) {
+    g_autofree VpRelayPending *pending = _vp_relay_take_pending (relay, serial);
+    if (pending != NULL && outcome <= VP_COMMAND_UNCERTAIN) {
+      VpCommandResult result = pending->result;
+      result.outcome = (VpCommandOutcome)outcome;
+      result.is_repeated = is_repeated;
+      result.received_ms = now_ms;
+      result.clock_ms = clock_ms;
+      result.booted_ms = booted_ms;
+      result.running = g_array_new (FALSE, FALSE, sizeof (VpRunningEntry));
+      result.ended = g_array_new (FALSE, FALSE, sizeof (VpEndedEntry));
+      if (!_vp_relay_decode_running (running, result.running)
+          || !_vp_relay_decode_ended (ended, result.ended))
+        result.outcome = VP_COMMAND_UNCERTAIN;
+      g_array_append_val (results, result);
+    }
+    g_variant_iter_free (running);
+    g_variant_iter_free (ended);
+  }
+}
+
+/* Reports the command as uncertain. */
+static void
+_vp_relay_give_up (VpRelay *relay, VpRelayPending *pending, int64_t now_ms, GArray *results)
+{
+  VpRelayProcess *process = pending->process;
+
+  process->pending_count--;
+  if (now_ms >= process->avoid_until_ms)
+    vp_log (now_ms, "relay-avoided", "relay=%s worker=%s silent_ms=%" G_GINT64_FORMAT,
+            process->name, pending->result.worker, now_ms - process->heard_ms);
+  process->avoid_until_ms = now_ms + VP_RELAY_AVOID_MS;
+  pending->result.received_ms = now_ms;
+  g_array_append_val (results, pending->result);
+  relay->check_next_ms = now_ms;
+}
+
+void
+vp_relay_expire (VpRelay *relay, int64_t now_ms, GArray *results)
+{
+  GHashTableIter iter;
+  gpointer value;
+
+  if (now_ms < relay->check_next_ms)
+    return;
+  g_hash_table_iter_init (&iter, relay->pending);
+  while (g_hash_table_iter_next (&iter, NULL, &value)) {
+    VpRelayPending *pending = value;
+    /* A HOLD may wait at the worker, so only other commands tell whether the relay is silent. */
+    bool is_silent = pending->result.kind != VP_COMMAND_HOLD
+                     && now_ms - MAX (pending->process->heard_ms, pending->result.sent_ms)
+                            > VP_RELAY_SILENT_MS;
+    if (now_ms < pending->due_ms && !is_silent && now_ms >= pending->process->avoid_until_ms)
+      continue;
+    _vp_relay_give_up (relay, pending, now_ms, results);
+    g_hash_table_iter_remove (&iter);
+  }
+}
+
+int64_t
+vp_relay_next_ms (const VpRelay *relay)
+{
+  return g_hash_table_size (relay->pending) == 0 ? INT64_MAX : relay->check_next_ms;
+}
--- /dev/null
+++ b/src/vp-relay.h
@@ -0,0 +1,85 @@
+/* Commands to workers that other processes of the cell send for the leader.
+ *
+ *   VpRelay *relay = vp_relay_setup (&(VpRelayDesc){ .term = 7, .cpu_milli = 500 });
+ *   vp_relay_update (relay, members, worker_list, now_ms);     // before each decision
+ *   if (!vp_relay_add (relay, &command, now_ms))
+ *     ... send the command from this process ...
+ *   vp_relay_flush (relay, messages);                          // GArray of VpRelayMessage
+ *   vp_relay_handle_results (relay, &message, now_ms, results); // GArray of VpCommandResult
+ *   vp_relay_expire (relay, now_ms, results);
+ *   vp_relay_shutdown (relay);
+ *
+ * Load pattern: a leader that calls all workers itself needs a connection, threads and some hundred
+ * bytes of HTTP for each command. With hundreds of workers these use up its processor and its link,
+ * answers become late, and late answers cause repeated commands. So a leader with more workers than
+ * its VM can call hands its commands to other processes in batches, and they return results in
+ * batches. The leader still decides everything: a relay adds, repeats and drops nothing.
+ *
+ * A worker's commands go to a relay in its DC, the strongest VMs first. A relay that is out of
+ * reach or slow to answer is avoided. The results of its commands are then reported as uncertain,
+ * which lets the scheduler repeat the commands through another relay. That is safe, since workers
+ * take a repeated run as the same one, leases have absolute ends, and every command has the
+ * leader's term.
+ *
+ * State only, no I/O.
+ */
+#pragma once
+
+#include "vp-members.h"
+#include "vp-workerlist.h"
+
+typedef struct _VpRelay VpRelay;
+
+typedef struct {
+  uint64_t term;      /* the term of the leader */
+  uint32_t cpu_milli; /* CPU share of the leader's VM, in thousandths of a core */
+} VpRelayDesc;
+
+typedef struct {
+  char to[VP_NAME_MAX];
+  VpNodeMsg message;
+} VpRelayMessage;
+
+VpRelay *vp_relay_setup (const VpRelayDesc *desc);
+void vp_relay_shutdown (VpRelay *relay);
+/* Chooses the relays of all workers if members or workers have changed. */
+void vp_relay_update (VpRelay *relay,
+                      GHashTable *members,
+                      const VpWorkerList *worker_list,
+                      int64_t now_ms);
+/* Adds the command to the batch of its worker's relay and frees what it owns. Returns false, and
+ * does nothing, if this process has to send it itself. */
+bool vp_relay_add (VpRelay *relay, VpCommand *command, int64_t now_ms);
+/* Appends a message (VpRelayMessage) for each batch to @messages. */
+void vp_relay_flush (VpRelay *relay, GArray *messages);
+/* Appends the results in the message to @results. Results that came too late are dropped. */
+void
+vp_relay_handle_results (VpRelay *relay, const VpNodeMsg *message, int64_t now_ms, GArray *results);
+/* Appends an uncertain result for each command that its relay will probably not answer. */
+void vp_relay_expire (VpRelay *relay, int64_t now_ms, GArray *results);
+/* Time at which vp_relay_expire() has to be called next; INT64_MAX: none. */
+int64_t vp_relay_next_ms (const VpRelay *relay);
+
+/* On the relay: appends the commands (VpCommand) in the message to @commands. Returns false if the
+ * message is malformed. */
+bool vp_relay_decode_commands (const VpNodeMsg *message, GArray *commands);
+
+/* On the relay: results that are collected for the leader. Zeroed memory is empty. */
+typedef struct {
+  char leader[VP_NAME_MAX]; /* empty: there are none */
+  uint64_t term;
+  GVariantBuilder *builder;
+  uint32_t count;
+  int64_t since_ms; /* time of the first one */
+} VpRelayResults;
+
+/* Adds a result. If it belongs to another leader or the batch is full, the batch is first returned
+ * in @full, which is sent to @full->to unless that is empty. */
+void vp_relay_results_add (VpRelayResults *results,
+                           const VpCommandResult *result,
+                           int64_t now_ms,
+                           VpRelayMessage *full);
+/* Time at which the batch has to be sent; INT64_MAX: it is empty. */
+int64_t vp_relay_results_due_ms (const VpRelayResults *results);
+/* Takes the batch. Returns false if it is empty. */
+bool vp_relay_results_take (VpRelayResults *results, VpRelayMessage *out);
--- a/tests/simcell.c
+++ b/tests/simcell.c
@@ -329,17 +329,14 @@
 _run_command (SimCell *sim, Action *action)
 {
   SimCellWorker *worker = _worker (sim, action->command.worker);
-  VpCommandResult result = { .kind = action->command.kind,
-                             .task = action->command.task,
-                             .run = action->command.run,
-                             .fence = action->command.fence };
+  VpCommandResult result = { 0 };
   VpNodeEvent *event;
   SimCellRunDesc run_desc = { 0 };
 
-  g_strlcpy (result.worker, action->command.worker, sizeof result.worker);
   /* For a HOLD command that waits, event.handle holds the time at which the node sent it. */
-  result.sent_ms
-      = action->event.handle == 0 ? sim->now_ms - LINK_DELAY_MS : (int64_t)action->event.handle;
+  vp_command_result_begin (&result, &action->command,
+                           action->event.handle == 0 ? sim->now_ms - LINK_DELAY_MS
+                                                     : (int64_t)action->event.handle);
   /* A worker that restarts loses the commands that it had not carried out yet. */
   if (!worker->is_up || (action->booted_ms != 0 && action->booted_ms != worker->entry.booted_ms))
     result.outcome = VP_COMMAND_UNREACHABLE;
@@ -406,14 +403,9 @@
     return;
   action->booted_ms = _worker (sim, action->command.worker)->entry.booted_ms;
   result = &_post_node_event (sim, node, VP_NODE_EVENT_COMMAND_RESULT, ANSWER_TIMEOUT_MS)->command;
-  *result = (VpCommandResult){ .kind = action->command.kind,
-                               .task = action->command.task,
-                               .run = action->command.run,
-                               .fence = action->command.fence,
-                               .outcome = VP_COMMAND_UNCERTAIN,
-                               .sent_ms = sim->now_ms,
+  *result = (VpCommandResult){ .outcome = VP_COMMAND_UNCERTAIN,
                                .received_ms = sim->now_ms + ANSWER_TIMEOUT_MS };
-  g_strlcpy (result->worker, action->command.worker, sizeof result->worker);
+  vp_command_result_begin (result, &action->command, sim->now_ms);
 }
 
 static void
@@ -482,19 +474,22 @@
 _boot_node (SimCell *sim, uint32_t index)
 {
   Node *node = _node (sim, index);
+  uint32_t cpu_milli = sim->desc.cpu_milli == 0 ? NODE_CPU_MILLI : sim->desc.cpu_milli;
   VpNodeEvent *event;
+  char dc[VP_NAME_MAX];
 
   node->incarnation++;
   node->paused_until_ms = 0;
-  node->node = vp_node_setup (&(VpNodeDesc){ .name = node->name,
-                                             .cpu_milli = index < sim->desc.high_cpu_count
-                                                              ? 4 * NODE_CPU_MILLI
-                                                              : NODE_CPU_MILLI,
-                                             .hold_max_ms = 6000,
-                                             .relist_ms = 2500,
-                                             .retention_ms = 120000,
-                                             .grace_ms = 4000 },
-                              sim->now_ms);
+  g_snprintf (dc, sizeof dc, "dc-%u", node->dc);
+  node->node = vp_node_setup (
+      &(VpNodeDesc){ .name = node->name,
+                     .dc = dc,
+                     .cpu_milli = index < sim->desc.high_cpu_count ? 4 * cpu_milli : cpu_milli,
+                     .hold_max_ms = 6000,
+                     .relist_ms = 2500,
+                     .retention_ms = 120000,
+                     .grace_ms = 4000 },
+      sim->now_ms);
   event = _post_node_event (sim, index, VP_NODE_EVENT_CONFIG, STORE_DELAY_MS);
   event->config.config = vp_cellconfig_ref (sim->config);
   event->config.text = g_bytes_new_static ("{}", 2);
--- a/tests/simcell.h
+++ b/tests/simcell.h
@@ -28,6 +28,7 @@
   bool has_advice;
   uint32_t attempts_max;   /* runs of a task before its job fails; 0: 3 */
   uint32_t high_cpu_count; /* this many of the first nodes have four times the CPU of the others */
+  uint32_t cpu_milli;      /* CPU share of the VMs of nodes; 0: 125 */
   uint32_t dc_count;       /* nodes and workers are spread over the DCs by their numbers; 0: 1 */
 } SimCellDesc;
 
--- a/tests/test-node.c
+++ b/tests/test-node.c
@@ -613,11 +613,15 @@
   }
 }
 
+/* CPU share with which a leader hands the commands to all of its workers to other processes. */
+#define RELAY_CPU_MILLI 4
+
 /* Injects random faults for 25 s. All accepted jobs must complete once the faults are over. */
 static void
-_run_random_faults (uint32_t seed, uint32_t high_cpu_count, uint32_t dc_count)
+_run_random_faults (uint32_t seed, uint32_t high_cpu_count, uint32_t dc_count, uint32_t cpu_milli)
 {
   SimCell *sim = simcell_new (&(SimCellDesc){ .seed = seed,
+                                              .cpu_milli = cpu_milli,
                                               .high_cpu_count = high_cpu_count,
                                               .node_count = 3 * dc_count,
                                               .worker_count = 4 * dc_count,
@@ -645,8 +649,9 @@
   for (guint i = 0; i < jobs->len; i++) {
     uint64_t job = g_array_index (jobs, uint64_t, i);
     if (simcell_is_job_accepted (sim, job) && simcell_job_state (sim, job) != VP_JOB_COMPLETED)
-      g_error ("seed %u, %u strong, %u DCs: job %016" G_GINT64_MODIFIER "x is %s", seed,
-               high_cpu_count, dc_count, job, vp_job_state_token (simcell_job_state (sim, job)));
+      g_error ("seed %u, %u strong, %u DCs, %u milli: job %016" G_GINT64_MODIFIER "x is %s", seed,
+               high_cpu_count, dc_count, cpu_milli, job,
+               vp_job_state_token (simcell_job_state (sim, job)));
   }
   simcell_free (sim);
 }
@@ -659,7 +664,7 @@
 
 /* Runs the seed given by VP_SEED; without it 20 seeds, or as many as VP_SEEDS says. */
 static void
-_run_seeds (bool is_mixed, uint32_t dc_count)
+_run_seeds (bool is_mixed, uint32_t dc_count, uint32_t cpu_milli)
 {
   const char *only = g_getenv ("VP_SEED");
   const char *count = g_getenv ("VP_SEEDS");
@@ -668,29 +673,44 @@
       = count == NULL ? (only == NULL ? 20 : 1) : (uint32_t)g_ascii_strtoull (count, NULL, 10);
 
   for (uint32_t seed = first; seed < first + seeds; seed++)
-    _run_random_faults (seed, is_mixed ? 1 + seed % 2 : 0, dc_count);
+    _run_random_faults (seed, is_mixed ? 1 + seed % 2 : 0, dc_count, cpu_milli);
 }
 
 static void
 test_random (void)
 {
   for (guint i = 0; g_getenv ("VP_SEED") == NULL && i < G_N_ELEMENTS (regression_seeds); i++)
-    _run_random_faults (regression_seeds[i], 0, 1);
-  _run_seeds (false, 1);
+    _run_random_faults (regression_seeds[i], 0, 1, 0);
+  _run_seeds (false, 1, 0);
 }
 
 /* With VMs of different strength the leader also changes without a fault. */
 static void
 test_random_mixed (void)
 {
-  _run_seeds (true, 1);
+  _run_seeds (true, 1, 0);
 }
 
 /* Also cuts off whole DCs, with and without the leader. */
 static void
 test_random_dc_partitions (void)
 {
-  _run_seeds (false, 3);
+  _run_seeds (false, 3, 0);
+}
+
+/* The leader's commands are sent by other processes, which die, freeze and are cut off with
+ * commands and results on the way. */
+static void
+test_random_relays (void)
+{
+  _run_seeds (false, 1, RELAY_CPU_MILLI);
+}
+
+/* The same with DCs that are cut off, and relays in each DC. */
+static void
+test_random_relays_dc_partitions (void)
+{
+  _run_seeds (false, 3, RELAY_CPU_MILLI);
 }
 
 int
@@ -726,5 +746,7 @@
   g_test_add_func ("/node/random", test_random);
   g_test_add_func ("/node/random-mixed", test_random_mixed);
   g_test_add_func ("/node/random-dc-partitions", test_random_dc_partitions);
+  g_test_add_func ("/node/random-relays", test_random_relays);
+  g_test_add_func ("/node/random-relays-dc-partitions", test_random_relays_dc_partitions);
   return g_test_run ();
 }
