Write the progress of jobs in rounds that have a share of the link

Cause: each commit wrote the progress of all jobs that had changed, some KB each, and the ends of runs were acknowledged only after a commit that left no job out. With hundreds of wide jobs no commit does.

Change: acceptances and ends of jobs go into the next commit. Progress is written in rounds that begin as often as 0.15 of the link allows, 300 ms apart at most; the round's last commit makes the ends durable that were known at its beginning.

Tests: test-committer; /committer/ends-become-durable, /progress-share and /cancelled-job-in-flight describe what failed before.

--- a/src/vp-cell.c
+++ b/src/vp-cell.c
@@ -501,7 +501,6 @@
 /* Assigns the task to the worker of the slot and sends the start. */
 static void
 _vp_cell_start_task (VpCell *cell,
-                     VpPlacePool *pool,
                      VpJobTask *task,
                      VpPlaceSlot *slot,
                      uint32_t run,
@@ -518,7 +517,7 @@
   vp_metrics_add (VP_COUNTER_INHERITED_STARTS, may_be_running ? 1 : 0);
   vp_jobtask_assign (cell->jobs, task, worker, run, now_ms);
   task->is_own_run = true;
-  vp_place_slot_update (pool, slot);
+  vp_place_slot_update (slot);
   if (task->step->spec->is_one_rack && task->step->rack < 0)
     task->step->rack = (int32_t)worker->rack_index;
   vp_runlog_add (&cell->reconcile.log, "start", may_be_running ? "inherited" : "fits", task,
@@ -556,7 +555,7 @@
     return false;
   }
   for (uint32_t i = 0; i < count; i++)
-    _vp_cell_start_task (cell, pool, &step->tasks[i], slots[i], run, now_ms, effects);
+    _vp_cell_start_task (cell, &step->tasks[i], slots[i], run, now_ms, effects);
   return true;
 }
 
@@ -584,7 +583,7 @@
     slot = vp_place_pick (pool, task, queue, now_ms);
     if (slot == NULL)
       return false;
-    _vp_cell_start_task (cell, pool, task, slot, _vp_cell_next_run (cell, task), now_ms, effects);
+    _vp_cell_start_task (cell, task, slot, _vp_cell_next_run (cell, task), now_ms, effects);
   }
   return true;
 }
--- a/src/vp-committer.c
+++ b/src/vp-committer.c
@@ -28,17 +28,30 @@
 #define VP_COMMITTER_RETENTION_MARGIN_MS 30000
 /* Interval between removals of ended jobs, which are removed in batches. */
 #define VP_COMMITTER_PURGE_INTERVAL_MS 5000
+/* Share of the link that the progress of jobs may use. */
+#define VP_COMMITTER_PROGRESS_SHARE 0.15
+/* Size of a stored value on the wire relative to its own size: it is written as base64 text. */
+#define VP_COMMITTER_WIRE_FACTOR 1.4
+/* Maximum interval between rounds of progress. A longer one would delay HOLDs, which show the ends
+ * of further runs only after those before are durable. */
+#define VP_COMMITTER_ROUND_INTERVAL_MAX_MS 300
 /* Minimum interval between writes of the list of workers: many workers are often added at once, and
  * the list has some KB. */
 #define VP_COMMITTER_WORKER_LIST_INTERVAL_MS 200
 
 struct _VpCommitter {
   VpCommitterDesc desc;
-  VpStoreWrite write;          /* the current commit; its serial is 0 if there is none */
-  GArray *accepted_jobs;       /* uint64_t: jobs whose acceptance the commit includes */
-  GArray *ended_jobs;          /* uint64_t: jobs whose end the commit includes */
-  GArray *included_jobs;       /* uint64_t: all jobs of which the commit includes an entry */
-  bool includes_ends;          /* the commit includes the effects of all ends of runs so far */
+  VpStoreWrite write;      /* the current commit; its serial is 0 if there is none */
+  GArray *accepted_jobs;   /* uint64_t: jobs whose acceptance the commit includes */
+  GArray *ended_jobs;      /* uint64_t: jobs whose end the commit includes */
+  GArray *included_jobs;   /* uint64_t: all jobs of which the commit includes an entry */
+  bool includes_round_end; /* the commit includes the last jobs of the round */
+  bool is_complete;        /* the commit includes everything that has changed */
+  bool is_round_reverted;  /* the last round has to be begun again */
+  bool has_round;          /* a round of progress has begun */
+  int64_t round_next_ms;   /* earliest beginning of the next round */
+  int64_t round_began_ms;
+  size_t round_bytes;          /* size of the values that the round has written */
   bool includes_worker_list;   /* the commit includes the list of workers */
   int64_t worker_list_next_ms; /* earliest time of the next write of the list of workers */
   bool is_in_flight;           /* the commit was sent and not answered yet */
@@ -244,6 +257,61 @@
          && (now_ms >= committer->worker_list_next_ms || committer->is_finishing);
 }
 
+static bool
+_vp_committer_has_progress (const VpCommitter *committer)
+{
+  return !g_queue_is_empty (&vp_cell_jobs (committer->desc.cell)->dirty)
+         || vp_cell_has_unstaged_ends (committer->desc.cell) || committer->is_round_reverted;
+}
+
+static bool
+_vp_committer_is_round_due (const VpCommitter *committer, int64_t now_ms)
+{
+  return _vp_committer_has_progress (committer)
+         && (now_ms >= committer->round_next_ms || committer->is_finishing);
+}
+
+static void
+_vp_committer_begin_round (VpCommitter *committer, int64_t now_ms)
+{
+  committer->has_round = true;
+  committer->is_round_reverted = false;
+  committer->round_began_ms = now_ms;
+  committer->round_bytes = 0;
+  vp_joblist_begin_round (vp_cell_jobs (committer->desc.cell));
+  vp_cell_stage_ends (committer->desc.cell);
+}
+
+/* Returns the time between the beginnings of two rounds if each one has the size of the last. */
+static int64_t
+_vp_committer_round_interval_ms (const VpCommitter *committer)
+{
+  double bytes_per_ms = committer->desc.link_kbps / 8.0 * VP_COMMITTER_PROGRESS_SHARE;
+  double wire_bytes = (double)committer->round_bytes * VP_COMMITTER_WIRE_FACTOR;
+
+  if (committer->desc.link_kbps == 0)
+    return 0;
+  return (int64_t)MIN (wire_bytes / bytes_per_ms, VP_COMMITTER_ROUND_INTERVAL_MAX_MS);
+}
+
+/* Adds jobs to the commit: the urgent ones, and during a round also the others. */
+static void
+_vp_committer_add_jobs (VpCommitter *committer)
+{
+  VpJobList *jobs = vp_cell_jobs (committer->desc.cell);
+  const VpStoreWrite *write = &committer->write;
+  size_t size = 0;
+
+  while (
+      (vp_joblist_has_urgent (jobs) || (committer->has_round && !g_queue_is_empty (&jobs->dirty)))
+      && size < VP_COMMITTER_BYTES_MAX
+      && write->keys->len + write->removed->len + VP_COMMITTER_ENTRIES_PER_JOB
+                 + committer->includes_worker_list
+             <= VP_COMMITTER_ENTRIES_MAX)
+    size += _vp_committer_add_job (committer, vp_joblist_take_dirty (jobs));
+  committer->round_bytes += size;
+}
+
 /* Builds the next commit. */
 static void
 _vp_committer_build (VpCommitter *committer, int64_t now_ms)
@@ -251,7 +319,6 @@
   VpJobList *jobs = vp_cell_jobs (committer->desc.cell);
   VpStoreWrite *write = &committer->write;
   VpElectionRecord record = committer->desc.election->record;
-  size_t size = 0;
 
   vp_store_write_clear (write);
   write->serial = ++committer->last_serial;
@@ -265,23 +332,21 @@
   g_array_set_size (committer->included_jobs, 0);
   _vp_committer_purge_ended (committer, now_ms);
   committer->includes_worker_list = _vp_committer_is_worker_list_due (committer, now_ms);
-  while (!g_queue_is_empty (&jobs->dirty) && size < VP_COMMITTER_BYTES_MAX
-         && write->keys->len + write->removed->len + VP_COMMITTER_ENTRIES_PER_JOB
-                    + committer->includes_worker_list
-                <= VP_COMMITTER_ENTRIES_MAX)
-    size += _vp_committer_add_job (committer, vp_joblist_take_dirty (jobs));
-  /* The ends of runs are included if all jobs that they changed are in this commit or in an earlier
-   * one. */
-  committer->includes_ends = g_queue_is_empty (&jobs->dirty);
-  if (committer->includes_ends)
-    vp_cell_stage_ends (committer->desc.cell);
+  if (!committer->has_round && _vp_committer_is_round_due (committer, now_ms))
+    _vp_committer_begin_round (committer, now_ms);
+  _vp_committer_add_jobs (committer);
+  /* The ends of runs that were staged at the beginning of the round are included if all jobs that
+   * they changed are in this commit or in an earlier one. */
+  committer->includes_round_end = committer->has_round && vp_joblist_is_round_taken (jobs);
+  committer->is_complete
+      = g_queue_is_empty (&jobs->dirty) && !vp_cell_has_unstaged_ends (committer->desc.cell);
   if (committer->includes_worker_list) {
     committer->worker_list_next_ms = now_ms + VP_COMMITTER_WORKER_LIST_INTERVAL_MS;
     _vp_committer_set_key (
         write, g_strdup ("workers"),
-        vp_cell_stage_workers (committer->desc.cell, committer->includes_ends, now_ms));
+        vp_cell_stage_workers (committer->desc.cell, committer->is_complete, now_ms));
   }
-  committer->is_last = committer->is_finishing && committer->includes_ends;
+  committer->is_last = committer->is_finishing && committer->is_complete;
   record.commit++;
   /* A leader that doesn't know what runs on all workers can't declare the stored jobs complete. */
   record.is_clean = committer->is_last && vp_cell_has_complete_state (committer->desc.cell);
@@ -293,15 +358,14 @@
 static bool
 _vp_committer_is_due (const VpCommitter *committer, int64_t now_ms)
 {
-  const VpCell *cell = committer->desc.cell;
-
   if (committer->is_in_flight)
     return committer->copies < VP_COMMITTER_COPIES_MAX
            && now_ms - committer->sent_ms >= VP_COMMITTER_HEDGE_MS;
   if (committer->is_finished || now_ms < committer->next_ms)
     return false;
-  return committer->write.serial != 0 || !g_queue_is_empty (&vp_cell_jobs ((VpCell *)cell)->dirty)
-         || vp_cell_has_unstaged_ends (cell) || committer->is_finishing
+  return committer->write.serial != 0 || committer->is_finishing
+         || vp_joblist_has_urgent (vp_cell_jobs (committer->desc.cell)) || committer->has_round
+         || _vp_committer_is_round_due (committer, now_ms)
          || _vp_committer_is_worker_list_due (committer, now_ms)
          || now_ms - committer->committed_ms >= VP_COMMITTER_HEARTBEAT_MS;
 }
@@ -350,8 +414,12 @@
   }
   g_array_append_vals (durable, committer->accepted_jobs->data, committer->accepted_jobs->len);
   g_array_append_vals (durable, committer->ended_jobs->data, committer->ended_jobs->len);
-  if (committer->includes_ends)
+  if (committer->includes_round_end) {
+    committer->has_round = false;
+    committer->round_next_ms
+        = committer->round_began_ms + _vp_committer_round_interval_ms (committer);
     vp_cell_ends_durable (committer->desc.cell, now_ms);
+  }
   if (committer->includes_worker_list)
     vp_cell_workers_durable (committer->desc.cell, now_ms);
   vp_metrics_add (VP_COUNTER_LEDGER_COMMITS, 1);
@@ -378,12 +446,15 @@
          && record.commit == committer->desc.election->record.commit + 1;
 }
 
-/* Reverts a commit that certainly had no effect. Its jobs go into the next one. */
+/* Reverts a commit that certainly had no effect. Its jobs go into the next one. The round of which
+ * it was a part begins again, since the jobs are marked as changed after its beginning. */
 static void
 _vp_committer_revert (VpCommitter *committer)
 {
   VpJobList *jobs = vp_cell_jobs (committer->desc.cell);
 
+  committer->is_round_reverted = committer->has_round;
+  committer->has_round = false;
   if (committer->includes_worker_list)
     vp_cell_unstage_workers (committer->desc.cell);
   for (guint i = 0; i < committer->included_jobs->len; i++) {
@@ -456,8 +527,9 @@
 {
   if (committer->write.serial == 0)
     return true;
-  for (guint i = 0; i < committer->accepted_jobs->len; i++) {
-    if (g_array_index (committer->accepted_jobs, uint64_t, i) == job)
+  /* A job that was cancelled before its first commit is included with its end only. */
+  for (guint i = 0; i < committer->included_jobs->len; i++) {
+    if (g_array_index (committer->included_jobs, uint64_t, i) == job)
       return false;
   }
   return true;
@@ -484,7 +556,9 @@
                                                        : INT64_MAX;
   if (committer->is_finished)
     return INT64_MAX;
-  return _vp_committer_is_due (committer, committer->next_ms)
-             ? committer->next_ms
-             : MAX (committer->next_ms, committer->committed_ms + VP_COMMITTER_HEARTBEAT_MS);
+  if (_vp_committer_is_due (committer, committer->next_ms))
+    return committer->next_ms;
+  return MAX (committer->next_ms,
+              MIN (committer->committed_ms + VP_COMMITTER_HEARTBEAT_MS,
+                   _vp_committer_has_progress (committer) ? committer->round_next_ms : INT64_MAX));
 }
--- a/src/vp-committer.h
+++ b/src/vp-committer.h
@@ -12,6 +12,12 @@
  * the commit before. So commits take effect in order and once each, and no commit takes effect
  * after another process has claimed the record. A commit without an answer is sent again unchanged
  * until its outcome is known. At most one commit is in flight at a time.
+ *
+ * Load pattern: with many wide jobs each commit would write the progress of most of them again,
+ * some KB each, and fill the link of a small VM. So only what callers wait for, acceptances and
+ * ends of jobs, is written at once. Progress is written in rounds, which begin as often as a share
+ * of the link allows. A round covers the jobs that had changed when it began; its last commit makes
+ * the ends of runs that were known then durable, also while jobs change all the time.
  */
 #pragma once
 
@@ -24,6 +30,7 @@
   VpElection *election; /* borrowed; outlives the committer */
   VpCell *cell;         /* borrowed; outlives the committer */
   int64_t retention_ms; /* how long ended jobs can be queried */
+  uint32_t link_kbps;   /* bandwidth of this VM's link in kbit/s; 0: unknown */
 } VpCommitterDesc;
 
 VpCommitter *vp_committer_setup (const VpCommitterDesc *desc, int64_t now_ms);
--- a/src/vp-joblist.c
+++ b/src/vp-joblist.c
@@ -111,33 +111,73 @@
   return true;
 }
 
+static void
+_vp_joblist_unlink_dirty (VpJobList *list, VpJob *job)
+{
+  if (list->last_urgent_link == job->dirty_link)
+    list->last_urgent_link = job->dirty_link->prev;
+  g_queue_delete_link (&list->dirty, job->dirty_link);
+  job->dirty_link = NULL;
+}
+
 void
 vp_joblist_mark_dirty (VpJobList *list, VpJob *job)
 {
-  if (job->is_dirty)
+  bool is_urgent = !job->is_durable || vp_job_is_ended (job);
+
+  if (job->dirty_link == NULL)
+    job->dirty_round = list->dirty_round;
+  else if (is_urgent && !job->is_dirty_urgent)
+    _vp_joblist_unlink_dirty (list, job);
+  else
     return;
-  job->is_dirty = true;
-  if (job->is_durable) {
+  job->is_dirty_urgent = is_urgent;
+  if (!is_urgent) {
     g_queue_push_tail (&list->dirty, job);
-  } else if (list->last_new_link == NULL) {
+    job->dirty_link = list->dirty.tail;
+    return;
+  }
+  if (list->last_urgent_link == NULL)
     g_queue_push_head (&list->dirty, job);
-    list->last_new_link = list->dirty.head;
-  } else {
-    g_queue_insert_after (&list->dirty, list->last_new_link, job);
-    list->last_new_link = list->last_new_link->next;
+  else
+    g_queue_insert_after (&list->dirty, list->last_urgent_link, job);
+  job->dirty_link = list->last_urgent_link
+      = list->last_urgent_link == NULL ? list->dirty.head : list->last_urgent_link->next;
+}
+
+bool
+vp_joblist_has_urgent (const VpJobList *list)
+{
+  return list->last_urgent_link != NULL;
+}
+
+void
+vp_joblist_begin_round (VpJobList *list)
+{
+  list->dirty_round++;
+}
+
+bool
+vp_joblist_is_round_taken (const VpJobList *list)
+{
+  const GList *first
+      = list->last_urgent_link == NULL ? list->dirty.head : list->last_urgent_link->next;
+
+  for (const GList *link = list->dirty.head; link != first; link = link->next) {
+    if (((const VpJob *)link->data)->dirty_round < list->dirty_round)
+      return false;
   }
+  /* Jobs that aren't urgent are in the order in which they were added. */
+  return first == NULL || ((const VpJob *)first->data)->dirty_round >= list->dirty_round;
 }
 
 VpJob *
 vp_joblist_take_dirty (VpJobList *list)
 {
-  VpJob *job;
+  VpJob *job = g_queue_peek_head (&list->dirty);
 
-  if (list->last_new_link == list->dirty.head)
-    list->last_new_link = NULL;
-  job = g_queue_pop_head (&list->dirty);
   if (job != NULL)
-    job->is_dirty = false;
+    _vp_joblist_unlink_dirty (list, job);
   return job;
 }
 
@@ -289,12 +329,8 @@
 void
 vp_joblist_remove (VpJobList *list, VpJob *job)
 {
-  if (job->is_dirty) {
-    GList *link = g_queue_find (&list->dirty, job);
-    if (list->last_new_link == link)
-      list->last_new_link = link->prev;
-    g_queue_delete_link (&list->dirty, link);
-  }
+  if (job->dirty_link != NULL)
+    _vp_joblist_unlink_dirty (list, job);
   _vp_job_remove_ready_steps (list, job);
   g_ptr_array_remove_fast (list->scheduled_jobs, job);
   if (!vp_job_is_ended (job)) {
--- a/src/vp-joblist.h
+++ b/src/vp-joblist.h
@@ -125,7 +125,9 @@
   bool is_end_durable;     /* the end of the job is stored, so that callers may see it */
   bool is_started;         /* a task was started at least once */
   bool is_progress_stored; /* progress of the job is stored */
-  bool is_dirty;           /* the job is in @dirty of its list */
+  GList *dirty_link;       /* its link in @dirty of its list; NULL: none */
+  bool is_dirty_urgent;    /* it is among the urgent jobs in @dirty */
+  uint64_t dirty_round;    /* round of the list in which it was added to @dirty */
   uint32_t assigned_count; /* tasks that are assigned to a worker */
   VpJobOccurrence *occurrences;
   uint32_t done_count;      /* occurrences that are done */
@@ -145,8 +147,9 @@
   GHashTable *jobs;          /* id -> VpJob */
   GPtrArray *ready_steps;    /* VpJobStep that are ready but not done, of jobs that haven't ended */
   GPtrArray *scheduled_jobs; /* VpJob with occurrences that aren't due yet */
-  GQueue dirty;              /* VpJob: jobs that aren't durable come first, as their callers wait */
-  GList *last_new_link;      /* link in @dirty of the last job that isn't durable; NULL: none */
+  GQueue dirty;              /* VpJob whose stored state is out of date: urgent jobs come first */
+  GList *last_urgent_link;   /* link in @dirty of the last urgent job; NULL: none */
+  uint64_t dirty_round;      /* see vp_joblist_begin_round() */
   GHashTable *teams;         /* name -> VpTeamUsage */
   uint32_t unfinished_count; /* number of jobs that haven't ended */
 } VpJobList;
@@ -180,9 +183,16 @@
 bool vp_teamusage_take_job_token (VpTeamUsage *usage, double weight, int64_t now_ms);
 /* Notes that the stored state of the job is out of date. */
 void vp_joblist_mark_dirty (VpJobList *list, VpJob *job);
-/* Returns the job that has to be stored next and removes it from @dirty: jobs that aren't durable
- * first, then the one that has waited longest; NULL: none. */
+/* Returns the job that has to be stored next and removes it from @dirty: urgent jobs first, then
+ * the one that has waited longest; NULL: none. Urgent are jobs whose acceptance or end isn't
+ * durable, as callers wait for that. */
 VpJob *vp_joblist_take_dirty (VpJobList *list);
+bool vp_joblist_has_urgent (const VpJobList *list);
+/* Begins a round of storing all jobs that are in @dirty now. Jobs that are added later don't belong
+ * to it, so that the round ends even if jobs change all the time. */
+void vp_joblist_begin_round (VpJobList *list);
+/* Returns true if all jobs of the round have been taken out of @dirty. */
+bool vp_joblist_is_round_taken (const VpJobList *list);
 /* Ends the job as cancelled and returns true, or returns false if it has ended before. The caller
  * stops its running tasks. */
 bool vp_joblist_cancel (VpJobList *list, VpJob *job, int64_t now_ms);
--- a/src/vp-node.c
+++ b/src/vp-node.c
@@ -555,6 +555,7 @@
   node->committer
       = vp_committer_setup (&(VpCommitterDesc){ .election = &node->election,
                                                 .cell = node->cell,
+                                                .link_kbps = node->desc.link_kbps,
                                                 .retention_ms = node->desc.retention_ms },
                             now_ms);
   node->service = vp_jobservice_setup (node->cell, node->committer, node->election.term);
--- a/src/vp-node.h
+++ b/src/vp-node.h
@@ -22,6 +22,7 @@
   const char *dc;      /* DC of this VM; NULL: unknown */
   uint32_t cpu_milli;  /* CPU share of this VM, in thousandths of a core; the strongest VM in reach
                           leads */
+  uint32_t link_kbps;  /* bandwidth of this VM's link in kbit/s; 0: unknown */
   int64_t hold_max_ms; /* longest lease that workers accept */
   int64_t relist_ms; /* time after an outage of the store until all live workers are listed again */
   int64_t retention_ms; /* how long callers can query a job after its end */
--- a/src/vp-place.c
+++ b/src/vp-place.c
@@ -49,7 +49,6 @@
       continue;
     slot.free = vp_workerlist_free_capacity (slot.worker);
     slot.worker->slot_index = pool->slots->len;
-    vp_resources_add (&pool->spare, &slot.free);
     pool->largest = vp_resources_max (&pool->largest, &slot.free);
     pool->capacity_max = vp_resources_max (&pool->capacity_max, &slot.worker->entry.capacity);
     g_array_append_val (pool->slots, slot);
@@ -65,11 +64,9 @@
 }
 
 void
-vp_place_slot_update (VpPlacePool *pool, VpPlaceSlot *slot)
+vp_place_slot_update (VpPlaceSlot *slot)
 {
-  vp_resources_sub (&pool->spare, &slot->free);
   slot->free = vp_workerlist_free_capacity (slot->worker);
-  vp_resources_add (&pool->spare, &slot->free);
 }
 
 /* Returns true if the row has a ticket that will still be valid when a start arrives at the worker.
@@ -552,10 +549,13 @@
 }
 
 bool
-vp_place_has_spare (const VpPlacePool *pool, const VpJobStep *step)
+vp_place_has_spare (VpPlacePool *pool, const VpJobStep *step)
 {
   VpResources demand = _vp_place_demand (step);
 
+  for (guint i = 0; !pool->has_spare && i < pool->slots->len; i++)
+    vp_resources_add (&pool->spare, &g_array_index (pool->slots, VpPlaceSlot, i).free);
+  pool->has_spare = true;
   return vp_resources_fits (&demand, &pool->spare);
 }
 
--- a/src/vp-place.h
+++ b/src/vp-place.h
@@ -3,7 +3,7 @@
  *   VpPlacePool *pool = vp_place_pool_new (worker_list, "service", now_ms);   // for one decision
  *   VpPlaceSlot *slot = vp_place_pick (pool, task, queue, now_ms);            // NULL: none fits
  *   ... assign the task to slot->worker ...
- *   vp_place_slot_update (pool, slot);
+ *   vp_place_slot_update (slot);
  *   if (vp_place_gang (pool, step, queue, now_ms, slots))                // one slot for each task
  *     ...
  *   vp_place_candidates (pool, step, queue, rate, reservations, now_ms, candidates); // to request
@@ -28,6 +28,7 @@
   char service[VP_NAME_MAX];
   GArray *slots;                   /* VpPlaceSlot */
   VpResources spare;               /* free capacity of all workers, less reservations */
+  bool has_spare;                  /* @spare has been computed */
   VpResources largest;             /* at least what any one worker has free and not reserved */
   VpResources capacity_max;        /* the largest capacity of any worker */
   uint32_t busy_reservation_count; /* wide tasks that wait for a busy worker */
@@ -42,7 +43,7 @@
 vp_place_pool_new (const VpWorkerList *worker_list, const char *service, int64_t now_ms);
 void vp_place_pool_free (VpPlacePool *pool);
 /* Updates the free capacity of the slot after a task was assigned to its worker. */
-void vp_place_slot_update (VpPlacePool *pool, VpPlaceSlot *slot);
+void vp_place_slot_update (VpPlaceSlot *slot);
 
 /* Reserves capacity for the waiting tasks of a step that can't start now, so that steps which are
  * placed later in this decision don't use it. Wide tasks reserve it on workers: free capacity that
@@ -53,9 +54,10 @@
                        const VpJobStep *step,
                        const VpQueueConfig *queue,
                        int64_t now_ms);
-/* Returns true if a task of the step fits into the sum of the capacity that is free and not
- * reserved, so that a request for advice may be of use. */
-bool vp_place_has_spare (const VpPlacePool *pool, const VpJobStep *step);
+/* Returns true if a task of the step fits into the sum of the capacity that was free at the first
+ * call in this decision and isn't reserved, so that a request for advice may be of use. Later
+ * placements don't count, since capacity will be free again when the answer arrives. */
+bool vp_place_has_spare (VpPlacePool *pool, const VpJobStep *step);
 /* Returns the best worker for a waiting task, or NULL. Free capacity, label, limit per worker and
  * advice must allow the task there, and it must not have failed there a short time ago. */
 VpPlaceSlot *vp_place_pick (const VpPlacePool *pool,
--- /dev/null
+++ b/tests/test-committer.c
@@ -0,0 +1,198 @@
+/* Group commits under load: what callers wait for is written at once, progress in rounds. */
+#include "cell-fixture.h"
+#include "vp-committer.h"
+
+#define LINK_KBPS 2000
+
+typedef struct {
+  Fixture cell;
+  VpElection election;
+  VpCommitter *committer;
+  VpNodeEffects effects;
+  size_t progress_bytes; /* size of all progress values that were written */
+  uint32_t progress_writes;
+} CommitFixture;
+
+static void
+_setup_committer (CommitFixture *fixture, uint32_t link_kbps)
+{
+  memset (fixture, 0, sizeof *fixture);
+  _setup (&fixture->cell, 8, false);
+  _sync (&fixture->cell);
+  vp_election_setup (&fixture->election, "node", 125, fixture->cell.now_ms);
+  fixture->committer = vp_committer_setup (&(VpCommitterDesc){ .election = &fixture->election,
+                                                               .cell = fixture->cell.cell,
+                                                               .retention_ms = 120000,
+                                                               .link_kbps = link_kbps },
+                                           fixture->cell.now_ms);
+}
+
+static void
+_teardown_committer (CommitFixture *fixture)
+{
+  vp_committer_shutdown (fixture->committer);
+  vp_node_effects_free (&fixture->effects);
+  _teardown (&fixture->cell);
+}
+
+/* Builds the commit that is due now and returns it, or NULL. It isn't answered yet. */
+static const VpStoreWrite *
+_commit (CommitFixture *fixture)
+{
+  vp_node_effects_clear (&fixture->effects);
+  vp_committer_step (fixture->committer, fixture->cell.now_ms, &fixture->effects);
+  return fixture->effects.count == 0 ? NULL : &fixture->effects.items[0].write;
+}
+
+static bool
+_has_key (const VpStoreWrite *write, const char *prefix)
+{
+  for (guint i = 0; i < write->keys->len; i++) {
+    if (g_str_has_prefix (write->keys->pdata[i], prefix))
+      return true;
+  }
+  return false;
+}
+
+static void
+_finish_commit (CommitFixture *fixture, VpWriteOutcome outcome)
+{
+  g_autoptr (GArray) durable = g_array_new (FALSE, FALSE, sizeof (uint64_t));
+  const VpStoreWrite *write = &fixture->effects.items[0].write;
+  VpStoreWriteResult result
+      = { .serial = write->serial, .outcome = outcome, .revision = write->record_revision + 1 };
+
+  for (guint i = 0; i < write->keys->len; i++) {
+    if (!g_str_has_prefix (write->keys->pdata[i], "progress"))
+      continue;
+    fixture->progress_bytes += g_bytes_get_size (write->values->pdata[i]);
+    fixture->progress_writes++;
+  }
+  g_assert_true (vp_committer_handle_write_result (fixture->committer, &result, durable,
+                                                   fixture->cell.now_ms));
+}
+
+/* Lets @duration_ms pass with a commit whenever one is due. The progress of all jobs changes every
+ * 10 ms. */
+static void
+_run_changes (CommitFixture *fixture, int64_t duration_ms)
+{
+  VpJobList *jobs = vp_cell_jobs (fixture->cell.cell);
+
+  for (int64_t end_ms = fixture->cell.now_ms + duration_ms; fixture->cell.now_ms < end_ms;
+       fixture->cell.now_ms += 10) {
+    for (uint64_t id = 1; id <= fixture->cell.last_job; id++)
+      vp_joblist_mark_dirty (jobs, vp_joblist_find (jobs, id));
+    if (_commit (fixture) != NULL)
+      _finish_commit (fixture, VP_WRITE_OK);
+  }
+}
+
+/* Adds @count durable jobs of which one task each has started. */
+static void
+_add_started_jobs (CommitFixture *fixture, uint32_t count)
+{
+  for (uint32_t i = 0; i < count; i++)
+    _submit (&fixture->cell, 100, 1);
+  _decide (&fixture->cell);
+}
+
+/* Guards against progress that fills the link of a small VM: it has a share of the link. */
+static void
+test_progress_share (void)
+{
+  CommitFixture fixture;
+
+  _setup_committer (&fixture, LINK_KBPS);
+  _add_started_jobs (&fixture, 20);
+  _run_changes (&fixture, 5000);
+  g_assert_cmpuint (fixture.progress_writes, >, 0);
+  /* A fifth of the link over 5 s, as base64 text. */
+  g_assert_cmpuint (fixture.progress_bytes * 4 / 3, <=, 5 * LINK_KBPS * 1000 / 8 / 5);
+  _teardown_committer (&fixture);
+}
+
+/* A job that callers wait for doesn't wait for the next round of progress. */
+static void
+test_new_job_at_once (void)
+{
+  CommitFixture fixture;
+  VpJob *job;
+
+  _setup_committer (&fixture, LINK_KBPS);
+  _add_started_jobs (&fixture, 20);
+  _run_changes (&fixture, 2000);
+  job = _submit (&fixture.cell, 1, 1000);
+  job->is_durable = false;
+  vp_joblist_mark_dirty (vp_cell_jobs (fixture.cell.cell), job);
+  fixture.cell.now_ms += 30;
+  g_assert_true (_has_key (_commit (&fixture), "job/"));
+  _teardown_committer (&fixture);
+}
+
+/* Guards against ends that are never acknowledged since some job always has changes to store. */
+static void
+test_ends_become_durable (void)
+{
+  CommitFixture fixture;
+  VpCellWorker *worker;
+
+  _setup_committer (&fixture, 0);
+  _add_started_jobs (&fixture, 100);
+  worker = vp_workerlist_find (vp_cell_workers (fixture.cell.cell), "w0");
+  worker->last_end_seen = 7;
+  _run_changes (&fixture, 2000);
+  g_assert_cmpuint (worker->last_end_durable, ==, 7);
+  _teardown_committer (&fixture);
+}
+
+/* Ends aren't durable after a commit that had no effect. */
+static void
+test_reverted_round (void)
+{
+  CommitFixture fixture;
+  VpCellWorker *worker;
+
+  _setup_committer (&fixture, 0);
+  _add_started_jobs (&fixture, 1);
+  worker = vp_workerlist_find (vp_cell_workers (fixture.cell.cell), "w0");
+  worker->last_end_seen = 7;
+  g_assert_nonnull (_commit (&fixture));
+  _finish_commit (&fixture, VP_WRITE_UNAVAILABLE);
+  g_assert_cmpuint (worker->last_end_durable, ==, 0);
+  fixture.cell.now_ms += 100;
+  g_assert_true (_has_key (_commit (&fixture), "progress/"));
+  _finish_commit (&fixture, VP_WRITE_OK);
+  g_assert_cmpuint (worker->last_end_durable, ==, 7);
+  _teardown_committer (&fixture);
+}
+
+/* Guards against a false "not run": the end of a job that was cancelled before its first commit is
+ * in flight. */
+static void
+test_cancelled_job_in_flight (void)
+{
+  CommitFixture fixture;
+  VpJob *job;
+
+  _setup_committer (&fixture, 0);
+  job = _submit (&fixture.cell, 1, 1000);
+  job->is_durable = false;
+  vp_cell_cancel (fixture.cell.cell, job->spec->id, fixture.cell.now_ms);
+  g_assert_true (vp_committer_is_unsent (fixture.committer, job->spec->id));
+  g_assert_true (_has_key (_commit (&fixture), "ended/"));
+  g_assert_false (vp_committer_is_unsent (fixture.committer, job->spec->id));
+  _teardown_committer (&fixture);
+}
+
+int
+main (int argc, char **argv)
+{
+  g_test_init (&argc, &argv, NULL);
+  g_test_add_func ("/committer/progress-share", test_progress_share);
+  g_test_add_func ("/committer/new-job-at-once", test_new_job_at_once);
+  g_test_add_func ("/committer/ends-become-durable", test_ends_become_durable);
+  g_test_add_func ("/committer/reverted-round", test_reverted_round);
+  g_test_add_func ("/committer/cancelled-job-in-flight", test_cancelled_job_in_flight);
+  return g_test_run ();
+}
