Send the text of a job to each relay once, and use fewer relays

Starts were repeated after 120 ms and commits after 400 ms because the link was full, which filled it further (809 repeats).

Change: relays keep texts for 30 s after their last use, and the leader sends them again after 20 s; a relay that lacks one says that the run wasn't started. A DC has as many relays as its workers need, the strongest first. Commands wait up to 8 ms for others of their batch. Starts are repeated after four times the usual time until an answer, commits likewise.

--- a/src/vp-cell-private.h
+++ b/src/vp-cell-private.h
@@ -22,6 +22,7 @@
   int64_t started_ms;
   int64_t scan_next_ms;           /* time of the next scan; 0: at the next decision */
   int64_t commands_until_ms;      /* no lease is renewed and no task started after this time */
+  double start_answer_ms;         /* moving average of the time until a start is answered */
   bool is_fenced;                 /* a worker has seen a higher fencing token */
   bool is_paused;                 /* no tasks are placed, before a handover */
   bool has_platform_list;         /* the platform's list of workers has been read once */
--- a/src/vp-cell-scan.c
+++ b/src/vp-cell-scan.c
@@ -6,6 +6,9 @@
 /* Delay before a start without an answer is repeated. Workers answer within some milliseconds,
  * while the transport gives up only after a second. */
 #define VP_CELL_START_HEDGE_MS 120
+/* The delay is at least this many times the usual time until a start is answered, so that slow
+ * answers on a full link don't cause repeated starts. */
+#define VP_CELL_START_HEDGE_FACTOR 4
 /* No other tasks are placed for this long on a worker that is slow to answer a start, as it may be
  * partitioned. */
 #define VP_CELL_SLOW_ANSWER_MS 300
@@ -61,6 +64,13 @@
                                                                           : VP_STOP_NONE;
 }
 
+static int64_t
+_vp_cell_start_hedge_ms (const VpCell *cell)
+{
+  return MAX (VP_CELL_START_HEDGE_MS,
+              (int64_t)(cell->start_answer_ms * VP_CELL_START_HEDGE_FACTOR));
+}
+
 static void
 _vp_cell_scan_task (VpCell *cell, VpJobTask *task, int64_t now_ms, GArray *effects)
 {
@@ -87,7 +97,7 @@
     return;
   if (!task->is_unanswered) {
     if (task->start_tries < VP_CELL_START_TRIES
-        && now_ms - task->start_sent_ms > VP_CELL_START_HEDGE_MS * task->start_tries) {
+        && now_ms - task->start_sent_ms > _vp_cell_start_hedge_ms (cell) * task->start_tries) {
       bool is_dc_unreachable
           = vp_workerlist_dc_answer_ms (cell->worker_list, task->worker) < task->started_ms;
       vp_runlog_add (&cell->reconcile.log, "start-retry",
--- a/src/vp-cell.c
+++ b/src/vp-cell.c
@@ -24,6 +24,8 @@
 #define VP_CELL_INVALID_MS 2000
 /* Delay before a gang that didn't fit is tried again. */
 #define VP_CELL_GANG_RETRY_MS 50
+/* Weight of each answer in the moving average of the time until a start is answered. */
+#define VP_CELL_START_ANSWER_WEIGHT 0.05
 /* Added to the run number of a task that an earlier scheduler may have started. That scheduler has
  * sent starts for fewer runs of one task than this without storing them, as it commits several
  * times a second. */
@@ -286,6 +288,9 @@
   case VP_COMMAND_SUPERSEDED:
     task->phase = VP_PHASE_RUNNING;
     task->confirmed_ms = result->received_ms;
+    cell->start_answer_ms
+        += VP_CELL_START_ANSWER_WEIGHT
+           * ((double)(result->received_ms - task->started_ms) - cell->start_answer_ms);
     break;
   case VP_COMMAND_UNCERTAIN:
     /* The next scan repeats the start or stops the run. */
--- a/src/vp-committer.c
+++ b/src/vp-committer.c
@@ -14,6 +14,11 @@
  * makes sure that it takes effect once. Slow stores answer earlier than this, and the time-out of a
  * call is longer. */
 #define VP_COMMITTER_HEDGE_MS 400
+/* The time is at least this many times the usual time until a commit is answered. On a full link a
+ * second copy would only add to the load. */
+#define VP_COMMITTER_HEDGE_FACTOR 4
+/* Weight of each answer in the moving average of that time. */
+#define VP_COMMITTER_ANSWER_WEIGHT 0.1
 /* Maximum number of copies of one commit that are in flight. */
 #define VP_COMMITTER_COPIES_MAX 3
 /* Maximum number of entries in a commit besides the condition and the leader record. The platform
@@ -64,6 +69,7 @@
   bool is_failing;             /* the last commit was not answered or failed */
   bool is_finishing;           /* the term ends with the next complete commit */
   bool is_finished;            /* the last commit has succeeded */
+  double answer_ms;            /* moving average of the time until a commit succeeds */
   uint64_t last_serial;
   int64_t next_ms;      /* earliest time of the next commit */
   int64_t committed_ms; /* time of the last successful commit */
@@ -354,13 +360,19 @@
   committer->is_uncertain = false;
 }
 
+static int64_t
+_vp_committer_hedge_ms (const VpCommitter *committer)
+{
+  return MAX (VP_COMMITTER_HEDGE_MS, (int64_t)(committer->answer_ms * VP_COMMITTER_HEDGE_FACTOR));
+}
+
 /* Returns true if a new commit, or another copy of the current one, is to be sent now. */
 static bool
 _vp_committer_is_due (const VpCommitter *committer, int64_t now_ms)
 {
   if (committer->is_in_flight)
     return committer->copies < VP_COMMITTER_COPIES_MAX
-           && now_ms - committer->sent_ms >= VP_COMMITTER_HEDGE_MS;
+           && now_ms - committer->sent_ms >= _vp_committer_hedge_ms (committer);
   if (committer->is_finished || now_ms < committer->next_ms)
     return false;
   return committer->write.serial != 0 || committer->is_finishing
@@ -426,6 +438,8 @@
   if (committer->is_failing)
     vp_log (now_ms, "commits-resumed", "after_ms=%" G_GINT64_FORMAT,
             now_ms - committer->committed_ms);
+  committer->answer_ms += VP_COMMITTER_ANSWER_WEIGHT
+                          * ((double)(now_ms - committer->built_ms) - committer->answer_ms);
   committer->is_failing = false;
   committer->is_finished = committer->is_last;
   committer->write.serial = 0;
@@ -552,8 +566,9 @@
 {
   (void)now_ms;
   if (committer->is_in_flight)
-    return committer->copies < VP_COMMITTER_COPIES_MAX ? committer->sent_ms + VP_COMMITTER_HEDGE_MS
-                                                       : INT64_MAX;
+    return committer->copies < VP_COMMITTER_COPIES_MAX
+               ? committer->sent_ms + _vp_committer_hedge_ms (committer)
+               : INT64_MAX;
   if (committer->is_finished)
     return INT64_MAX;
   if (_vp_committer_is_due (committer, committer->next_ms))
--- a/src/vp-node.c
+++ b/src/vp-node.c
@@ -70,7 +70,7 @@
   bool is_closing; /* requests that can't be finished are rejected at once */
   bool is_exiting;
   int64_t stop_began_ms;
-  VpRelayResults relay_results; /* of commands that this process has sent for the leader */
+  VpRelayAgent relay_agent; /* for commands that this process sends for the leader */
   /* The following members are set only while this process leads. */
   VpCell *cell;
   VpCommitter *committer;
@@ -121,10 +121,7 @@
 void
 vp_node_shutdown (VpNode *node)
 {
-  VpRelayMessage results;
-
-  if (vp_relay_results_take (&node->relay_results, &results))
-    g_variant_unref (g_variant_ref_sink (results.message.body));
+  vp_relay_agent_clear (&node->relay_agent);
   _vp_node_free_cell (node);
   vp_frontend_shutdown (node->frontend);
   g_hash_table_unref (node->members);
@@ -454,17 +451,37 @@
   _vp_node_send (node, out->to, &out->message, effects);
 }
 
+/* Collects a result for the leader that gave the command. */
+static void
+_vp_node_add_relay_result (VpNode *node,
+                           const VpCommandResult *result,
+                           int64_t now_ms,
+                           VpNodeEffects *effects)
+{
+  VpRelayMessage full;
+
+  vp_relay_agent_add_result (&node->relay_agent, result, now_ms, &full);
+  if (full.to[0] != '\0')
+    _vp_node_send_relay_message (node, &full, effects);
+}
+
 /* Sends the commands in a leader's message to the workers. */
 static void
-_vp_node_handle_commands (const VpNodeMsg *message, int64_t now_ms, VpNodeEffects *effects)
+_vp_node_handle_commands (VpNode *node,
+                          const VpNodeMsg *message,
+                          int64_t now_ms,
+                          VpNodeEffects *effects)
 {
   g_autoptr (GArray) commands = g_array_new (FALSE, FALSE, sizeof (VpCommand));
+  g_autoptr (GArray) results = g_array_new (FALSE, FALSE, sizeof (VpCommandResult));
 
-  if (!vp_relay_decode_commands (message, commands))
+  if (!vp_relay_agent_handle_commands (&node->relay_agent, message, now_ms, commands, results))
     vp_log (now_ms, "commands-malformed", "from=%s", message->from);
   for (guint i = 0; i < commands->len; i++)
     vp_node_effects_add (effects, VP_NODE_EFFECT_COMMAND)->command
         = g_array_index (commands, VpCommand, i);
+  for (guint i = 0; i < results->len; i++)
+    _vp_node_add_relay_result (node, &g_array_index (results, VpCommandResult, i), now_ms, effects);
 }
 
 static void
@@ -473,16 +490,10 @@
                                 int64_t now_ms,
                                 VpNodeEffects *effects)
 {
-  VpRelayMessage full;
-
-  if (result->requester[0] == '\0') {
-    if (node->cell != NULL)
-      vp_cell_command_result (node->cell, result, now_ms);
-    return;
-  }
-  vp_relay_results_add (&node->relay_results, result, now_ms, &full);
-  if (full.to[0] != '\0')
-    _vp_node_send_relay_message (node, &full, effects);
+  if (result->requester[0] != '\0')
+    _vp_node_add_relay_result (node, result, now_ms, effects);
+  else if (node->cell != NULL)
+    vp_cell_command_result (node->cell, result, now_ms);
 }
 
 /* Passes results that came from relays to the scheduler and frees them. */
@@ -513,8 +524,8 @@
 {
   VpRelayMessage out;
 
-  if (now_ms >= vp_relay_results_due_ms (&node->relay_results)
-      && vp_relay_results_take (&node->relay_results, &out))
+  if (now_ms >= vp_relay_agent_due_ms (&node->relay_agent)
+      && vp_relay_agent_take (&node->relay_agent, &out))
     _vp_node_send_relay_message (node, &out, effects);
 }
 
@@ -530,11 +541,11 @@
 }
 
 static void
-_vp_node_send_relay_batches (VpNode *node, VpNodeEffects *effects)
+_vp_node_send_relay_batches (VpNode *node, int64_t now_ms, VpNodeEffects *effects)
 {
   g_autoptr (GArray) messages = g_array_new (FALSE, FALSE, sizeof (VpRelayMessage));
 
-  vp_relay_flush (node->relay, messages);
+  vp_relay_flush (node->relay, now_ms, messages);
   for (guint i = 0; i < messages->len; i++)
     _vp_node_send_relay_message (node, &g_array_index (messages, VpRelayMessage, i), effects);
 }
@@ -751,7 +762,7 @@
     _vp_node_decode_config (node, message, effects);
     break;
   case VP_NODEMSG_COMMANDS:
-    _vp_node_handle_commands (message, now_ms, effects);
+    _vp_node_handle_commands (node, message, now_ms, effects);
     break;
   case VP_NODEMSG_RESULTS:
     _vp_node_handle_relayed_results (node, message, now_ms);
@@ -899,7 +910,7 @@
     _vp_node_dispatch_advice_request (node, &effect->advice_request, now_ms, effects);
     vp_cell_effect_clear (effect);
   }
-  _vp_node_send_relay_batches (node, effects);
+  _vp_node_send_relay_batches (node, now_ms, effects);
 }
 
 /* Asks the best successor to take over and steps down, once the last commit is done or has taken
@@ -1110,7 +1121,7 @@
 {
   int64_t next_ms = MIN (node->ping_next_ms, vp_frontend_next_ms (node->frontend));
 
-  next_ms = MIN (next_ms, vp_relay_results_due_ms (&node->relay_results));
+  next_ms = MIN (next_ms, vp_relay_agent_due_ms (&node->relay_agent));
   if (node->config != NULL)
     next_ms = MIN (next_ms, vp_election_next_ms (&node->election, now_ms));
   if (node->is_stopping)
--- a/src/vp-relay.c
+++ b/src/vp-relay.c
@@ -19,6 +19,16 @@
 #define VP_RELAY_AVOID_MS 2000
 /* Interval at which outstanding results are checked. */
 #define VP_RELAY_CHECK_MS 100
+/* Time that the first command of a batch waits for others. */
+#define VP_RELAY_BATCH_DELAY_MS 8
+/* A relay has restarted if its start time changes by more than this. */
+#define VP_RELAY_RESTART_MS 300
+/* A leader relies on a relay to have the text of a job for this long after its last use. */
+#define VP_RELAY_TEXT_KNOWN_MS 20000
+/* A relay keeps the text of a job for this long after its last use. */
+#define VP_RELAY_TEXT_KEPT_MS 30000
+/* Interval between removals of old texts. */
+#define VP_RELAY_TEXT_PURGE_MS 5000
 /* Maximum number of results in a batch, and the time that the first one waits for others. */
 #define VP_RELAY_RESULTS_MAX      64
 #define VP_RELAY_RESULTS_DELAY_MS 15
@@ -31,7 +41,9 @@
 #define VP_RELAY_RESULT_TYPE   "(uybxxa" VP_RELAY_RUNNING_TYPE "a" VP_RELAY_ENDED_TYPE ")"
 #define VP_RELAY_RESULTS_TYPE  "a" VP_RELAY_RESULT_TYPE
 
-#define VP_RELAY_NO_TEXT G_MAXUINT32
+/* Values in place of the index of a text: the command has none, or the relay knows it. */
+#define VP_RELAY_NO_TEXT    G_MAXUINT32
+#define VP_RELAY_KNOWN_TEXT (G_MAXUINT32 - 1)
 
 /* A process that sends commands, and the batch that is being built for it. */
 typedef struct {
@@ -43,13 +55,24 @@
   int64_t avoid_until_ms; /* it gets no commands before this time */
   uint32_t pending_count; /* commands without a result */
   GHashTable *workers;    /* identity of a worker in the batch -> index + 1 */
-  GHashTable *texts;      /* job -> index of its text in the batch + 1 */
+  GHashTable *texts;      /* job -> VpRelayText: texts that it has or that are in the batch */
+  guint text_count;       /* texts in the batch */
+  int64_t started_ms;     /* start time of the process */
+  int64_t batch_began_ms; /* time of the first command in the batch */
   GVariantBuilder worker_builder;
   GVariantBuilder text_builder;
   GVariantBuilder command_builder;
+  uint64_t batch; /* number of the batch that is being built */
   uint32_t batch_count;
 } VpRelayProcess;
 
+/* A text that the relay has. */
+typedef struct {
+  uint64_t batch;  /* batch that included it */
+  guint index;     /* its index in that batch */
+  int64_t used_ms; /* time of the last command that needed it */
+} VpRelayText;
+
 /* A command without a result. */
 typedef struct {
   VpCommandResult result; /* the result if none arrives */
@@ -71,7 +94,8 @@
 _vp_relay_begin_batch (VpRelayProcess *process)
 {
   g_hash_table_remove_all (process->workers);
-  g_hash_table_remove_all (process->texts);
+  process->batch++;
+  process->text_count = 0;
   g_variant_builder_init (&process->worker_builder, G_VARIANT_TYPE ("a(ss)"));
   g_variant_builder_init (&process->text_builder, G_VARIANT_TYPE ("as"));
   g_variant_builder_init (&process->command_builder, G_VARIANT_TYPE ("a" VP_RELAY_COMMAND_TYPE));
@@ -125,12 +149,16 @@
     process = g_new0 (VpRelayProcess, 1);
     g_strlcpy (process->name, member->name, sizeof process->name);
     process->workers = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
-    process->texts = g_hash_table_new_full (g_int64_hash, g_int64_equal, g_free, NULL);
+    process->texts = g_hash_table_new_full (g_int64_hash, g_int64_equal, g_free, g_free);
     _vp_relay_begin_batch (process);
     g_hash_table_insert (relay->processes, process->name, process);
   }
   g_strlcpy (process->dc, member->dc, sizeof process->dc);
   process->cpu_milli = member->cpu_milli;
+  /* The start time is computed from the age in a ping, whose delay varies. */
+  if (ABS (member->started_ms - process->started_ms) > VP_RELAY_RESTART_MS)
+    g_hash_table_remove_all (process->texts);
+  process->started_ms = member->started_ms;
   return process;
 }
 
@@ -147,23 +175,17 @@
   return hash ^ hash >> 16;
 }
 
-/* Returns the process for the worker among those in @processes that are in @dc (NULL: in any) and
- * have at least @cpu_milli. Rendezvous hashing keeps most choices when processes come and go. */
+/* Returns the process for the worker, or NULL. Rendezvous hashing keeps most choices when processes
+ * come and go. */
 static VpRelayProcess *
-_vp_relay_choose (const GPtrArray *processes,
-                  const char *dc,
-                  uint32_t cpu_milli,
-                  const VpCellWorker *worker)
+_vp_relay_choose (const GPtrArray *processes, const VpCellWorker *worker)
 {
   VpRelayProcess *best = NULL;
   guint best_hash = 0;
 
   for (guint i = 0; i < processes->len; i++) {
     VpRelayProcess *process = processes->pdata[i];
-    guint hash;
-    if ((dc != NULL && strcmp (process->dc, dc) != 0) || process->cpu_milli < cpu_milli)
-      continue;
-    hash = _vp_relay_pair_hash (process->name, worker->entry.id);
+    guint hash = _vp_relay_pair_hash (process->name, worker->entry.id);
     if (best == NULL || hash > best_hash) {
       best = process;
       best_hash = hash;
@@ -172,12 +194,21 @@
   return best;
 }
 
-/* The workers of a DC, and the strength from which on processes are relays for them. */
+/* The workers of a DC and the processes that are relays for them. */
 typedef struct {
   uint32_t worker_count;
-  uint32_t cpu_milli_min;
+  GPtrArray *processes; /* VpRelayProcess */
 } VpRelayDc;
 
+static void
+_vp_relay_dc_free (gpointer data)
+{
+  VpRelayDc *dc = data;
+
+  g_ptr_array_unref (dc->processes);
+  g_free (dc);
+}
+
 static gint
 _vp_relay_compare_strength (gconstpointer a, gconstpointer b)
 {
@@ -189,23 +220,24 @@
                                            : 1;
 }
 
-/* Sets the strength that the relays of the DC need, so that together they can call its workers.
- * @processes are sorted by strength. */
+/* Chooses the relays of a DC: the strongest processes, and no more than its workers need. Each one
+ * needs the texts of most jobs, so more of them would use more of the leader's link. If the DC has
+ * no usable process, processes of other DCs are taken. @processes are sorted by strength. */
 static void
-_vp_relay_select_strength (const GPtrArray *processes, const char *name, VpRelayDc *dc)
+_vp_relay_select (const GPtrArray *processes, const char *name, VpRelayDc *dc)
 {
   uint32_t cpu_milli = 0;
 
-  for (guint i = 0; i < processes->len; i++) {
-    const VpRelayProcess *process = processes->pdata[i];
-    if (strcmp (process->dc, name) != 0)
+  for (guint i = 0;
+       i < processes->len && cpu_milli < dc->worker_count * VP_RELAY_CPU_MILLI_PER_WORKER; i++) {
+    VpRelayProcess *process = processes->pdata[i];
+    if (name != NULL && strcmp (process->dc, name) != 0)
       continue;
-    if (cpu_milli >= dc->worker_count * VP_RELAY_CPU_MILLI_PER_WORKER
-        && process->cpu_milli < dc->cpu_milli_min)
-      break;
+    g_ptr_array_add (dc->processes, process);
     cpu_milli += process->cpu_milli;
-    dc->cpu_milli_min = process->cpu_milli;
   }
+  if (name != NULL && dc->processes->len == 0)
+    _vp_relay_select (processes, NULL, dc);
 }
 
 /* Returns the processes that can be relays, strongest first. */
@@ -271,26 +303,24 @@
     return;
   relay->signature = signature;
   g_hash_table_remove_all (relay->by_worker);
-  dcs = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, g_free);
+  dcs = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, _vp_relay_dc_free);
   for (guint i = 0; i < worker_list->workers->len; i++) {
     const VpCellWorker *worker = worker_list->workers->pdata[i];
     VpRelayDc *found = g_hash_table_lookup (dcs, worker->entry.dc);
     if (found == NULL) {
       found = g_new0 (VpRelayDc, 1);
+      found->processes = g_ptr_array_new ();
       g_hash_table_insert (dcs, (gpointer)worker->entry.dc, found);
     }
     found->worker_count++;
   }
   g_hash_table_iter_init (&iter, dcs);
   while (g_hash_table_iter_next (&iter, &name, &dc))
-    _vp_relay_select_strength (processes, name, dc);
+    _vp_relay_select (processes, name, dc);
   for (guint i = 0; i < worker_list->workers->len; i++) {
     const VpCellWorker *worker = worker_list->workers->pdata[i];
-    const VpRelayDc *own = g_hash_table_lookup (dcs, worker->entry.dc);
-    VpRelayProcess *process
-        = _vp_relay_choose (processes, worker->entry.dc, own->cpu_milli_min, worker);
-    if (process == NULL)
-      process = _vp_relay_choose (processes, NULL, 0, worker);
+    const VpRelayDc *dc_of_worker = g_hash_table_lookup (dcs, worker->entry.dc);
+    VpRelayProcess *process = _vp_relay_choose (dc_of_worker->processes, worker);
     if (process != NULL)
       g_hash_table_insert (relay->by_worker, g_strdup (worker->entry.id), process);
   }
@@ -312,21 +342,37 @@
   return index - 1;
 }
 
+/* Returns the index of the command's text in the batch, or VP_RELAY_KNOWN_TEXT if the relay has it
+ * from an earlier batch. */
 static uint32_t
-_vp_relay_text_index (VpRelayProcess *process, const VpCommand *command)
+_vp_relay_text_index (VpRelayProcess *process, const VpCommand *command, int64_t now_ms)
 {
-  guint index;
+  VpRelayText *text;
 
   if (command->text == NULL)
     return VP_RELAY_NO_TEXT;
-  index = GPOINTER_TO_UINT (g_hash_table_lookup (process->texts, &command->task.job));
-  if (index == 0) {
-    index = g_hash_table_size (process->texts) + 1;
-    g_hash_table_insert (process->texts, g_memdup2 (&command->task.job, sizeof (uint64_t)),
-                         GUINT_TO_POINTER (index));
-    g_variant_builder_add (&process->text_builder, "s", command->text);
+  text = g_hash_table_lookup (process->texts, &command->task.job);
+  if (text == NULL) {
+    text = g_new0 (VpRelayText, 1);
+    g_hash_table_insert (process->texts, g_memdup2 (&command->task.job, sizeof (uint64_t)), text);
+  } else if (text->batch == process->batch) {
+    text->used_ms = now_ms;
+    return text->index;
+  } else if (now_ms - text->used_ms < VP_RELAY_TEXT_KNOWN_MS) {
+    text->used_ms = now_ms;
+    return VP_RELAY_KNOWN_TEXT;
   }
-  return index - 1;
+  *text = (VpRelayText){ .batch = process->batch, .index = process->text_count, .used_ms = now_ms };
+  process->text_count++;
+  g_variant_builder_add (&process->text_builder, "s", command->text);
+  return text->index;
+}
+
+static gboolean
+_vp_relay_is_text_unknown (gpointer job, gpointer text, gpointer now_ms)
+{
+  (void)job;
+  return *(const int64_t *)now_ms - ((const VpRelayText *)text)->used_ms >= VP_RELAY_TEXT_KNOWN_MS;
 }
 
 bool
@@ -341,11 +387,12 @@
   serial = ++relay->last_serial;
   g_variant_builder_add (&process->command_builder, VP_RELAY_COMMAND_TYPE, serial,
                          (guchar)command->kind, _vp_relay_worker_index (process, command),
-                         _vp_relay_text_index (process, command), command->task.job,
+                         _vp_relay_text_index (process, command, now_ms), command->task.job,
                          command->task.occurrence, command->task.step, command->task.index,
                          command->run, command->lease_end_ms, command->checkpoint, command->ticket,
                          command->acked_end, (guint32)command->wait_ms, command->percent);
-  process->batch_count++;
+  if (process->batch_count++ == 0)
+    process->batch_began_ms = now_ms;
   pending = g_new0 (VpRelayPending, 1);
   pending->process = process;
   pending->due_ms
@@ -365,7 +412,7 @@
 }
 
 void
-vp_relay_flush (VpRelay *relay, GArray *messages)
+vp_relay_flush (VpRelay *relay, int64_t now_ms, GArray *messages)
 {
   GHashTableIter iter;
   gpointer value;
@@ -374,8 +421,9 @@
   while (g_hash_table_iter_next (&iter, NULL, &value)) {
     VpRelayProcess *process = value;
     VpRelayMessage out = { .message = { .kind = VP_NODEMSG_COMMANDS, .term = relay->desc.term } };
-    if (process->batch_count == 0)
+    if (process->batch_count == 0 || now_ms < process->batch_began_ms + VP_RELAY_BATCH_DELAY_MS)
       continue;
+    g_hash_table_foreach_remove (process->texts, _vp_relay_is_text_unknown, &now_ms);
     g_strlcpy (out.to, process->name, sizeof out.to);
     out.message.body
         = g_variant_new ("(a(ss)asa" VP_RELAY_COMMAND_TYPE ")", &process->worker_builder,
@@ -385,8 +433,74 @@
   }
 }
 
+/* A text that the relay keeps. */
+typedef struct {
+  char *text;
+  int64_t used_ms;
+} VpRelayKeptText;
+
+static void
+_vp_relay_kept_text_free (gpointer data)
+{
+  VpRelayKeptText *kept = data;
+
+  g_free (kept->text);
+  g_free (kept);
+}
+
+static gboolean
+_vp_relay_is_text_old (gpointer job, gpointer kept, gpointer now_ms)
+{
+  (void)job;
+  return *(const int64_t *)now_ms - ((const VpRelayKeptText *)kept)->used_ms
+         >= VP_RELAY_TEXT_KEPT_MS;
+}
+
+void
+vp_relay_agent_clear (VpRelayAgent *agent)
+{
+  VpRelayMessage out;
+
+  if (vp_relay_agent_take (agent, &out))
+    g_variant_unref (g_variant_ref_sink (out.message.body));
+  g_clear_pointer (&agent->texts, g_hash_table_unref);
+}
+
+/* Sets the text of the command from the message or from an earlier one. Returns false if an earlier
+ * one should have had it, but it isn't there. */
+static bool
+_vp_relay_agent_set_text (VpRelayAgent *agent,
+                          VpCommand *command,
+                          GVariant *texts,
+                          uint32_t index,
+                          int64_t now_ms)
+{
+  VpRelayKeptText *kept;
+
+  if (index == VP_RELAY_NO_TEXT)
+    return true;
+  if (agent->texts == NULL)
+    agent->texts
+        = g_hash_table_new_full (g_int64_hash, g_int64_equal, g_free, _vp_relay_kept_text_free);
+  kept = g_hash_table_lookup (agent->texts, &command->task.job);
+  if (kept == NULL && index == VP_RELAY_KNOWN_TEXT)
+    return false;
+  if (kept == NULL) {
+    kept = g_new0 (VpRelayKeptText, 1);
+    g_variant_get_child (texts, index, "s", &kept->text);
+    g_hash_table_insert (agent->texts, g_memdup2 (&command->task.job, sizeof (uint64_t)), kept);
+  }
+  kept->used_ms = now_ms;
+  command->text = g_strdup (kept->text);
+  return true;
+}
+
 bool
-vp_relay_decode_commands (const VpNodeMsg *message, GArray *commands)
+vp_relay_agent_handle_commands (VpRelayAgent *agent,
+                                const VpNodeMsg *message,
+                                int64_t now_ms,
+                                GArray *commands,
+                                GArray *results)
 {
   g_autoptr (GVariant) workers = NULL;
   g_autoptr (GVariant) texts = NULL;
@@ -399,6 +513,10 @@
   if (message->body == NULL
       || !g_variant_is_of_type (message->body, G_VARIANT_TYPE (VP_RELAY_COMMANDS_TYPE)))
     return false;
+  if (agent->texts != NULL && now_ms >= agent->purge_next_ms) {
+    agent->purge_next_ms = now_ms + VP_RELAY_TEXT_PURGE_MS;
+    g_hash_table_foreach_remove (agent->texts, _vp_relay_is_text_old, &now_ms);
+  }
   g_variant_get (message->body, "(@a(ss)@asa" VP_RELAY_COMMAND_TYPE ")", &workers, &texts, &iter);
   while (g_variant_iter_next (iter, "(uyuutuuuux&s&stuu)", &command.serial, &kind, &worker, &text,
                               &command.task.job, &command.task.occurrence, &command.task.step,
@@ -407,7 +525,7 @@
     const char *id, *address;
     command.text = NULL;
     if (kind > VP_COMMAND_THROTTLE || worker >= g_variant_n_children (workers)
-        || (text != VP_RELAY_NO_TEXT && text >= g_variant_n_children (texts)))
+        || (text < VP_RELAY_KNOWN_TEXT && text >= g_variant_n_children (texts)))
       return false;
     command.kind = (VpCommandKind)kind;
     command.wait_ms = wait_ms;
@@ -418,9 +536,13 @@
         || !vp_name_copy (command.ticket, sizeof command.ticket, ticket)
         || !vp_name_copy (command.requester, sizeof command.requester, message->from))
       return false;
-    if (text != VP_RELAY_NO_TEXT)
-      g_variant_get_child (texts, text, "s", &command.text);
-    g_array_append_val (commands, command);
+    if (_vp_relay_agent_set_text (agent, &command, texts, text, now_ms)) {
+      g_array_append_val (commands, command);
+    } else {
+      VpCommandResult result = { .outcome = VP_COMMAND_LATE, .received_ms = now_ms };
+      vp_command_result_begin (&result, &command, now_ms);
+      g_array_append_val (results, result);
+    }
   }
   return true;
 }
@@ -450,51 +572,52 @@
 }
 
 void
-vp_relay_results_add (VpRelayResults *results,
-                      const VpCommandResult *result,
-                      int64_t now_ms,
-                      VpRelayMessage *full)
+vp_relay_agent_add_result (VpRelayAgent *agent,
+                           const VpCommandResult *result,
+                           int64_t now_ms,
+                           VpRelayMessage *full)
 {
   memset (full, 0, sizeof *full);
-  if (results->count >= VP_RELAY_RESULTS_MAX
-      || (results->count > 0
-          && (strcmp (results->leader, result->requester) != 0 || results->term != result->fence)))
-    vp_relay_results_take (results, full);
-  if (results->count == 0) {
-    g_strlcpy (results->leader, result->requester, sizeof results->leader);
-    results->term = result->fence;
-    results->since_ms = now_ms;
-    results->builder = g_variant_builder_new (G_VARIANT_TYPE (VP_RELAY_RESULTS_TYPE));
+  if (agent->count >= VP_RELAY_RESULTS_MAX
+      || (agent->count > 0
+          && (strcmp (agent->leader, result->requester) != 0 || agent->term != result->fence)))
+    vp_relay_agent_take (agent, full);
+  if (agent->count == 0) {
+    g_strlcpy (agent->leader, result->requester, sizeof agent->leader);
+    agent->term = result->fence;
+    agent->since_ms = now_ms;
+    agent->builder = g_variant_builder_new (G_VARIANT_TYPE (VP_RELAY_RESULTS_TYPE));
   }
-  results->count++;
-  g_variant_builder_open (results->builder, G_VARIANT_TYPE (VP_RELAY_RESULT_TYPE));
-  g_variant_builder_add (results->builder, "u", result->serial);
-  g_variant_builder_add (results->builder, "y", (guchar)result->outcome);
-  g_variant_builder_add (results->builder, "b", (gboolean)result->is_repeated);
-  g_variant_builder_add (results->builder, "x", result->clock_ms);
-  g_variant_builder_add (results->builder, "x", result->booted_ms);
-  _vp_relay_encode_lists (result, results->builder);
-  g_variant_builder_close (results->builder);
+  agent->count++;
+  g_variant_builder_open (agent->builder, G_VARIANT_TYPE (VP_RELAY_RESULT_TYPE));
+  g_variant_builder_add (agent->builder, "u", result->serial);
+  g_variant_builder_add (agent->builder, "y", (guchar)result->outcome);
+  g_variant_builder_add (agent->builder, "b", (gboolean)result->is_repeated);
+  g_variant_builder_add (agent->builder, "x", result->clock_ms);
+  g_variant_builder_add (agent->builder, "x", result->booted_ms);
+  _vp_relay_encode_lists (result, agent->builder);
+  g_variant_builder_close (agent->builder);
 }
 
 int64_t
-vp_relay_results_due_ms (const VpRelayResults *results)
+vp_relay_agent_due_ms (const VpRelayAgent *agent)
 {
-  return results->count == 0 ? INT64_MAX : results->since_ms + VP_RELAY_RESULTS_DELAY_MS;
+  return agent->count == 0 ? INT64_MAX : agent->since_ms + VP_RELAY_RESULTS_DELAY_MS;
 }
 
 bool
-vp_relay_results_take (VpRelayResults *results, VpRelayMessage *out)
+vp_relay_agent_take (VpRelayAgent *agent, VpRelayMessage *out)
 {
   memset (out, 0, sizeof *out);
-  if (results->count == 0)
+  if (agent->count == 0)
     return false;
-  g_strlcpy (out->to, results->leader, sizeof out->to);
+  g_strlcpy (out->to, agent->leader, sizeof out->to);
   out->message.kind = VP_NODEMSG_RESULTS;
-  out->message.term = results->term;
-  out->message.body = g_variant_builder_end (results->builder);
-  g_variant_builder_unref (results->builder);
-  memset (results, 0, sizeof *results);
+  out->message.term = agent->term;
+  out->message.body = g_variant_builder_end (agent->builder);
+  g_variant_builder_unref (agent->builder);
+  agent->builder = NULL;
+  agent->count = 0;
   return true;
 }
 
@@ -572,6 +695,9 @@
     if (pending != NULL && outcome <= VP_COMMAND_UNCERTAIN) {
       VpCommandResult result = pending->result;
       result.outcome = (VpCommandOutcome)outcome;
+      /* The relay may lack a text that it should have. */
+      if (result.kind == VP_COMMAND_START && result.outcome == VP_COMMAND_LATE)
+        g_hash_table_remove_all (process->texts);
       result.is_repeated = is_repeated;
       result.received_ms = now_ms;
       result.clock_ms = clock_ms;
@@ -629,5 +755,15 @@
 int64_t
 vp_relay_next_ms (const VpRelay *relay)
 {
-  return g_hash_table_size (relay->pending) == 0 ? INT64_MAX : relay->check_next_ms;
+  int64_t next_ms = g_hash_table_size (relay->pending) == 0 ? INT64_MAX : relay->check_next_ms;
+  GHashTableIter iter;
+  gpointer value;
+
+  g_hash_table_iter_init (&iter, relay->processes);
+  while (g_hash_table_iter_next (&iter, NULL, &value)) {
+    const VpRelayProcess *process = value;
+    if (process->batch_count > 0)
+      next_ms = MIN (next_ms, process->batch_began_ms + VP_RELAY_BATCH_DELAY_MS);
+  }
+  return next_ms;
 }
--- a/src/vp-relay.h
+++ b/src/vp-relay.h
@@ -4,7 +4,7 @@
  *   vp_relay_update (relay, members, worker_list, now_ms);     // before each decision
  *   if (!vp_relay_add (relay, &command, now_ms))
  *     ... send the command from this process ...
- *   vp_relay_flush (relay, messages);                          // GArray of VpRelayMessage
+ *   vp_relay_flush (relay, now_ms, messages);                          // GArray of VpRelayMessage
  *   vp_relay_handle_results (relay, &message, now_ms, results); // GArray of VpCommandResult
  *   vp_relay_expire (relay, now_ms, results);
  *   vp_relay_shutdown (relay);
@@ -50,36 +50,50 @@
 /* Adds the command to the batch of its worker's relay and frees what it owns. Returns false, and
  * does nothing, if this process has to send it itself. */
 bool vp_relay_add (VpRelay *relay, VpCommand *command, int64_t now_ms);
-/* Appends a message (VpRelayMessage) for each batch to @messages. */
-void vp_relay_flush (VpRelay *relay, GArray *messages);
+/* Appends a message (VpRelayMessage) for each batch that is due to @messages. */
+void vp_relay_flush (VpRelay *relay, int64_t now_ms, GArray *messages);
 /* Appends the results in the message to @results. Results that came too late are dropped. */
 void
 vp_relay_handle_results (VpRelay *relay, const VpNodeMsg *message, int64_t now_ms, GArray *results);
 /* Appends an uncertain result for each command that its relay will probably not answer. */
 void vp_relay_expire (VpRelay *relay, int64_t now_ms, GArray *results);
-/* Time at which vp_relay_expire() has to be called next; INT64_MAX: none. */
+/* Time at which vp_relay_expire() or vp_relay_flush() has to be called next; INT64_MAX: none. */
 int64_t vp_relay_next_ms (const VpRelay *relay);
 
-/* On the relay: appends the commands (VpCommand) in the message to @commands. Returns false if the
- * message is malformed. */
-bool vp_relay_decode_commands (const VpNodeMsg *message, GArray *commands);
-
-/* On the relay: results that are collected for the leader. Zeroed memory is empty. */
+/* The relay's side: what a process keeps while it sends commands for a leader. Zeroed memory is the
+ * initial state.
+ *
+ *   vp_relay_agent_handle_commands (&agent, &message, now_ms, commands, results);
+ *   vp_relay_agent_add_result (&agent, &result, now_ms, &full);
+ *   if (now_ms >= vp_relay_agent_due_ms (&agent) && vp_relay_agent_take (&agent, &out))
+ *     send (out.to, &out.message);
+ *   vp_relay_agent_clear (&agent);
+ */
 typedef struct {
-  char leader[VP_NAME_MAX]; /* empty: there are none */
-  uint64_t term;
-  GVariantBuilder *builder;
+  char leader[VP_NAME_MAX]; /* process that gets the collected results */
+  uint64_t term;            /* its term */
+  GVariantBuilder *builder; /* the collected results; NULL: there are none */
   uint32_t count;
-  int64_t since_ms; /* time of the first one */
-} VpRelayResults;
+  int64_t since_ms;      /* time of the first one */
+  GHashTable *texts;     /* job -> its text, so that the leader needn't send it again; NULL: none */
+  int64_t purge_next_ms; /* time of the next removal of old texts */
+} VpRelayAgent;
 
+void vp_relay_agent_clear (VpRelayAgent *agent);
+/* Appends the commands (VpCommand) in the message to @commands. The results (VpCommandResult) of
+ * those that can't be sent are appended to @results. Returns false if the message is malformed. */
+bool vp_relay_agent_handle_commands (VpRelayAgent *agent,
+                                     const VpNodeMsg *message,
+                                     int64_t now_ms,
+                                     GArray *commands,
+                                     GArray *results);
 /* Adds a result. If it belongs to another leader or the batch is full, the batch is first returned
  * in @full, which is sent to @full->to unless that is empty. */
-void vp_relay_results_add (VpRelayResults *results,
-                           const VpCommandResult *result,
-                           int64_t now_ms,
-                           VpRelayMessage *full);
-/* Time at which the batch has to be sent; INT64_MAX: it is empty. */
-int64_t vp_relay_results_due_ms (const VpRelayResults *results);
-/* Takes the batch. Returns false if it is empty. */
-bool vp_relay_results_take (VpRelayResults *results, VpRelayMessage *out);
+void vp_relay_agent_add_result (VpRelayAgent *agent,
+                                const VpCommandResult *result,
+                                int64_t now_ms,
+                                VpRelayMessage *full);
+/* Time at which the collected results have to be sent; INT64_MAX: there are none. */
+int64_t vp_relay_agent_due_ms (const VpRelayAgent *agent);
+/* Takes the collected results. Returns false if there are none. */
+bool vp_relay_agent_take (VpRelayAgent *agent, VpRelayMessage *out);
