Give a new leader time before it is replaced

Each needed 1.1 to 1.7 s for its first decision after it had read 141 jobs and 770 ends, and was replaced after 650 ms of silence; one claim came 0.2 s after another, since the silence of the leader before counted for the new one.

Change: a leader that the record names for the first time is silent from then on, and each term that ended within 3 s doubles the silence that its successor may have, to 2.6 s.

--- a/src/vp-election.c
+++ b/src/vp-election.c
@@ -9,6 +9,10 @@
 #define VP_ELECTION_SILENCE_MS 650
 /* Interval between reads of the record while the leader is suspected. */
 #define VP_ELECTION_READ_INTERVAL_MS 150
+/* A term that ends sooner than this after it was first seen is short. */
+#define VP_ELECTION_SHORT_TERM_MS 3000
+/* Maximum number of short terms that each double the time for which a leader may be silent. */
+#define VP_ELECTION_PATIENCE_DOUBLINGS 2
 /* A record that has not changed for this long is stale. A leader writes the record at least every
  * 400 ms. */
 #define VP_ELECTION_RECORD_STALE_MS 500
@@ -43,10 +47,24 @@
         + VP_ELECTION_STARTUP_DELAY_MS * 1000 / MAX (cpu_milli, VP_ELECTION_STARTUP_CPU_MILLI_MIN);
 }
 
+/* Notes that @term was first seen now. */
+static void
+_vp_election_see_term (VpElection *election, uint64_t term, int64_t now_ms)
+{
+  if (term <= election->term)
+    return;
+  election->short_terms
+      = election->term_seen_ms != 0 && now_ms - election->term_seen_ms < VP_ELECTION_SHORT_TERM_MS
+            ? election->short_terms + 1
+            : 0;
+  election->term_seen_ms = now_ms;
+}
+
 /* Makes this process a follower in @term. @leader is empty if the leader is unknown. */
 static void
-_vp_election_follow (VpElection *election, uint64_t term, const char *leader)
+_vp_election_follow (VpElection *election, uint64_t term, const char *leader, int64_t now_ms)
 {
+  _vp_election_see_term (election, term, now_ms);
   election->state = VP_ELECTION_FOLLOWER;
   election->claimable_since_ms = 0;
   election->term = term;
@@ -64,7 +82,7 @@
   if (term < election->term || (term == election->term && election->state == VP_ELECTION_LEADER))
     return;
   if (term > election->term || strcmp (election->leader, name) != 0)
-    _vp_election_follow (election, term, name);
+    _vp_election_follow (election, term, name, now_ms);
   election->leader_ping_ms = now_ms;
   election->store_failing_ms = store_failing_ms;
   if (store_failing_ms > 0)
@@ -74,10 +92,10 @@
 }
 
 void
-vp_election_observe_term (VpElection *election, uint64_t term)
+vp_election_observe_term (VpElection *election, uint64_t term, int64_t now_ms)
 {
   if (election->state == VP_ELECTION_LEADER && term > election->term)
-    _vp_election_follow (election, term, "");
+    _vp_election_follow (election, term, "", now_ms);
 }
 
 void
@@ -104,6 +122,13 @@
          || election->leader[0] == '\0';
 }
 
+/* Returns the time for which the leader may be silent. */
+static int64_t
+_vp_election_patience_ms (const VpElection *election)
+{
+  return VP_ELECTION_SILENCE_MS << MIN (election->short_terms, VP_ELECTION_PATIENCE_DOUBLINGS);
+}
+
 /* Returns true if this process reaches at least half of all processes and the leader's pings don't
  * arrive at most of those. */
 static bool
@@ -123,7 +148,7 @@
       || strcmp (election->record.leader, election->name) == 0)
     return true;
   if (election->leader[0] != '\0' && election->store_failing_ms <= VP_ELECTION_STORE_FAILING_MS
-      && _vp_election_leader_silent_ms (election, now_ms) <= VP_ELECTION_SILENCE_MS)
+      && _vp_election_leader_silent_ms (election, now_ms) <= _vp_election_patience_ms (election))
     return false;
   /* If the leader reports that its writes fail, the record needn't be observed for a while, as the
    * claim is conditional on its revision. */
@@ -175,6 +200,7 @@
 _vp_election_become_leader (VpElection *election, uint64_t revision, int64_t now_ms)
 {
   election->state = VP_ELECTION_LEADER;
+  _vp_election_see_term (election, election->claim.term, now_ms);
   election->term = election->claim.term;
   election->record = election->claim;
   election->record_revision = revision;
@@ -211,8 +237,16 @@
     election->record = *record;
   else
     memset (&election->record, 0, sizeof election->record);
-  if (election->record.term > election->term)
-    _vp_election_follow (election, election->record.term, election->record.leader);
+  if (election->record.term > election->term) {
+    /* The silence of the earlier leader doesn't count for the new one. */
+    bool is_successor = election->term != 0 && !election->record.is_clean
+                        && strcmp (election->record.leader, election->name) != 0;
+    _vp_election_follow (election, election->record.term, election->record.leader, now_ms);
+    if (is_successor) {
+      election->leader_ping_ms = now_ms;
+      election->store_failing_ms = 0;
+    }
+  }
   /* If the record allows a claim at once, the next tick makes it. */
   if (election->record.term == 0 || election->record.is_clean || election->has_handover
       || strcmp (election->record.leader, election->name) == 0)
--- a/src/vp-election.h
+++ b/src/vp-election.h
@@ -14,6 +14,11 @@
  * commands of earlier terms. A process claims the record when the leader is silent and the record
  * doesn't change, when most processes in reach don't hear the leader either, or when the leader
  * hands over. State only, no I/O.
+ *
+ * Load pattern: on slow VMs a new leader may be silent for longer than a failed one is waited for,
+ * while it reads the stored jobs. If it is replaced then, its successor has the same work to do,
+ * and the leaders change until the VMs are faster. So each term that ended soon doubles the time
+ * for which the next leader may be silent.
  */
 #pragma once
 
@@ -45,10 +50,13 @@
   char name[VP_NAME_MAX];
   uint32_t cpu_milli; /* CPU share of this VM, in thousandths of a core */
   VpElectionState state;
-  uint64_t term;                /* highest term seen */
-  char leader[VP_NAME_MAX];     /* leader of @term; empty: unknown */
-  int64_t leader_ping_ms;       /* time of the leader's last ping */
-  int64_t store_failing_ms;     /* how long the leader says that its writes have failed */
+  uint64_t term;            /* highest term seen */
+  char leader[VP_NAME_MAX]; /* leader of @term; empty: unknown */
+  int64_t leader_ping_ms;   /* time of the leader's last ping, or at which the record first named
+                               it */
+  int64_t term_seen_ms;     /* time at which @term was first seen; 0: none yet */
+  uint32_t short_terms;     /* terms in succession that ended soon after they were first seen */
+  int64_t store_failing_ms; /* how long the leader says that its writes have failed */
   int64_t store_unavailable_ms; /* time at which the store may last have been unavailable; initially
                                    the start */
   int64_t started_ms;
@@ -75,7 +83,7 @@
                                      int64_t now_ms);
 /* Handles a ping of a process that knows @term. If this process leads an earlier term it steps
  * down, since the record has been claimed by another one. */
-void vp_election_observe_term (VpElection *election, uint64_t term);
+void vp_election_observe_term (VpElection *election, uint64_t term, int64_t now_ms);
 /* The leader of @term asks this process to take over. */
 void vp_election_handle_handover (VpElection *election, uint64_t term, int64_t now_ms);
 /* Returns what the caller has to do now to take part in the election. */
--- a/src/vp-node.c
+++ b/src/vp-node.c
@@ -276,7 +276,7 @@
     vp_election_handle_leader_ping (&node->election, ping->from, ping->term, ping->store_failing_ms,
                                     now_ms);
   else
-    vp_election_observe_term (&node->election, ping->term);
+    vp_election_observe_term (&node->election, ping->term, now_ms);
   if (now_ms >= node->config_request_next_ms
       && ping->config_version > (node->config == NULL ? 0 : node->config->version)) {
     node->config_request_next_ms = now_ms + VP_NODE_CONFIG_RETRY_MS;
--- a/tests/test-node.c
+++ b/tests/test-node.c
@@ -329,13 +329,13 @@
 
   vp_election_setup (&election, "node-0", 500, 1000);
   vp_election_handle_leader_ping (&election, "node-1", 3, 0, 2000);
-  vp_election_observe_term (&election, 4);
+  vp_election_observe_term (&election, 4, 2000);
   g_assert_cmpuint (election.term, ==, 3);
   g_assert_true (vp_election_knows_leader (&election, 2000));
   election.state = VP_ELECTION_LEADER;
-  vp_election_observe_term (&election, 3);
+  vp_election_observe_term (&election, 3, 2000);
   g_assert_cmpint (election.state, ==, VP_ELECTION_LEADER);
-  vp_election_observe_term (&election, 4);
+  vp_election_observe_term (&election, 4, 2000);
   g_assert_cmpint (election.state, ==, VP_ELECTION_FOLLOWER);
   g_assert_cmpuint (election.term, ==, 4);
 }
