--- /dev/null
+++ b/tests/test-relay.c
@@ -0,0 +1,352 @@
+/* Batches of commands to relays and their results, and what happens if a relay dies. */
+#include "vp-relay.h"
+
+#include <string.h>
+
+#define NOW_MS     1000000
+#define TERM       7
+#define TEXT_BYTES 1000 /* size of the text of a job */
+
+typedef struct {
+  VpRelay *relay;
+  GHashTable *members;
+  VpWorkerList *worker_list;
+  VpRelayAgent agent;
+  GArray *messages; /* VpRelayMessage */
+  GArray *results;  /* VpCommandResult */
+  int64_t now_ms;
+} Fixture;
+
+static void
+_add_worker (Fixture *fixture, const char *id, const char *dc)
+{
+  VpWorkerEntry entry = { .address = "127.0.0.1:1", .service = "service" };
+
+  g_strlcpy (entry.id, id, sizeof entry.id);
+  g_strlcpy (entry.dc, dc, sizeof entry.dc);
+  vp_workerlist_update (fixture->worker_list, &entry);
+}
+
+/* Lets a ping of the member arrive. */
+static void
+_ping (Fixture *fixture, const char *name, const char *dc, uint32_t cpu_milli, int64_t age_ms)
+{
+  VpNodeMsg ping
+      = { .kind = VP_NODEMSG_PING, .cpu_milli = cpu_milli, .age_ms = age_ms, .sent_ms = 1 };
+
+  g_strlcpy (ping.dc, dc, sizeof ping.dc);
+  vp_member_handle_ping (vp_members_get (fixture->members, name), &ping, fixture->now_ms);
+}
+
+static void
+_update (Fixture *fixture)
+{
+  fixture->now_ms += 200;
+  vp_relay_update (fixture->relay, fixture->members, fixture->worker_list, fixture->now_ms);
+}
+
+/* Sets up a leader with two workers in each of two DCs. */
+static void
+_setup (Fixture *fixture, uint32_t cpu_milli)
+{
+  *fixture = (Fixture){ .now_ms = NOW_MS };
+  fixture->relay = vp_relay_setup (&(VpRelayDesc){ .term = TERM, .cpu_milli = cpu_milli });
+  fixture->members = vp_members_new ();
+  fixture->worker_list = vp_workerlist_setup (6000, NOW_MS);
+  fixture->messages = g_array_new (FALSE, TRUE, sizeof (VpRelayMessage));
+  fixture->results = g_array_new (FALSE, TRUE, sizeof (VpCommandResult));
+  _add_worker (fixture, "a1", "a");
+  _add_worker (fixture, "a2", "a");
+  _add_worker (fixture, "b1", "b");
+  _add_worker (fixture, "b2", "b");
+}
+
+static void
+_clear_messages (Fixture *fixture)
+{
+  for (guint i = 0; i < fixture->messages->len; i++)
+    vp_nodemsg_clear (&g_array_index (fixture->messages, VpRelayMessage, i).message);
+  g_array_set_size (fixture->messages, 0);
+}
+
+static void
+_clear_results (Fixture *fixture)
+{
+  for (guint i = 0; i < fixture->results->len; i++)
+    vp_command_result_clear (&g_array_index (fixture->results, VpCommandResult, i));
+  g_array_set_size (fixture->results, 0);
+}
+
+static void
+_teardown (Fixture *fixture)
+{
+  _clear_messages (fixture);
+  _clear_results (fixture);
+  g_array_unref (fixture->messages);
+  g_array_unref (fixture->results);
+  vp_relay_agent_clear (&fixture->agent);
+  vp_relay_shutdown (fixture->relay);
+  g_hash_table_unref (fixture->members);
+  vp_workerlist_shutdown (fixture->worker_list);
+}
+
+/* Adds a start of a task of job 1. Returns false if the leader has to send it itself. */
+static bool
+_add_start (Fixture *fixture, const char *worker, uint32_t index)
+{
+  VpCommand command = { .kind = VP_COMMAND_START,
+                        .address = "127.0.0.1:1",
+                        .task = { .job = 1, .index = index },
+                        .run = 1,
+                        .fence = TERM,
+                        .lease_end_ms = 5000,
+                        .text = g_strnfill (TEXT_BYTES, 'x'),
+                        .ticket = "ticket" };
+  bool is_relayed;
+
+  g_strlcpy (command.worker, worker, sizeof command.worker);
+  is_relayed = vp_relay_add (fixture->relay, &command, fixture->now_ms);
+  g_free (command.text);
+  return is_relayed;
+}
+
+/* Collects the batches that are due, with their bodies sunk. */
+static void
+_flush (Fixture *fixture)
+{
+  _clear_messages (fixture);
+  fixture->now_ms += 50;
+  vp_relay_flush (fixture->relay, fixture->now_ms, fixture->messages);
+  for (guint i = 0; i < fixture->messages->len; i++) {
+    VpRelayMessage *out = &g_array_index (fixture->messages, VpRelayMessage, i);
+    g_variant_ref_sink (out->message.body);
+    g_strlcpy (out->message.from, "leader", sizeof out->message.from);
+  }
+}
+
+/* Lets the relay take the batch @index. Returns the commands. */
+static GArray *
+_take_commands (Fixture *fixture, guint index, GArray *refused)
+{
+  GArray *commands = g_array_new (FALSE, FALSE, sizeof (VpCommand));
+  const VpRelayMessage *out = &g_array_index (fixture->messages, VpRelayMessage, index);
+
+  g_assert_true (vp_relay_agent_handle_commands (&fixture->agent, &out->message, fixture->now_ms,
+                                                 commands, refused));
+  return commands;
+}
+
+static void
+_free_commands (GArray *commands)
+{
+  for (guint i = 0; i < commands->len; i++)
+    g_free (g_array_index (commands, VpCommand, i).text);
+  g_array_unref (commands);
+}
+
+/* Lets the relay @from return @result to the leader. */
+static void
+_return_result (Fixture *fixture, const char *from, const VpCommandResult *result)
+{
+  VpRelayMessage out;
+
+  vp_relay_agent_add_result (&fixture->agent, result, fixture->now_ms, &out);
+  g_assert_cmpstr (out.to, ==, "");
+  g_assert_true (vp_relay_agent_take (&fixture->agent, &out));
+  g_assert_cmpstr (out.to, ==, "leader");
+  g_variant_ref_sink (out.message.body);
+  g_strlcpy (out.message.from, from, sizeof out.message.from);
+  vp_relay_handle_results (fixture->relay, &out.message, fixture->now_ms, fixture->results);
+  vp_nodemsg_clear (&out.message);
+}
+
+/* A leader that can call its workers itself has no relays. */
+static void
+test_small_cell (void)
+{
+  Fixture fixture;
+
+  _setup (&fixture, 125);
+  _ping (&fixture, "n1", "a", 125, 5000);
+  _update (&fixture);
+  g_assert_false (_add_start (&fixture, "a1", 0));
+  _teardown (&fixture);
+}
+
+/* Commands go to the strongest process in the worker's DC, in one batch, and their results come
+ * back with lists of runs and ends. */
+static void
+test_round_trip (void)
+{
+  Fixture fixture;
+  GArray *commands;
+  const VpCommand *command;
+  const VpCommandResult *result;
+  VpCommandResult sent = { .outcome = VP_COMMAND_OK, .clock_ms = 77, .booted_ms = 5 };
+  VpEndedEntry end = { .number = 3, .task = { .job = 9, .index = 2 }, .is_task = true, .run = 4 };
+
+  _setup (&fixture, 4);
+  _ping (&fixture, "weak", "a", 100, 5000);
+  _ping (&fixture, "strong", "a", 500, 5000);
+  _ping (&fixture, "other", "b", 100, 5000);
+  _update (&fixture);
+  g_assert_true (_add_start (&fixture, "a1", 0));
+  g_assert_true (_add_start (&fixture, "a2", 1));
+  _flush (&fixture);
+  g_assert_cmpuint (fixture.messages->len, ==, 1);
+  g_assert_cmpstr (g_array_index (fixture.messages, VpRelayMessage, 0).to, ==, "strong");
+  commands = _take_commands (&fixture, 0, fixture.results);
+  g_assert_cmpuint (commands->len, ==, 2);
+  command = &g_array_index (commands, VpCommand, 1);
+  g_assert_cmpstr (command->worker, ==, "a2");
+  g_assert_cmpuint (strlen (command->text), ==, TEXT_BYTES);
+  g_assert_cmpstr (command->ticket, ==, "ticket");
+  g_assert_cmpuint (command->fence, ==, TERM);
+  g_assert_cmpint (command->lease_end_ms, ==, 5000);
+  vp_command_result_begin (&sent, command, fixture.now_ms);
+  sent.ended = g_array_new (FALSE, FALSE, sizeof (VpEndedEntry));
+  g_array_append_val (sent.ended, end);
+  _return_result (&fixture, "strong", &sent);
+  vp_command_result_clear (&sent);
+  g_assert_cmpuint (fixture.results->len, ==, 1);
+  result = &g_array_index (fixture.results, VpCommandResult, 0);
+  g_assert_cmpstr (result->worker, ==, "a2");
+  g_assert_cmpuint (result->task.index, ==, 1);
+  g_assert_cmpint (result->outcome, ==, VP_COMMAND_OK);
+  g_assert_cmpint (result->clock_ms, ==, 77);
+  g_assert_cmpuint (result->ended->len, ==, 1);
+  g_assert_cmpuint (g_array_index (result->ended, VpEndedEntry, 0).run, ==, 4);
+  _free_commands (commands);
+  _teardown (&fixture);
+}
+
+/* Guards against commands that wait for a relay that has died with them: their results are
+ * uncertain after less than a second, and another process gets the next ones. */
+static void
+test_dead_relay (void)
+{
+  Fixture fixture;
+
+  _setup (&fixture, 4);
+  _ping (&fixture, "strong", "a", 500, 5000);
+  _ping (&fixture, "weak", "a", 100, 5000);
+  _update (&fixture);
+  g_assert_true (_add_start (&fixture, "a1", 0));
+  _flush (&fixture);
+  for (int64_t end_ms = fixture.now_ms + 900; fixture.now_ms < end_ms; fixture.now_ms += 50)
+    vp_relay_expire (fixture.relay, fixture.now_ms, fixture.results);
+  g_assert_cmpuint (fixture.results->len, ==, 1);
+  g_assert_cmpint (g_array_index (fixture.results, VpCommandResult, 0).outcome, ==,
+                   VP_COMMAND_UNCERTAIN);
+  _ping (&fixture, "weak", "a", 100, 6000);
+  _update (&fixture);
+  g_assert_true (_add_start (&fixture, "a1", 0));
+  _flush (&fixture);
+  g_assert_cmpstr (g_array_index (fixture.messages, VpRelayMessage, 0).to, ==, "weak");
+  _teardown (&fixture);
+}
+
+/* A result that comes after the command was given up is dropped, as the scheduler has acted on its
+ * loss. */
+static void
+test_late_result (void)
+{
+  Fixture fixture;
+  GArray *commands;
+  VpCommandResult sent = { .outcome = VP_COMMAND_OK };
+
+  _setup (&fixture, 4);
+  _ping (&fixture, "strong", "a", 500, 5000);
+  _update (&fixture);
+  g_assert_true (_add_start (&fixture, "a1", 0));
+  _flush (&fixture);
+  commands = _take_commands (&fixture, 0, fixture.results);
+  for (int64_t end_ms = fixture.now_ms + 900; fixture.now_ms < end_ms; fixture.now_ms += 50)
+    vp_relay_expire (fixture.relay, fixture.now_ms, fixture.results);
+  _clear_results (&fixture);
+  vp_command_result_begin (&sent, &g_array_index (commands, VpCommand, 0), fixture.now_ms);
+  _return_result (&fixture, "strong", &sent);
+  g_assert_cmpuint (fixture.results->len, ==, 0);
+  _free_commands (commands);
+  _teardown (&fixture);
+}
+
+/* Guards against a job's text that fills the leader's link: each relay gets it once. A relay that
+ * has restarted gets it again, and one that lacks it says that the run wasn't started. */
+static void
+test_text_once (void)
+{
+  Fixture fixture;
+  GArray *commands;
+  gsize size;
+
+  _setup (&fixture, 4);
+  _ping (&fixture, "strong", "a", 500, 5000);
+  _update (&fixture);
+  g_assert_true (_add_start (&fixture, "a1", 0));
+  _flush (&fixture);
+  size = g_variant_get_size (g_array_index (fixture.messages, VpRelayMessage, 0).message.body);
+  g_assert_cmpuint (size, >, TEXT_BYTES);
+  _free_commands (_take_commands (&fixture, 0, fixture.results));
+  g_assert_true (_add_start (&fixture, "a1", 1));
+  _flush (&fixture);
+  size = g_variant_get_size (g_array_index (fixture.messages, VpRelayMessage, 0).message.body);
+  g_assert_cmpuint (size, <, TEXT_BYTES);
+  commands = _take_commands (&fixture, 0, fixture.results);
+  g_assert_cmpuint (strlen (g_array_index (commands, VpCommand, 0).text), ==, TEXT_BYTES);
+  _free_commands (commands);
+  /* The relay restarts, and the leader hasn't heard of it yet. */
+  vp_relay_agent_clear (&fixture.agent);
+  memset (&fixture.agent, 0, sizeof fixture.agent);
+  g_assert_true (_add_start (&fixture, "a1", 2));
+  _flush (&fixture);
+  commands = _take_commands (&fixture, 0, fixture.results);
+  g_assert_cmpuint (commands->len, ==, 0);
+  g_assert_cmpint (g_array_index (fixture.results, VpCommandResult, 0).outcome, ==,
+                   VP_COMMAND_LATE);
+  _free_commands (commands);
+  /* Its next ping tells. */
+  _ping (&fixture, "strong", "a", 500, 10);
+  _update (&fixture);
+  g_assert_true (_add_start (&fixture, "a1", 3));
+  _flush (&fixture);
+  commands = _take_commands (&fixture, 0, fixture.results);
+  g_assert_cmpuint (commands->len, ==, 1);
+  _free_commands (commands);
+  _teardown (&fixture);
+}
+
+/* Batches with indexes out of range and bodies of another type are refused. */
+static void
+test_malformed (void)
+{
+  g_autoptr (GArray) commands = g_array_new (FALSE, FALSE, sizeof (VpCommand));
+  g_autoptr (GArray) results = g_array_new (FALSE, FALSE, sizeof (VpCommandResult));
+  VpRelayAgent agent = { 0 };
+  VpNodeMsg message = { .kind = VP_NODEMSG_COMMANDS, .from = "leader" };
+
+  g_assert_false (vp_relay_agent_handle_commands (&agent, &message, NOW_MS, commands, results));
+  message.body = g_variant_ref_sink (g_variant_new_string ("x"));
+  g_assert_false (vp_relay_agent_handle_commands (&agent, &message, NOW_MS, commands, results));
+  vp_nodemsg_clear (&message);
+  message.body = g_variant_ref_sink (
+      g_variant_new_parsed ("(@a(ss) [], @as [], [(@u 1, @y 0, @u 5, @u 0, @t 1, @u 0, @u 0, @u 0,"
+                            " @u 1, @x 0, '', '', @t 0, @u 0, @u 0)])"));
+  g_assert_false (vp_relay_agent_handle_commands (&agent, &message, NOW_MS, commands, results));
+  g_assert_cmpuint (commands->len, ==, 0);
+  vp_nodemsg_clear (&message);
+  vp_relay_agent_clear (&agent);
+}
+
+int
+main (int argc, char **argv)
+{
+  g_test_init (&argc, &argv, NULL);
+  g_test_add_func ("/relay/small-cell", test_small_cell);
+  g_test_add_func ("/relay/round-trip", test_round_trip);
+  g_test_add_func ("/relay/dead-relay", test_dead_relay);
+  g_test_add_func ("/relay/late-result", test_late_result);
+  g_test_add_func ("/relay/text-once", test_text_once);
+  g_test_add_func ("/relay/malformed", test_malformed);
+  return g_test_run ();
+}
