Split the node, the relays and the placement into files of one subject

Functions move unchanged, but for these: a relay also counts as alive while its pings arrive, and is avoided after 800 ms (600) without both; unused parameters and a field go.

--- a/src/vp-relay.c
+++ b/src/vp-relay.c
@@ -1,20 +1,19 @@
-#include "vp-relay.h"
 #include "vp-log.h"
 #include "vp-metrics.h"
+#include "vp-relay-private.h"
 
 #include <string.h>
 
 /* CPU share, in thousandths of a core, that a process should have for each worker that it calls. */
 #define VP_RELAY_CPU_MILLI_PER_WORKER 4
-/* A relay that hasn't returned the result of a command after this time is avoided. It is less than
- * the time-out of calls to workers, so a relay is also avoided for some time after a worker was
- * silent; its other workers are then called through another relay. */
+/* A relay that hasn't returned the result of a command after this time is avoided. Calls to silent
+ * workers time out earlier. */
 #define VP_RELAY_SLOW_MS 1600
-/* The same for HOLD commands, in addition to the time that the worker may delay its answer. */
+/* The same for HOLD commands, which may wait at the worker. */
 #define VP_RELAY_SLOW_HOLD_MS 3600
-/* A relay from which nothing has arrived for this long while results are outstanding is avoided, as
- * it may have died. */
-#define VP_RELAY_SILENT_MS 600
+/* A relay is avoided if neither results nor pings of it have arrived for this long while results
+ * are outstanding, as it may have died: two pings are missing then. */
+#define VP_RELAY_SILENT_MS 800
 /* Time for which a slow relay is avoided. */
 #define VP_RELAY_AVOID_MS 2000
 /* Interval at which outstanding results are checked. */
@@ -25,33 +24,14 @@
 #define VP_RELAY_RESTART_MS 300
 /* A leader relies on a relay to have the text of a job for this long after its last use. */
 #define VP_RELAY_TEXT_KNOWN_MS 20000
-/* A relay keeps the text of a job for this long after its last use. */
-#define VP_RELAY_TEXT_KEPT_MS 30000
-/* Interval between removals of old texts. */
-#define VP_RELAY_TEXT_PURGE_MS 5000
-/* Maximum number of results in a batch, and the time that the first one waits for others. */
-#define VP_RELAY_RESULTS_MAX      64
-#define VP_RELAY_RESULTS_DELAY_MS 15
-
-/* A batch of commands: identity and address of each worker, texts of jobs, and the commands. */
-#define VP_RELAY_COMMAND_TYPE  "(uyuutuuuuxsstuu)"
-#define VP_RELAY_COMMANDS_TYPE "(a(ss)asa" VP_RELAY_COMMAND_TYPE ")"
-#define VP_RELAY_RUNNING_TYPE  "(tuuubusux)"
-#define VP_RELAY_ENDED_TYPE    "(ttuuubuys)"
-#define VP_RELAY_RESULT_TYPE   "(uybxxa" VP_RELAY_RUNNING_TYPE "a" VP_RELAY_ENDED_TYPE ")"
-#define VP_RELAY_RESULTS_TYPE  "a" VP_RELAY_RESULT_TYPE
-
-/* Values in place of the index of a text: the command has none, or the relay knows it. */
-#define VP_RELAY_NO_TEXT    G_MAXUINT32
-#define VP_RELAY_KNOWN_TEXT (G_MAXUINT32 - 1)
 
 /* A process that sends commands, and the batch that is being built for it. */
 typedef struct {
   char name[VP_NAME_MAX];
   char dc[VP_NAME_MAX];
   uint32_t cpu_milli;
-  uint32_t worker_count;
-  int64_t heard_ms;       /* time of the last results; or when it got work after being idle */
+  int64_t heard_ms;       /* time of the last results or ping, or of the first command after it had
+                             none */
   int64_t avoid_until_ms; /* it gets no commands before this time */
   uint32_t pending_count; /* commands without a result */
   GHashTable *workers;    /* identity of a worker in the batch -> index + 1 */
@@ -155,6 +135,7 @@
   }
   g_strlcpy (process->dc, member->dc, sizeof process->dc);
   process->cpu_milli = member->cpu_milli;
+  process->heard_ms = MAX (process->heard_ms, member->ping_received_ms);
   /* The start time is computed from the age in a ping, whose delay varies. */
   if (ABS (member->started_ms - process->started_ms) > VP_RELAY_RESTART_MS)
     g_hash_table_remove_all (process->texts);
@@ -433,194 +414,8 @@
   }
 }
 
-/* A text that the relay keeps. */
-typedef struct {
-  char *text;
-  int64_t used_ms;
-} VpRelayKeptText;
-
-static void
-_vp_relay_kept_text_free (gpointer data)
-{
-  VpRelayKeptText *kept = data;
-
-  g_free (kept->text);
-  g_free (kept);
-}
-
-static gboolean
-_vp_relay_is_text_old (gpointer job, gpointer kept, gpointer now_ms)
-{
-  (void)job;
-  return *(const int64_t *)now_ms - ((const VpRelayKeptText *)kept)->used_ms
-         >= VP_RELAY_TEXT_KEPT_MS;
-}
-
-void
-vp_relay_agent_clear (VpRelayAgent *agent)
-{
-  VpRelayMessage out;
-
-  if (vp_relay_agent_take (agent, &out))
-    g_variant_unref (g_variant_ref_sink (out.message.body));
-  g_clear_pointer (&agent->texts, g_hash_table_unref);
-}
-
-/* Sets the text of the command from the message or from an earlier one. Returns false if an earlier
- * one should have had it, but it isn't there. */
-static bool
-_vp_relay_agent_set_text (VpRelayAgent *agent,
-                          VpCommand *command,
-                          GVariant *texts,
-                          uint32_t index,
-                          int64_t now_ms)
-{
-  VpRelayKeptText *kept;
-
-  if (index == VP_RELAY_NO_TEXT)
-    return true;
-  if (agent->texts == NULL)
-    agent->texts
-        = g_hash_table_new_full (g_int64_hash, g_int64_equal, g_free, _vp_relay_kept_text_free);
-  kept = g_hash_table_lookup (agent->texts, &command->task.job);
-  if (kept == NULL && index == VP_RELAY_KNOWN_TEXT)
-    return false;
-  if (kept == NULL) {
-    kept = g_new0 (VpRelayKeptText, 1);
-    g_variant_get_child (texts, index, "s", &kept->text);
-    g_hash_table_insert (agent->texts, g_memdup2 (&command->task.job, sizeof (uint64_t)), kept);
-  }
-  kept->used_ms = now_ms;
-  command->text = g_strdup (kept->text);
-  return true;
-}
-
-bool
-vp_relay_agent_handle_commands (VpRelayAgent *agent,
-                                const VpNodeMsg *message,
-                                int64_t now_ms,
-                                GArray *commands,
-                                GArray *results)
-{
-  g_autoptr (GVariant) workers = NULL;
-  g_autoptr (GVariant) texts = NULL;
-  g_autoptr (GVariantIter) iter = NULL;
-  VpCommand command = { .fence = message->term };
-  const char *checkpoint, *ticket;
-  guint32 worker, text, wait_ms;
-  guchar kind;
-
-  if (message->body == NULL
-      || !g_variant_is_of_type (message->body, G_VARIANT_TYPE (VP_RELAY_COMMANDS_TYPE)))
-    return false;
-  if (agent->texts != NULL && now_ms >= agent->purge_next_ms) {
-    agent->purge_next_ms = now_ms + VP_RELAY_TEXT_PURGE_MS;
-    g_hash_table_foreach_remove (agent->texts, _vp_relay_is_text_old, &now_ms);
-  }
-  g_variant_get (message->body, "(@a(ss)@asa" VP_RELAY_COMMAND_TYPE ")", &workers, &texts, &iter);
-  while (g_variant_iter_next (iter, "(uyuutuuuux&s&stuu)", &command.serial, &kind, &worker, &text,
-                              &command.task.job, &command.task.occurrence, &command.task.step,
-                              &command.task.index, &command.run, &command.lease_end_ms, &checkpoint,
-                              &ticket, &command.acked_end, &wait_ms, &command.percent)) {
-    const char *id, *address;
-    command.text = NULL;
-    if (kind > VP_COMMAND_THROTTLE || worker >= g_variant_n_children (workers)
-        || (text < VP_RELAY_KNOWN_TEXT && text >= g_variant_n_children (texts)))
-      return false;
-    command.kind = (VpCommandKind)kind;
-    command.wait_ms = wait_ms;
-    g_variant_get_child (workers, worker, "(&s&s)", &id, &address);
-    if (!vp_name_copy (command.worker, sizeof command.worker, id)
-        || !vp_name_copy (command.address, sizeof command.address, address)
-        || !vp_name_copy (command.checkpoint, sizeof command.checkpoint, checkpoint)
-        || !vp_name_copy (command.ticket, sizeof command.ticket, ticket)
-        || !vp_name_copy (command.requester, sizeof command.requester, message->from))
-      return false;
-    if (_vp_relay_agent_set_text (agent, &command, texts, text, now_ms)) {
-      g_array_append_val (commands, command);
-    } else {
-      VpCommandResult result = { .outcome = VP_COMMAND_LATE, .received_ms = now_ms };
-      vp_command_result_begin (&result, &command, now_ms);
-      g_array_append_val (results, result);
-    }
-  }
-  return true;
-}
-
 /* Results. */
 
-static void
-_vp_relay_encode_lists (const VpCommandResult *result, GVariantBuilder *builder)
-{
-  g_variant_builder_open (builder, G_VARIANT_TYPE ("a" VP_RELAY_RUNNING_TYPE));
-  for (guint i = 0; result->running != NULL && i < result->running->len; i++) {
-    const VpRunningEntry *entry = &g_array_index (result->running, VpRunningEntry, i);
-    g_variant_builder_add (builder, VP_RELAY_RUNNING_TYPE, entry->task.job, entry->task.occurrence,
-                           entry->task.step, entry->task.index, (gboolean)entry->is_task,
-                           entry->run, entry->checkpoint, entry->percent, entry->gauge);
-  }
-  g_variant_builder_close (builder);
-  g_variant_builder_open (builder, G_VARIANT_TYPE ("a" VP_RELAY_ENDED_TYPE));
-  for (guint i = 0; result->ended != NULL && i < result->ended->len; i++) {
-    const VpEndedEntry *entry = &g_array_index (result->ended, VpEndedEntry, i);
-    g_variant_builder_add (builder, VP_RELAY_ENDED_TYPE, entry->number, entry->task.job,
-                           entry->task.occurrence, entry->task.step, entry->task.index,
-                           (gboolean)entry->is_task, entry->run, (guchar)entry->end,
-                           entry->checkpoint);
-  }
-  g_variant_builder_close (builder);
-}
-
-void
-vp_relay_agent_add_result (VpRelayAgent *agent,
-                           const VpCommandResult *result,
-                           int64_t now_ms,
-                           VpRelayMessage *full)
-{
-  memset (full, 0, sizeof *full);
-  if (agent->count >= VP_RELAY_RESULTS_MAX
-      || (agent->count > 0
-          && (strcmp (agent->leader, result->requester) != 0 || agent->term != result->fence)))
-    vp_relay_agent_take (agent, full);
-  if (agent->count == 0) {
-    g_strlcpy (agent->leader, result->requester, sizeof agent->leader);
-    agent->term = result->fence;
-    agent->since_ms = now_ms;
-    agent->builder = g_variant_builder_new (G_VARIANT_TYPE (VP_RELAY_RESULTS_TYPE));
-  }
-  agent->count++;
-  g_variant_builder_open (agent->builder, G_VARIANT_TYPE (VP_RELAY_RESULT_TYPE));
-  g_variant_builder_add (agent->builder, "u", result->serial);
-  g_variant_builder_add (agent->builder, "y", (guchar)result->outcome);
-  g_variant_builder_add (agent->builder, "b", (gboolean)result->is_repeated);
-  g_variant_builder_add (agent->builder, "x", result->clock_ms);
-  g_variant_builder_add (agent->builder, "x", result->booted_ms);
-  _vp_relay_encode_lists (result, agent->builder);
-  g_variant_builder_close (agent->builder);
-}
-
-int64_t
-vp_relay_agent_due_ms (const VpRelayAgent *agent)
-{
-  return agent->count == 0 ? INT64_MAX : agent->since_ms + VP_RELAY_RESULTS_DELAY_MS;
-}
-
-bool
-vp_relay_agent_take (VpRelayAgent *agent, VpRelayMessage *out)
-{
-  memset (out, 0, sizeof *out);
-  if (agent->count == 0)
-    return false;
-  g_strlcpy (out->to, agent->leader, sizeof out->to);
-  out->message.kind = VP_NODEMSG_RESULTS;
-  out->message.term = agent->term;
-  out->message.body = g_variant_builder_end (agent->builder);
-  g_variant_builder_unref (agent->builder);
-  agent->builder = NULL;
-  agent->count = 0;
-  return true;
-}
-
 static bool
 _vp_relay_decode_running (GVariantIter *iter, GArray *running)
 {
