--- a/src/vp-relay.c
+++ b/src/vp-relay.c
@@ -258,6 +258,30 @@
   return signature;
 }
 
+/* Returns a table of name of a DC -> VpRelayDc, with the relays chosen among @processes. */
+static GHashTable *
+_vp_relay_choose_dcs (const GPtrArray *processes, const VpWorkerList *worker_list)
+{
+  GHashTable *dcs = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, _vp_relay_dc_free);
+  GHashTableIter iter;
+  gpointer name, value;
+
+  for (guint i = 0; i < worker_list->workers->len; i++) {
+    const VpCellWorker *worker = worker_list->workers->pdata[i];
+    VpRelayDc *dc = g_hash_table_lookup (dcs, worker->entry.dc);
+    if (dc == NULL) {
+      dc = g_new0 (VpRelayDc, 1);
+      dc->processes = g_ptr_array_new ();
+      g_hash_table_insert (dcs, (gpointer)worker->entry.dc, dc);
+    }
+    dc->worker_count++;
+  }
+  g_hash_table_iter_init (&iter, dcs);
+  while (g_hash_table_iter_next (&iter, &name, &value))
+    _vp_relay_select (processes, name, value);
+  return dcs;
+}
+
 void
 vp_relay_update (VpRelay *relay,
                  GHashTable *members,
@@ -267,8 +291,6 @@
   g_autoptr (GPtrArray) processes = NULL;
   g_autoptr (GHashTable) dcs = NULL;
   uint64_t signature;
-  GHashTableIter iter;
-  gpointer name, dc;
 
   if (now_ms < relay->check_next_ms)
     return;
@@ -284,24 +306,11 @@
     return;
   relay->signature = signature;
   g_hash_table_remove_all (relay->by_worker);
-  dcs = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, _vp_relay_dc_free);
-  for (guint i = 0; i < worker_list->workers->len; i++) {
-    const VpCellWorker *worker = worker_list->workers->pdata[i];
-    VpRelayDc *found = g_hash_table_lookup (dcs, worker->entry.dc);
-    if (found == NULL) {
-      found = g_new0 (VpRelayDc, 1);
-      found->processes = g_ptr_array_new ();
-      g_hash_table_insert (dcs, (gpointer)worker->entry.dc, found);
-    }
-    found->worker_count++;
-  }
-  g_hash_table_iter_init (&iter, dcs);
-  while (g_hash_table_iter_next (&iter, &name, &dc))
-    _vp_relay_select (processes, name, dc);
+  dcs = _vp_relay_choose_dcs (processes, worker_list);
   for (guint i = 0; i < worker_list->workers->len; i++) {
     const VpCellWorker *worker = worker_list->workers->pdata[i];
-    const VpRelayDc *dc_of_worker = g_hash_table_lookup (dcs, worker->entry.dc);
-    VpRelayProcess *process = _vp_relay_choose (dc_of_worker->processes, worker);
+    const VpRelayDc *dc = g_hash_table_lookup (dcs, worker->entry.dc);
+    VpRelayProcess *process = _vp_relay_choose (dc->processes, worker);
     if (process != NULL)
       g_hash_table_insert (relay->by_worker, g_strdup (worker->entry.id), process);
   }
