--- a/src/vp-relay.c
+++ b/src/vp-relay.c
@@ -401,6 +401,19 @@
   return true;
 }
 
+/* Moves the batch of the process to @out and begins another one. */
+static void
+_vp_relay_take_batch (const VpRelay *relay, VpRelayProcess *process, VpRelayMessage *out)
+{
+  memset (out, 0, sizeof *out);
+  g_strlcpy (out->to, process->name, sizeof out->to);
+  out->message.kind = VP_NODEMSG_COMMANDS;
+  out->message.term = relay->desc.term;
+  out->message.body = g_variant_new (VP_RELAY_COMMANDS_TYPE, &process->worker_builder,
+                                     &process->text_builder, &process->command_builder);
+  _vp_relay_begin_batch (process);
+}
+
 void
 vp_relay_flush (VpRelay *relay, int64_t now_ms, GArray *messages)
 {
@@ -410,16 +423,12 @@
   g_hash_table_iter_init (&iter, relay->processes);
   while (g_hash_table_iter_next (&iter, NULL, &value)) {
     VpRelayProcess *process = value;
-    VpRelayMessage out = { .message = { .kind = VP_NODEMSG_COMMANDS, .term = relay->desc.term } };
     if (process->batch_count == 0 || now_ms < process->batch_began_ms + VP_RELAY_BATCH_DELAY_MS)
       continue;
     g_hash_table_foreach_remove (process->texts, _vp_relay_is_text_unknown, &now_ms);
-    g_strlcpy (out.to, process->name, sizeof out.to);
-    out.message.body
-        = g_variant_new ("(a(ss)asa" VP_RELAY_COMMAND_TYPE ")", &process->worker_builder,
-                         &process->text_builder, &process->command_builder);
-    g_array_append_val (messages, out);
-    _vp_relay_begin_batch (process);
+    g_array_set_size (messages, messages->len + 1);
+    _vp_relay_take_batch (relay, process,
+                          &g_array_index (messages, VpRelayMessage, messages->len - 1));
   }
 }
 
--- a/tests/test-relay.c
+++ b/tests/test-relay.c
@@ -92,7 +92,7 @@
 
 /* Adds a start of a task of job 1. Returns false if the leader has to send it itself. */
 static bool
-_add_start (Fixture *fixture, const char *worker, uint32_t index)
+_try_start (Fixture *fixture, const char *worker, uint32_t index)
 {
   VpCommand command = { .kind = VP_COMMAND_START,
                         .address = "127.0.0.1:1",
@@ -110,6 +110,15 @@
   return is_relayed;
 }
 
+/* Adds a start of a task of job 1, which must go to a relay. */
+static void
+_add_start (Fixture *fixture, const char *worker, uint32_t index)
+{
+  bool is_relayed = _try_start (fixture, worker, index);
+
+  g_assert_true (is_relayed);
+}
+
 /* Collects the batches that are due, with their bodies sunk. */
 static void
 _flush (Fixture *fixture)
@@ -165,11 +174,13 @@
 test_small_cell (void)
 {
   Fixture fixture;
+  bool is_relayed;
 
   _setup (&fixture, 125);
   _ping (&fixture, "n1", "a", 125, 5000);
   _update (&fixture);
-  g_assert_false (_add_start (&fixture, "a1", 0));
+  is_relayed = _try_start (&fixture, "a1", 0);
+  g_assert_false (is_relayed);
   _teardown (&fixture);
 }
 
@@ -190,8 +201,8 @@
   _ping (&fixture, "strong", "a", 500, 5000);
   _ping (&fixture, "other", "b", 100, 5000);
   _update (&fixture);
-  g_assert_true (_add_start (&fixture, "a1", 0));
-  g_assert_true (_add_start (&fixture, "a2", 1));
+  _add_start (&fixture, "a1", 0);
+  _add_start (&fixture, "a2", 1);
   _flush (&fixture);
   g_assert_cmpuint (fixture.messages->len, ==, 1);
   g_assert_cmpstr (g_array_index (fixture.messages, VpRelayMessage, 0).to, ==, "strong");
@@ -231,7 +242,7 @@
   _ping (&fixture, "strong", "a", 500, 5000);
   _ping (&fixture, "weak", "a", 100, 5000);
   _update (&fixture);
-  g_assert_true (_add_start (&fixture, "a1", 0));
+  _add_start (&fixture, "a1", 0);
   _flush (&fixture);
   for (int64_t end_ms = fixture.now_ms + 900; fixture.now_ms < end_ms; fixture.now_ms += 50)
     vp_relay_expire (fixture.relay, fixture.now_ms, fixture.results);
@@ -240,7 +251,7 @@
                    VP_COMMAND_UNCERTAIN);
   _ping (&fixture, "weak", "a", 100, 6000);
   _update (&fixture);
-  g_assert_true (_add_start (&fixture, "a1", 0));
+  _add_start (&fixture, "a1", 0);
   _flush (&fixture);
   g_assert_cmpstr (g_array_index (fixture.messages, VpRelayMessage, 0).to, ==, "weak");
   _teardown (&fixture);
@@ -258,7 +269,7 @@
   _setup (&fixture, 4);
   _ping (&fixture, "strong", "a", 500, 5000);
   _update (&fixture);
-  g_assert_true (_add_start (&fixture, "a1", 0));
+  _add_start (&fixture, "a1", 0);
   _flush (&fixture);
   commands = _take_commands (&fixture, 0, fixture.results);
   for (int64_t end_ms = fixture.now_ms + 900; fixture.now_ms < end_ms; fixture.now_ms += 50)
@@ -283,12 +294,12 @@
   _setup (&fixture, 4);
   _ping (&fixture, "strong", "a", 500, 5000);
   _update (&fixture);
-  g_assert_true (_add_start (&fixture, "a1", 0));
+  _add_start (&fixture, "a1", 0);
   _flush (&fixture);
   size = g_variant_get_size (g_array_index (fixture.messages, VpRelayMessage, 0).message.body);
   g_assert_cmpuint (size, >, TEXT_BYTES);
   _free_commands (_take_commands (&fixture, 0, fixture.results));
-  g_assert_true (_add_start (&fixture, "a1", 1));
+  _add_start (&fixture, "a1", 1);
   _flush (&fixture);
   size = g_variant_get_size (g_array_index (fixture.messages, VpRelayMessage, 0).message.body);
   g_assert_cmpuint (size, <, TEXT_BYTES);
@@ -298,7 +309,7 @@
   /* The relay restarts, and the leader hasn't heard of it yet. */
   vp_relay_agent_clear (&fixture.agent);
   memset (&fixture.agent, 0, sizeof fixture.agent);
-  g_assert_true (_add_start (&fixture, "a1", 2));
+  _add_start (&fixture, "a1", 2);
   _flush (&fixture);
   commands = _take_commands (&fixture, 0, fixture.results);
   g_assert_cmpuint (commands->len, ==, 0);
@@ -308,7 +319,7 @@
   /* Its next ping tells. */
   _ping (&fixture, "strong", "a", 500, 10);
   _update (&fixture);
-  g_assert_true (_add_start (&fixture, "a1", 3));
+  _add_start (&fixture, "a1", 3);
   _flush (&fixture);
   commands = _take_commands (&fixture, 0, fixture.results);
   g_assert_cmpuint (commands->len, ==, 1);
