Forget a leader's report of failing writes once the leader is silent

A claim that wins would cost a change of leader, after which inherited tasks wait for silent workers.

Cause: the leader had reported, just before the cut, that its writes failed for 2.5 s (the store was away then). The report was kept for as long as no other ping arrived, and a leader that reports failing writes may be replaced without waiting for a record that stands still.

--- a/src/vp-election.c
+++ b/src/vp-election.c
@@ -113,12 +113,21 @@
   return now_ms - MAX (election->leader_ping_ms, election->started_ms);
 }
 
+/* Returns true if the leader has just reported that its writes fail. A report from before a
+ * partition says nothing about the leader of now. */
+static bool
+_vp_election_is_leader_failing (const VpElection *election, int64_t now_ms)
+{
+  return election->store_failing_ms > VP_ELECTION_STORE_FAILING_MS
+         && _vp_election_leader_silent_ms (election, now_ms) < VP_ELECTION_LEADER_KNOWN_MS;
+}
+
 /* Returns true if the leader may have failed or hands over, or if no leader is known. */
 static bool
 _vp_election_is_leader_suspect (const VpElection *election, int64_t now_ms)
 {
   return _vp_election_leader_silent_ms (election, now_ms) > VP_ELECTION_SUSPECT_MS
-         || election->store_failing_ms > VP_ELECTION_STORE_FAILING_MS || election->has_handover
+         || _vp_election_is_leader_failing (election, now_ms) || election->has_handover
          || election->leader[0] == '\0';
 }
 
@@ -147,12 +156,12 @@
   if (election->record.term == 0 || election->record.is_clean || election->has_handover
       || strcmp (election->record.leader, election->name) == 0)
     return true;
-  if (election->leader[0] != '\0' && election->store_failing_ms <= VP_ELECTION_STORE_FAILING_MS
+  if (election->leader[0] != '\0' && !_vp_election_is_leader_failing (election, now_ms)
       && _vp_election_leader_silent_ms (election, now_ms) <= _vp_election_patience_ms (election))
     return false;
   /* If the leader reports that its writes fail, the record needn't be observed for a while, as the
    * claim is conditional on its revision. */
-  return election->store_failing_ms > VP_ELECTION_STORE_FAILING_MS
+  return _vp_election_is_leader_failing (election, now_ms)
          || now_ms - election->record_unchanged_since_ms >= VP_ELECTION_RECORD_STALE_MS
          || _vp_election_majority_lost_leader (view);
 }
--- a/tests/test-election.c
+++ b/tests/test-election.c
@@ -102,6 +102,27 @@
   g_assert_cmpint (_time_to_claim (&election, "fourth", 7, 300, now_ms), <=, 1500);
 }
 
+/* Guards against a process that comes back from a partition and replaces a leader that writes,
+ * since the leader had reported failing writes before the partition. */
+static void
+test_old_report_of_failing_writes (void)
+{
+  static const VpElectionView alone = { .member_count = 4 };
+  VpElectionRecord record = { .term = 3, .commit = 1, .leader = "first" };
+  VpElection election;
+
+  _setup (&election, "first", 3);
+  vp_election_handle_leader_ping (&election, "first", 3, 2476, NOW_MS);
+  /* The partition ends after 7 s. Pings arrive 1 s after that, and the leader writes every 25 ms.
+   */
+  for (int64_t at_ms = NOW_MS + 7000; at_ms < NOW_MS + 8000; at_ms += 10) {
+    VpElectionAction action = vp_election_tick (&election, &alone, at_ms);
+    g_assert_cmpint (action, !=, VP_ELECTION_CLAIM);
+    if (action == VP_ELECTION_READ)
+      vp_election_handle_read (&election, true, (uint64_t)at_ms / 25, &record, at_ms);
+  }
+}
+
 int
 main (int argc, char **argv)
 {
@@ -109,5 +130,6 @@
   g_test_add_func ("/election/new-leader-has-time", test_new_leader_has_time);
   g_test_add_func ("/election/patience-grows", test_patience_grows);
   g_test_add_func ("/election/patience-ends", test_patience_ends);
+  g_test_add_func ("/election/old-report-of-failing-writes", test_old_report_of_failing_writes);
   return g_test_run ();
 }
