Don't take a silent worker for a slow relay

A command without a result after 1.6 s made the leader avoid its relay for 2 s and report all commands of that relay as uncertain, HOLDs that wait at healthy workers among them. One worker that leaves commands unanswered is enough, as its commands wait for each other at the relay. Its healthy workers then count as unreachable, their starts are repeated and stopped, and the other relays get their load.

An overdue command now counts against its relay only if no command sent after it has been answered by a worker through that relay. Otherwise only that command is uncertain. A relay that is silent for 800 ms is avoided as before. Ruled out: counting distinct overdue workers, since a disruption makes several workers silent at once.

Test relay/silent-worker fails on the code before. relay/overloaded-relay keeps the case that the rule was for.

--- a/src/vp-relay.c
+++ b/src/vp-relay.c
@@ -6,11 +6,11 @@
 
 /* CPU share, in thousandths of a core, that a process should have for each worker that it calls. */
 #define VP_RELAY_CPU_MILLI_PER_WORKER 4
-/* A relay that hasn't returned the result of a command after this time is avoided. Calls to silent
- * workers time out earlier. */
-#define VP_RELAY_SLOW_MS 1600
+/* A command whose result hasn't arrived after this time is uncertain. A call to a silent worker
+ * times out earlier, but commands for one worker may have to wait for each other. */
+#define VP_RELAY_OVERDUE_MS 1600
 /* The same for HOLD commands, which may wait at the worker. */
-#define VP_RELAY_SLOW_HOLD_MS 3600
+#define VP_RELAY_OVERDUE_HOLD_MS 3600
 /* A relay is avoided if neither results nor pings of it have arrived for this long while results
  * are outstanding, as it may have died: two pings are missing then. */
 #define VP_RELAY_SILENT_MS 800
@@ -32,6 +32,7 @@
   uint32_t cpu_milli;
   int64_t heard_ms;       /* time of the last results or ping, or of the first command after it had
                              none */
+  int64_t answered_ms;    /* latest time at which a command was sent that a worker has answered */
   int64_t avoid_until_ms; /* it gets no commands before this time */
   uint32_t pending_count; /* commands without a result */
   GHashTable *workers;    /* identity of a worker in the batch -> index + 1 */
@@ -57,7 +58,7 @@
 typedef struct {
   VpCommandResult result; /* the result if none arrives */
   VpRelayProcess *process;
-  int64_t due_ms; /* the relay counts as slow after this time */
+  int64_t due_ms; /* the command is overdue after this time */
 } VpRelayPending;
 
 struct _VpRelay {
@@ -386,7 +387,8 @@
   pending = g_new0 (VpRelayPending, 1);
   pending->process = process;
   pending->due_ms
-      = now_ms + (command->kind == VP_COMMAND_HOLD ? VP_RELAY_SLOW_HOLD_MS : VP_RELAY_SLOW_MS);
+      = now_ms
+        + (command->kind == VP_COMMAND_HOLD ? VP_RELAY_OVERDUE_HOLD_MS : VP_RELAY_OVERDUE_MS);
   pending->result = (VpCommandResult){ .kind = command->kind,
                                        .task = command->task,
                                        .run = command->run,
@@ -508,6 +510,8 @@
     if (pending != NULL && outcome <= VP_COMMAND_UNCERTAIN) {
       VpCommandResult result = pending->result;
       result.outcome = (VpCommandOutcome)outcome;
+      if (clock_ms > 0)
+        process->answered_ms = MAX (process->answered_ms, result.sent_ms);
       /* The relay may lack a text that it should have. */
       if (result.kind == VP_COMMAND_START && result.outcome == VP_COMMAND_LATE)
         g_hash_table_remove_all (process->texts);
@@ -527,22 +531,35 @@
   }
 }
 
-/* Reports the command as uncertain. */
+/* Avoids the relay of the command. */
 static void
-_vp_relay_give_up (VpRelay *relay, VpRelayPending *pending, int64_t now_ms, GArray *results)
+_vp_relay_avoid (VpRelay *relay, const VpRelayPending *pending, int64_t now_ms)
 {
   VpRelayProcess *process = pending->process;
 
-  process->pending_count--;
   if (now_ms >= process->avoid_until_ms)
-    vp_log (now_ms, "relay-avoided", "relay=%s worker=%s silent_ms=%" G_GINT64_FORMAT,
-            process->name, pending->result.worker, now_ms - process->heard_ms);
+    vp_log (now_ms, "relay-avoided",
+            "relay=%s worker=%s silent_ms=%" G_GINT64_FORMAT " waited_ms=%" G_GINT64_FORMAT,
+            process->name, pending->result.worker, now_ms - process->heard_ms,
+            now_ms - pending->result.sent_ms);
   process->avoid_until_ms = now_ms + VP_RELAY_AVOID_MS;
-  pending->result.received_ms = now_ms;
-  g_array_append_val (results, pending->result);
   relay->check_next_ms = now_ms;
 }
 
+/* Returns true if the command shows that its relay, and not only its worker, doesn't answer. */
+static bool
+_vp_relay_is_unresponsive (const VpRelayPending *pending, int64_t now_ms)
+{
+  const VpRelayProcess *process = pending->process;
+
+  /* A HOLD may wait at the worker, so only other commands tell whether the relay is silent. */
+  if (pending->result.kind != VP_COMMAND_HOLD
+      && now_ms - MAX (process->heard_ms, pending->result.sent_ms) > VP_RELAY_SILENT_MS)
+    return true;
+  /* If a later command has been answered through the relay, this one waits for its worker. */
+  return now_ms >= pending->due_ms && process->answered_ms < pending->result.sent_ms;
+}
+
 void
 vp_relay_expire (VpRelay *relay, int64_t now_ms, GArray *results)
 {
@@ -554,13 +571,13 @@
   g_hash_table_iter_init (&iter, relay->pending);
   while (g_hash_table_iter_next (&iter, NULL, &value)) {
     VpRelayPending *pending = value;
-    /* A HOLD may wait at the worker, so only other commands tell whether the relay is silent. */
-    bool is_silent = pending->result.kind != VP_COMMAND_HOLD
-                     && now_ms - MAX (pending->process->heard_ms, pending->result.sent_ms)
-                            > VP_RELAY_SILENT_MS;
-    if (now_ms < pending->due_ms && !is_silent && now_ms >= pending->process->avoid_until_ms)
+    if (_vp_relay_is_unresponsive (pending, now_ms))
+      _vp_relay_avoid (relay, pending, now_ms);
+    else if (now_ms < pending->due_ms && now_ms >= pending->process->avoid_until_ms)
       continue;
-    _vp_relay_give_up (relay, pending, now_ms, results);
+    pending->process->pending_count--;
+    pending->result.received_ms = now_ms;
+    g_array_append_val (results, pending->result);
     g_hash_table_iter_remove (&iter);
   }
 }
--- a/src/vp-relay.h
+++ b/src/vp-relay.h
@@ -17,9 +17,10 @@
  *
  * A worker's commands go to a relay in its DC, the strongest VMs first. A relay that is out of
  * reach or slow to answer is avoided. The results of its commands are then reported as uncertain,
- * which lets the scheduler repeat the commands through another relay. That is safe, since workers
- * take a repeated run as the same one, leases have absolute ends, and every command has the
- * leader's term.
+ * which lets the scheduler repeat the commands through another relay. A worker that doesn't answer,
+ * while others answer through the same relay, makes only its own commands uncertain. That is safe,
+ * since workers take a repeated run as the same one, leases have absolute ends, and every command
+ * has the leader's term.
  *
  * State only, no I/O.
  */
--- a/tests/test-relay.c
+++ b/tests/test-relay.c
@@ -257,6 +257,92 @@
   _teardown (&fixture);
 }
 
+/* Returns the result of one command of @commands, answered by its worker. */
+static void
+_answer (Fixture *fixture, const char *from, const VpCommand *command)
+{
+  VpCommandResult sent = { .outcome = VP_COMMAND_OK, .clock_ms = 77 };
+
+  vp_command_result_begin (&sent, command, fixture->now_ms);
+  _return_result (fixture, from, &sent);
+}
+
+/* Guards against a silent worker that is taken for a slow relay, so that the commands of all other
+ * workers of that relay count as uncertain and are repeated through relays that then look slow as
+ * well. Only the silent worker's command becomes uncertain. */
+static void
+test_silent_worker (void)
+{
+  Fixture fixture;
+  GArray *silent, *commands;
+
+  _setup (&fixture, 4);
+  _ping (&fixture, "strong", "a", 500, 5000);
+  _ping (&fixture, "weak", "a", 100, 5000);
+  _update (&fixture);
+  _add_start (&fixture, "a1", 0);
+  _flush (&fixture);
+  silent = _take_commands (&fixture, 0, fixture.results);
+  for (uint32_t i = 1; i <= 20; i++) {
+    _ping (&fixture, "strong", "a", 500, 5000 + 100 * i);
+    _add_start (&fixture, "a2", i);
+    _flush (&fixture);
+    g_assert_cmpstr (g_array_index (fixture.messages, VpRelayMessage, 0).to, ==, "strong");
+    commands = _take_commands (&fixture, 0, fixture.results);
+    /* The last command is still at its worker when the silent worker's is overdue. */
+    if (i < 20)
+      _answer (&fixture, "strong", &g_array_index (commands, VpCommand, 0));
+    _free_commands (commands);
+    fixture.now_ms += 50;
+    if (i < 16)
+      vp_relay_expire (fixture.relay, fixture.now_ms, fixture.results);
+  }
+  _clear_results (&fixture);
+  vp_relay_expire (fixture.relay, fixture.now_ms, fixture.results);
+  g_assert_cmpuint (fixture.results->len, ==, 1);
+  g_assert_cmpstr (g_array_index (fixture.results, VpCommandResult, 0).worker, ==, "a1");
+  g_assert_cmpint (g_array_index (fixture.results, VpCommandResult, 0).outcome, ==,
+                   VP_COMMAND_UNCERTAIN);
+  _ping (&fixture, "strong", "a", 500, 7500);
+  _update (&fixture);
+  _add_start (&fixture, "a2", 30);
+  _flush (&fixture);
+  g_assert_cmpstr (g_array_index (fixture.messages, VpRelayMessage, 0).to, ==, "strong");
+  _free_commands (silent);
+  _teardown (&fixture);
+}
+
+/* Guards against a relay that still pings but whose commands pile up: one that has answered none of
+ * the commands since an overdue one is avoided. */
+static void
+test_overloaded_relay (void)
+{
+  Fixture fixture;
+
+  _setup (&fixture, 4);
+  _ping (&fixture, "strong", "a", 500, 5000);
+  _ping (&fixture, "weak", "a", 100, 5000);
+  _update (&fixture);
+  _add_start (&fixture, "a1", 0);
+  _add_start (&fixture, "a2", 1);
+  for (uint32_t i = 1; i <= 40; i++) {
+    fixture.now_ms += 50;
+    _ping (&fixture, "strong", "a", 500, 5000 + 50 * i);
+    vp_relay_expire (fixture.relay, fixture.now_ms, fixture.results);
+  }
+  g_assert_cmpuint (fixture.results->len, ==, 2);
+  _ping (&fixture, "weak", "a", 100, 7000);
+  _update (&fixture);
+  _clear_messages (&fixture);
+  vp_relay_flush (fixture.relay, fixture.now_ms, fixture.messages);
+  for (guint i = 0; i < fixture.messages->len; i++)
+    g_variant_ref_sink (g_array_index (fixture.messages, VpRelayMessage, i).message.body);
+  _add_start (&fixture, "a1", 0);
+  _flush (&fixture);
+  g_assert_cmpstr (g_array_index (fixture.messages, VpRelayMessage, 0).to, ==, "weak");
+  _teardown (&fixture);
+}
+
 /* A result that comes after the command was given up is dropped, as the scheduler has acted on its
  * loss. */
 static void
@@ -356,6 +442,8 @@
   g_test_add_func ("/relay/small-cell", test_small_cell);
   g_test_add_func ("/relay/round-trip", test_round_trip);
   g_test_add_func ("/relay/dead-relay", test_dead_relay);
+  g_test_add_func ("/relay/silent-worker", test_silent_worker);
+  g_test_add_func ("/relay/overloaded-relay", test_overloaded_relay);
   g_test_add_func ("/relay/late-result", test_late_result);
   g_test_add_func ("/relay/text-once", test_text_once);
   g_test_add_func ("/relay/malformed", test_malformed);
