Accept the backlog when the HTTP server is quiesced

The kernel completes handshakes before the server accepts the connections. Shutting down the listening socket reset those that waited in the backlog, and their callers, who may have sent a request, got no answer. That is more likely the busier the HTTP threads are.

vp_http_server_quiesce() now stops further handshakes with a socket filter, hands the connections of the backlog to the HTTP threads, and only then shuts the listening socket down.

/http-server/quiesce-backlog keeps the only HTTP thread busy while eight callers connect.

--- a/src/vp-http-server.c
+++ b/src/vp-http-server.c
@@ -6,6 +6,7 @@
 
 #include <errno.h>
 #include <gio/gio.h>
+#include <linux/filter.h>
 #include <microhttpd.h>
 #include <string.h>
 #include <sys/epoll.h>
@@ -634,15 +635,50 @@
   return http->port;
 }
 
+/* Drops all further packets to the listening socket, so that the kernel completes no handshakes
+ * after this call. It has no effect on connections that it has completed already. */
+static void
+_vp_http_server_drop_handshakes (VpHttpServer *http)
+{
+  struct sock_filter drop_all = BPF_STMT (BPF_RET | BPF_K, 0);
+  struct sock_fprog program = { .len = 1, .filter = &drop_all };
+
+  if (setsockopt (http->listen_fd, SOL_SOCKET, SO_ATTACH_FILTER, &program, sizeof program) != 0)
+    g_warning ("can't stop handshakes before the listener is closed: %s", g_strerror (errno));
+}
+
+/* Accepts the connections that the kernel has completed. Their callers may have sent a request, and
+ * the shutdown of the listening socket would reset them. */
+static void
+_vp_http_server_accept_backlog (VpHttpServer *http)
+{
+  struct sockaddr_storage address;
+  socklen_t size = sizeof address;
+  int fd;
+
+  while ((fd = accept4 (http->listen_fd, (struct sockaddr *)&address, &size,
+                        SOCK_CLOEXEC | SOCK_NONBLOCK))
+             >= 0
+         || errno == EINTR || errno == ECONNABORTED) {
+    if (fd >= 0
+        && MHD_add_connection (http->daemon, fd, (struct sockaddr *)&address, size) != MHD_YES)
+      g_warning ("can't serve a connection that was accepted at shutdown");
+    size = sizeof address;
+  }
+}
+
 void
 vp_http_server_quiesce (VpHttpServer *http)
 {
   if (__atomic_exchange_n (&http->is_quiesced, true, __ATOMIC_ACQ_REL))
     return;
-  /* Without the shutdown of the socket the kernel would still complete handshakes of connections
-   * that are never accepted. The descriptor stays open until MHD has stopped using it. */
-  if (MHD_quiesce_daemon (http->daemon) != MHD_INVALID_SOCKET)
-    shutdown (http->listen_fd, SHUT_RDWR);
+  if (MHD_quiesce_daemon (http->daemon) == MHD_INVALID_SOCKET)
+    return;
+  _vp_http_server_drop_handshakes (http);
+  _vp_http_server_accept_backlog (http);
+  /* Without the shutdown of the socket callers would wait instead of being refused. The descriptor
+   * stays open until MHD has stopped using it. */
+  shutdown (http->listen_fd, SHUT_RDWR);
 }
 
 /* Aborts all waiting calls, since MHD must not be stopped while connections are suspended. */
--- a/tests/test-http-server.c
+++ b/tests/test-http-server.c
@@ -22,6 +22,7 @@
   bool is_echo;
   bool is_pooled; /* requests are echoed by four other threads */
   bool is_ending;
+  bool is_gated; /* HTTP threads wait in on_event() */
   GThread *pool[4];
   GQueue jobs; /* Job */
   GQueue held; /* VpRequest */
@@ -110,6 +111,8 @@
     }
   }
   pthread_cond_broadcast (&server->changed);
+  while (server->is_gated)
+    pthread_cond_wait (&server->changed, &server->lock);
   pthread_mutex_unlock (&server->lock);
   if (event->kind != VP_EVENT_REQUEST || !server->is_echo || server->is_pooled)
     return;
@@ -118,7 +121,7 @@
 }
 
 static void
-server_setup (Server *server, bool is_echo)
+server_setup_threads (Server *server, bool is_echo, uint32_t thread_count)
 {
   g_autoptr (GError) error = NULL;
 
@@ -130,11 +133,27 @@
                                                             .post = on_event,
                                                             .data = server,
                                                             .body_max = BODY_MAX,
-                                                            .client_timeout_ms = 400 },
+                                                            .client_timeout_ms = 400,
+                                                            .thread_count = thread_count },
                                        &error);
   g_assert_no_error (error);
 }
 
+static void
+server_setup (Server *server, bool is_echo)
+{
+  server_setup_threads (server, is_echo, 0);
+}
+
+static void
+set_gated (Server *server, bool is_gated)
+{
+  pthread_mutex_lock (&server->lock);
+  server->is_gated = is_gated;
+  pthread_cond_broadcast (&server->changed);
+  pthread_mutex_unlock (&server->lock);
+}
+
 static void
 server_shutdown (Server *server)
 {
@@ -466,6 +485,34 @@
   close (fds[1]);
 }
 
+/* Guards against a quiesce that resets connections which the kernel has completed, but the server
+ * has not accepted. */
+static void
+test_quiesce_backlog (void)
+{
+  Server server;
+  int fds[9];
+
+  server_setup_threads (&server, true, 1);
+  set_gated (&server, true);
+  for (guint i = 0; i < G_N_ELEMENTS (fds); i++) {
+    fds[i] = open_client (&server);
+    send_text (fds[i], GET ("/v1/status"));
+    /* From here on the only HTTP thread waits, and the others' connections stay in the backlog. */
+    if (i == 0)
+      wait_count (&server, &server.request_count, 1);
+  }
+  vp_http_server_quiesce (server.http);
+  set_gated (&server, false);
+  for (guint i = 0; i < G_N_ELEMENTS (fds); i++) {
+    g_autofree char *response = read_response (fds[i]);
+    g_assert_true (g_str_has_prefix (response, "HTTP/1.1 200"));
+    g_assert_nonnull (strstr (response, "Connection: close"));
+    close (fds[i]);
+  }
+  server_shutdown (&server);
+}
+
 int
 main (int argc, char **argv)
 {
@@ -477,5 +524,6 @@
   g_test_add_func ("/http-server/closed-early", test_closed_early);
   g_test_add_func ("/http-server/concurrent", test_concurrent);
   g_test_add_func ("/http-server/shutdown", test_shutdown);
+  g_test_add_func ("/http-server/quiesce-backlog", test_quiesce_backlog);
   return g_test_run ();
 }
