Refuse unread requests at shutdown instead of closing their connections

At shutdown the HTTP server closed each connection whose request had arrived but was not posted yet, and a request whose event was just being posted, without a response. The caller could not tell whether it had run.

The server now answers requests that arrive from the beginning of the shutdown on with 503 shutting-down, not run, and closes the connections once the requests that callers have sent are refused, within the 2 s that it waited for replies before. vp_http_server_refuse_requests() begins that and returns when no more requests are posted.

--- a/src/vp-http-server.c
+++ b/src/vp-http-server.c
@@ -11,6 +11,7 @@
 #include <string.h>
 #include <sys/epoll.h>
 #include <sys/eventfd.h>
+#include <sys/ioctl.h>
 #include <unistd.h>
 
 #define VP_HTTP_SERVER_BODY_MAX          262144
@@ -23,9 +24,13 @@
 #define VP_HTTP_SERVER_CONNECTION_MEMORY 8192
 /* The body of a refused request is read and discarded up to this size, since closing a connection
  * with unread data resets it, and the caller may not receive the refusal. */
-#define VP_HTTP_SERVER_DISCARD_MAX      ((uint64_t)4 * 1024 * 1024)
-#define VP_HTTP_SERVER_FLUSH_TIMEOUT_MS 2000 /* longest wait for written replies at shutdown */
-#define VP_HTTP_SERVER_WAKE_ID          UINT64_MAX /* epoll data of the wake-up eventfd */
+#define VP_HTTP_SERVER_DISCARD_MAX ((uint64_t)4 * 1024 * 1024)
+/* Longest wait at shutdown for requests that are being received and replies that are written. */
+#define VP_HTTP_SERVER_FLUSH_TIMEOUT_MS 2000
+/* Interval of the checks for unread requests during that wait; nothing signals their arrival. */
+#define VP_HTTP_SERVER_FLUSH_CHECK_MS 10
+#define VP_HTTP_SERVER_RETRY_AFTER_S  1          /* of requests that are refused at shutdown */
+#define VP_HTTP_SERVER_WAKE_ID        UINT64_MAX /* epoll data of the wake-up eventfd */
 
 typedef enum {
   VP_HTTP_SERVER_RECEIVING,
@@ -56,6 +61,7 @@
   const char *path;
   bool is_refused; /* refused for its path, headers or size; the body is discarded */
   GByteArray *body;
+  bool is_unwritten;       /* counted in VpHttpServer.unwritten_count */
   uint64_t discarded_size; /* bytes of the body that were discarded */
   int64_t arrived_us;
 } VpHttpServerCall;
@@ -72,7 +78,9 @@
   GQueue receiving;    /* VpHttpServerConnection */
   uint64_t last_handle;
   uint32_t unwritten_count; /* replies that are not written yet */
-  bool is_stopping;
+  uint32_t posting_count;   /* requests whose event is not posted yet */
+  GHashTable *adopted;      /* connections of the backlog that MHD has not begun to serve */
+  bool is_stopping;         /* requests are refused */
   /* Detects slow clients, and closed connections among the suspended ones, which MHD does not poll.
    */
   GThread *watcher;
@@ -164,6 +172,9 @@
   conn->fd = info->connect_fd;
   *socket_context = conn;
   _vp_http_server_start_receiving (http, conn);
+  pthread_mutex_lock (&http->lock);
+  g_hash_table_remove (http->adopted, GINT_TO_POINTER (conn->fd));
+  pthread_mutex_unlock (&http->lock);
 }
 
 static VpHttpServerCall *
@@ -191,12 +202,12 @@
   (void)connection;
   if (call == NULL)
     return;
-  if (call->state == VP_HTTP_SERVER_RESPONSE_READY) {
-    pthread_mutex_lock (&http->lock);
+  pthread_mutex_lock (&http->lock);
+  if (call->is_unwritten) {
     http->unwritten_count--;
     pthread_cond_signal (&http->flushed);
-    pthread_mutex_unlock (&http->lock);
   }
+  pthread_mutex_unlock (&http->lock);
   if (code == MHD_REQUEST_TERMINATED_COMPLETED_OK)
     _vp_http_server_start_receiving (http, call->conn);
   g_clear_pointer (&call->response, MHD_destroy_response);
@@ -231,10 +242,17 @@
 {
   const char *detail = call->route.detail[0] == '\0' ? NULL : call->route.detail;
   g_autoptr (GBytes) body = vp_request_format_error (call->route.reason, detail);
+  uint32_t retry_after_s
+      = call->route.reason == VP_REASON_SHUTTING_DOWN ? VP_HTTP_SERVER_RETRY_AFTER_S : 0;
   struct MHD_Response *response
-      = _vp_http_server_response (http, call->route.status, 0, body, NULL);
-  enum MHD_Result result = MHD_queue_response (call->connection, call->route.status, response);
+      = _vp_http_server_response (http, call->route.status, retry_after_s, body, NULL);
+  enum MHD_Result result;
 
+  pthread_mutex_lock (&http->lock);
+  call->is_unwritten = true;
+  http->unwritten_count++;
+  pthread_mutex_unlock (&http->lock);
+  result = MHD_queue_response (call->connection, call->route.status, response);
   MHD_destroy_response (response);
   return result;
 }
@@ -340,8 +358,11 @@
     pthread_mutex_unlock (&http->lock);
     if (request != NULL)
       vp_request_unref (request);
-    return MHD_NO;
+    _vp_http_server_refuse (call, vp_reason_http_status (VP_REASON_SHUTTING_DOWN),
+                            VP_REASON_SHUTTING_DOWN, "");
+    return _vp_http_server_queue_refusal (http, call);
   }
+  http->posting_count++;
   call->arrived_us = g_get_monotonic_time ();
   call->state = VP_HTTP_SERVER_WAITING;
   call->handle = ++http->last_handle;
@@ -354,6 +375,8 @@
   else
     _vp_http_server_post_request (http, call, request);
   pthread_mutex_lock (&http->lock);
+  http->posting_count--;
+  pthread_cond_signal (&http->flushed);
   if (call->state == VP_HTTP_SERVER_WAITING
       && epoll_ctl (http->epoll_fd, EPOLL_CTL_ADD, call->conn->fd, &watch) != 0)
     g_warning ("can't watch a connection: %s", g_strerror (errno));
@@ -454,6 +477,7 @@
     call->response = response;
     call->status = status;
     arrived_us = call->arrived_us;
+    call->is_unwritten = true;
     http->unwritten_count++;
   }
   pthread_mutex_unlock (&http->lock);
@@ -622,6 +646,7 @@
   vp_sync_cond_setup (&http->flushed);
   g_queue_init (&http->receiving);
   http->waiting = g_hash_table_new (g_int64_hash, g_int64_equal);
+  http->adopted = g_hash_table_new (NULL, NULL);
   http->listen_fd = http->epoll_fd = http->wake_fd = -1;
   if (_vp_http_server_listen (http, error) && _vp_http_server_start (http, error))
     return http;
@@ -647,6 +672,21 @@
     g_warning ("can't stop handshakes before the listener is closed: %s", g_strerror (errno));
 }
 
+/* Passes an accepted connection to the HTTP threads. */
+static void
+_vp_http_server_adopt (VpHttpServer *http, int fd, const struct sockaddr *address, socklen_t size)
+{
+  pthread_mutex_lock (&http->lock);
+  g_hash_table_add (http->adopted, GINT_TO_POINTER (fd));
+  pthread_mutex_unlock (&http->lock);
+  if (MHD_add_connection (http->daemon, fd, address, size) == MHD_YES)
+    return;
+  g_warning ("can't serve a connection that was accepted at shutdown");
+  pthread_mutex_lock (&http->lock);
+  g_hash_table_remove (http->adopted, GINT_TO_POINTER (fd));
+  pthread_mutex_unlock (&http->lock);
+}
+
 /* Accepts the connections that the kernel has completed. Their callers may have sent a request, and
  * the shutdown of the listening socket would reset them. */
 static void
@@ -660,9 +700,8 @@
                         SOCK_CLOEXEC | SOCK_NONBLOCK))
              >= 0
          || errno == EINTR || errno == ECONNABORTED) {
-    if (fd >= 0
-        && MHD_add_connection (http->daemon, fd, (struct sockaddr *)&address, size) != MHD_YES)
-      g_warning ("can't serve a connection that was accepted at shutdown");
+    if (fd >= 0)
+      _vp_http_server_adopt (http, fd, (struct sockaddr *)&address, size);
     size = sizeof address;
   }
 }
@@ -681,19 +720,57 @@
   shutdown (http->listen_fd, SHUT_RDWR);
 }
 
+void
+vp_http_server_refuse_requests (VpHttpServer *http)
+{
+  pthread_mutex_lock (&http->lock);
+  http->is_stopping = true;
+  while (http->posting_count > 0)
+    pthread_cond_wait (&http->flushed, &http->lock);
+  pthread_mutex_unlock (&http->lock);
+}
+
+/* Returns true if a caller has sent a request, or a part of it, that is not refused yet. The lock
+ * is held. */
+static bool
+_vp_http_server_is_receiving (const VpHttpServer *http)
+{
+  if (g_hash_table_size (http->adopted) > 0)
+    return true;
+  for (const GList *l = http->receiving.head; l != NULL; l = l->next) {
+    const VpHttpServerConnection *conn = l->data;
+    int unread_size = 0;
+    if (conn->has_headers || (ioctl (conn->fd, FIONREAD, &unread_size) == 0 && unread_size > 0))
+      return true;
+  }
+  return false;
+}
+
+/* Waits until requests that callers have sent are refused and all replies are written. */
+static void
+_vp_http_server_flush (VpHttpServer *http)
+{
+  int64_t now_us = g_get_monotonic_time ();
+  int64_t end_us = now_us + VP_HTTP_SERVER_FLUSH_TIMEOUT_MS * (int64_t)1000;
+
+  pthread_mutex_lock (&http->lock);
+  while (now_us < end_us && (http->unwritten_count > 0 || _vp_http_server_is_receiving (http))) {
+    vp_sync_cond_wait_until (&http->flushed, &http->lock,
+                             MIN (end_us, now_us + VP_HTTP_SERVER_FLUSH_CHECK_MS * (int64_t)1000));
+    now_us = g_get_monotonic_time ();
+  }
+  pthread_mutex_unlock (&http->lock);
+}
+
 /* Aborts all waiting calls, since MHD must not be stopped while connections are suspended. */
 static void
 _vp_http_server_abort_all (VpHttpServer *http)
 {
-  int64_t end_us = g_get_monotonic_time () + VP_HTTP_SERVER_FLUSH_TIMEOUT_MS * (int64_t)1000;
   g_autoptr (GPtrArray) calls = g_ptr_array_new ();
   GHashTableIter iter;
   gpointer call;
 
   pthread_mutex_lock (&http->lock);
-  http->is_stopping = true;
-  while (http->unwritten_count > 0 && vp_sync_cond_wait_until (&http->flushed, &http->lock, end_us))
-    continue;
   g_hash_table_iter_init (&iter, http->waiting);
   while (g_hash_table_iter_next (&iter, NULL, &call)) {
     VpHttpServerCall *waiting = call;
@@ -714,6 +791,8 @@
     return;
   if (http->daemon != NULL) {
     vp_http_server_quiesce (http);
+    vp_http_server_refuse_requests (http);
+    _vp_http_server_flush (http);
     _vp_http_server_abort_all (http);
   }
   if (http->watcher != NULL) {
@@ -729,6 +808,7 @@
   if (http->wake_fd >= 0)
     close (http->wake_fd);
   g_hash_table_unref (http->waiting);
+  g_hash_table_unref (http->adopted);
   pthread_cond_destroy (&http->flushed);
   pthread_mutex_destroy (&http->lock);
   g_free (http);
--- a/src/vp-http-server.h
+++ b/src/vp-http-server.h
@@ -53,9 +53,14 @@
                            uint32_t retry_after_s,
                            GBytes *body,
                            const char *content_type);
-/* Stops accepting connections. Requests on open connections still get replies. */
+/* Stops accepting connections. Requests on open connections, and on those that the kernel has
+ * completed already, still get replies. */
 void vp_http_server_quiesce (VpHttpServer *http);
-/* Waits up to 2 s until all replies are written, then closes all connections. */
+/* Refuses all further requests with a 503 response. No request is posted after this call. Must not
+ * be called on an HTTP thread. */
+void vp_http_server_refuse_requests (VpHttpServer *http);
+/* Refuses further requests, waits up to 2 s until those that callers have sent are refused and all
+ * replies are written, then closes all connections. Posted requests without a reply are cut off. */
 void vp_http_server_shutdown (VpHttpServer *http);
 /* Returns the port that the server listens on. It is chosen by the system if the address has port
  * 0. */
--- a/tests/test-http-server.c
+++ b/tests/test-http-server.c
@@ -513,6 +513,50 @@
   server_shutdown (&server);
 }
 
+static gpointer
+run_shutdown (gpointer data)
+{
+  vp_http_server_shutdown (data);
+  return NULL;
+}
+
+/* Guards against a shutdown that cuts off requests which were sent, but not posted, when it began:
+ * the first is being posted, the others are unread. */
+static void
+test_shutdown_unread (void)
+{
+  Server server;
+  GThread *thread;
+  int fds[5];
+
+  server_setup_threads (&server, true, 1);
+  for (guint i = 0; i < G_N_ELEMENTS (fds); i++) {
+    g_autofree char *response = NULL;
+    fds[i] = open_client (&server);
+    send_text (fds[i], GET ("/v1/status"));
+    response = read_response (fds[i]);
+    g_assert_true (g_str_has_prefix (response, "HTTP/1.1 200"));
+  }
+  set_gated (&server, true);
+  send_text (fds[0], GET ("/v1/status"));
+  wait_count (&server, &server.request_count, G_N_ELEMENTS (fds) + 1);
+  for (guint i = 1; i < G_N_ELEMENTS (fds); i++)
+    send_text (fds[i], GET ("/v1/status"));
+  thread = g_thread_new ("shutdown", run_shutdown, server.http);
+  g_usleep (100000); /* the server must refuse requests when the HTTP thread goes on */
+  set_gated (&server, false);
+  for (guint i = 0; i < G_N_ELEMENTS (fds); i++) {
+    g_autofree char *response = read_response (fds[i]);
+    g_assert_true (g_str_has_prefix (response, i == 0 ? "HTTP/1.1 200" : "HTTP/1.1 503"));
+    g_assert_true (i == 0 || strstr (response, "\"shutting-down\"") != NULL);
+    g_assert_true (i == 0 || strstr (response, "\"run\":\"no\"") != NULL);
+    close (fds[i]);
+  }
+  g_thread_join (thread);
+  server.http = NULL;
+  server_shutdown (&server);
+}
+
 int
 main (int argc, char **argv)
 {
@@ -525,5 +569,6 @@
   g_test_add_func ("/http-server/concurrent", test_concurrent);
   g_test_add_func ("/http-server/shutdown", test_shutdown);
   g_test_add_func ("/http-server/quiesce-backlog", test_quiesce_backlog);
+  g_test_add_func ("/http-server/shutdown-unread", test_shutdown_unread);
   return g_test_run ();
 }
