Refuse requests that are queued when the entry process exits

A request that was posted after the reducer had decided to exit was never taken from the event queue, and its connection was closed without a response.

--- a/src/vp-runtime.c
+++ b/src/vp-runtime.c
@@ -19,6 +19,7 @@
 #define VP_RUNTIME_SLEEP_MAX_MS 60000
 /* Longest wait at shutdown for threads that block in a call to the platform. */
 #define VP_RUNTIME_JOIN_TIMEOUT_MS 2000
+#define VP_RUNTIME_RETRY_AFTER_S   1 /* of requests that the reducer did not receive */
 
 typedef struct {
   struct cds_wfcq_node node;
@@ -292,6 +293,25 @@
   return vp_peer_port (runtime->peer);
 }
 
+/* Refuses the requests that were posted after the reducer had decided to exit. */
+static void
+_vp_runtime_refuse_queued (VpRuntime *runtime)
+{
+  g_autoptr (GBytes) body = vp_request_format_error (VP_REASON_SHUTTING_DOWN, NULL);
+  VpEvent event;
+
+  if (runtime->http == NULL)
+    return;
+  vp_http_server_refuse_requests (runtime->http);
+  while (_vp_runtime_take_event (runtime, &event)) {
+    if (event.kind == VP_EVENT_REQUEST)
+      vp_http_server_reply (runtime->http, event.handle,
+                            vp_reason_http_status (VP_REASON_SHUTTING_DOWN),
+                            VP_RUNTIME_RETRY_AFTER_S, body, NULL);
+    vp_event_clear (&event);
+  }
+}
+
 void
 vp_runtime_shutdown (VpRuntime *runtime)
 {
@@ -300,6 +320,7 @@
 
   if (runtime == NULL)
     return;
+  _vp_runtime_refuse_queued (runtime);
   vp_http_server_shutdown (runtime->http);
   vp_peer_shutdown (runtime->peer);
   vp_vmlist_poller_shutdown (runtime->vmlist_poller, end_us);
--- a/tests/test-runtime.c
+++ b/tests/test-runtime.c
@@ -533,6 +533,43 @@
   fake_platform_shutdown (&platform);
 }
 
+/* Guards against a shutdown that cuts off a request which was posted, but not taken by the reducer.
+ */
+static void
+test_shutdown_queued (void)
+{
+  static const char request[] = "GET /v1/status HTTP/1.1\r\nHost: x\r\n\r\n";
+  g_autoptr (GError) error = NULL;
+  FakePlatform platform;
+  VpSettings settings;
+  VpRuntime *runtime;
+  VpNetAddress address;
+  char response[512];
+  ssize_t count;
+  int fd;
+
+  fake_platform_setup (&platform);
+  release_all (&platform);
+  settings_setup (&settings, &platform);
+  runtime = vp_runtime_setup (&(VpRuntimeDesc){ .settings = &settings }, &error);
+  g_assert_no_error (error);
+  g_assert_true (vp_net_parse_address ("127.0.0.1:1", &address));
+  address.v4.sin_port = htons (vp_runtime_http_port (runtime));
+  fd = socket (AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+  g_assert_cmpint (connect (fd, &address.any, address.size), ==, 0);
+  g_assert_cmpint (send (fd, request, strlen (request), MSG_NOSIGNAL), ==, strlen (request));
+  g_usleep (100000); /* until the request is in the queue; earlier it is refused as unread */
+  vp_runtime_shutdown (runtime);
+  count = recv (fd, response, sizeof response - 1, MSG_WAITALL);
+  response[MAX (count, 0)] = '\0';
+  g_assert_true (g_str_has_prefix (response, "HTTP/1.1 503"));
+  g_assert_nonnull (strstr (response, "\"shutting-down\""));
+  g_assert_nonnull (strstr (response, "\"run\":\"no\""));
+  close (fd);
+  vp_settings_shutdown (&settings);
+  fake_platform_shutdown (&platform);
+}
+
 /* Guards against a log message that is not printed as one JSON object on one line. */
 static void
 test_log (void)
@@ -566,6 +603,7 @@
   g_test_add_func ("/runtime/worker-expired", test_worker_expired);
   g_test_add_func ("/runtime/poll", test_poll);
   g_test_add_func ("/runtime/loop", test_loop);
+  g_test_add_func ("/runtime/shutdown-queued", test_shutdown_queued);
   g_test_add_func ("/runtime/log", test_log);
   return g_test_run ();
 }
