Set the stop flag of a thread group atomically

The threads of the platform's store read the flag without the lock, while it was written as a plain variable.

--- a/src/vp-thread-group.c
+++ b/src/vp-thread-group.c
@@ -87,7 +87,7 @@
 vp_thread_group_request_stop (VpThreadGroup *group)
 {
   pthread_mutex_lock (&group->lock);
-  group->is_stopping = true;
+  __atomic_store_n (&group->is_stopping, true, __ATOMIC_RELAXED);
   pthread_mutex_unlock (&group->lock);
 }
 
--- a/src/vp-thread-group.h
+++ b/src/vp-thread-group.h
@@ -23,7 +23,7 @@
   pthread_mutex_t lock; /* also guards the data of the module that embeds the group */
   pthread_cond_t ended;
   uint32_t thread_count;
-  bool is_stopping; /* set with the lock held */
+  bool is_stopping; /* atomic; set with the lock held */
   VpPostFunc post;
   void *data;
 } VpThreadGroup;
