--- a/tests/test-pf-daemon.c
+++ b/tests/test-pf-daemon.c
@@ -14,7 +14,7 @@
 {
   g_autofree char *path = NULL;
   g_autofree char *text
-      = g_strdup_printf ("{\"name\":\"n1\",\"dc\":\"nadi\",\"callers_address\":\"%s:8080\","
+      = g_strdup_printf ("{\"name\":\"n1\",\"dc\":\"dc-1\",\"callers_address\":\"%s:8080\","
                          "\"ready_address\":\"%s:8081\",\"host\":\"%s\",\"peer_port\":9000,"
                          "\"store_address\":\"%s:1\",\"hold_max_ms\":2000}",
                          host, host, host, host);
