Stop runs whose start is unanswered before their worker's restart ends them

Cause: a worker that restarts under its identity knows nothing of the time before. The leader took all of its runs as ended at once, also those of which a start had no answer yet. Such a start may lie at a relay or on a slow link; the worker carried it out after its restart, while the task ran elsewhere or was done. The lease in the start doesn't prevent that, as the worker's clock begins anew.

Change: runs of which all starts are answered end at once, as before. The others are stopped at the restarted worker, which then refuses their starts, and end once it lists them no more. An answer to a stop that was sent before the restart doesn't count.

--- a/src/vp-cell.c
+++ b/src/vp-cell.c
@@ -148,8 +148,7 @@
     known->is_placement_blocked = cell->desc.stores_workers;
   /* The platform's entry shows a restart before the worker's own answers do. */
   if (entry->booted_ms != 0 && known->booted_ms != 0 && entry->booted_ms > known->booted_ms) {
-    vp_reconcile_worker_lost (&cell->reconcile, known, "restarted", now_ms);
-    vp_workerlist_note_restart (known, entry->booted_ms);
+    vp_reconcile_worker_restarted (&cell->reconcile, known, entry->booted_ms, now_ms);
     known->is_synced = false;
     known->hold_next_ms = 0;
   }
@@ -327,7 +326,7 @@
 static void
 _vp_cell_handle_stop_result (VpCell *cell, VpJobTask *task, const VpCommandResult *result)
 {
-  if (task->phase != VP_PHASE_STOPPING)
+  if (task->phase != VP_PHASE_STOPPING || result->sent_ms < task->worker->restart_noted_ms)
     return;
   if (result->outcome == VP_COMMAND_OK)
     task->confirmed_ms = result->received_ms;
@@ -362,6 +361,9 @@
   task = vp_joblist_task (cell->jobs, &result->task);
   if (task == NULL || task->worker != worker || task->run != result->run)
     return;
+  if (result->kind == VP_COMMAND_START && result->outcome != VP_COMMAND_UNCERTAIN
+      && !result->is_repeated)
+    task->start_answers++;
   if (result->kind == VP_COMMAND_START)
     _vp_cell_handle_start_result (cell, worker, task, result, now_ms);
   else if (result->kind == VP_COMMAND_STOP)
--- a/src/vp-joblist.c
+++ b/src/vp-joblist.c
@@ -452,7 +452,7 @@
   task->phase = VP_PHASE_STARTING;
   task->run = run;
   task->worker = worker;
-  task->start_tries = 0;
+  task->start_tries = task->start_answers = 0;
   task->is_unanswered = false;
   task->started_ms = now_ms;
   task->confirmed_ms = task->stop_sent_ms = 0;
--- a/src/vp-joblist.h
+++ b/src/vp-joblist.h
@@ -61,15 +61,17 @@
   char failed_on[VP_NAME_MAX];        /* worker of the last failed run */
   bool is_already_done;               /* a run that counted as lost has succeeded after all */
   uint32_t start_tries;               /* number of starts sent for the current run */
-  int64_t start_sent_ms;              /* time of the last start sent for the current run */
-  int64_t not_before_ms;              /* no run is started before this time */
-  int64_t started_ms;                 /* time of the first start sent for the current run */
-  int64_t confirmed_ms;  /* time at which the worker confirmed the start or the stop; 0: not yet */
-  int64_t stop_sent_ms;  /* time of the last stop sent; 0: none */
-  uint32_t stall_count;  /* number of runs that were stopped as stalled */
-  bool is_unanswered;    /* the last start got no answer and hasn't been repeated yet */
-  uint32_t percent;      /* share of the CPU that the worker last reported */
-  uint32_t percent_sent; /* share of the CPU in the last throttle command */
+  uint32_t start_answers; /* number of those whose outcome is known, so that they can't have an
+                             effect any more */
+  int64_t start_sent_ms;  /* time of the last start sent for the current run */
+  int64_t not_before_ms;  /* no run is started before this time */
+  int64_t started_ms;     /* time of the first start sent for the current run */
+  int64_t confirmed_ms;   /* time at which the worker confirmed the start or the stop; 0: not yet */
+  int64_t stop_sent_ms;   /* time of the last stop sent; 0: none */
+  uint32_t stall_count;   /* number of runs that were stopped as stalled */
+  bool is_unanswered;     /* the last start got no answer and hasn't been repeated yet */
+  uint32_t percent;       /* share of the CPU that the worker last reported */
+  uint32_t percent_sent;  /* share of the CPU in the last throttle command */
   int64_t gauge; /* tail latency in ms of a task with a latency target, else CPU in use (milli) */
   char inherited_worker[VP_NAME_MAX]; /* an earlier scheduler had the task there; empty: none */
 };
--- a/src/vp-reconcile.c
+++ b/src/vp-reconcile.c
@@ -55,6 +55,45 @@
   worker->unknown_run_count = 0;
 }
 
+/* Returns true if a start of the task's run may still reach the worker. Of a run that an earlier
+ * scheduler has started, this scheduler doesn't know. */
+static bool
+_vp_reconcile_may_start_again (const VpJobTask *task)
+{
+  return task->start_tries == 0 || task->start_answers < task->start_tries;
+}
+
+void
+vp_reconcile_worker_restarted (VpReconcile *reconcile,
+                               VpCellWorker *worker,
+                               int64_t booted_ms,
+                               int64_t now_ms)
+{
+  guint count;
+  g_autofree VpJobTask **tasks
+      = (VpJobTask **)g_hash_table_get_keys_as_array (worker->tasks, &count);
+  guint stopping_count = 0;
+
+  for (guint i = 0; i < count; i++) {
+    VpJobTask *task = tasks[i];
+    if (!_vp_reconcile_may_start_again (task)) {
+      vp_runlog_add (&reconcile->log, "end", "restarted", task, now_ms);
+      vp_jobtask_end (reconcile->jobs, task, VP_RUN_LAPSED, 1, now_ms);
+      continue;
+    }
+    /* The next scan sends the stop. */
+    vp_runlog_add (&reconcile->log, "stop", "restarted", task, now_ms);
+    task->phase = VP_PHASE_STOPPING;
+    task->stop_sent_ms = task->confirmed_ms = 0;
+    stopping_count++;
+  }
+  vp_log (now_ms, "worker-lost",
+          "worker=%s why=restarted tasks=%u stopping=%u silent_ms=%" G_GINT64_FORMAT,
+          worker->entry.id, count, stopping_count, now_ms - worker->last_answer_ms);
+  worker->unknown_run_count = 0;
+  vp_workerlist_note_restart (worker, booted_ms, now_ms);
+}
+
 static void
 _vp_reconcile_record_end (VpReconcile *reconcile,
                           VpCellWorker *worker,
@@ -243,8 +282,7 @@
     /* The answer is from before the worker's restart and has arrived late. */
     if (result->booted_ms < worker->booted_ms)
       return true;
-    vp_reconcile_worker_lost (reconcile, worker, "restarted", now_ms);
-    vp_workerlist_note_restart (worker, result->booted_ms);
+    vp_reconcile_worker_restarted (reconcile, worker, result->booted_ms, now_ms);
   }
   if (worker->booted_ms == 0)
     worker->booted_ms = result->booted_ms;
--- a/src/vp-reconcile.h
+++ b/src/vp-reconcile.h
@@ -41,6 +41,13 @@
                                VpCellWorker *worker,
                                const VpCommandResult *result,
                                int64_t now_ms);
+/* Handles a restart of the worker, which has ended all runs there. A run of which a start may still
+ * be on its way, as it waits at a relay or on a slow link, is stopped before it counts as ended:
+ * the worker, which knows nothing of the time before its restart, would carry out that start. */
+void vp_reconcile_worker_restarted (VpReconcile *reconcile,
+                                    VpCellWorker *worker,
+                                    int64_t booted_ms,
+                                    int64_t now_ms);
 /* Ends all runs of a worker on which none of them can exist any more. @why, a static string, is
  * logged as the reason. */
 void vp_reconcile_worker_lost (VpReconcile *reconcile,
--- a/src/vp-workerlist.c
+++ b/src/vp-workerlist.c
@@ -147,8 +147,9 @@
 }
 
 void
-vp_workerlist_note_restart (VpCellWorker *worker, int64_t booted_ms)
+vp_workerlist_note_restart (VpCellWorker *worker, int64_t booted_ms, int64_t now_ms)
 {
+  worker->restart_noted_ms = now_ms;
   worker->booted_ms = booted_ms;
   worker->clock_ms = worker->clock_at_ms = worker->lease_end_ms = 0;
   worker->last_end_seen = worker->last_end_staged = worker->last_end_durable = 0;
--- a/src/vp-workerlist.h
+++ b/src/vp-workerlist.h
@@ -69,9 +69,11 @@
   int64_t last_answer_ms;     /* time of the last answer */
   int64_t address_changed_ms; /* time of the last change of its address; results of commands sent
                                  before say nothing about the worker */
-  uint64_t last_end_seen;     /* highest number of an end that was processed */
-  uint64_t last_end_staged;   /* highest end that the current commit covers */
-  uint64_t last_end_durable;  /* highest end that is durable, so that the worker may drop it */
+  int64_t restart_noted_ms; /* time at which its last restart was noted; 0: none. A command that was
+                               sent before may have been carried out before the restart. */
+  uint64_t last_end_seen;   /* highest number of an end that was processed */
+  uint64_t last_end_staged; /* highest end that the current commit covers */
+  uint64_t last_end_durable; /* highest end that is durable, so that the worker may drop it */
   double slowness; /* duration of its tasks relative to tasks of the same steps elsewhere */
   uint64_t last_failed_job;  /* job of the last failure */
   uint32_t failed_jobs;      /* failures of different jobs since the last success */
@@ -114,7 +116,7 @@
                                 int64_t clock_ms,
                                 int64_t received_ms);
 /* Resets leases, ends, clock and health after a restart of the worker. */
-void vp_workerlist_note_restart (VpCellWorker *worker, int64_t booted_ms);
+void vp_workerlist_note_restart (VpCellWorker *worker, int64_t booted_ms, int64_t now_ms);
 /* Returns the minimum value that the worker's clock can show now, or 0 if it never answered. */
 int64_t vp_workerlist_clock_ms (const VpCellWorker *worker, int64_t now_ms);
 /* Returns the end, on the worker's clock, of a lease that is granted now, and records it as the
--- a/tests/simcell.c
+++ b/tests/simcell.c
@@ -41,6 +41,7 @@
   VpCommand command;
   VpStoreWrite write;
   bool is_answered;  /* the node gets the result of the command or write */
+  bool is_queued;    /* the event has waited for a slow process */
   int64_t booted_ms; /* late command: boot time of the worker process that it is for; else 0 */
 } Action;
 
@@ -56,6 +57,11 @@
   bool watches_workers;
   uint32_t dc;
   uint32_t sent_list_version; /* version of the list of workers that the node was sent; 0: none */
+  int64_t event_ms;           /* time that a slow process takes for each event */
+  int64_t slow_until_ms;
+  int64_t queue_end_ms; /* time at which a slow process has handled the events that wait */
+  int64_t message_delay_ms;
+  int64_t messages_delayed_until_ms;
 } Node;
 
 struct _SimCell {
@@ -74,6 +80,7 @@
   int64_t late_commands_until_ms;
   int64_t store_down_until_ms;     /* end of the store's outage for the workers */
   GArray *dc_partitioned_until_ms; /* int64_t for each DC */
+  GArray *message_arrivals_ms;     /* int64_t for each pair of nodes: arrival of the last message */
   uint32_t worker_list_version;    /* version of the list of workers in the store */
   SimCellJobs jobs;
   GHashTable *pending_calls; /* handle -> SimJob; submits and cancels that wait for a reply */
@@ -431,6 +438,23 @@
 
 /* Nodes. */
 
+/* Returns the time that a message to another node takes. Messages of one node to another keep their
+ * order. */
+static int64_t
+_message_delay_ms (SimCell *sim, uint32_t from, uint32_t to)
+{
+  int64_t *arrival_ms
+      = &g_array_index (sim->message_arrivals_ms, int64_t, from * sim->nodes->len + to);
+  int64_t delay_ms = LINK_DELAY_MS;
+
+  if (sim->now_ms < _node (sim, from)->messages_delayed_until_ms)
+    delay_ms += g_rand_int_range (sim->rand, 0, (gint32)_node (sim, from)->message_delay_ms);
+  if (sim->now_ms < _node (sim, to)->messages_delayed_until_ms)
+    delay_ms += g_rand_int_range (sim->rand, 0, (gint32)_node (sim, to)->message_delay_ms);
+  *arrival_ms = MAX (*arrival_ms, sim->now_ms + delay_ms);
+  return *arrival_ms - sim->now_ms;
+}
+
 static void
 _send_node_message (SimCell *sim, uint32_t from, const char *to, GBytes *wire)
 {
@@ -443,7 +467,8 @@
         || _are_partitioned (sim, node->dc, _node (sim, from)->dc))
       continue;
     g_assert_true (vp_nodemsg_decode (wire, &message));
-    _post_node_event (sim, i, VP_NODE_EVENT_MESSAGE, LINK_DELAY_MS)->message = message;
+    _post_node_event (sim, i, VP_NODE_EVENT_MESSAGE, _message_delay_ms (sim, from, i))->message
+        = message;
   }
 }
 
@@ -479,7 +504,7 @@
   char dc[VP_NAME_MAX];
 
   node->incarnation++;
-  node->paused_until_ms = 0;
+  node->paused_until_ms = node->queue_end_ms = 0;
   g_snprintf (dc, sizeof dc, "dc-%u", node->dc);
   node->node = vp_node_setup (
       &(VpNodeDesc){ .name = node->name,
@@ -578,6 +603,33 @@
   }
 }
 
+/* Schedules the event of @action for the node after @delay_ms. */
+static Action *
+_postpone_node_event (SimCell *sim, Action *action, int64_t delay_ms)
+{
+  Action *later = _schedule (sim, ACTION_NODE_EVENT, delay_ms);
+
+  later->node = action->node;
+  later->incarnation = action->incarnation;
+  later->event = action->event;
+  action->event = (VpNodeEvent){ .kind = VP_NODE_EVENT_TICK };
+  return later;
+}
+
+/* Returns true if the event has to wait until a slow process has handled those before it. */
+static bool
+_queue_node_event (SimCell *sim, Action *action)
+{
+  Node *node = _node (sim, action->node);
+  int64_t begin_ms = MAX (sim->now_ms, node->queue_end_ms);
+
+  if (action->is_queued || (sim->now_ms >= node->slow_until_ms && sim->now_ms > node->queue_end_ms))
+    return false;
+  node->queue_end_ms = begin_ms + (sim->now_ms < node->slow_until_ms ? node->event_ms : 0);
+  _postpone_node_event (sim, action, begin_ms - sim->now_ms)->is_queued = true;
+  return true;
+}
+
 static void
 _run_node_event (SimCell *sim, Action *action)
 {
@@ -589,13 +641,11 @@
     return;
   if (sim->now_ms < node->paused_until_ms) {
     /* A paused process handles its events when it resumes. */
-    Action *later = _schedule (sim, ACTION_NODE_EVENT, node->paused_until_ms - sim->now_ms);
-    later->node = action->node;
-    later->incarnation = action->incarnation;
-    later->event = action->event;
-    action->event = (VpNodeEvent){ .kind = VP_NODE_EVENT_TICK };
+    _postpone_node_event (sim, action, node->paused_until_ms - sim->now_ms);
     return;
   }
+  if (_queue_node_event (sim, action))
+    return;
   vp_node_apply (node->node, &action->event, sim->now_ms, &effects);
   vp_node_step (node->node, sim->now_ms, &effects);
   if (vp_node_cell (node->node) != NULL)
@@ -714,6 +764,7 @@
     for (guint i = 0; i < sim->nodes->len; i++) {
       const Node *node = _node (sim, i);
       if (node->node != NULL && sim->now_ms >= node->paused_until_ms
+          && sim->now_ms >= node->queue_end_ms
           && vp_node_next_ms (node->node, sim->now_ms) <= sim->now_ms)
         _post_node_event (sim, i, VP_NODE_EVENT_TICK, 0);
     }
@@ -779,6 +830,8 @@
     g_ptr_array_add (sim->jobs.workers, worker);
   }
   g_array_set_size (sim->nodes, desc->node_count);
+  sim->message_arrivals_ms = g_array_new (FALSE, TRUE, sizeof (int64_t));
+  g_array_set_size (sim->message_arrivals_ms, desc->node_count * desc->node_count);
   for (uint32_t i = 0; i < desc->node_count; i++) {
     g_snprintf (_node (sim, i)->name, VP_NAME_MAX, "node-%u", i);
     _node (sim, i)->dc = i % sim->desc.dc_count;
@@ -803,6 +856,7 @@
   g_array_unref (sim->nodes);
   g_ptr_array_unref (sim->jobs.workers);
   g_array_unref (sim->dc_partitioned_until_ms);
+  g_array_unref (sim->message_arrivals_ms);
   simcell_store_shutdown (&sim->store);
   g_hash_table_unref (sim->pending_calls);
   g_hash_table_unref (sim->jobs.by_id);
@@ -944,6 +998,20 @@
   }
 }
 
+void
+simcell_slow_node (SimCell *sim, uint32_t node, int64_t event_ms, int64_t for_ms)
+{
+  _node (sim, node)->event_ms = event_ms;
+  _node (sim, node)->slow_until_ms = sim->now_ms + for_ms;
+}
+
+void
+simcell_delay_messages (SimCell *sim, uint32_t node, int64_t delay_ms, int64_t for_ms)
+{
+  _node (sim, node)->message_delay_ms = delay_ms;
+  _node (sim, node)->messages_delayed_until_ms = sim->now_ms + for_ms;
+}
+
 void
 simcell_expire_members (SimCell *sim, uint32_t node)
 {
--- a/tests/simcell.h
+++ b/tests/simcell.h
@@ -67,6 +67,10 @@
  * if @is_silent and are refused otherwise. The entry of a worker that can't renew it expires; the
  * worker writes it again up to 2 s after it reaches the store. */
 void simcell_disconnect_store (SimCell *sim, int32_t node, bool is_silent, int64_t for_ms);
+/* The node takes @event_ms for each event, so that events wait in its queue. */
+void simcell_slow_node (SimCell *sim, uint32_t node, int64_t event_ms, int64_t for_ms);
+/* Messages from and to the node take up to @delay_ms longer, but keep their order. */
+void simcell_delay_messages (SimCell *sim, uint32_t node, int64_t delay_ms, int64_t for_ms);
 /* The node is told once that the entries of all other nodes are gone from the store. */
 void simcell_expire_members (SimCell *sim, uint32_t node);
 /* The answers to @share (0 to 1) of the store's writes are lost; these writes are carried out at
--- a/tests/test-cell-log.c
+++ b/tests/test-cell-log.c
@@ -104,15 +104,27 @@
   LogCapture capture;
   Fixture fixture;
   VpWorkerEntry entry = _worker_entry (0);
+  g_autofree char *text = NULL;
 
-  _start_job (&capture, &fixture, 2);
+  _start_job (&capture, &fixture, 3);
   _assert_new_lines (&capture, 1, NULL);
+  for (guint i = 0, answered = 0; answered < 2; i++) {
+    const VpCellEffect *effect = &g_array_index (fixture.effects, VpCellEffect, i);
+    if (effect->kind != VP_CELL_COMMAND || effect->command.kind != VP_COMMAND_START
+        || effect->command.task.index > 1)
+      continue;
+    _answer (&fixture, &effect->command, VP_COMMAND_OK);
+    answered++;
+  }
   entry.booted_ms = 2;
   vp_cell_worker_listed (fixture.cell, &entry, fixture.now_ms);
   vp_cell_pause (fixture.cell);
   _decide (&fixture);
-  _assert_new_lines (&capture, 2,
+  _assert_new_lines (&capture, 3,
                      "event=end why=restarted run=1 tasks=0000000000000001.0.0:w0:0-1\n");
+  text = log_capture_read (&capture);
+  g_assert_nonnull (
+      strstr (text, "event=stop why=restarted run=1 tasks=0000000000000001.0.0:w0:2\n"));
   _teardown (&fixture);
   log_capture_teardown (&capture);
 }
--- a/tests/test-cell-takeover.c
+++ b/tests/test-cell-takeover.c
@@ -703,6 +703,41 @@
   _teardown (&fixture);
 }
 
+/* Guards against a task that runs twice after its worker has restarted under the same identity: a
+ * start without an answer may still be on its way to the worker. The task is placed again only when
+ * the worker can't carry out that start any more, as it has confirmed a stop of the run. */
+static void
+test_restarted_worker_with_start_on_the_way (void)
+{
+  Fixture fixture;
+  VpCommandResult result;
+  VpJob *job;
+
+  _setup (&fixture, 2, false);
+  _sync (&fixture);
+  job = _submit (&fixture, 1, 1000);
+  _decide (&fixture);
+  g_assert_nonnull (_find_command (&fixture, VP_COMMAND_START));
+  fixture.now_ms += 100;
+  result = _hold_result (&fixture, _find_command (&fixture, VP_COMMAND_START)->worker);
+  result.booted_ms = fixture.now_ms - 10;
+  result.clock_ms = 10;
+  _apply (&fixture, &result);
+  _decide (&fixture);
+  g_assert_null (_find_command (&fixture, VP_COMMAND_START));
+  g_assert_cmpuint (_find_command (&fixture, VP_COMMAND_STOP)->run, ==, 1);
+  _answer (&fixture, _find_command (&fixture, VP_COMMAND_STOP), VP_COMMAND_OK);
+  g_assert_cmpuint (job->assigned_count, ==, 1);
+  fixture.now_ms += 100;
+  result = _hold_result (&fixture, result.worker);
+  result.booted_ms = fixture.now_ms - 110;
+  result.clock_ms = 110;
+  _apply (&fixture, &result);
+  _decide (&fixture);
+  g_assert_cmpuint (_find_command (&fixture, VP_COMMAND_START)->run, ==, 2);
+  _teardown (&fixture);
+}
+
 int
 main (int argc, char *argv[])
 {
@@ -730,5 +765,7 @@
   g_test_add_func ("/cell/end-listed-twice", test_end_listed_twice);
   g_test_add_func ("/cell/stored-failure", test_stored_failure);
   g_test_add_func ("/cell/restarted-worker", test_restarted_worker);
+  g_test_add_func ("/cell/restarted-worker-with-start-on-the-way",
+                   test_restarted_worker_with_start_on_the_way);
   return g_test_run ();
 }
--- a/tests/test-node.c
+++ b/tests/test-node.c
@@ -613,16 +613,41 @@
   }
 }
 
+/* Makes a process too slow for its events, or delays its messages; in half of the cases, those of
+ * the leader. */
+static void
+_random_delay (SimCell *sim, uint32_t node_count)
+{
+  GRand *rand = simcell_rand (sim);
+  uint32_t node = g_rand_boolean (rand) ? simcell_leader (sim)
+                                        : (uint32_t)g_rand_int_range (rand, 0, (gint32)node_count);
+  int64_t for_ms = g_rand_int_range (rand, 500, 10000);
+
+  if (g_rand_boolean (rand))
+    simcell_slow_node (sim, node, g_rand_int_range (rand, 2, 30), for_ms);
+  else
+    simcell_delay_messages (sim, node, g_rand_int_range (rand, 100, 4000), for_ms);
+}
+
 /* CPU share with which a leader hands the commands to all of its workers to other processes. */
 #define RELAY_CPU_MILLI 4
 
+/* A kind of random days. */
+typedef struct {
+  uint32_t high_cpu_count;
+  uint32_t dc_count;
+  uint32_t cpu_milli;
+  bool has_delays; /* processes and messages are slow at times */
+} RandomDayDesc;
+
 /* Injects random faults for 25 s. All accepted jobs must complete once the faults are over. */
 static void
-_run_random_faults (uint32_t seed, uint32_t high_cpu_count, uint32_t dc_count, uint32_t cpu_milli)
+_run_random_faults (uint32_t seed, const RandomDayDesc *day)
 {
+  uint32_t dc_count = day->dc_count;
   SimCell *sim = simcell_new (&(SimCellDesc){ .seed = seed,
-                                              .cpu_milli = cpu_milli,
-                                              .high_cpu_count = high_cpu_count,
+                                              .cpu_milli = day->cpu_milli,
+                                              .high_cpu_count = day->high_cpu_count,
                                               .node_count = 3 * dc_count,
                                               .worker_count = 4 * dc_count,
                                               .dc_count = dc_count,
@@ -643,14 +668,17 @@
       _random_fault (sim);
     if (dc_count > 1 && g_rand_int_range (rand, 0, 8) == 0)
       _random_dc_cut (sim, dc_count);
+    if (day->has_delays && g_rand_int_range (rand, 0, 3) == 0)
+      _random_delay (sim, 3 * dc_count);
     simcell_run (sim, 1000);
   }
   simcell_run (sim, 40000);
   for (guint i = 0; i < jobs->len; i++) {
     uint64_t job = g_array_index (jobs, uint64_t, i);
     if (simcell_is_job_accepted (sim, job) && simcell_job_state (sim, job) != VP_JOB_COMPLETED)
-      g_error ("seed %u, %u strong, %u DCs, %u milli: job %016" G_GINT64_MODIFIER "x is %s", seed,
-               high_cpu_count, dc_count, cpu_milli, job,
+      g_error ("seed %u, %u strong, %u DCs, %u milli, delays %d: job %016" G_GINT64_MODIFIER
+               "x is %s",
+               seed, day->high_cpu_count, dc_count, day->cpu_milli, day->has_delays, job,
                vp_job_state_token (simcell_job_state (sim, job)));
   }
   simcell_free (sim);
@@ -664,7 +692,7 @@
 
 /* Runs the seed given by VP_SEED; without it 20 seeds, or as many as VP_SEEDS says. */
 static void
-_run_seeds (bool is_mixed, uint32_t dc_count, uint32_t cpu_milli)
+_run_seeds (bool is_mixed, const RandomDayDesc *day)
 {
   const char *only = g_getenv ("VP_SEED");
   const char *count = g_getenv ("VP_SEEDS");
@@ -672,30 +700,33 @@
   uint32_t seeds
       = count == NULL ? (only == NULL ? 20 : 1) : (uint32_t)g_ascii_strtoull (count, NULL, 10);
 
-  for (uint32_t seed = first; seed < first + seeds; seed++)
-    _run_random_faults (seed, is_mixed ? 1 + seed % 2 : 0, dc_count, cpu_milli);
+  for (uint32_t seed = first; seed < first + seeds; seed++) {
+    RandomDayDesc seed_day = *day;
+    seed_day.high_cpu_count = is_mixed ? 1 + seed % 2 : 0;
+    _run_random_faults (seed, &seed_day);
+  }
 }
 
 static void
 test_random (void)
 {
   for (guint i = 0; g_getenv ("VP_SEED") == NULL && i < G_N_ELEMENTS (regression_seeds); i++)
-    _run_random_faults (regression_seeds[i], 0, 1, 0);
-  _run_seeds (false, 1, 0);
+    _run_random_faults (regression_seeds[i], &(RandomDayDesc){ .dc_count = 1 });
+  _run_seeds (false, &(RandomDayDesc){ .dc_count = 1 });
 }
 
 /* With VMs of different strength the leader also changes without a fault. */
 static void
 test_random_mixed (void)
 {
-  _run_seeds (true, 1, 0);
+  _run_seeds (true, &(RandomDayDesc){ .dc_count = 1 });
 }
 
 /* Also cuts off whole DCs, with and without the leader. */
 static void
 test_random_dc_partitions (void)
 {
-  _run_seeds (false, 3, 0);
+  _run_seeds (false, &(RandomDayDesc){ .dc_count = 3 });
 }
 
 /* The leader's commands are sent by other processes, which die, freeze and are cut off with
@@ -703,14 +734,35 @@
 static void
 test_random_relays (void)
 {
-  _run_seeds (false, 1, RELAY_CPU_MILLI);
+  _run_seeds (false, &(RandomDayDesc){ .dc_count = 1, .cpu_milli = RELAY_CPU_MILLI });
 }
 
 /* The same with DCs that are cut off, and relays in each DC. */
 static void
 test_random_relays_dc_partitions (void)
 {
-  _run_seeds (false, 3, RELAY_CPU_MILLI);
+  _run_seeds (false, &(RandomDayDesc){ .dc_count = 3, .cpu_milli = RELAY_CPU_MILLI });
+}
+
+/* Guards against decisions that rely on prompt answers: processes are too slow for their events and
+ * messages take seconds, while other processes send the leader's commands. */
+static void
+test_random_relays_delays (void)
+{
+  static const uint32_t seeds[] = { 151, 335, 427, 449 };
+  const RandomDayDesc day = { .dc_count = 1, .cpu_milli = RELAY_CPU_MILLI, .has_delays = true };
+
+  /* Failed when restarted workers carried out starts from before their restart. */
+  for (guint i = 0; g_getenv ("VP_SEED") == NULL && i < G_N_ELEMENTS (seeds); i++)
+    _run_random_faults (seeds[i], &day);
+  _run_seeds (false, &day);
+}
+
+/* The same without relays. */
+static void
+test_random_delays (void)
+{
+  _run_seeds (false, &(RandomDayDesc){ .dc_count = 1, .has_delays = true });
 }
 
 int
@@ -748,5 +800,7 @@
   g_test_add_func ("/node/random-dc-partitions", test_random_dc_partitions);
   g_test_add_func ("/node/random-relays", test_random_relays);
   g_test_add_func ("/node/random-relays-dc-partitions", test_random_relays_dc_partitions);
+  g_test_add_func ("/node/random-delays", test_random_delays);
+  g_test_add_func ("/node/random-relays-delays", test_random_relays_delays);
   return g_test_run ();
 }
