Don't take a leader that is behind for slow relays

It then gave up all commands of all relays within half a second, took most workers for unreachable, repeated and stopped their starts, and moved them to weaker relays that have no connections to them.

An overdue command now counts against its relay only if another relay has answered commands that were sent 0.8 s later. If none has, results are waited for twice as long, and no relay is avoided. A relay that is silent, without pings, is avoided after 800 ms as before.

--- a/src/vp-relay.c
+++ b/src/vp-relay.c
@@ -11,6 +11,11 @@
 #define VP_RELAY_OVERDUE_MS 1600
 /* The same for HOLD commands, which may wait at the worker. */
 #define VP_RELAY_OVERDUE_HOLD_MS 3600
+/* A relay that has answered no command since an overdue one is slow if another relay has answered
+ * commands that were sent this much later. If none has, the leader itself is behind. */
+#define VP_RELAY_LAG_MS 800
+/* Time added to a command's if no relay has answered lately. */
+#define VP_RELAY_BEHIND_MS 1600
 /* A relay is avoided if neither results nor pings of it have arrived for this long while results
  * are outstanding, as it may have died: two pings are missing then. */
 #define VP_RELAY_SILENT_MS 800
@@ -69,6 +74,7 @@
   uint32_t last_serial;
   uint64_t signature; /* of the members and workers that @by_worker was made for */
   int64_t check_next_ms;
+  int64_t answered_ms; /* the latest of all relays */
 };
 
 static void
@@ -510,8 +516,10 @@
     if (pending != NULL && outcome <= VP_COMMAND_UNCERTAIN) {
       VpCommandResult result = pending->result;
       result.outcome = (VpCommandOutcome)outcome;
-      if (clock_ms > 0)
+      if (clock_ms > 0) {
         process->answered_ms = MAX (process->answered_ms, result.sent_ms);
+        relay->answered_ms = MAX (relay->answered_ms, result.sent_ms);
+      }
       /* The relay may lack a text that it should have. */
       if (result.kind == VP_COMMAND_START && result.outcome == VP_COMMAND_LATE)
         g_hash_table_remove_all (process->texts);
@@ -548,16 +556,28 @@
 
 /* Returns true if the command shows that its relay, and not only its worker, doesn't answer. */
 static bool
-_vp_relay_is_unresponsive (const VpRelayPending *pending, int64_t now_ms)
+_vp_relay_is_unresponsive (const VpRelay *relay, const VpRelayPending *pending, int64_t now_ms)
 {
   const VpRelayProcess *process = pending->process;
+  int64_t sent_ms = pending->result.sent_ms;
 
   /* A HOLD may wait at the worker, so only other commands tell whether the relay is silent. */
   if (pending->result.kind != VP_COMMAND_HOLD
-      && now_ms - MAX (process->heard_ms, pending->result.sent_ms) > VP_RELAY_SILENT_MS)
+      && now_ms - MAX (process->heard_ms, sent_ms) > VP_RELAY_SILENT_MS)
     return true;
   /* If a later command has been answered through the relay, this one waits for its worker. */
-  return now_ms >= pending->due_ms && process->answered_ms < pending->result.sent_ms;
+  return now_ms >= pending->due_ms && process->answered_ms < sent_ms
+         && relay->answered_ms >= sent_ms + VP_RELAY_LAG_MS;
+}
+
+/* Returns true if the command's result isn't waited for any longer, although its relay answers. */
+static bool
+_vp_relay_is_overdue (const VpRelay *relay, const VpRelayPending *pending, int64_t now_ms)
+{
+  bool is_behind = relay->answered_ms < pending->result.sent_ms + VP_RELAY_LAG_MS;
+
+  /* Results that wait to be received would be dropped, and their commands repeated for nothing. */
+  return now_ms >= pending->due_ms + (is_behind ? VP_RELAY_BEHIND_MS : 0);
 }
 
 void
@@ -571,9 +591,10 @@
   g_hash_table_iter_init (&iter, relay->pending);
   while (g_hash_table_iter_next (&iter, NULL, &value)) {
     VpRelayPending *pending = value;
-    if (_vp_relay_is_unresponsive (pending, now_ms))
+    if (_vp_relay_is_unresponsive (relay, pending, now_ms))
       _vp_relay_avoid (relay, pending, now_ms);
-    else if (now_ms < pending->due_ms && now_ms >= pending->process->avoid_until_ms)
+    else if (!_vp_relay_is_overdue (relay, pending, now_ms)
+             && now_ms >= pending->process->avoid_until_ms)
       continue;
     pending->process->pending_count--;
     pending->result.received_ms = now_ms;
