Wait until held calls have arrived before the shutdown in the fault tests

faults-9-shutdown failed beside load: "call N had no answer". The test sent SIGTERM once the process reported twelve pending requests. That number includes the requests of the scenario's other callers, so on a busy machine some of the twelve calls under test had not connected yet. Their connections were refused, which the test took for calls that were cut off.

The test now looks up each call by its identity and sends SIGTERM once the process has taken all of them. A call that is refused or closed without an answer is a violation as before, and the message shows which of the two it was.

--- a/tests/test-faults.c
+++ b/tests/test-faults.c
@@ -17,6 +17,7 @@
 #define THREAD_COUNT      48
 #define RACE_COUNT        4 /* operators that submit a change for the same revision */
 #define HELD_CALL_COUNT   12
+#define HELD_CALL_MS      3000 /* run time of their tasks; longer than it takes to find all of them */
 #define BASE_ON           170 /* second address byte of the first scenario with all safeguards on */
 #define BASE_OFF          190 /* second address byte of the first scenario with its safeguard off */
 
@@ -324,12 +325,34 @@
   return cluster_wait_owner (trial->cluster, 0, -1) == 0 ? 1 : 0;
 }
 
+typedef struct {
+  const char *address;
+  char identity[VP_IDENTITY_MAX];
+  char *body;
+  int status;       /* HTTP status, 0: the connection was closed, -1: it was refused */
+  gint is_answered; /* atomic */
+} HeldCall;
+
 static gpointer
 held_call (gpointer data)
 {
-  char **arguments = data;
+  HeldCall *call = data;
 
-  return GINT_TO_POINTER (submit_task (arguments[0], "red-key", arguments[1], LOAD_TIMEOUT_MS));
+  call->status = submit_task (call->address, "red-key", call->body, LOAD_TIMEOUT_MS);
+  g_atomic_int_set (&call->is_answered, 1);
+  return NULL;
+}
+
+/* Waits until the process at the call's address has taken the call. The number of its pending
+ * requests doesn't show that, since it includes those of other callers. */
+static void
+await_held (HeldCall *call)
+{
+  g_autofree char *path = g_strdup_printf ("/v1/tasks?team=red&identity=%s", call->identity);
+
+  while (cluster_http_call (call->address, "GET", path, "red-key", NULL, NULL) != 200
+         && !g_atomic_int_get (&call->is_answered))
+    g_usleep (1000);
 }
 
 /* Guards against a graceful shutdown that cuts off calls: a process answers all calls that wait at
@@ -337,30 +360,29 @@
 static void
 shut_down_with_calls (Trial *trial)
 {
-  uint32_t index = cluster_wait_owner (trial->cluster, 0, -1), pending = 0;
-  const char *address = cluster_entry (trial->cluster, index)->http;
+  uint32_t index = cluster_wait_owner (trial->cluster, 0, -1);
   GThread *threads[HELD_CALL_COUNT];
-  char *arguments[HELD_CALL_COUNT][2];
+  HeldCall calls[HELD_CALL_COUNT];
+  int answered_count = 0;
 
   for (int i = 0; i < HELD_CALL_COUNT; i++) {
-    g_autofree char *identity = g_strdup_printf ("held-%d", i);
-    arguments[i][0] = (char *)address;
-    arguments[i][1] = make_task_body (trial->scenario, "call", identity, 1500, true);
-    threads[i] = g_thread_new ("held", held_call, arguments[i]);
-  }
-  while (pending < HELD_CALL_COUNT) {
-    JsonObject *status = NULL;
-    cluster_http_call (address, "GET", "/v1/status", CLUSTER_OPERATOR_KEY, NULL, &status);
-    pending = status != NULL ? (uint32_t)fake_json_int (status, "pending", 0) : 0;
-    g_clear_pointer (&status, json_object_unref);
+    calls[i] = (HeldCall){ .address = cluster_entry (trial->cluster, index)->http };
+    g_snprintf (calls[i].identity, sizeof calls[i].identity, "held-%d", i);
+    calls[i].body = make_task_body (trial->scenario, "call", calls[i].identity, HELD_CALL_MS, true);
+    threads[i] = g_thread_new ("held", held_call, &calls[i]);
   }
+  for (int i = 0; i < HELD_CALL_COUNT; i++)
+    await_held (&calls[i]);
+  for (int i = 0; i < HELD_CALL_COUNT; i++)
+    answered_count += g_atomic_int_get (&calls[i].is_answered);
+  g_test_message ("%d calls are answered before the shutdown", answered_count);
   cluster_signal_entry (trial->cluster, index, SIGTERM);
   trial->killed_entry = index;
   for (int i = 0; i < HELD_CALL_COUNT; i++) {
-    int status = GPOINTER_TO_INT (g_thread_join (threads[i]));
-    if (status <= 0)
-      report_violation (trial, '9', "call %d had no answer", i);
-    g_free (arguments[i][1]);
+    g_thread_join (threads[i]);
+    if (calls[i].status <= 0)
+      report_violation (trial, '9', "call %d had no answer (status %d)", i, calls[i].status);
+    g_free (calls[i].body);
   }
 }
 
