Pace placement and scans by the size of the cell

Each answer of a relay led to a decision that looked at all workers to place tasks, and twice if a step waited for advice, and a stop or an uncertain start led to a scan of all tasks in each decision.

Placement and scans are now at least 1 ms apart for each 60 workers: 18 ms with 1,100 workers, none in small cells. The sum of the free capacity is computed with the pool. Ruled out: longer decisions as the cause, since a placement takes 2 ms under load.

Test cell/placement-interval; it fails if the interval is switched off.

--- a/src/vp-cell-private.h
+++ b/src/vp-cell-private.h
@@ -20,7 +20,10 @@
   VpReconcile reconcile;
   VpAdvise *advise;
   int64_t started_ms;
-  int64_t scan_next_ms;           /* time of the next scan; 0: at the next decision */
+  int64_t scan_next_ms;           /* time of the next scan; 0: as soon as possible */
+  int64_t scan_earliest_ms;       /* no scan before this time */
+  int64_t place_next_ms;          /* earliest time of the next placement */
+  bool is_place_due;              /* the last decision put the placement off until then */
   int64_t commands_until_ms;      /* no lease is renewed and no task started after this time */
   double start_answer_ms;         /* moving average of the time until a start is answered */
   bool is_fenced;                 /* a worker has seen a higher fencing token */
@@ -31,6 +34,8 @@
   bool is_recovered;              /* no run of an earlier scheduler can be unknown any more */
 };
 
+/* Returns the minimum interval between placements, and between scans. */
+int64_t _vp_cell_interval_ms (const VpCell *cell);
 /* Appends a command for the worker to @effects and returns it, owned by @effects, so that the
  * caller can fill in the rest. */
 VpCommand *
--- a/src/vp-cell-scan.c
+++ b/src/vp-cell-scan.c
@@ -186,9 +186,10 @@
 void
 _vp_cell_scan (VpCell *cell, int64_t now_ms, GArray *effects)
 {
-  if (now_ms < cell->scan_next_ms)
+  if (now_ms < MAX (cell->scan_next_ms, cell->scan_earliest_ms))
     return;
   cell->scan_next_ms = now_ms + VP_CELL_SCAN_MS;
+  cell->scan_earliest_ms = now_ms + _vp_cell_interval_ms (cell);
   vp_advise_expire (cell->advise, cell->jobs, now_ms);
   for (guint i = 0; i < cell->worker_list->workers->len;) {
     VpCellWorker *worker = cell->worker_list->workers->pdata[i];
--- a/src/vp-cell.c
+++ b/src/vp-cell.c
@@ -24,6 +24,10 @@
 #define VP_CELL_INVALID_MS 2000
 /* Delay before a gang that didn't fit is tried again. */
 #define VP_CELL_GANG_RETRY_MS 50
+/* Number of workers for which the interval between placements, and between scans, grows by 1 ms.
+ * Both look at all workers, and without the interval one would follow each of some hundred answers
+ * a second. */
+#define VP_CELL_INTERVAL_WORKERS_PER_MS 60
 /* Weight of each answer in the moving average of the time until a start is answered. */
 #define VP_CELL_START_ANSWER_WEIGHT 0.05
 /* Added to the run number of a task that an earlier scheduler may have started. That scheduler has
@@ -508,6 +512,7 @@
 /* Assigns the task to the worker of the slot and sends the start. */
 static void
 _vp_cell_start_task (VpCell *cell,
+                     VpPlacePool *pool,
                      VpJobTask *task,
                      VpPlaceSlot *slot,
                      uint32_t run,
@@ -524,7 +529,7 @@
   vp_metrics_add (VP_COUNTER_INHERITED_STARTS, may_be_running ? 1 : 0);
   vp_jobtask_assign (cell->jobs, task, worker, run, now_ms);
   task->is_own_run = true;
-  vp_place_slot_update (slot);
+  vp_place_slot_update (pool, slot);
   if (task->step->spec->is_one_rack && task->step->rack < 0)
     task->step->rack = (int32_t)worker->rack_index;
   vp_runlog_add (&cell->reconcile.log, "start", may_be_running ? "inherited" : "fits", task,
@@ -562,7 +567,7 @@
     return false;
   }
   for (uint32_t i = 0; i < count; i++)
-    _vp_cell_start_task (cell, &step->tasks[i], slots[i], run, now_ms, effects);
+    _vp_cell_start_task (cell, pool, &step->tasks[i], slots[i], run, now_ms, effects);
   return true;
 }
 
@@ -590,7 +595,7 @@
     slot = vp_place_pick (pool, task, queue, now_ms);
     if (slot == NULL)
       return false;
-    _vp_cell_start_task (cell, task, slot, _vp_cell_next_run (cell, task), now_ms, effects);
+    _vp_cell_start_task (cell, pool, task, slot, _vp_cell_next_run (cell, task), now_ms, effects);
   }
   return true;
 }
@@ -647,6 +652,24 @@
   vp_stepqueue_shutdown (&step_queue);
 }
 
+int64_t
+_vp_cell_interval_ms (const VpCell *cell)
+{
+  return cell->worker_list->workers->len / VP_CELL_INTERVAL_WORKERS_PER_MS;
+}
+
+/* Places waiting tasks, unless the last time was too short ago for the size of the cell. */
+static void
+_vp_cell_place (VpCell *cell, int64_t now_ms, GArray *effects)
+{
+  cell->is_place_due = now_ms < cell->place_next_ms;
+  if (cell->is_place_due)
+    return;
+  cell->place_next_ms = now_ms + _vp_cell_interval_ms (cell);
+  vp_joblist_start_due (cell->jobs, now_ms);
+  _vp_cell_place_steps (cell, now_ms, effects);
+}
+
 /* Sends a HOLD to the worker if one is due. */
 static void
 _vp_cell_send_hold (VpCell *cell, VpCellWorker *worker, int64_t now_ms, GArray *effects)
@@ -688,24 +711,25 @@
     _vp_cell_send_hold (cell, cell->worker_list->workers->pdata[i], now_ms, effects);
   _vp_cell_check_recovered (cell, now_ms);
   _vp_cell_scan (cell, now_ms, effects);
-  if (!cell->is_paused && cell->config != NULL && now_ms <= cell->commands_until_ms) {
-    vp_joblist_start_due (cell->jobs, now_ms);
-    _vp_cell_place_steps (cell, now_ms, effects);
-  }
+  if (!cell->is_paused && cell->config != NULL && now_ms <= cell->commands_until_ms)
+    _vp_cell_place (cell, now_ms, effects);
   _vp_cell_flush_log (cell, now_ms);
 }
 
 int64_t
 vp_cell_next_ms (const VpCell *cell, int64_t now_ms)
 {
-  int64_t next_ms = MIN (MAX (cell->scan_next_ms, now_ms), now_ms + VP_CELL_SCAN_MS);
+  int64_t next_ms = MIN (MAX (MAX (cell->scan_next_ms, cell->scan_earliest_ms), now_ms),
+                         now_ms + VP_CELL_SCAN_MS);
 
   for (guint i = 0; i < cell->worker_list->workers->len; i++) {
     const VpCellWorker *worker = cell->worker_list->workers->pdata[i];
     if (!worker->is_hold_pending)
       next_ms = MIN (next_ms, worker->hold_next_ms);
   }
-  return MIN (next_ms, vp_joblist_next_due_ms (cell->jobs));
+  if (cell->is_place_due)
+    next_ms = MIN (next_ms, cell->place_next_ms);
+  return MIN (next_ms, MAX (vp_joblist_next_due_ms (cell->jobs), cell->place_next_ms));
 }
 
 static void
--- a/src/vp-place.c
+++ b/src/vp-place.c
@@ -48,6 +48,7 @@
     slot.worker->slot_index = pool->slots->len;
     pool->largest = vp_resources_max (&pool->largest, &slot.free);
     pool->capacity_max = vp_resources_max (&pool->capacity_max, &slot.worker->entry.capacity);
+    vp_resources_add (&pool->free, &slot.free);
     g_array_append_val (pool->slots, slot);
   }
   return pool;
@@ -61,9 +62,11 @@
 }
 
 void
-vp_place_slot_update (VpPlaceSlot *slot)
+vp_place_slot_update (VpPlacePool *pool, VpPlaceSlot *slot)
 {
+  vp_resources_sub (&pool->free, &slot->free);
   slot->free = vp_workerlist_free_capacity (slot->worker);
+  vp_resources_add (&pool->free, &slot->free);
 }
 
 /* Returns true if the row has a ticket that will still be valid when a start arrives at the worker.
@@ -533,8 +536,8 @@
 {
   VpResources demand = _vp_place_demand (step);
 
-  for (guint i = 0; !pool->has_spare && i < pool->slots->len; i++)
-    vp_resources_add (&pool->spare, &g_array_index (pool->slots, VpPlaceSlot, i).free);
+  if (!pool->has_spare)
+    pool->spare = pool->free;
   pool->has_spare = true;
   return vp_resources_fits (&demand, &pool->spare);
 }
--- a/src/vp-place.h
+++ b/src/vp-place.h
@@ -3,7 +3,7 @@
  *   VpPlacePool *pool = vp_place_pool_new (worker_list, "service", now_ms);   // for one decision
  *   VpPlaceSlot *slot = vp_place_pick (pool, task, queue, now_ms);            // NULL: none fits
  *   ... assign the task to slot->worker ...
- *   vp_place_slot_update (slot);
+ *   vp_place_slot_update (pool, slot);
  *   if (vp_place_gang (pool, step, queue, now_ms, slots))                // one slot for each task
  *     ...
  *   vp_place_candidates (pool, step, queue, rate, reservations, now_ms, candidates); // to request
@@ -27,6 +27,7 @@
   const VpWorkerList *worker_list;
   char service[VP_NAME_MAX];
   GArray *slots;                   /* VpPlaceSlot */
+  VpResources free;                /* free capacity of all workers */
   VpResources spare;               /* free capacity of all workers, less reservations */
   bool has_spare;                  /* @spare has been computed */
   VpResources largest;             /* at least what any one worker has free and not reserved */
@@ -43,7 +44,7 @@
 vp_place_pool_new (const VpWorkerList *worker_list, const char *service, int64_t now_ms);
 void vp_place_pool_free (VpPlacePool *pool);
 /* Updates the free capacity of the slot after a task was assigned to its worker. */
-void vp_place_slot_update (VpPlaceSlot *slot);
+void vp_place_slot_update (VpPlacePool *pool, VpPlaceSlot *slot);
 
 /* Reserves capacity for the waiting tasks of a step that can't start now, so that steps which are
  * placed later in this decision don't use it. Wide tasks reserve it on workers: free capacity that
--- a/tests/test-cell.c
+++ b/tests/test-cell.c
@@ -83,6 +83,43 @@
   _teardown (&fixture);
 }
 
+/* Guards against a leader of many workers whose core is full of placements, one for each answer of
+ * a worker. The next one follows in time, and in a small cell there is no delay. */
+static void
+test_placement_interval (void)
+{
+  Fixture fixture;
+  int64_t next_ms;
+
+  _setup (&fixture, 600, false);
+  _sync (&fixture);
+  _submit (&fixture, 1, 1000);
+  fixture.now_ms += 20;
+  _decide (&fixture);
+  g_assert_cmpuint (_count_commands (&fixture, VP_COMMAND_START), ==, 1);
+  _submit (&fixture, 1, 1000);
+  for (int i = 1; i <= 9; i++) {
+    fixture.now_ms++;
+    _decide (&fixture);
+    g_assert_cmpuint (_count_commands (&fixture, VP_COMMAND_START), ==, 0);
+  }
+  next_ms = vp_cell_next_ms (fixture.cell, fixture.now_ms);
+  g_assert_cmpint (next_ms, >, fixture.now_ms);
+  g_assert_cmpint (next_ms, <=, fixture.now_ms + 1);
+  fixture.now_ms = next_ms;
+  _decide (&fixture);
+  g_assert_cmpuint (_count_commands (&fixture, VP_COMMAND_START), ==, 1);
+  _teardown (&fixture);
+  _setup (&fixture, 50, false);
+  _sync (&fixture);
+  for (int i = 0; i < 2; i++) {
+    _submit (&fixture, 1, 1000);
+    _decide (&fixture);
+    g_assert_cmpuint (_count_commands (&fixture, VP_COMMAND_START), ==, 1);
+  }
+  _teardown (&fixture);
+}
+
 /* The tasks of a team stay below its cap of 20,000 thousandths of a CPU. */
 static void
 test_team_cap (void)
@@ -452,6 +489,7 @@
   g_test_add_func ("/cell/resent-start", test_resent_start);
   g_test_add_func ("/cell/stopping-task-occupies-worker", test_stopping_task_occupies_worker);
   g_test_add_func ("/cell/team-cap", test_team_cap);
+  g_test_add_func ("/cell/placement-interval", test_placement_interval);
   g_test_add_func ("/cell/advice-request-limit", test_advice_request_limit);
   g_test_add_func ("/cell/unlisted-before-first-answer", test_unlisted_before_first_answer);
   g_test_add_func ("/cell/last-answer-after-unlisting", test_last_answer_after_unlisting);
