Pack commands to relays without GVariant

The test of malformed batches has every truncation of a command and a kind that doesn't exist in addition.

--- a/src/vp-relay-agent.c
+++ b/src/vp-relay-agent.c
@@ -81,11 +81,10 @@
 {
   g_autoptr (GVariant) workers = NULL;
   g_autoptr (GVariant) texts = NULL;
-  g_autoptr (GVariantIter) iter = NULL;
-  VpCommand command = { .fence = message->term };
-  const char *checkpoint, *ticket;
-  guint32 worker, text, wait_ms;
-  guchar kind;
+  g_autoptr (GVariant) packed = NULL;
+  VpRelayPacked item = { .command = { .fence = message->term } };
+  const uint8_t *data;
+  gsize size, offset = 0;
 
   if (message->body == NULL
       || !g_variant_is_of_type (message->body, G_VARIANT_TYPE (VP_RELAY_COMMANDS_TYPE)))
@@ -94,30 +93,26 @@
     agent->purge_next_ms = now_ms + VP_RELAY_TEXT_PURGE_MS;
     g_hash_table_foreach_remove (agent->texts, _vp_relay_is_text_old, &now_ms);
   }
-  g_variant_get (message->body, "(@a(ss)@asa" VP_RELAY_COMMAND_TYPE ")", &workers, &texts, &iter);
-  while (g_variant_iter_next (iter, "(uyuutuuuux&s&stuu)", &command.serial, &kind, &worker, &text,
-                              &command.task.job, &command.task.occurrence, &command.task.step,
-                              &command.task.index, &command.run, &command.lease_end_ms, &checkpoint,
-                              &ticket, &command.acked_end, &wait_ms, &command.percent)) {
+  g_variant_get (message->body, "(@a(ss)@as@ay)", &workers, &texts, &packed);
+  data = g_variant_get_fixed_array (packed, &size, 1);
+  while (offset < size) {
+    VpCommand *command = &item.command;
     const char *id, *address;
-    command.text = NULL;
-    if (kind > VP_COMMAND_THROTTLE || worker >= g_variant_n_children (workers)
-        || (text < VP_RELAY_KNOWN_TEXT && text >= g_variant_n_children (texts)))
+    command->text = NULL;
+    if (!vp_relay_unpack_command (data, size, &offset, &item)
+        || item.worker >= g_variant_n_children (workers)
+        || (item.text < VP_RELAY_KNOWN_TEXT && item.text >= g_variant_n_children (texts)))
       return false;
-    command.kind = (VpCommandKind)kind;
-    command.wait_ms = wait_ms;
-    g_variant_get_child (workers, worker, "(&s&s)", &id, &address);
-    if (!vp_name_copy (command.worker, sizeof command.worker, id)
-        || !vp_name_copy (command.address, sizeof command.address, address)
-        || !vp_name_copy (command.checkpoint, sizeof command.checkpoint, checkpoint)
-        || !vp_name_copy (command.ticket, sizeof command.ticket, ticket)
-        || !vp_name_copy (command.requester, sizeof command.requester, message->from))
+    g_variant_get_child (workers, item.worker, "(&s&s)", &id, &address);
+    if (!vp_name_copy (command->worker, sizeof command->worker, id)
+        || !vp_name_copy (command->address, sizeof command->address, address)
+        || !vp_name_copy (command->requester, sizeof command->requester, message->from))
       return false;
-    if (_vp_relay_agent_set_text (agent, &command, texts, text, now_ms)) {
-      g_array_append_val (commands, command);
+    if (_vp_relay_agent_set_text (agent, command, texts, item.text, now_ms)) {
+      g_array_append_val (commands, *command);
     } else {
       VpCommandResult result = { .outcome = VP_COMMAND_LATE, .received_ms = now_ms };
-      vp_command_result_begin (&result, &command, now_ms);
+      vp_command_result_begin (&result, command, now_ms);
       g_array_append_val (results, result);
     }
   }
--- a/src/vp-relay-private.h
+++ b/src/vp-relay-private.h
@@ -3,9 +3,9 @@
 
 #include "vp-relay.h"
 
-/* A batch of commands: identity and address of each worker, texts of jobs, and the commands. */
-#define VP_RELAY_COMMAND_TYPE  "(uyuutuuuuxsstuu)"
-#define VP_RELAY_COMMANDS_TYPE "(a(ss)asa" VP_RELAY_COMMAND_TYPE ")"
+/* A batch of commands: identity and address of each worker, texts of jobs, and the commands, packed
+ * by vp_relay_pack_command(). */
+#define VP_RELAY_COMMANDS_TYPE "(a(ss)asay)"
 #define VP_RELAY_RUNNING_TYPE  "(tuuubusux)"
 #define VP_RELAY_ENDED_TYPE    "(ttuuubuys)"
 #define VP_RELAY_RESULT_TYPE   "(uybxxa" VP_RELAY_RUNNING_TYPE "a" VP_RELAY_ENDED_TYPE ")"
@@ -13,3 +13,22 @@
 /* Values in place of the index of a text: the command has none, or the relay knows it. */
 #define VP_RELAY_NO_TEXT    G_MAXUINT32
 #define VP_RELAY_KNOWN_TEXT (G_MAXUINT32 - 1)
+
+/* A command as it is packed, with indexes in place of the worker and the text. The fields of
+ * @command that it doesn't have are those of the batch. */
+typedef struct {
+  VpCommand command;
+  uint32_t worker;
+  uint32_t text;
+} VpRelayPacked;
+
+/* Appends the command to @out. A leader sends some thousand commands a second, and building a
+ * GVariant for each one took a fifth of its CPU share. */
+void vp_relay_pack_command (GByteArray *out,
+                            const VpCommand *command,
+                            uint32_t serial,
+                            uint32_t worker,
+                            uint32_t text);
+/* Reads the command at @offset and advances it. Returns false if there is no valid one. Fields that
+ * aren't packed keep their values. */
+bool vp_relay_unpack_command (const uint8_t *data, gsize size, gsize *offset, VpRelayPacked *out);
--- a/src/vp-relay.c
+++ b/src/vp-relay.c
@@ -47,8 +47,8 @@
   int64_t batch_began_ms; /* time of the first command in the batch */
   GVariantBuilder worker_builder;
   GVariantBuilder text_builder;
-  GVariantBuilder command_builder;
-  uint64_t batch; /* number of the batch that is being built */
+  GByteArray *commands; /* packed commands in the batch */
+  uint64_t batch;       /* number of the batch that is being built */
   uint32_t batch_count;
 } VpRelayProcess;
 
@@ -85,7 +85,7 @@
   process->text_count = 0;
   g_variant_builder_init (&process->worker_builder, G_VARIANT_TYPE ("a(ss)"));
   g_variant_builder_init (&process->text_builder, G_VARIANT_TYPE ("as"));
-  g_variant_builder_init (&process->command_builder, G_VARIANT_TYPE ("a" VP_RELAY_COMMAND_TYPE));
+  g_byte_array_set_size (process->commands, 0);
   process->batch_count = 0;
 }
 
@@ -98,7 +98,7 @@
   g_hash_table_unref (process->texts);
   g_variant_builder_clear (&process->worker_builder);
   g_variant_builder_clear (&process->text_builder);
-  g_variant_builder_clear (&process->command_builder);
+  g_byte_array_unref (process->commands);
   g_free (process);
 }
 
@@ -137,6 +137,7 @@
     g_strlcpy (process->name, member->name, sizeof process->name);
     process->workers = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
     process->texts = g_hash_table_new_full (g_int64_hash, g_int64_equal, g_free, g_free);
+    process->commands = g_byte_array_new ();
     _vp_relay_begin_batch (process);
     g_hash_table_insert (relay->processes, process->name, process);
   }
@@ -382,12 +383,9 @@
   if (process == NULL)
     return false;
   serial = ++relay->last_serial;
-  g_variant_builder_add (&process->command_builder, VP_RELAY_COMMAND_TYPE, serial,
-                         (guchar)command->kind, _vp_relay_worker_index (process, command),
-                         _vp_relay_text_index (process, command, now_ms), command->task.job,
-                         command->task.occurrence, command->task.step, command->task.index,
-                         command->run, command->lease_end_ms, command->checkpoint, command->ticket,
-                         command->acked_end, (guint32)command->wait_ms, command->percent);
+  vp_relay_pack_command (process->commands, command, serial,
+                         _vp_relay_worker_index (process, command),
+                         _vp_relay_text_index (process, command, now_ms));
   if (process->batch_count++ == 0)
     process->batch_began_ms = now_ms;
   pending = g_new0 (VpRelayPending, 1);
@@ -417,8 +415,10 @@
   g_strlcpy (out->to, process->name, sizeof out->to);
   out->message.kind = VP_NODEMSG_COMMANDS;
   out->message.term = relay->desc.term;
-  out->message.body = g_variant_new (VP_RELAY_COMMANDS_TYPE, &process->worker_builder,
-                                     &process->text_builder, &process->command_builder);
+  out->message.body
+      = g_variant_new ("(a(ss)as@ay)", &process->worker_builder, &process->text_builder,
+                       g_variant_new_fixed_array (G_VARIANT_TYPE_BYTE, process->commands->data,
+                                                  process->commands->len, 1));
   _vp_relay_begin_batch (process);
 }
 
--- a/tests/test-relay.c
+++ b/tests/test-relay.c
@@ -1,5 +1,5 @@
 /* Batches of commands to relays and their results, and what happens if a relay dies. */
-#include "vp-relay.h"
+#include "vp-relay-private.h"
 
 #include <string.h>
 
@@ -468,14 +468,29 @@
   g_autoptr (GArray) results = g_array_new (FALSE, FALSE, sizeof (VpCommandResult));
   VpRelayAgent agent = { 0 };
   VpNodeMsg message = { .kind = VP_NODEMSG_COMMANDS, .from = "leader" };
+  VpCommand command = { .kind = VP_COMMAND_START, .ticket = "ticket" };
+  g_autoptr (GByteArray) packed = g_byte_array_new ();
 
   g_assert_false (vp_relay_agent_handle_commands (&agent, &message, NOW_MS, commands, results));
   message.body = g_variant_ref_sink (g_variant_new_string ("x"));
   g_assert_false (vp_relay_agent_handle_commands (&agent, &message, NOW_MS, commands, results));
   vp_nodemsg_clear (&message);
-  message.body = g_variant_ref_sink (
-      g_variant_new_parsed ("(@a(ss) [], @as [], [(@u 1, @y 0, @u 5, @u 0, @t 1, @u 0, @u 0, @u 0,"
-                            " @u 1, @x 0, '', '', @t 0, @u 0, @u 0)])"));
+  /* An index of a worker that isn't there, then every truncation of the command and a kind that
+   * doesn't exist. */
+  vp_relay_pack_command (packed, &command, 1, 5, 0);
+  for (guint size = packed->len; size > 0; size--) {
+    message.body = g_variant_ref_sink (g_variant_new (
+        "(@a(ss)@as@ay)", g_variant_new_parsed (size == packed->len ? "@a(ss) []" : "[('a', 'b')]"),
+        g_variant_new_parsed ("['text']"),
+        g_variant_new_fixed_array (G_VARIANT_TYPE_BYTE, packed->data, size, 1)));
+    g_assert_false (vp_relay_agent_handle_commands (&agent, &message, NOW_MS, commands, results));
+    vp_nodemsg_clear (&message);
+    packed->data[5] = 0;
+  }
+  packed->data[4] = VP_COMMAND_THROTTLE + 1;
+  message.body = g_variant_ref_sink (g_variant_new (
+      "(@a(ss)@as@ay)", g_variant_new_parsed ("[('a', 'b')]"), g_variant_new_parsed ("['text']"),
+      g_variant_new_fixed_array (G_VARIANT_TYPE_BYTE, packed->data, packed->len, 1)));
   g_assert_false (vp_relay_agent_handle_commands (&agent, &message, NOW_MS, commands, results));
   g_assert_cmpuint (commands->len, ==, 0);
   vp_nodemsg_clear (&message);
