Send batches of commands and results at once after a pause

The first command of a batch waited 8 ms and the first result 15 ms for others, at each start and each end, and under load a relay sent up to 66 batches of results a second. Now a batch leaves at once if none was sent in the last 12 ms (commands) or 40 ms (results).

Test relay/batch-interval.

--- a/src/vp-node-work.c
+++ b/src/vp-node-work.c
@@ -192,7 +192,7 @@
   VpRelayMessage out;
 
   if (now_ms >= vp_relay_agent_due_ms (&node->relay_agent)
-      && vp_relay_agent_take (&node->relay_agent, &out))
+      && vp_relay_agent_take (&node->relay_agent, now_ms, &out))
     _vp_node_send_relay_message (node, &out, effects);
 }
 
--- a/src/vp-relay-agent.c
+++ b/src/vp-relay-agent.c
@@ -6,9 +6,12 @@
 #define VP_RELAY_TEXT_KEPT_MS 30000
 /* Interval between removals of old texts. */
 #define VP_RELAY_TEXT_PURGE_MS 5000
-/* Maximum number of results in a batch, and the time that the first one waits for others. */
-#define VP_RELAY_RESULTS_MAX      64
-#define VP_RELAY_RESULTS_DELAY_MS 15
+/* Maximum number of results in a batch. */
+#define VP_RELAY_RESULTS_MAX 64
+/* Minimum interval between batches of results that aren't full. The first result after a pause
+ * doesn't wait. The leader receives messages of all processes in turn, one of each, so a relay that
+ * sends more of them than others is the first whose messages wait if the leader is busy. */
+#define VP_RELAY_RESULTS_INTERVAL_MS 40
 
 /* A text that the relay keeps. */
 typedef struct {
@@ -38,7 +41,7 @@
 {
   VpRelayMessage out;
 
-  if (vp_relay_agent_take (agent, &out))
+  if (vp_relay_agent_take (agent, 0, &out))
     g_variant_unref (g_variant_ref_sink (out.message.body));
   g_clear_pointer (&agent->texts, g_hash_table_unref);
 }
@@ -151,11 +154,10 @@
   if (agent->count >= VP_RELAY_RESULTS_MAX
       || (agent->count > 0
           && (strcmp (agent->leader, result->requester) != 0 || agent->term != result->fence)))
-    vp_relay_agent_take (agent, full);
+    vp_relay_agent_take (agent, now_ms, full);
   if (agent->count == 0) {
     g_strlcpy (agent->leader, result->requester, sizeof agent->leader);
     agent->term = result->fence;
-    agent->since_ms = now_ms;
     agent->builder = g_variant_builder_new (G_VARIANT_TYPE (VP_RELAY_RESULTS_TYPE));
   }
   agent->count++;
@@ -172,11 +174,11 @@
 int64_t
 vp_relay_agent_due_ms (const VpRelayAgent *agent)
 {
-  return agent->count == 0 ? INT64_MAX : agent->since_ms + VP_RELAY_RESULTS_DELAY_MS;
+  return agent->count == 0 ? INT64_MAX : agent->due_ms;
 }
 
 bool
-vp_relay_agent_take (VpRelayAgent *agent, VpRelayMessage *out)
+vp_relay_agent_take (VpRelayAgent *agent, int64_t now_ms, VpRelayMessage *out)
 {
   memset (out, 0, sizeof *out);
   if (agent->count == 0)
@@ -188,5 +190,6 @@
   g_variant_builder_unref (agent->builder);
   agent->builder = NULL;
   agent->count = 0;
+  agent->due_ms = now_ms + VP_RELAY_RESULTS_INTERVAL_MS;
   return true;
 }
--- a/src/vp-relay.c
+++ b/src/vp-relay.c
@@ -23,8 +23,9 @@
 #define VP_RELAY_AVOID_MS 2000
 /* Interval at which outstanding results are checked. */
 #define VP_RELAY_CHECK_MS 100
-/* Time that the first command of a batch waits for others. */
-#define VP_RELAY_BATCH_DELAY_MS 8
+/* Minimum interval between batches to a relay. Commands that come sooner after a batch wait for
+ * each other; the first command after a pause doesn't wait. */
+#define VP_RELAY_BATCH_INTERVAL_MS 12
 /* A relay has restarted if its start time changes by more than this. */
 #define VP_RELAY_RESTART_MS 300
 /* A leader relies on a relay to have the text of a job for this long after its last use. */
@@ -44,7 +45,7 @@
   GHashTable *texts;      /* job -> VpRelayText: texts that it has or that are in the batch */
   guint text_count;       /* texts in the batch */
   int64_t started_ms;     /* start time of the process */
-  int64_t batch_began_ms; /* time of the first command in the batch */
+  int64_t batch_due_ms;   /* earliest time of the next batch */
   GVariantBuilder worker_builder;
   GVariantBuilder text_builder;
   GByteArray *commands; /* packed commands in the batch */
@@ -386,8 +387,7 @@
   vp_relay_pack_command (process->commands, command, serial,
                          _vp_relay_worker_index (process, command),
                          _vp_relay_text_index (process, command, now_ms));
-  if (process->batch_count++ == 0)
-    process->batch_began_ms = now_ms;
+  process->batch_count++;
   pending = g_new0 (VpRelayPending, 1);
   pending->process = process;
   pending->due_ms
@@ -431,8 +431,9 @@
   g_hash_table_iter_init (&iter, relay->processes);
   while (g_hash_table_iter_next (&iter, NULL, &value)) {
     VpRelayProcess *process = value;
-    if (process->batch_count == 0 || now_ms < process->batch_began_ms + VP_RELAY_BATCH_DELAY_MS)
+    if (process->batch_count == 0 || now_ms < process->batch_due_ms)
       continue;
+    process->batch_due_ms = now_ms + VP_RELAY_BATCH_INTERVAL_MS;
     g_hash_table_foreach_remove (process->texts, _vp_relay_is_text_unknown, &now_ms);
     g_array_set_size (messages, messages->len + 1);
     _vp_relay_take_batch (relay, process,
@@ -614,7 +615,7 @@
   while (g_hash_table_iter_next (&iter, NULL, &value)) {
     const VpRelayProcess *process = value;
     if (process->batch_count > 0)
-      next_ms = MIN (next_ms, process->batch_began_ms + VP_RELAY_BATCH_DELAY_MS);
+      next_ms = MIN (next_ms, process->batch_due_ms);
   }
   return next_ms;
 }
--- a/src/vp-relay.h
+++ b/src/vp-relay.h
@@ -66,7 +66,7 @@
  *
  *   vp_relay_agent_handle_commands (&agent, &message, now_ms, commands, results);
  *   vp_relay_agent_add_result (&agent, &result, now_ms, &full);
- *   if (now_ms >= vp_relay_agent_due_ms (&agent) && vp_relay_agent_take (&agent, &out))
+ *   if (now_ms >= vp_relay_agent_due_ms (&agent) && vp_relay_agent_take (&agent, now_ms, &out))
  *     send (out.to, &out.message);
  *   vp_relay_agent_clear (&agent);
  */
@@ -75,7 +75,7 @@
   uint64_t term;            /* its term */
   GVariantBuilder *builder; /* the collected results; NULL: there are none */
   uint32_t count;
-  int64_t since_ms;      /* time of the first one */
+  int64_t due_ms;        /* earliest time at which they are sent */
   GHashTable *texts;     /* job -> its text, so that the leader needn't send it again; NULL: none */
   int64_t purge_next_ms; /* time of the next removal of old texts */
 } VpRelayAgent;
@@ -97,4 +97,4 @@
 /* Time at which the collected results have to be sent; INT64_MAX: there are none. */
 int64_t vp_relay_agent_due_ms (const VpRelayAgent *agent);
 /* Takes the collected results. Returns false if there are none. */
-bool vp_relay_agent_take (VpRelayAgent *agent, VpRelayMessage *out);
+bool vp_relay_agent_take (VpRelayAgent *agent, int64_t now_ms, VpRelayMessage *out);
--- a/tests/test-relay.c
+++ b/tests/test-relay.c
@@ -161,7 +161,7 @@
 
   vp_relay_agent_add_result (&fixture->agent, result, fixture->now_ms, &out);
   g_assert_cmpstr (out.to, ==, "");
-  g_assert_true (vp_relay_agent_take (&fixture->agent, &out));
+  g_assert_true (vp_relay_agent_take (&fixture->agent, fixture->now_ms, &out));
   g_assert_cmpstr (out.to, ==, "leader");
   g_variant_ref_sink (out.message.body);
   g_strlcpy (out.message.from, from, sizeof out.message.from);
@@ -390,6 +390,43 @@
   _teardown (&fixture);
 }
 
+/* Guards against a delay in each step of a job: commands and results after a pause aren't held back
+ * for others. Those that follow soon wait for each other, which bounds the number of batches. */
+static void
+test_batch_interval (void)
+{
+  Fixture fixture;
+  VpCommand command = { .kind = VP_COMMAND_START, .fence = TERM, .requester = "leader" };
+  VpCommandResult sent = { .outcome = VP_COMMAND_OK };
+  VpRelayMessage out;
+  uint32_t batches = 0;
+
+  _setup (&fixture, 4);
+  _ping (&fixture, "strong", "a", 500, 5000);
+  _update (&fixture);
+  _add_start (&fixture, "a1", 0);
+  g_assert_cmpint (vp_relay_next_ms (fixture.relay), <=, fixture.now_ms);
+  for (uint32_t i = 1; i <= 100; i++) {
+    _clear_messages (&fixture);
+    vp_relay_flush (fixture.relay, fixture.now_ms, fixture.messages);
+    batches += fixture.messages->len;
+    if (fixture.messages->len > 0)
+      g_variant_ref_sink (g_array_index (fixture.messages, VpRelayMessage, 0).message.body);
+    g_assert_true (i > 1 || batches == 1);
+    fixture.now_ms++;
+    _add_start (&fixture, "a1", i);
+  }
+  g_assert_cmpuint (batches, ==, 9);
+  vp_command_result_begin (&sent, &command, fixture.now_ms);
+  vp_relay_agent_add_result (&fixture.agent, &sent, fixture.now_ms, &out);
+  g_assert_cmpint (vp_relay_agent_due_ms (&fixture.agent), <=, fixture.now_ms);
+  g_assert_true (vp_relay_agent_take (&fixture.agent, fixture.now_ms, &out));
+  g_variant_unref (g_variant_ref_sink (out.message.body));
+  vp_relay_agent_add_result (&fixture.agent, &sent, fixture.now_ms + 1, &out);
+  g_assert_cmpint (vp_relay_agent_due_ms (&fixture.agent), >, fixture.now_ms + 1);
+  _teardown (&fixture);
+}
+
 /* A result that comes after the command was given up is dropped, as the scheduler has acted on its
  * loss. */
 static void
@@ -507,6 +544,7 @@
   g_test_add_func ("/relay/silent-worker", test_silent_worker);
   g_test_add_func ("/relay/overloaded-relay", test_overloaded_relay);
   g_test_add_func ("/relay/leader-behind", test_leader_behind);
+  g_test_add_func ("/relay/batch-interval", test_batch_interval);
   g_test_add_func ("/relay/late-result", test_late_result);
   g_test_add_func ("/relay/text-once", test_text_once);
   g_test_add_func ("/relay/malformed", test_malformed);
