--- a/src/vp-relay-agent.c
+++ b/src/vp-relay-agent.c
@@ -122,28 +122,6 @@
   return true;
 }
 
-static void
-_vp_relay_encode_lists (const VpCommandResult *result, GVariantBuilder *builder)
-{
-  g_variant_builder_open (builder, G_VARIANT_TYPE ("a" VP_RELAY_RUNNING_TYPE));
-  for (guint i = 0; result->running != NULL && i < result->running->len; i++) {
-    const VpRunningEntry *entry = &g_array_index (result->running, VpRunningEntry, i);
-    g_variant_builder_add (builder, VP_RELAY_RUNNING_TYPE, entry->task.job, entry->task.occurrence,
-                           entry->task.step, entry->task.index, (gboolean)entry->is_task,
-                           entry->run, entry->checkpoint, entry->percent, entry->gauge);
-  }
-  g_variant_builder_close (builder);
-  g_variant_builder_open (builder, G_VARIANT_TYPE ("a" VP_RELAY_ENDED_TYPE));
-  for (guint i = 0; result->ended != NULL && i < result->ended->len; i++) {
-    const VpEndedEntry *entry = &g_array_index (result->ended, VpEndedEntry, i);
-    g_variant_builder_add (builder, VP_RELAY_ENDED_TYPE, entry->number, entry->task.job,
-                           entry->task.occurrence, entry->task.step, entry->task.index,
-                           (gboolean)entry->is_task, entry->run, (guchar)entry->end,
-                           entry->checkpoint);
-  }
-  g_variant_builder_close (builder);
-}
-
 void
 vp_relay_agent_add_result (VpRelayAgent *agent,
                            const VpCommandResult *result,
@@ -158,17 +136,10 @@
   if (agent->count == 0) {
     g_strlcpy (agent->leader, result->requester, sizeof agent->leader);
     agent->term = result->fence;
-    agent->builder = g_variant_builder_new (G_VARIANT_TYPE (VP_RELAY_RESULTS_TYPE));
+    agent->packed = g_byte_array_new ();
   }
   agent->count++;
-  g_variant_builder_open (agent->builder, G_VARIANT_TYPE (VP_RELAY_RESULT_TYPE));
-  g_variant_builder_add (agent->builder, "u", result->serial);
-  g_variant_builder_add (agent->builder, "y", (guchar)result->outcome);
-  g_variant_builder_add (agent->builder, "b", (gboolean)result->is_repeated);
-  g_variant_builder_add (agent->builder, "x", result->clock_ms);
-  g_variant_builder_add (agent->builder, "x", result->booted_ms);
-  _vp_relay_encode_lists (result, agent->builder);
-  g_variant_builder_close (agent->builder);
+  vp_relay_pack_result (agent->packed, result);
 }
 
 int64_t
@@ -186,9 +157,9 @@
   g_strlcpy (out->to, agent->leader, sizeof out->to);
   out->message.kind = VP_NODEMSG_RESULTS;
   out->message.term = agent->term;
-  out->message.body = g_variant_builder_end (agent->builder);
-  g_variant_builder_unref (agent->builder);
-  agent->builder = NULL;
+  out->message.body
+      = g_variant_new_fixed_array (G_VARIANT_TYPE_BYTE, agent->packed->data, agent->packed->len, 1);
+  g_clear_pointer (&agent->packed, g_byte_array_unref);
   agent->count = 0;
   agent->due_ms = now_ms + VP_RELAY_RESULTS_INTERVAL_MS;
   return true;
--- a/src/vp-relay-private.h
+++ b/src/vp-relay-private.h
@@ -6,10 +6,8 @@
 /* A batch of commands: identity and address of each worker, texts of jobs, and the commands, packed
  * by vp_relay_pack_command(). */
 #define VP_RELAY_COMMANDS_TYPE "(a(ss)asay)"
-#define VP_RELAY_RUNNING_TYPE  "(tuuubusux)"
-#define VP_RELAY_ENDED_TYPE    "(ttuuubuys)"
-#define VP_RELAY_RESULT_TYPE   "(uybxxa" VP_RELAY_RUNNING_TYPE "a" VP_RELAY_ENDED_TYPE ")"
-#define VP_RELAY_RESULTS_TYPE  "a" VP_RELAY_RESULT_TYPE
+/* A batch of results, packed by vp_relay_pack_result(). */
+#define VP_RELAY_RESULTS_TYPE "ay"
 /* Values in place of the index of a text: the command has none, or the relay knows it. */
 #define VP_RELAY_NO_TEXT    G_MAXUINT32
 #define VP_RELAY_KNOWN_TEXT (G_MAXUINT32 - 1)
@@ -32,3 +30,9 @@
 /* Reads the command at @offset and advances it. Returns false if there is no valid one. Fields that
  * aren't packed keep their values. */
 bool vp_relay_unpack_command (const uint8_t *data, gsize size, gsize *offset, VpRelayPacked *out);
+
+/* Appends the result to @out. */
+void vp_relay_pack_result (GByteArray *out, const VpCommandResult *result);
+/* Reads the result at @offset, which advances, into @out: serial, outcome, clock, boot time and the
+ * lists, which the caller frees. Returns false, and allocates nothing, if there is no valid one. */
+bool vp_relay_unpack_result (const uint8_t *data, gsize size, gsize *offset, VpCommandResult *out);
--- a/src/vp-relay.c
+++ b/src/vp-relay.c
@@ -443,44 +443,6 @@
 
 /* Results. */
 
-static bool
-_vp_relay_decode_running (GVariantIter *iter, GArray *running)
-{
-  VpRunningEntry entry = { 0 };
-  const char *checkpoint;
-  gboolean is_task;
-
-  while (g_variant_iter_next (iter, "(tuuubu&sux)", &entry.task.job, &entry.task.occurrence,
-                              &entry.task.step, &entry.task.index, &is_task, &entry.run,
-                              &checkpoint, &entry.percent, &entry.gauge)) {
-    entry.is_task = is_task;
-    if (!vp_name_copy (entry.checkpoint, sizeof entry.checkpoint, checkpoint))
-      return false;
-    g_array_append_val (running, entry);
-  }
-  return true;
-}
-
-static bool
-_vp_relay_decode_ended (GVariantIter *iter, GArray *ended)
-{
-  VpEndedEntry entry = { 0 };
-  const char *checkpoint;
-  gboolean is_task;
-  guchar end;
-
-  while (g_variant_iter_next (iter, "(ttuuubuy&s)", &entry.number, &entry.task.job,
-                              &entry.task.occurrence, &entry.task.step, &entry.task.index, &is_task,
-                              &entry.run, &end, &checkpoint)) {
-    entry.is_task = is_task;
-    entry.end = (VpRunEnd)MIN (end, VP_RUN_OTHER);
-    if (!vp_name_copy (entry.checkpoint, sizeof entry.checkpoint, checkpoint))
-      return false;
-    g_array_append_val (ended, entry);
-  }
-  return true;
-}
-
 /* Takes the command with the serial out of the table of pending commands. Returns NULL if it isn't
  * there. */
 static VpRelayPending *
@@ -494,50 +456,55 @@
   return pending;
 }
 
+/* Completes the result @from of a command with what the leader knows of the command, and appends it
+ * to @results. */
+static void
+_vp_relay_accept_result (VpRelay *relay,
+                         VpRelayProcess *process,
+                         VpCommandResult *from,
+                         int64_t now_ms,
+                         GArray *results)
+{
+  g_autofree VpRelayPending *pending = _vp_relay_take_pending (relay, from->serial);
+  VpCommandResult result;
+
+  if (pending == NULL) {
+    vp_command_result_clear (from);
+    return;
+  }
+  result = pending->result;
+  result.outcome = from->outcome;
+  result.is_repeated = from->is_repeated;
+  result.received_ms = now_ms;
+  result.clock_ms = from->clock_ms;
+  result.booted_ms = from->booted_ms;
+  result.running = from->running;
+  result.ended = from->ended;
+  if (result.clock_ms > 0) {
+    process->answered_ms = MAX (process->answered_ms, result.sent_ms);
+    relay->answered_ms = MAX (relay->answered_ms, result.sent_ms);
+  }
+  /* The relay may lack a text that it should have. */
+  if (result.kind == VP_COMMAND_START && result.outcome == VP_COMMAND_LATE)
+    g_hash_table_remove_all (process->texts);
+  g_array_append_val (results, result);
+}
+
 void
 vp_relay_handle_results (VpRelay *relay, const VpNodeMsg *message, int64_t now_ms, GArray *results)
 {
   VpRelayProcess *process = g_hash_table_lookup (relay->processes, message->from);
-  GVariantIter iter;
-  GVariantIter *running, *ended;
-  guint32 serial;
-  guchar outcome;
-  gboolean is_repeated;
-  int64_t clock_ms, booted_ms;
+  VpCommandResult result = { 0 };
+  const uint8_t *data;
+  gsize size, offset = 0;
 
   if (process == NULL || message->term != relay->desc.term || message->body == NULL
       || !g_variant_is_of_type (message->body, G_VARIANT_TYPE (VP_RELAY_RESULTS_TYPE)))
     return;
   process->heard_ms = now_ms;
-  g_variant_iter_init (&iter, message->body);
-  while (g_variant_iter_next (&iter, "(uybxxa" VP_RELAY_RUNNING_TYPE "a" VP_RELAY_ENDED_TYPE ")",
-                              &serial, &outcome, &is_repeated, &clock_ms, &booted_ms, &running,
-                              &ended)) {
-    g_autofree VpRelayPending *pending = _vp_relay_take_pending (relay, serial);
-    if (pending != NULL && outcome <= VP_COMMAND_UNCERTAIN) {
-      VpCommandResult result = pending->result;
-      result.outcome = (VpCommandOutcome)outcome;
-      if (clock_ms > 0) {
-        process->answered_ms = MAX (process->answered_ms, result.sent_ms);
-        relay->answered_ms = MAX (relay->answered_ms, result.sent_ms);
-      }
-      /* The relay may lack a text that it should have. */
-      if (result.kind == VP_COMMAND_START && result.outcome == VP_COMMAND_LATE)
-        g_hash_table_remove_all (process->texts);
-      result.is_repeated = is_repeated;
-      result.received_ms = now_ms;
-      result.clock_ms = clock_ms;
-      result.booted_ms = booted_ms;
-      result.running = g_array_new (FALSE, FALSE, sizeof (VpRunningEntry));
-      result.ended = g_array_new (FALSE, FALSE, sizeof (VpEndedEntry));
-      if (!_vp_relay_decode_running (running, result.running)
-          || !_vp_relay_decode_ended (ended, result.ended))
-        result.outcome = VP_COMMAND_UNCERTAIN;
-      g_array_append_val (results, result);
-    }
-    g_variant_iter_free (running);
-    g_variant_iter_free (ended);
-  }
+  data = g_variant_get_fixed_array (message->body, &size, 1);
+  while (offset < size && vp_relay_unpack_result (data, size, &offset, &result))
+    _vp_relay_accept_result (relay, process, &result, now_ms, results);
 }
 
 /* Avoids the relay of the command. */
--- a/src/vp-relay.h
+++ b/src/vp-relay.h
@@ -73,7 +73,7 @@
 typedef struct {
   char leader[VP_NAME_MAX]; /* process that gets the collected results */
   uint64_t term;            /* its term */
-  GVariantBuilder *builder; /* the collected results; NULL: there are none */
+  GByteArray *packed;       /* the collected results; NULL: there are none */
   uint32_t count;
   int64_t due_ms;        /* earliest time at which they are sent */
   GHashTable *texts;     /* job -> its text, so that the leader needn't send it again; NULL: none */
--- a/tests/test-relay.c
+++ b/tests/test-relay.c
@@ -534,6 +534,41 @@
   vp_relay_agent_clear (&agent);
 }
 
+/* A batch of results that ends early gives the results before that, and nothing of the last one. */
+static void
+test_truncated_results (void)
+{
+  VpRunningEntry running = { .task = { .job = 9, .step = 1 }, .run = 2, .checkpoint = "c" };
+  VpEndedEntry ended = { .number = 3, .run = 4, .end = VP_RUN_FAILED, .checkpoint = "d" };
+  VpCommandResult sent = { .serial = 5, .outcome = VP_COMMAND_OK, .clock_ms = -1 };
+  VpCommandResult result = { 0 };
+  g_autoptr (GByteArray) packed = g_byte_array_new ();
+  gsize offset = 0;
+  bool is_valid;
+
+  sent.running = g_array_new (FALSE, FALSE, sizeof running);
+  sent.ended = g_array_new (FALSE, FALSE, sizeof ended);
+  g_array_append_val (sent.running, running);
+  g_array_append_val (sent.ended, ended);
+  vp_relay_pack_result (packed, &sent);
+  vp_command_result_clear (&sent);
+  for (gsize size = 1; size < packed->len; size++) {
+    offset = 0;
+    is_valid = vp_relay_unpack_result (packed->data, size, &offset, &result);
+    g_assert_false (is_valid);
+  }
+  is_valid = vp_relay_unpack_result (packed->data, packed->len, &offset, &result);
+  g_assert_true (is_valid);
+  g_assert_cmpuint (offset, ==, packed->len);
+  g_assert_cmpuint (result.serial, ==, 5);
+  g_assert_cmpint (result.clock_ms, ==, -1);
+  g_assert_cmpuint (g_array_index (result.running, VpRunningEntry, 0).task.job, ==, 9);
+  g_assert_cmpstr (g_array_index (result.running, VpRunningEntry, 0).checkpoint, ==, "c");
+  g_assert_cmpint (g_array_index (result.ended, VpEndedEntry, 0).end, ==, VP_RUN_FAILED);
+  g_assert_cmpstr (g_array_index (result.ended, VpEndedEntry, 0).checkpoint, ==, "d");
+  vp_command_result_clear (&result);
+}
+
 int
 main (int argc, char **argv)
 {
@@ -548,5 +583,6 @@
   g_test_add_func ("/relay/late-result", test_late_result);
   g_test_add_func ("/relay/text-once", test_text_once);
   g_test_add_func ("/relay/malformed", test_malformed);
+  g_test_add_func ("/relay/truncated-results", test_truncated_results);
   return g_test_run ();
 }
