Don't wake for a placement while none is allowed

A leader that is paused or may grant no leases kept the due time of a placement that had been put off, which lay in the past, and so woke every millisecond.

--- a/src/vp-cell.c
+++ b/src/vp-cell.c
@@ -713,6 +713,8 @@
   _vp_cell_scan (cell, now_ms, effects);
   if (!cell->is_paused && cell->config != NULL && now_ms <= cell->commands_until_ms)
     _vp_cell_place (cell, now_ms, effects);
+  else
+    cell->is_place_due = false;
   _vp_cell_flush_log (cell, now_ms);
 }
 
