Give up tasks that crash the workers that start them

Cause: a task that crashes each worker that starts it was started again and again, as a lost worker counts as no failure of its tasks.

Change: a crash gives points to the tasks that were started on the worker within 300 ms before it; tasks that had run for longer only if there was no such start, and lasting ones not at all. When a call that waits at a worker breaks off, that is the time of the crash. A suspect starts where no task of another job has started for 300 ms, and none starts beside it for a time, so that a second crash has one possible cause; then the task is given up and its job fails. Without such a start it takes three to five crashes. Leases that expire count half, as a partition looks alike; the end of a draining worker doesn't count. The points are part of the stored progress, as marked rows among the failed runs: the format stays, values without them are read, and earlier programs skip them. A new leader blames the tasks that were stored on a worker that has been replaced or restarted meanwhile, once.

Ruled out: counting crashes for each task alone. An empty worker for each suspect: lasting tasks run nearly everywhere.

--- a/src/vp-cell-scan.c
+++ b/src/vp-cell-scan.c
@@ -76,6 +76,7 @@
 {
   VpStopReason reason;
 
+  vp_crash_clear (cell->jobs, task, now_ms);
   if (task->phase == VP_PHASE_STOPPING) {
     if (task->confirmed_ms == 0 && task->worker->is_reachable
         && now_ms - task->stop_sent_ms > VP_CELL_STOP_RETRY_MS)
@@ -152,7 +153,7 @@
 
   if (g_hash_table_size (worker->tasks) > 0 && worker->clock_at_ms != 0
       && vp_workerlist_is_lease_expired (cell->worker_list, worker, now_ms))
-    vp_reconcile_worker_lost (&cell->reconcile, worker, "lease-expired", now_ms);
+    vp_reconcile_worker_lost (&cell->reconcile, worker, VP_CRASH_POSSIBLE, "lease-expired", now_ms);
   tasks = (VpJobTask **)g_hash_table_get_keys_as_array (worker->tasks, &count);
   for (guint i = 0; i < count; i++)
     _vp_cell_scan_task (cell, tasks[i], now_ms, effects);
--- a/src/vp-cell.c
+++ b/src/vp-cell.c
@@ -17,6 +17,10 @@
 #define VP_CELL_HOLD_RETRY_MS 400
 /* Delay of the next HOLD after one that got no answer. */
 #define VP_CELL_HOLD_UNREACHABLE_MS 150
+/* A HOLD that fails sooner has probably not reached the worker. */
+#define VP_CELL_HOLD_REFUSED_MS 20
+/* A HOLD that fails later has probably timed out, and doesn't show when the worker crashed. */
+#define VP_CELL_HOLD_SILENT_MS (VP_CELL_HOLD_WAIT_MS + 900)
 /* No tasks are placed for this long on a worker that rejected a start. */
 #define VP_CELL_REFUSED_MS 500
 /* Delay of the next start of a task after the worker couldn't parse the command; an immediate retry
@@ -202,10 +206,21 @@
 {
   if (result->sent_ms < worker->address_changed_ms)
     return;
-  vp_reconcile_worker_lost (&cell->reconcile, worker, "worker-replaced", now_ms);
+  vp_reconcile_worker_lost (&cell->reconcile, worker, VP_CRASH_OBSERVED, "worker-replaced", now_ms);
   vp_workerlist_set_replaced (worker);
 }
 
+/* Notes when the connection of a HOLD that waited at the worker broke off: the process lived until
+ * then. */
+static void
+_vp_cell_handle_broken_hold (VpCellWorker *worker, const VpCommandResult *result)
+{
+  int64_t waited_ms = result->received_ms - result->sent_ms;
+
+  if (waited_ms > VP_CELL_HOLD_REFUSED_MS && waited_ms < VP_CELL_HOLD_SILENT_MS)
+    worker->alive_ms = MAX (worker->alive_ms, result->received_ms);
+}
+
 static void
 _vp_cell_handle_hold_result (VpCell *cell,
                              VpCellWorker *worker,
@@ -235,6 +250,8 @@
               "worker=%s outcome=%s waited_ms=%" G_GINT64_FORMAT " silent_ms=%" G_GINT64_FORMAT,
               worker->entry.id, vp_command_outcome_token (result->outcome),
               result->received_ms - result->sent_ms, now_ms - worker->last_answer_ms);
+    if (worker->is_reachable)
+      _vp_cell_handle_broken_hold (worker, result);
     worker->is_reachable = false;
     worker->hold_next_ms = now_ms + VP_CELL_HOLD_UNREACHABLE_MS;
     break;
@@ -436,12 +453,15 @@
 /* Placement. */
 
 /* Returns false while a run of the waiting task that an earlier scheduler started may exist on a
- * worker that hasn't listed its runs. */
+ * worker that hasn't listed its runs, or if the job has ended. The task is given up, and its job
+ * fails, if it has crashed too many workers. */
 static bool
 _vp_cell_may_start (VpCell *cell, VpJobTask *task, int64_t now_ms)
 {
   const VpCellWorker *worker;
 
+  if (vp_job_is_ended (task->step->occurrence->job))
+    return false;
   if (!task->step->occurrence->job->is_inherited)
     return true;
   if (task->inherited_worker[0] == '\0')
@@ -451,8 +471,10 @@
                      : !vp_cell_has_complete_state (cell)
                            || !_vp_cell_is_verified_worker (cell, worker, now_ms))
     return false;
+  if (worker != NULL)
+    vp_crash_blame_inherited (cell->jobs, task, worker, now_ms);
   vp_jobtask_set_inherited_worker (cell->jobs, task, "");
-  return true;
+  return !vp_job_is_ended (task->step->occurrence->job);
 }
 
 /* Returns the number for the next run of the waiting task. */
@@ -530,6 +552,8 @@
   vp_jobtask_assign (cell->jobs, task, worker, run, now_ms);
   task->is_own_run = true;
   vp_place_slot_update (pool, slot);
+  if (vp_crash_is_suspect (task) && vp_crash_is_quiet (worker, task, now_ms))
+    vp_crash_isolate (worker, task, now_ms);
   if (task->step->spec->is_one_rack && task->step->rack < 0)
     task->step->rack = (int32_t)worker->rack_index;
   vp_runlog_add (&cell->reconcile.log, "start", may_be_running ? "inherited" : "fits", task,
@@ -582,6 +606,7 @@
 {
   uint32_t attempts_max
       = vp_cellconfig_attempts_max (cell->config, step->occurrence->job->spec->queue);
+  bool is_placed = true;
 
   for (uint32_t i = 0; i < step->spec->task_count && step->waiting_count > 0; i++) {
     VpJobTask *task = &step->tasks[i];
@@ -593,11 +618,16 @@
     if (!_vp_cell_is_below_cap (cell, step, 1))
       return true;
     slot = vp_place_pick (pool, task, queue, now_ms);
-    if (slot == NULL)
+    if (slot != NULL) {
+      _vp_cell_start_task (cell, pool, task, slot, _vp_cell_next_run (cell, task), now_ms, effects);
+      continue;
+    }
+    /* Only a suspect waits for an isolated start; the other tasks of the step don't. */
+    if (!vp_crash_is_suspect (task))
       return false;
-    _vp_cell_start_task (cell, pool, task, slot, _vp_cell_next_run (cell, task), now_ms, effects);
+    is_placed = false;
   }
-  return true;
+  return is_placed;
 }
 
 static void
@@ -626,6 +656,9 @@
   VpJobStep *step = item->step;
   bool is_placed;
 
+  /* A task of another step of the job may have been given up in this decision. */
+  if (vp_job_is_ended (step->occurrence->job))
+    return;
   if (!step->occurrence->job->is_durable)
     is_placed = !item->queue->has_advice;
   else if (step->spec->is_gang)
--- a/src/vp-joblist.c
+++ b/src/vp-joblist.c
@@ -19,6 +19,8 @@
 /* Number of runs whose failures are recorded one by one in the bits of a word, which is stored for
  * later schedulers. */
 #define VP_FAILED_RUNS_MAX 64
+/* Marks the number of a task in the rows of failed runs: the row has its points for crashes. */
+#define VP_STORED_CRASHES 0x80000000U
 
 static void
 _vp_job_free (gpointer data)
@@ -587,6 +589,23 @@
     _vp_job_end (list, job, VP_JOB_FAILED, now_ms);
 }
 
+bool
+vp_jobtask_count_crash (VpJobList *list,
+                        VpJobTask *task,
+                        uint32_t points,
+                        uint32_t points_max,
+                        int64_t now_ms)
+{
+  VpJob *job = task->step->occurrence->job;
+
+  task->crash_points += points;
+  vp_joblist_mark_dirty (list, job);
+  if (vp_job_is_ended (job) || task->crash_points < points_max)
+    return false;
+  _vp_job_end (list, job, VP_JOB_FAILED, now_ms);
+  return true;
+}
+
 void
 vp_jobtask_end (VpJobList *list,
                 VpJobTask *task,
@@ -670,6 +689,8 @@
       g_variant_builder_add (&assigned, "(us)", i, task->inherited_worker);
     if (task->failed_runs != 0 && task->phase != VP_PHASE_DONE)
       g_variant_builder_add (&failed, "(ut)", i, task->failed_runs);
+    if (task->crash_points != 0 && task->phase != VP_PHASE_DONE)
+      g_variant_builder_add (&failed, "(ut)", i | VP_STORED_CRASHES, (guint64)task->crash_points);
   }
   g_variant_builder_add (out, "(uu@aqa(us)a(ut))", step->occurrence->number, step->index,
                          g_variant_new_fixed_array (G_VARIANT_TYPE_UINT16, packed->data,
@@ -725,6 +746,8 @@
   while (g_variant_iter_next (failed, "(ut)", &index, &runs)) {
     if (index < task_count)
       step->tasks[index].failed_runs = runs;
+    else if ((index & VP_STORED_CRASHES) != 0 && (index & ~VP_STORED_CRASHES) < task_count)
+      step->tasks[index & ~VP_STORED_CRASHES].crash_points = (uint32_t)MIN (runs, UINT32_MAX);
   }
 }
 
--- a/src/vp-joblist.h
+++ b/src/vp-joblist.h
@@ -20,7 +20,10 @@
 
 #include "vp-workerlist.h"
 
-/* GVariant types of the stored values: a job, its progress and its end. */
+/* GVariant types of the stored values: a job, its progress and its end. The last array of a step in
+ * the progress has the failed runs of tasks, and also their points for crashes of workers, marked
+ * in the number of the task. Values without points are valid, and programs that don't know the mark
+ * skip these rows. */
 #define VP_JOB_TYPE      "(" VP_JOBSPEC_TYPE "x)"
 #define VP_PROGRESS_TYPE "(tba(uuaqa(us)a(ut)))"
 #define VP_JOB_END_TYPE  "(tsyx)"
@@ -56,6 +59,7 @@
   uint32_t last_failed_run; /* last counted run whose number is beyond the bits of @failed_runs */
   bool is_own_run;          /* true once this scheduler has sent a start for a run */
   uint32_t failures;        /* failed runs that count against the queue's attempts_max */
+  uint32_t crash_points;    /* blame for crashes of workers, see vp-crash.h */
   VpCellWorker *worker;     /* worker to which the task is assigned; NULL: none */
   char checkpoint[VP_CHECKPOINT_MAX]; /* last one that a run has written; empty: none */
   char failed_on[VP_NAME_MAX];        /* worker of the last failed run */
@@ -230,6 +234,13 @@
                                uint32_t run,
                                uint32_t attempts_max,
                                int64_t now_ms);
+/* Adds @points for the crash of a worker. Returns true if the task then has @points_max points and
+ * its job fails for that. */
+bool vp_jobtask_count_crash (VpJobList *list,
+                             VpJobTask *task,
+                             uint32_t points,
+                             uint32_t points_max,
+                             int64_t now_ms);
 /* Marks the task as done. Its run may have been on any worker. */
 void vp_jobtask_complete (VpJobList *list, VpJobTask *task, int64_t now_ms);
 /* Adds the duration @duration_ms of a successful run. Returns the mean of the earlier ones, or 0 if
--- a/src/vp-metrics.c
+++ b/src/vp-metrics.c
@@ -63,6 +63,8 @@
   [VP_COUNTER_EVENTS] = { "events", "Events through the reducer" },
   [VP_COUNTER_WORKERS_GIVEN_UP]
   = { "workers_given_up", "Workers of an earlier leader taken as gone without an answer" },
+  [VP_COUNTER_TASKS_GIVEN_UP]
+  = { "tasks_given_up", "Tasks given up since workers crashed under them" },
   [VP_COUNTER_INHERITED_STARTS]
   = { "inherited_starts", "Starts of tasks that an earlier leader may have started" },
 };
--- a/src/vp-place.c
+++ b/src/vp-place.c
@@ -1,3 +1,4 @@
+#include "vp-crash.h"
 #include "vp-place-private.h"
 
 #include <string.h>
@@ -30,6 +31,9 @@
 /* Workers that only add to what is known of permissions prolong an advice call by at most this
  * share of its fixed time. */
 #define VP_PLACE_LEARNING_SHARE 0.25
+/* At most this share of the workers is kept for isolated starts at a time, as other tasks have to
+ * start, too. */
+#define VP_PLACE_ISOLATED_SHARE 0.25
 
 VpPlacePool *
 vp_place_pool_new (const VpWorkerList *worker_list, const char *service, int64_t now_ms)
@@ -243,11 +247,13 @@
 } VpPlaceChoice;
 
 /* Replaces @best by @slot if the task can run there at a lower cost; the first of equal slots wins.
- */
+ * An isolated start needs a worker without other recent starts, and takes the one with the least
+ * work that a crash would destroy. */
 static void
 _vp_place_evaluate (const VpJobTask *task,
                     const VpQueueConfig *queue,
                     VpPlaceSlot *slot,
+                    bool is_isolated,
                     int64_t now_ms,
                     VpPlaceChoice *best)
 {
@@ -258,9 +264,13 @@
   if (!_vp_place_has_capacity (step, slot, now_ms) || !_vp_place_is_eligible (step, slot->worker)
       || !_vp_place_is_below_spread_max (step, slot->worker, 0)
       || _vp_place_has_failed_on (task, slot->worker, now_ms)
-      || _vp_place_should_wait (step, slot->worker, &slot->free, now_ms))
+      || _vp_place_should_wait (step, slot->worker, &slot->free, now_ms)
+      || vp_crash_is_kept (slot->worker, task, now_ms)
+      || (is_isolated && !vp_crash_is_quiet (slot->worker, task, now_ms)))
     return;
-  cost = _vp_place_cost (step, queue->priority == 0, slot->worker, &slot->free);
+  cost = is_isolated
+             ? vp_resources_dominant_share (&slot->worker->used, &slot->worker->entry.capacity)
+             : _vp_place_cost (step, queue->priority == 0, slot->worker, &slot->free);
   if (best->slot == NULL || cost < best->cost || (cost == best->cost && slot < best->slot))
     *best = (VpPlaceChoice){ .slot = slot, .cost = cost };
 }
@@ -278,11 +288,12 @@
   return slot->worker == worker ? slot : NULL;
 }
 
-VpPlaceSlot *
-vp_place_pick (const VpPlacePool *pool,
-               const VpJobTask *task,
-               const VpQueueConfig *queue,
-               int64_t now_ms)
+static VpPlaceSlot *
+_vp_place_find_best (const VpPlacePool *pool,
+                     const VpJobTask *task,
+                     const VpQueueConfig *queue,
+                     bool is_isolated,
+                     int64_t now_ms)
 {
   const VpJobStep *step = task->step;
   VpPlaceChoice best = { 0 };
@@ -291,7 +302,8 @@
 
   if (!queue->has_advice) {
     for (guint i = 0; i < pool->slots->len; i++)
-      _vp_place_evaluate (task, queue, &g_array_index (pool->slots, VpPlaceSlot, i), now_ms, &best);
+      _vp_place_evaluate (task, queue, &g_array_index (pool->slots, VpPlaceSlot, i), is_isolated,
+                          now_ms, &best);
     return best.slot;
   }
   if (step->advice == NULL || _vp_place_lacks_tickets (step, queue, now_ms))
@@ -305,11 +317,59 @@
       continue;
     slot = _vp_place_find_slot (pool, row);
     if (slot != NULL)
-      _vp_place_evaluate (task, queue, slot, now_ms, &best);
+      _vp_place_evaluate (task, queue, slot, is_isolated, now_ms, &best);
   }
   return best.slot;
 }
 
+/* Returns true if the share of workers that are kept for other jobs leaves one for an isolated
+ * start of the task. */
+static bool
+_vp_place_may_isolate (const VpPlacePool *pool, const VpJobTask *task, int64_t now_ms)
+{
+  double kept_max = pool->slots->len * VP_PLACE_ISOLATED_SHARE;
+  uint32_t count = 0;
+
+  for (guint i = 0; i < pool->slots->len; i++)
+    count += vp_crash_is_kept (g_array_index (pool->slots, VpPlaceSlot, i).worker, task, now_ms);
+  return count < MAX (kept_max, 1);
+}
+
+/* Returns true if a worker is kept for the job of the task. */
+static bool
+_vp_place_has_isolated (const VpPlacePool *pool, const VpJobTask *task, int64_t now_ms)
+{
+  for (guint i = 0; i < pool->slots->len; i++) {
+    const VpCellWorker *worker = g_array_index (pool->slots, VpPlaceSlot, i).worker;
+    if (now_ms < worker->isolated_until_ms && !vp_crash_is_kept (worker, task, now_ms))
+      return true;
+  }
+  return false;
+}
+
+VpPlaceSlot *
+vp_place_pick (const VpPlacePool *pool,
+               const VpJobTask *task,
+               const VpQueueConfig *queue,
+               int64_t now_ms)
+{
+  VpPlaceSlot *slot = NULL;
+
+  if (vp_crash_is_suspect (task) && _vp_place_may_isolate (pool, task, now_ms))
+    slot = _vp_place_find_best (pool, task, queue, true, now_ms);
+  if (slot != NULL)
+    return slot;
+  if (vp_crash_needs_isolation (task) && _vp_place_has_isolated (pool, task, now_ms))
+    return NULL;
+  slot = _vp_place_find_best (pool, task, queue, false, now_ms);
+  if (slot == NULL || !vp_crash_needs_isolation (task))
+    return slot;
+  /* The worker has had other starts a short time ago, so the task waits for it. */
+  if (_vp_place_may_isolate (pool, task, now_ms))
+    vp_crash_isolate (slot->worker, task, now_ms);
+  return NULL;
+}
+
 /* Chooses a slot for each task of the step within the rack, or within all racks if @rack is
  * negative. Returns false if they don't all fit. */
 static bool
@@ -328,7 +388,8 @@
     VpResources free;
     uint32_t taken_count = 0;
     if ((rack >= 0 && slot->worker->rack_index != (uint32_t)rack)
-        || !_vp_place_is_eligible (step, slot->worker))
+        || !_vp_place_is_eligible (step, slot->worker)
+        || vp_crash_is_kept (slot->worker, &step->tasks[0], now_ms))
       continue;
     free = vp_reservation_left (&slot->reservation, &slot->free);
     while (placed < step->spec->task_count && vp_resources_fits (&demand, &free)
--- a/src/vp-reconcile.c
+++ b/src/vp-reconcile.c
@@ -39,6 +39,7 @@
 void
 vp_reconcile_worker_lost (VpReconcile *reconcile,
                           VpCellWorker *worker,
+                          VpCrashEvidence evidence,
                           const char *why,
                           int64_t now_ms)
 {
@@ -48,6 +49,7 @@
 
   vp_log (now_ms, "worker-lost", "worker=%s why=%s tasks=%u silent_ms=%" G_GINT64_FORMAT,
           worker->entry.id, why, count, now_ms - worker->last_answer_ms);
+  vp_crash_blame (reconcile->jobs, worker, evidence, now_ms);
   for (guint i = 0; i < count; i++) {
     vp_runlog_add (&reconcile->log, "end", why, tasks[i], now_ms);
     vp_jobtask_end (reconcile->jobs, tasks[i], VP_RUN_LAPSED, 1, now_ms);
@@ -74,6 +76,7 @@
       = (VpJobTask **)g_hash_table_get_keys_as_array (worker->tasks, &count);
   guint stopping_count = 0;
 
+  vp_crash_blame (reconcile->jobs, worker, VP_CRASH_OBSERVED, now_ms);
   for (guint i = 0; i < count; i++) {
     VpJobTask *task = tasks[i];
     if (!_vp_reconcile_may_start_again (task)) {
--- a/src/vp-reconcile.h
+++ b/src/vp-reconcile.h
@@ -14,6 +14,7 @@
 #pragma once
 
 #include "vp-cellconfig.h"
+#include "vp-crash.h"
 #include "vp-durations.h"
 #include "vp-runlog.h"
 
@@ -43,14 +44,16 @@
                                int64_t now_ms);
 /* Handles a restart of the worker, which has ended all runs there. A run of which a start may still
  * be on its way, as it waits at a relay or on a slow link, is stopped before it counts as ended:
- * the worker, which knows nothing of the time before its restart, would carry out that start. */
+ * the worker, which knows nothing of the time before its restart, would carry out that start. Tasks
+ * are blamed for the crash. */
 void vp_reconcile_worker_restarted (VpReconcile *reconcile,
                                     VpCellWorker *worker,
                                     int64_t booted_ms,
                                     int64_t now_ms);
-/* Ends all runs of a worker on which none of them can exist any more. @why, a static string, is
- * logged as the reason. */
+/* Ends all runs of a worker on which none of them can exist any more, and blames tasks for that if
+ * the worker has crashed. @why, a static string, is logged as the reason. */
 void vp_reconcile_worker_lost (VpReconcile *reconcile,
                                VpCellWorker *worker,
+                               VpCrashEvidence evidence,
                                const char *why,
                                int64_t now_ms);
--- a/src/vp-workerlist.c
+++ b/src/vp-workerlist.c
@@ -141,6 +141,7 @@
     worker->lease_end_ms = MAX (worker->lease_end_ms, clock_ms + worker_list->hold_max_ms);
   /* Answers on several connections may overtake each other, but the clock never runs backwards. */
   if (clock_ms >= worker->clock_ms) {
+    worker->alive_ms = MAX (worker->alive_ms, received_ms);
     worker->clock_ms = clock_ms;
     worker->clock_at_ms = received_ms;
   }
--- a/src/vp-workerlist.h
+++ b/src/vp-workerlist.h
@@ -67,6 +67,7 @@
   bool is_hold_pending;       /* a HOLD is waiting for its answer */
   int64_t hold_next_ms;       /* earliest time of the next HOLD */
   int64_t last_answer_ms;     /* time of the last answer */
+  int64_t alive_ms;           /* its process hadn't crashed before this time */
   int64_t address_changed_ms; /* time of the last change of its address; results of commands sent
                                  before say nothing about the worker */
   int64_t restart_noted_ms; /* time at which its last restart was noted; 0: none. A command that was
@@ -80,6 +81,8 @@
   uint32_t failed_runs;      /* failed runs since the last success */
   uint32_t quarantine_level; /* number of quarantines since the last success */
   int64_t avoid_until_ms;    /* no tasks are placed there before this time */
+  uint64_t isolated_job;     /* only tasks of this job are placed there, see vp-crash.h */
+  int64_t isolated_until_ms; /* time until which @isolated_job applies */
   uint32_t slot_index;  /* index of its slot in the newest pool of its service, see vp-place.h */
   int64_t throttled_ms; /* time of the last change of @throttle_percent */
   uint32_t throttle_percent;    /* share of the CPU that its best-effort tasks may use */
--- a/tests/simcell-jobs.c
+++ b/tests/simcell-jobs.c
@@ -1,5 +1,8 @@
 #include "simcell-jobs.h"
 
+/* A task may be started two times more after it has crashed three workers. */
+#define CRASHES_MAX 5
+
 SimJob *
 simcell_jobs_find (const SimCellJobs *jobs, uint64_t id)
 {
@@ -50,6 +53,9 @@
   vp_task_name_format (&command->task, name);
   if (g_hash_table_contains (job->acked, name))
     _report_violation (jobs, now_ms, "started after its end was acknowledged", &command->task);
+  if (job->crash_count > CRASHES_MAX)
+    _report_violation (jobs, now_ms, "started although it has crashed too many workers",
+                       &command->task);
   g_hash_table_replace (job->started, g_strdup (name), GUINT_TO_POINTER (now_ms - jobs->begin_ms));
   if (job->is_rejected && !job->is_accepted)
     _report_violation (jobs, now_ms, "started although its job was rejected", &command->task);
--- a/tests/simcell-jobs.h
+++ b/tests/simcell-jobs.h
@@ -21,6 +21,7 @@
   bool is_gang;
   bool is_long_running;
   double failing_share; /* fraction of the runs that fail, 0 to 1 */
+  bool crashes_workers; /* task 0 of each step crashes each worker that starts it */
 } SimJobDesc;
 
 /* A job as its caller knows it. */
@@ -36,9 +37,10 @@
   bool is_cancel_requested;
   bool is_cancelled; /* a node has confirmed the cancel */
   int64_t next_attempt_ms;
-  GHashTable *done;    /* names of the tasks that have ended as done */
-  GHashTable *acked;   /* names of the done tasks whose end was acknowledged to the worker */
-  GHashTable *started; /* task name -> time of the last start, in ms after begin_ms */
+  GHashTable *done;     /* names of the tasks that have ended as done */
+  GHashTable *acked;    /* names of the done tasks whose end was acknowledged to the worker */
+  GHashTable *started;  /* task name -> time of the last start, in ms after begin_ms */
+  uint32_t crash_count; /* workers that its first task has crashed */
 } SimJob;
 
 typedef struct {
@@ -52,7 +54,8 @@
 void simcell_jobs_free (gpointer data);
 SimJob *simcell_jobs_find (const SimCellJobs *jobs, uint64_t id);
 /* Checks a start that the worker has just carried out: the worker's capacity, one run of a task at
- * a time, the order of the steps, and no start after an acknowledged end or a rejection. */
+ * a time, the order of the steps, no start after an acknowledged end or a rejection, and at most
+ * two starts of a task after it has crashed three workers. */
 void simcell_jobs_check_start (const SimCellJobs *jobs,
                                int64_t now_ms,
                                const SimCellWorker *worker,
--- a/tests/simcell-worker.c
+++ b/tests/simcell-worker.c
@@ -21,7 +21,7 @@
   worker->ended_times_ms = g_array_new (FALSE, TRUE, sizeof (int64_t));
   worker->acked = g_array_new (FALSE, TRUE, sizeof (SimCellAckedEnd));
   worker->highest_runs = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
-  worker->leaves_ms = INT64_MAX;
+  worker->leaves_ms = worker->crash_ms = INT64_MAX;
   simcell_worker_restart (worker, now_ms);
   return worker;
 }
@@ -50,6 +50,7 @@
 simcell_worker_crash (SimCellWorker *worker, int64_t restart_ms)
 {
   worker->is_up = false;
+  worker->crash_ms = INT64_MAX;
   worker->restart_ms = restart_ms;
   worker->fence = worker->last_end = 0;
   worker->lease_end_ms = 0;
--- a/tests/simcell-worker.h
+++ b/tests/simcell-worker.h
@@ -33,6 +33,7 @@
   int64_t entry_renewal_ms;
   int64_t partitioned_until_ms;
   int64_t leaves_ms;  /* when the worker leaves the cell; INT64_MAX: never */
+  int64_t crash_ms;   /* when a run crashes the process; INT64_MAX: none does */
   int64_t restart_ms; /* when the process restarts after a crash; INT64_MAX: it doesn't */
   uint64_t fence;
   int64_t lease_end_ms; /* on the worker's clock, which is simulated time minus @clock_zero_ms */
--- a/tests/simcell.c
+++ b/tests/simcell.c
@@ -27,6 +27,12 @@
 /* A worker whose entry has expired writes it again within this time after it reaches the store. */
 #define RELIST_DELAY_MAX_MS 2000
 
+/* Time from the start of a task that crashes its worker to the crash, and from there to the
+ * restart.
+ */
+#define CRASH_DELAY_MS 10
+#define CRASH_DOWN_MS  3000
+
 typedef enum { ACTION_NODE_EVENT, ACTION_COMMAND, ACTION_STORE_WRITE, ACTION_BOOT_NODE } ActionKind;
 
 /* An entry of the queue of simulated time: an event for a node, a command to a worker, a write in
@@ -373,7 +379,12 @@
     if (action->command.kind == VP_COMMAND_START)
       _describe_run (sim, &action->command, &run_desc);
     if (simcell_worker_apply_command (worker, &action->command, &run_desc, sim->now_ms, &result)) {
+      SimJob *job = simcell_jobs_find (&sim->jobs, action->command.task.job);
       sim->start_count++;
+      if (job->desc.crashes_workers && action->command.task.index == 0) {
+        job->crash_count++;
+        worker->crash_ms = MIN (worker->crash_ms, sim->now_ms + CRASH_DELAY_MS);
+      }
       simcell_jobs_check_start (&sim->jobs, sim->now_ms, worker, &action->command);
       if (simcell_jobs_find (&sim->jobs, action->command.task.job)->desc.is_gang)
         simcell_jobs_start_gang_work (&sim->jobs, sim->now_ms, &action->command);
@@ -668,6 +679,8 @@
     SimCellWorker *worker = sim->jobs.workers->pdata[i];
     if (worker->is_up)
       simcell_jobs_advance_worker (&sim->jobs, sim->now_ms, worker);
+    if (worker->is_up && sim->now_ms >= worker->crash_ms)
+      simcell_worker_crash (worker, sim->now_ms + CRASH_DOWN_MS);
     if (worker->is_up && sim->now_ms >= worker->leaves_ms) {
       simcell_worker_crash (worker, INT64_MAX);
       worker->entry_expires_ms = sim->now_ms;
