Release the tasks of a replaced worker when it is removed

Cause: a worker of the stored list that has crashed isn't in the platform's list any more. When another process answered in its place, a new leader removed it at once, and its tasks then waited until all leases of the earlier leader had expired, 8 s after the takeover. The crash wasn't counted either.

Change: when a worker is removed, which happens only if none of its runs can exist, the tasks that earlier leaders had there are released and blamed for its crash.

Measured: /cell/stored-worker-replaced fails before (no worker) and passes.

--- a/src/vp-cell-scan.c
+++ b/src/vp-cell-scan.c
@@ -3,6 +3,8 @@
 #include "vp-metrics.h"
 #include "vp-throttle.h"
 
+#include <string.h>
+
 /* Delay before a start without an answer is repeated. Workers answer within some milliseconds,
  * while the transport gives up only after a second. */
 #define VP_CELL_START_HEDGE_MS 120
@@ -173,6 +175,28 @@
   return vp_workerlist_is_lease_expired (cell->worker_list, worker, now_ms);
 }
 
+/* Releases the tasks that earlier schedulers had on a worker that is about to be removed, since
+ * none of their runs can exist any more. */
+static void
+_vp_cell_release_inherited (VpCell *cell, const VpCellWorker *worker, int64_t now_ms)
+{
+  g_autoptr (GPtrArray) tasks = g_ptr_array_new ();
+
+  for (guint i = 0; i < cell->jobs->ready_steps->len; i++) {
+    const VpJobStep *step = cell->jobs->ready_steps->pdata[i];
+    for (uint32_t t = 0; step->occurrence->job->is_inherited && t < step->spec->task_count; t++) {
+      if (strcmp (step->tasks[t].inherited_worker, worker->entry.id) == 0)
+        g_ptr_array_add (tasks, &step->tasks[t]);
+    }
+  }
+  for (guint i = 0; i < tasks->len; i++) {
+    VpJobTask *task = tasks->pdata[i];
+    if (!vp_job_is_ended (task->step->occurrence->job))
+      vp_crash_blame_inherited (cell->jobs, task, worker, now_ms);
+    vp_jobtask_set_inherited_worker (cell->jobs, task, "");
+  }
+}
+
 static void
 _vp_cell_remove_worker (VpCell *cell, VpCellWorker *worker, int64_t now_ms)
 {
@@ -181,6 +205,7 @@
     vp_log (now_ms, "worker-given-up", "worker=%s why=leases-expired waited_ms=%" G_GINT64_FORMAT,
             worker->entry.id, now_ms - cell->started_ms);
   }
+  _vp_cell_release_inherited (cell, worker, now_ms);
   vp_workerlist_remove (cell->worker_list, worker);
 }
 
--- a/tests/test-cell-takeover.c
+++ b/tests/test-cell-takeover.c
@@ -221,6 +221,30 @@
   _teardown (&fixture);
 }
 
+/* Guards against a task that waits until the leases of earlier schedulers have expired, although
+ * another worker has replaced the one that it was on. That worker is removed at once, as it isn't
+ * in the platform's list. */
+static void
+test_stored_worker_replaced (void)
+{
+  Fixture fixture;
+  VpCommandResult result;
+  VpJobTask *task;
+
+  _setup_stored (&fixture, 1);
+  task = &vp_joblist_find (vp_cell_jobs (fixture.cell), 1)->occurrences[0].steps[0].tasks[0];
+  vp_jobtask_set_inherited_worker (vp_cell_jobs (fixture.cell), task, "w1");
+  result = _hold_result (&fixture, "w1");
+  result.outcome = VP_COMMAND_WORKER_REPLACED;
+  _apply (&fixture, &result);
+  for (uint32_t i = 0; i < 3; i++) {
+    fixture.now_ms += 100;
+    _decide (&fixture);
+  }
+  g_assert_cmpstr (task->worker->entry.id, ==, "w0");
+  _teardown (&fixture);
+}
+
 /* No wait is needed if all workers in the stored list have listed their runs. */
 static void
 test_stored_workers (void)
@@ -749,6 +773,7 @@
   g_test_add_func ("/cell/already-done", test_already_done);
   g_test_add_func ("/cell/relisted", test_relisted);
   g_test_add_func ("/cell/stored-workers", test_stored_workers);
+  g_test_add_func ("/cell/stored-worker-replaced", test_stored_worker_replaced);
   g_test_add_func ("/cell/stored-worker-missing", test_stored_worker_missing);
   g_test_add_func ("/cell/stored-inactive", test_stored_inactive);
   g_test_add_func ("/cell/inactive-worker", test_inactive_worker);
