Place no gang on a worker whose capacity is exceeded

Cause: a worker's capacity may shrink below what runs there. For gangs, the capacity left was raised to zero first, so that tasks which need nothing of the exceeded kind still counted as fitting. Other tasks were not placed there.

Change: gangs are checked against the free capacity as it is. Changes of a worker's capacity are logged as worker-resized.

Measured: /cell/gang-on-shrunken-worker fails before (2 starts) and passes. /cell/capacity-changes passes before and after: nothing is added to a shrunken worker, nothing is stopped, and what is being stopped counts.

--- a/src/vp-cell.c
+++ b/src/vp-cell.c
@@ -136,6 +136,20 @@
   vp_log_item (now_ms, "worker-listed", keys, item);
 }
 
+static void
+_vp_cell_log_resized (const VpCellWorker *worker, const VpWorkerEntry *entry, int64_t now_ms)
+{
+  const VpResources *from = &worker->entry.capacity;
+  const VpResources *to = &entry->capacity;
+
+  vp_log (now_ms, "worker-resized",
+          "worker=%s cpu_milli=%" G_GINT64_FORMAT " from=%" G_GINT64_FORMAT
+          " mem_mib=%" G_GINT64_FORMAT " from_mem_mib=%" G_GINT64_FORMAT
+          " used_cpu_milli=%" G_GINT64_FORMAT,
+          entry->id, to->cpu_milli, from->cpu_milli, to->mem_mib, from->mem_mib,
+          worker->used.cpu_milli);
+}
+
 void
 vp_cell_worker_listed (VpCell *cell, const VpWorkerEntry *entry, int64_t now_ms)
 {
@@ -151,6 +165,9 @@
     known->address_changed_ms = now_ms;
     cell->worker_list->is_changed = true;
   }
+  if (!is_new && known->was_listed
+      && memcmp (&known->entry.capacity, &entry->capacity, sizeof entry->capacity) != 0)
+    _vp_cell_log_resized (known, entry, now_ms);
   known = vp_workerlist_update (cell->worker_list, entry);
   if (is_new)
     known->is_placement_blocked = cell->desc.stores_workers;
--- a/src/vp-place.c
+++ b/src/vp-place.c
@@ -389,6 +389,8 @@
     uint32_t taken_count = 0;
     if ((rack >= 0 && slot->worker->rack_index != (uint32_t)rack)
         || !_vp_place_is_eligible (step, slot->worker)
+        /* A capacity that has shrunk may be exceeded, which the capacity left doesn't show. */
+        || !vp_resources_fits (&demand, &slot->free)
         || vp_crash_is_kept (slot->worker, &step->tasks[0], now_ms))
       continue;
     free = vp_reservation_left (&slot->reservation, &slot->free);
--- a/tests/test-cell.c
+++ b/tests/test-cell.c
@@ -481,6 +481,76 @@
   _teardown (&fixture);
 }
 
+/* Lets the platform list the worker "w0" with this much CPU. */
+static void
+_resize_worker (Fixture *fixture, int64_t cpu_milli)
+{
+  VpWorkerEntry entry = _worker_entry (0);
+
+  entry.capacity.cpu_milli = cpu_milli;
+  vp_cell_worker_listed (fixture->cell, &entry, fixture->now_ms);
+  _decide (fixture);
+}
+
+/* Guards against overcommitting a worker whose capacity shrinks while tasks run there: nothing is
+ * added, nothing is stopped, and what is being stopped still counts. */
+static void
+test_capacity_changes (void)
+{
+  Fixture fixture;
+  VpCommand stop;
+  VpJob *first;
+
+  _setup (&fixture, 1, false);
+  _sync (&fixture);
+  first = _run_one (&fixture, 1000);
+  _run_one (&fixture, 1000);
+  _run_one (&fixture, 1000);
+  _submit (&fixture, 1, 1000);
+  _resize_worker (&fixture, 2500);
+  g_assert_null (_find_command (&fixture, VP_COMMAND_START));
+  g_assert_null (_find_command (&fixture, VP_COMMAND_STOP));
+  vp_cell_cancel (fixture.cell, first->spec->id, fixture.now_ms);
+  _decide (&fixture);
+  g_assert_nonnull (_find_command (&fixture, VP_COMMAND_STOP));
+  stop = *_find_command (&fixture, VP_COMMAND_STOP);
+  /* Three tasks count, one of which is being stopped. */
+  _resize_worker (&fixture, 3500);
+  g_assert_null (_find_command (&fixture, VP_COMMAND_START));
+  _answer (&fixture, &stop, VP_COMMAND_OK);
+  _decide (&fixture);
+  g_assert_null (_find_command (&fixture, VP_COMMAND_START));
+  _resize_worker (&fixture, 4000);
+  g_assert_cmpuint (_count_commands (&fixture, VP_COMMAND_START), ==, 1);
+  _teardown (&fixture);
+}
+
+/* Guards against a gang that is placed on a worker whose accelerators have shrunk below their use,
+ * although other tasks aren't. */
+static void
+test_gang_on_shrunken_worker (void)
+{
+  Fixture fixture;
+  VpWorkerEntry entry = _worker_entry (0);
+  VpJob *job;
+
+  _setup (&fixture, 1, false);
+  entry.capacity.accel_count = 2;
+  vp_cell_worker_listed (fixture.cell, &entry, fixture.now_ms);
+  _sync (&fixture);
+  job = _submit (&fixture, 1, 1000);
+  job->spec->steps[0].size.accel_count = 1;
+  _decide (&fixture);
+  _answer (&fixture, _find_command (&fixture, VP_COMMAND_START), VP_COMMAND_OK);
+  entry.capacity.accel_count = 0;
+  vp_cell_worker_listed (fixture.cell, &entry, fixture.now_ms);
+  _submit (&fixture, 2, 1000)->spec->steps[0].is_gang = true;
+  _submit (&fixture, 1, 1000);
+  _decide (&fixture);
+  g_assert_cmpuint (_count_commands (&fixture, VP_COMMAND_START), ==, 0);
+  _teardown (&fixture);
+}
+
 int
 main (int argc, char *argv[])
 {
@@ -488,6 +558,8 @@
   g_test_add_func ("/cell/repeated-start", test_repeated_start);
   g_test_add_func ("/cell/resent-start", test_resent_start);
   g_test_add_func ("/cell/stopping-task-occupies-worker", test_stopping_task_occupies_worker);
+  g_test_add_func ("/cell/capacity-changes", test_capacity_changes);
+  g_test_add_func ("/cell/gang-on-shrunken-worker", test_gang_on_shrunken_worker);
   g_test_add_func ("/cell/team-cap", test_team_cap);
   g_test_add_func ("/cell/placement-interval", test_placement_interval);
   g_test_add_func ("/cell/advice-request-limit", test_advice_request_limit);
