Use results that arrive after their commands were given up

Cause: a result that arrived after its command was given up was dropped, with all that the worker had said in it. Giving up is right for what to send next, but it says nothing about the worker. With every relay's answers late, the leader knew nothing of workers that answered each call, let their leases run out, and started tasks again whose ends those workers had listed ten times; the ends were handled and acknowledged when a result came in time at last.

Change: results up to 15 s late are reported and marked as late. From them the scheduler takes ends, clock and runs; of a list that was overtaken by a later one only the ends, which are numbered. Whether the next HOLD is sent, and whether the worker counts as reachable, doesn't depend on them. An answer to a command from before a worker's restart doesn't set its clock.

Tests: relay/late-result asked before that a late result is dropped, which was the fault; it now asks that it is reported once, marked, and dropped after 15 s. cell/late-list, cell/overtaken-list and cell/late-start-result fail without the change.

--- a/src/vp-cell.c
+++ b/src/vp-cell.c
@@ -246,6 +246,12 @@
 {
   bool was_reachable = worker->is_reachable;
 
+  /* The time of the next HOLD depends on the answer to the one that was sent since. */
+  if (result->is_late) {
+    if (result->outcome == VP_COMMAND_OK)
+      vp_reconcile_handle_list (&cell->reconcile, worker, result, now_ms);
+    return;
+  }
   worker->is_hold_pending = false;
   switch (result->outcome) {
   case VP_COMMAND_OK:
@@ -302,6 +308,17 @@
          && outcome != VP_COMMAND_WORKER_REPLACED;
 }
 
+/* Returns true if a late result of a start says nothing new. It may have been repeated, and the
+ * results of the later commands decide then. */
+static bool
+_vp_cell_is_start_undecided (const VpJobTask *task, const VpCommandResult *result)
+{
+  return result->is_late
+         && (result->outcome == VP_COMMAND_UNCERTAIN
+             || result->outcome == VP_COMMAND_WORKER_REPLACED
+             || (task->start_tries > 1 && _vp_cell_is_not_started (result->outcome)));
+}
+
 static void
 _vp_cell_handle_start_result (VpCell *cell,
                               VpCellWorker *worker,
@@ -309,7 +326,7 @@
                               const VpCommandResult *result,
                               int64_t now_ms)
 {
-  if (task->phase != VP_PHASE_STARTING)
+  if (task->phase != VP_PHASE_STARTING || _vp_cell_is_start_undecided (task, result))
     return;
   /* Although the repeated command had no effect, the first one may have started the run. */
   if ((task->start_tries > 1 || result->is_repeated) && _vp_cell_is_not_started (result->outcome)) {
@@ -384,6 +401,7 @@
 {
   VpCellWorker *worker = vp_workerlist_find (cell->worker_list, result->worker);
   VpJobTask *task;
+  int64_t clock_ms = 0;
 
   if (worker == NULL || result->fence != cell->desc.fence)
     return;
@@ -394,8 +412,13 @@
     _vp_cell_flush_log (cell, now_ms);
     return;
   }
-  if (result->clock_ms > 0)
-    vp_workerlist_note_answer (cell->worker_list, worker, result->clock_ms, result->received_ms);
+  /* The clock begins anew with a restart, so an answer may show the clock of before. */
+  if (result->sent_ms >= worker->restart_noted_ms)
+    clock_ms = result->clock_ms;
+  if (result->is_late)
+    vp_workerlist_note_clock (cell->worker_list, worker, clock_ms, result->received_ms);
+  else if (result->clock_ms > 0)
+    vp_workerlist_note_answer (cell->worker_list, worker, clock_ms, result->received_ms);
   task = vp_joblist_task (cell->jobs, &result->task);
   if (task == NULL || task->worker != worker || task->run != result->run)
     return;
@@ -406,7 +429,7 @@
     _vp_cell_handle_start_result (cell, worker, task, result, now_ms);
   else if (result->kind == VP_COMMAND_STOP)
     _vp_cell_handle_stop_result (cell, task, result);
-  if (result->outcome == VP_COMMAND_WORKER_REPLACED)
+  if (result->outcome == VP_COMMAND_WORKER_REPLACED && !result->is_late)
     _vp_cell_handle_worker_replaced (cell, worker, result, now_ms);
   _vp_cell_flush_log (cell, now_ms);
 }
--- a/src/vp-command.h
+++ b/src/vp-command.h
@@ -100,8 +100,10 @@
   uint32_t run;
   VpCommandOutcome outcome;
   bool is_repeated; /* the transport sent the command twice; @outcome is that of the second one */
-  uint64_t fence;   /* fencing token of the command */
-  int64_t sent_ms;  /* local time before anything was sent */
+  bool is_late; /* the outcome of the command was reported as uncertain before; others may have been
+                   sent and answered since */
+  uint64_t fence;      /* fencing token of the command */
+  int64_t sent_ms;     /* local time before anything was sent */
   int64_t received_ms; /* local time after the answer was complete */
   int64_t clock_ms;    /* the worker's clock; 0: unknown */
   int64_t booted_ms;   /* HOLD: boot time of the worker (Unix time) */
--- a/src/vp-reconcile.c
+++ b/src/vp-reconcile.c
@@ -289,9 +289,18 @@
   }
   if (worker->booted_ms == 0)
     worker->booted_ms = result->booted_ms;
-  vp_workerlist_note_answer (reconcile->worker_list, worker, result->clock_ms, result->received_ms);
+  if (result->is_late)
+    vp_workerlist_note_clock (reconcile->worker_list, worker, result->clock_ms,
+                              result->received_ms);
+  else
+    vp_workerlist_note_answer (reconcile->worker_list, worker, result->clock_ms,
+                               result->received_ms);
   seen_before = worker->last_end_seen;
   _vp_reconcile_handle_ends (reconcile, worker, result->ended, now_ms);
+  /* Of a list that was overtaken by a later one, only the ends, which are numbered, are new. */
+  if (result->sent_ms < worker->list_sent_ms)
+    return false;
+  worker->list_sent_ms = result->sent_ms;
   _vp_reconcile_handle_running (reconcile, worker, result, listed, now_ms);
   if (result->ended == NULL || result->ended->len < VP_RECONCILE_ENDS_MAX)
     _vp_reconcile_end_missing_runs (reconcile, worker, result, listed, now_ms);
--- a/src/vp-relay.c
+++ b/src/vp-relay.c
@@ -19,6 +19,10 @@
 /* A relay is avoided if neither results nor pings of it have arrived for this long while results
  * are outstanding, as it may have died: two pings are missing then. */
 #define VP_RELAY_SILENT_MS 800
+/* A result that arrives up to this long after its command was given up is still reported. */
+#define VP_RELAY_LATE_MS 15000
+/* Interval at which older ones are forgotten. */
+#define VP_RELAY_LATE_CHECK_MS 1000
 /* Time for which a slow relay is avoided. */
 #define VP_RELAY_AVOID_MS 2000
 /* Interval at which outstanding results are checked. */
@@ -64,7 +68,7 @@
 typedef struct {
   VpCommandResult result; /* the result if none arrives */
   VpRelayProcess *process;
-  int64_t due_ms; /* the command is overdue after this time */
+  int64_t due_ms; /* the command is overdue after this time, or forgotten if it was given up */
 } VpRelayPending;
 
 struct _VpRelay {
@@ -72,6 +76,8 @@
   GHashTable *processes; /* name -> VpRelayProcess, never removed */
   GHashTable *by_worker; /* identity of a worker -> VpRelayProcess */
   GHashTable *pending;   /* serial -> VpRelayPending */
+  GHashTable *given_up;  /* the same for commands that were reported as uncertain */
+  int64_t late_check_next_ms;
   uint32_t last_serial;
   uint64_t signature; /* of the members and workers that @by_worker was made for */
   int64_t check_next_ms;
@@ -112,6 +118,7 @@
   relay->processes = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, _vp_relay_process_free);
   relay->by_worker = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
   relay->pending = g_hash_table_new_full (NULL, NULL, NULL, g_free);
+  relay->given_up = g_hash_table_new_full (NULL, NULL, NULL, g_free);
   return relay;
 }
 
@@ -122,6 +129,7 @@
     return;
   g_hash_table_unref (relay->by_worker);
   g_hash_table_unref (relay->pending);
+  g_hash_table_unref (relay->given_up);
   g_hash_table_unref (relay->processes);
   g_free (relay);
 }
@@ -443,16 +451,17 @@
 
 /* Results. */
 
-/* Takes the command with the serial out of the table of pending commands. Returns NULL if it isn't
- * there. */
+/* Takes the command with the serial out of the table of pending commands or that of given-up ones.
+ * Returns NULL if it is in none of them. */
 static VpRelayPending *
 _vp_relay_take_pending (VpRelay *relay, uint32_t serial)
 {
   gpointer pending = NULL;
 
-  if (!g_hash_table_steal_extended (relay->pending, GUINT_TO_POINTER (serial), NULL, &pending))
-    return NULL;
-  ((VpRelayPending *)pending)->process->pending_count--;
+  if (g_hash_table_steal_extended (relay->pending, GUINT_TO_POINTER (serial), NULL, &pending))
+    ((VpRelayPending *)pending)->process->pending_count--;
+  else
+    g_hash_table_steal_extended (relay->given_up, GUINT_TO_POINTER (serial), NULL, &pending);
   return pending;
 }
 
@@ -548,26 +557,51 @@
   return now_ms >= pending->due_ms + (is_behind ? VP_RELAY_BEHIND_MS : 0);
 }
 
+/* Reports the command as uncertain. Its result is reported as well if it arrives later. */
+static void
+_vp_relay_give_up (VpRelay *relay,
+                   gpointer serial,
+                   VpRelayPending *pending,
+                   int64_t now_ms,
+                   GArray *results)
+{
+  pending->process->pending_count--;
+  pending->result.received_ms = now_ms;
+  g_array_append_val (results, pending->result);
+  pending->result.is_late = true;
+  pending->due_ms = now_ms + VP_RELAY_LATE_MS;
+  g_hash_table_insert (relay->given_up, serial, pending);
+}
+
+static gboolean
+_vp_relay_is_too_late (gpointer serial, gpointer pending, gpointer now_ms)
+{
+  (void)serial;
+  return *(const int64_t *)now_ms >= ((const VpRelayPending *)pending)->due_ms;
+}
+
 void
 vp_relay_expire (VpRelay *relay, int64_t now_ms, GArray *results)
 {
   GHashTableIter iter;
-  gpointer value;
+  gpointer serial, value;
 
   if (now_ms < relay->check_next_ms)
     return;
+  if (now_ms >= relay->late_check_next_ms) {
+    relay->late_check_next_ms = now_ms + VP_RELAY_LATE_CHECK_MS;
+    g_hash_table_foreach_remove (relay->given_up, _vp_relay_is_too_late, &now_ms);
+  }
   g_hash_table_iter_init (&iter, relay->pending);
-  while (g_hash_table_iter_next (&iter, NULL, &value)) {
+  while (g_hash_table_iter_next (&iter, &serial, &value)) {
     VpRelayPending *pending = value;
     if (_vp_relay_is_unresponsive (relay, pending, now_ms))
       _vp_relay_avoid (relay, pending, now_ms);
     else if (!_vp_relay_is_overdue (relay, pending, now_ms)
              && now_ms >= pending->process->avoid_until_ms)
       continue;
-    pending->process->pending_count--;
-    pending->result.received_ms = now_ms;
-    g_array_append_val (results, pending->result);
-    g_hash_table_iter_remove (&iter);
+    g_hash_table_iter_steal (&iter);
+    _vp_relay_give_up (relay, serial, pending, now_ms, results);
   }
 }
 
--- a/src/vp-relay.h
+++ b/src/vp-relay.h
@@ -20,7 +20,9 @@
  * which lets the scheduler repeat the commands through another relay. A worker that doesn't answer,
  * while others answer through the same relay, makes only its own commands uncertain. That is safe,
  * since workers take a repeated run as the same one, leases have absolute ends, and every command
- * has the leader's term.
+ * has the leader's term. Results that arrive after that are reported too: they hold what the worker
+ * said, and without them a leader whose relays are all slow would know nothing of workers that
+ * answer.
  *
  * State only, no I/O.
  */
@@ -53,7 +55,8 @@
 bool vp_relay_add (VpRelay *relay, VpCommand *command, int64_t now_ms);
 /* Appends a message (VpRelayMessage) for each batch that is due to @messages. */
 void vp_relay_flush (VpRelay *relay, int64_t now_ms, GArray *messages);
-/* Appends the results in the message to @results. Results that came too late are dropped. */
+/* Appends the results in the message to @results. Those of commands that vp_relay_expire() has
+ * reported as uncertain have @is_late set; after 15 s they are dropped. */
 void
 vp_relay_handle_results (VpRelay *relay, const VpNodeMsg *message, int64_t now_ms, GArray *results);
 /* Appends an uncertain result for each command that its relay will probably not answer. */
--- a/src/vp-workerlist.c
+++ b/src/vp-workerlist.c
@@ -124,16 +124,11 @@
 }
 
 void
-vp_workerlist_note_answer (const VpWorkerList *worker_list,
-                           VpCellWorker *worker,
-                           int64_t clock_ms,
-                           int64_t received_ms)
+vp_workerlist_note_clock (const VpWorkerList *worker_list,
+                          VpCellWorker *worker,
+                          int64_t clock_ms,
+                          int64_t received_ms)
 {
-  worker->last_answer_ms = MAX (worker->last_answer_ms, received_ms);
-  worker->is_reachable = true;
-  worker->is_replaced = false;
-  if (worker->is_dc_unreachable)
-    vp_workerlist_set_dc_unreachable (worker_list, worker, false);
   if (clock_ms <= 0)
     return;
   /* Runs that an earlier scheduler started have leases that this scheduler doesn't know. */
@@ -147,12 +142,26 @@
   }
 }
 
+void
+vp_workerlist_note_answer (const VpWorkerList *worker_list,
+                           VpCellWorker *worker,
+                           int64_t clock_ms,
+                           int64_t received_ms)
+{
+  worker->last_answer_ms = MAX (worker->last_answer_ms, received_ms);
+  worker->is_reachable = true;
+  worker->is_replaced = false;
+  if (worker->is_dc_unreachable)
+    vp_workerlist_set_dc_unreachable (worker_list, worker, false);
+  vp_workerlist_note_clock (worker_list, worker, clock_ms, received_ms);
+}
+
 void
 vp_workerlist_note_restart (VpCellWorker *worker, int64_t booted_ms, int64_t now_ms)
 {
   worker->restart_noted_ms = now_ms;
   worker->booted_ms = booted_ms;
-  worker->clock_ms = worker->clock_at_ms = worker->lease_end_ms = 0;
+  worker->clock_ms = worker->clock_at_ms = worker->lease_end_ms = worker->list_sent_ms = 0;
   worker->last_end_seen = worker->last_end_staged = worker->last_end_durable = 0;
   worker->failed_jobs = worker->failed_runs = worker->quarantine_level = 0;
   worker->avoid_until_ms = 0;
--- a/src/vp-workerlist.h
+++ b/src/vp-workerlist.h
@@ -66,6 +66,7 @@
   int64_t lease_end_ms;       /* end of the latest lease granted to it, on the worker's clock */
   bool is_hold_pending;       /* a HOLD is waiting for its answer */
   int64_t hold_next_ms;       /* earliest time of the next HOLD */
+  int64_t list_sent_ms;       /* sending time of the latest HOLD whose list of runs was handled */
   int64_t last_answer_ms;     /* time of the last answer */
   int64_t alive_ms;           /* its process hadn't crashed before this time */
   int64_t address_changed_ms; /* time of the last change of its address; results of commands sent
@@ -118,6 +119,11 @@
                                 VpCellWorker *worker,
                                 int64_t clock_ms,
                                 int64_t received_ms);
+/* The same for an answer that is too late to show that the worker is reachable. */
+void vp_workerlist_note_clock (const VpWorkerList *worker_list,
+                               VpCellWorker *worker,
+                               int64_t clock_ms,
+                               int64_t received_ms);
 /* Resets leases, ends, clock and health after a restart of the worker. */
 void vp_workerlist_note_restart (VpCellWorker *worker, int64_t booted_ms, int64_t now_ms);
 /* Returns the minimum value that the worker's clock can show now, or 0 if it never answered. */
--- a/tests/test-cell-takeover.c
+++ b/tests/test-cell-takeover.c
@@ -734,23 +734,31 @@
 test_restarted_worker_with_start_on_the_way (void)
 {
   Fixture fixture;
-  VpCommandResult result;
+  VpCommandResult start, stop, result;
+  const VpCellWorker *worker;
   VpJob *job;
 
   _setup (&fixture, 2, false);
   _sync (&fixture);
   job = _submit (&fixture, 1, 1000);
   _decide (&fixture);
-  g_assert_nonnull (_find_command (&fixture, VP_COMMAND_START));
+  start = _command_result (&fixture, _find_command (&fixture, VP_COMMAND_START), VP_COMMAND_OK);
+  start.clock_ms = 500000;
   fixture.now_ms += 100;
-  result = _hold_result (&fixture, _find_command (&fixture, VP_COMMAND_START)->worker);
+  result = _hold_result (&fixture, start.worker);
   result.booted_ms = fixture.now_ms - 10;
   result.clock_ms = 10;
   _apply (&fixture, &result);
   _decide (&fixture);
   g_assert_null (_find_command (&fixture, VP_COMMAND_START));
   g_assert_cmpuint (_find_command (&fixture, VP_COMMAND_STOP)->run, ==, 1);
-  _answer (&fixture, _find_command (&fixture, VP_COMMAND_STOP), VP_COMMAND_OK);
+  /* The answer to the start is from before the restart, like the clock that it shows. */
+  _apply (&fixture, &start);
+  worker = vp_workerlist_find (vp_cell_workers (fixture.cell), result.worker);
+  g_assert_cmpint (vp_workerlist_clock_ms (worker, fixture.now_ms), <, 1000);
+  stop = _command_result (&fixture, _find_command (&fixture, VP_COMMAND_STOP), VP_COMMAND_OK);
+  stop.clock_ms = 10;
+  _apply (&fixture, &stop);
   g_assert_cmpuint (job->assigned_count, ==, 1);
   fixture.now_ms += 100;
   result = _hold_result (&fixture, result.worker);
@@ -762,6 +770,115 @@
   _teardown (&fixture);
 }
 
+/* Answers the HOLD to the worker as uncertain, as it was given up. */
+static void
+_give_up_hold (Fixture *fixture, const char *worker)
+{
+  VpCommandResult result = _hold_result (fixture, worker);
+
+  result.outcome = VP_COMMAND_UNCERTAIN;
+  _apply (fixture, &result);
+}
+
+/* Guards against a task that starts again after it is done: the worker listed its end, but each
+ * answer came after the HOLD had been given up, and the leader took the lease as expired. */
+static void
+test_late_list (void)
+{
+  Fixture fixture;
+  VpCommandResult result;
+  VpEndedEntry ended = { .number = 1, .is_task = true, .run = 1, .end = VP_RUN_DONE };
+  VpJob *job;
+
+  _setup (&fixture, 1, false);
+  _sync (&fixture);
+  job = _run_one (&fixture, 1000);
+  ended.task.job = job->spec->id;
+  fixture.now_ms += 100;
+  result = _hold_result (&fixture, "w0");
+  _give_up_hold (&fixture, "w0");
+  fixture.now_ms += 200;
+  _decide (&fixture);
+  g_assert_nonnull (_find_command (&fixture, VP_COMMAND_HOLD));
+  fixture.now_ms += 3000;
+  result.is_late = true;
+  result.received_ms = fixture.now_ms;
+  g_array_append_val (result.ended, ended);
+  _apply (&fixture, &result);
+  g_assert_cmpint (job->state, ==, VP_JOB_COMPLETED);
+  /* The answer to the HOLD that was sent since is still awaited. */
+  _decide (&fixture);
+  g_assert_null (_find_command (&fixture, VP_COMMAND_HOLD));
+  fixture.now_ms += 9000;
+  _decide (&fixture);
+  g_assert_null (_find_command (&fixture, VP_COMMAND_START));
+  _teardown (&fixture);
+}
+
+/* Guards against a run that is adopted from an old list: it has ended since, as a later list says.
+ * Only the ends in the old one count. */
+static void
+test_overtaken_list (void)
+{
+  Fixture fixture;
+  VpCommandResult old, result;
+  VpRunningEntry running = { .is_task = true, .run = 1, .percent = 100 };
+  VpEndedEntry ended = { .number = 1, .is_task = true, .run = 1, .end = VP_RUN_STOPPED };
+  VpJob *job;
+
+  _setup (&fixture, 1, false);
+  _sync (&fixture);
+  job = _run_one (&fixture, 1000);
+  running.task.job = ended.task.job = job->spec->id;
+  fixture.now_ms += 100;
+  old = _hold_result (&fixture, "w0");
+  g_array_append_val (old.running, running);
+  _give_up_hold (&fixture, "w0");
+  fixture.now_ms += 200;
+  result = _hold_result (&fixture, "w0");
+  g_array_append_val (result.ended, ended);
+  _apply (&fixture, &result);
+  g_assert_cmpuint (job->assigned_count, ==, 0);
+  fixture.now_ms += 10;
+  old.is_late = true;
+  old.received_ms = fixture.now_ms;
+  _apply (&fixture, &old);
+  g_assert_cmpuint (job->assigned_count, ==, 0);
+  _teardown (&fixture);
+}
+
+/* Guards against a start that is repeated although its result has arrived, late but before the
+ * decision, and against a run that is stopped since a late result of the first start says that it
+ * had no effect: the repeated one decides. */
+static void
+test_late_start_result (void)
+{
+  Fixture fixture;
+  VpCommandResult first, second;
+  VpJob *job;
+  VpJobTask *task;
+
+  _setup (&fixture, 1, false);
+  _sync (&fixture);
+  job = _submit (&fixture, 1, 1000);
+  task = &job->occurrences[0].steps[0].tasks[0];
+  _decide (&fixture);
+  first = _command_result (&fixture, _find_command (&fixture, VP_COMMAND_START), VP_COMMAND_OK);
+  first.is_late = true;
+  _answer (&fixture, _find_command (&fixture, VP_COMMAND_START), VP_COMMAND_UNCERTAIN);
+  _decide (&fixture);
+  g_assert_nonnull (_find_command (&fixture, VP_COMMAND_START));
+  second = _command_result (&fixture, _find_command (&fixture, VP_COMMAND_START), VP_COMMAND_OK);
+  first.outcome = VP_COMMAND_NO_CAPACITY;
+  _apply (&fixture, &first);
+  g_assert_cmpint (task->phase, ==, VP_PHASE_STARTING);
+  _apply (&fixture, &second);
+  g_assert_cmpint (task->phase, ==, VP_PHASE_RUNNING);
+  _decide (&fixture);
+  g_assert_null (_find_command (&fixture, VP_COMMAND_STOP));
+  _teardown (&fixture);
+}
+
 int
 main (int argc, char *argv[])
 {
@@ -792,5 +909,8 @@
   g_test_add_func ("/cell/restarted-worker", test_restarted_worker);
   g_test_add_func ("/cell/restarted-worker-with-start-on-the-way",
                    test_restarted_worker_with_start_on_the_way);
+  g_test_add_func ("/cell/late-list", test_late_list);
+  g_test_add_func ("/cell/overtaken-list", test_overtaken_list);
+  g_test_add_func ("/cell/late-start-result", test_late_start_result);
   return g_test_run ();
 }
--- a/tests/test-relay.c
+++ b/tests/test-relay.c
@@ -427,26 +427,46 @@
   _teardown (&fixture);
 }
 
-/* A result that comes after the command was given up is dropped, as the scheduler has acted on its
- * loss. */
+/* Guards against losing what a worker said because its answer came after the command was given up:
+ * with all relays slow, the leader knew nothing of workers that answered, and started tasks again
+ * that were done. The result is reported once and marked as late; after 15 s it is dropped. */
 static void
 test_late_result (void)
 {
   Fixture fixture;
   GArray *commands;
-  VpCommandResult sent = { .outcome = VP_COMMAND_OK };
+  VpCommandResult sent = { .outcome = VP_COMMAND_OK, .clock_ms = 77 };
+  const VpCommandResult *result;
 
   _setup (&fixture, 4);
   _ping (&fixture, "strong", "a", 500, 5000);
   _update (&fixture);
   _add_start (&fixture, "a1", 0);
+  _add_start (&fixture, "a1", 1);
   _flush (&fixture);
   commands = _take_commands (&fixture, 0, fixture.results);
   for (int64_t end_ms = fixture.now_ms + 900; fixture.now_ms < end_ms; fixture.now_ms += 50)
     vp_relay_expire (fixture.relay, fixture.now_ms, fixture.results);
+  g_assert_cmpuint (fixture.results->len, ==, 2);
+  result = &g_array_index (fixture.results, VpCommandResult, 0);
+  g_assert_cmpint (result->outcome, ==, VP_COMMAND_UNCERTAIN);
+  g_assert_false (result->is_late);
   _clear_results (&fixture);
   vp_command_result_begin (&sent, &g_array_index (commands, VpCommand, 0), fixture.now_ms);
   _return_result (&fixture, "strong", &sent);
+  g_assert_cmpuint (fixture.results->len, ==, 1);
+  result = &g_array_index (fixture.results, VpCommandResult, 0);
+  g_assert_true (result->is_late);
+  g_assert_cmpint (result->outcome, ==, VP_COMMAND_OK);
+  g_assert_cmpint (result->clock_ms, ==, 77);
+  g_assert_cmpuint (result->task.index, ==, 0);
+  _clear_results (&fixture);
+  _return_result (&fixture, "strong", &sent);
+  g_assert_cmpuint (fixture.results->len, ==, 0);
+  fixture.now_ms += 16000;
+  vp_relay_expire (fixture.relay, fixture.now_ms, fixture.results);
+  vp_command_result_begin (&sent, &g_array_index (commands, VpCommand, 1), fixture.now_ms);
+  _return_result (&fixture, "strong", &sent);
   g_assert_cmpuint (fixture.results->len, ==, 0);
   _free_commands (commands);
   _teardown (&fixture);
