Keep the best reading of a worker's clock and ignore lists from before a worker was lost

A late result set the estimate of the worker's clock back, so that leases were granted too short. A late list of a worker that had been replaced was adopted, and its tasks were blamed for the same crash again.

The clock of a reading counts only if it isn't behind what earlier readings imply, and of a list that was requested before the worker was taken as lost only the ends count. /cell/late-clock and /cell/late-list-of-replaced-worker fail before and pass now.

--- a/src/vp-reconcile.c
+++ b/src/vp-reconcile.c
@@ -55,6 +55,8 @@
     vp_jobtask_end (reconcile->jobs, tasks[i], VP_RUN_LAPSED, 1, now_ms);
   }
   worker->unknown_run_count = 0;
+  /* The runs in lists that were requested before have ended. */
+  worker->list_sent_ms = MAX (worker->list_sent_ms, now_ms);
 }
 
 /* Returns true if a start of the task's run may still reach the worker. Of a run that an earlier
--- a/src/vp-workerlist.c
+++ b/src/vp-workerlist.c
@@ -135,8 +135,11 @@
   if (worker->clock_at_ms == 0)
     worker->lease_end_ms = MAX (worker->lease_end_ms, clock_ms + worker_list->hold_max_ms);
   /* Answers on several connections may overtake each other, but the clock never runs backwards. */
-  if (clock_ms >= worker->clock_ms) {
-    worker->alive_ms = MAX (worker->alive_ms, received_ms);
+  if (clock_ms < worker->clock_ms)
+    return;
+  worker->alive_ms = MAX (worker->alive_ms, received_ms);
+  /* An answer that was long on its way shows an older time than an earlier answer implies. */
+  if (clock_ms >= vp_workerlist_clock_ms (worker, received_ms)) {
     worker->clock_ms = clock_ms;
     worker->clock_at_ms = received_ms;
   }
--- a/tests/test-cell-takeover.c
+++ b/tests/test-cell-takeover.c
@@ -879,6 +879,70 @@
   _teardown (&fixture);
 }
 
+/* Guards against leases that run out although the worker answers: a late result shows an old time of
+ * the worker's clock, and the leader, which knew the clock better, took it as the present one. */
+static void
+test_late_clock (void)
+{
+  Fixture fixture;
+  VpCommandResult result;
+  const VpCellWorker *worker;
+  int64_t known_ms;
+
+  _setup (&fixture, 1, false);
+  _sync (&fixture);
+  worker = vp_workerlist_find (vp_cell_workers (fixture.cell), "w0");
+  fixture.now_ms += 100;
+  result = _hold_result (&fixture, "w0");
+  _give_up_hold (&fixture, "w0");
+  fixture.now_ms += 5000;
+  known_ms = vp_workerlist_clock_ms (worker, fixture.now_ms);
+  result.is_late = true;
+  result.received_ms = fixture.now_ms;
+  _apply (&fixture, &result);
+  g_assert_cmpint (vp_workerlist_clock_ms (worker, fixture.now_ms), >=, known_ms);
+  _teardown (&fixture);
+}
+
+/* Guards against a run that is adopted although it has ended with its worker: another process
+ * answers at the worker's address, and a list of the worker that was sent for before arrives late.
+ * The task would also be blamed a second time for the same crash. */
+static void
+test_late_list_of_replaced_worker (void)
+{
+  Fixture fixture;
+  VpCommandResult old, result;
+  VpRunningEntry running = { .is_task = true, .run = 1, .percent = 100 };
+  VpJob *job;
+  VpJobTask *task;
+  uint32_t crash_points;
+
+  _setup (&fixture, 1, false);
+  _sync (&fixture);
+  job = _run_one (&fixture, 1000);
+  task = &job->occurrences[0].steps[0].tasks[0];
+  running.task.job = job->spec->id;
+  fixture.now_ms += 100;
+  old = _hold_result (&fixture, "w0");
+  g_array_append_val (old.running, running);
+  _give_up_hold (&fixture, "w0");
+  fixture.now_ms += 200;
+  result = _hold_result (&fixture, "w0");
+  result.outcome = VP_COMMAND_WORKER_REPLACED;
+  _apply (&fixture, &result);
+  g_assert_cmpuint (job->assigned_count, ==, 0);
+  crash_points = task->crash_points;
+  fixture.now_ms += 10;
+  old.is_late = true;
+  old.received_ms = fixture.now_ms;
+  _apply (&fixture, &old);
+  fixture.now_ms += 100;
+  _decide (&fixture);
+  g_assert_cmpuint (task->crash_points, ==, crash_points);
+  g_assert_cmpuint (job->assigned_count, ==, 0);
+  _teardown (&fixture);
+}
+
 int
 main (int argc, char *argv[])
 {
@@ -912,5 +976,7 @@
   g_test_add_func ("/cell/late-list", test_late_list);
   g_test_add_func ("/cell/overtaken-list", test_overtaken_list);
   g_test_add_func ("/cell/late-start-result", test_late_start_result);
+  g_test_add_func ("/cell/late-clock", test_late_clock);
+  g_test_add_func ("/cell/late-list-of-replaced-worker", test_late_list_of_replaced_worker);
   return g_test_run ();
 }
