--- a/src/vp-crash.c
+++ b/src/vp-crash.c
@@ -52,16 +52,16 @@
                       int64_t now_ms)
 {
   uint32_t points_max = is_isolated ? VP_CRASH_POINTS_ISOLATED_MAX : VP_CRASH_POINTS_MAX;
-  bool is_given_up = vp_jobtask_count_crash (jobs, task, points, points_max, now_ms);
   char name[VP_TASK_NAME_MAX];
   VpTaskName task_name;
 
+  if (!vp_jobtask_count_crash (jobs, task, points, points_max, now_ms))
+    return;
   vp_jobtask_name (task, &task_name);
   vp_task_name_format (&task_name, name);
-  vp_metrics_add (VP_COUNTER_TASKS_GIVEN_UP, is_given_up ? 1 : 0);
-  vp_log (now_ms, is_given_up ? "task-given-up" : "task-suspect",
-          "task=%s run=%u worker=%s points=%u added=%u isolated=%d", name, task->run,
-          worker->entry.id, task->crash_points, points, is_isolated);
+  vp_metrics_add (VP_COUNTER_TASKS_GIVEN_UP, 1);
+  vp_log (now_ms, "task-given-up", "task=%s run=%u worker=%s points=%u added=%u isolated=%d", name,
+          task->run, worker->entry.id, task->crash_points, points, is_isolated);
 }
 
 void
--- a/src/vp-reconcile.c
+++ b/src/vp-reconcile.c
@@ -49,11 +49,11 @@
 
   vp_log (now_ms, "worker-lost", "worker=%s why=%s tasks=%u silent_ms=%" G_GINT64_FORMAT,
           worker->entry.id, why, count, now_ms - worker->last_answer_ms);
-  vp_crash_blame (reconcile->jobs, worker, evidence, now_ms);
-  for (guint i = 0; i < count; i++) {
+  for (guint i = 0; i < count; i++)
     vp_runlog_add (&reconcile->log, "end", why, tasks[i], now_ms);
+  vp_crash_blame (reconcile->jobs, worker, evidence, now_ms);
+  for (guint i = 0; i < count; i++)
     vp_jobtask_end (reconcile->jobs, tasks[i], VP_RUN_LAPSED, 1, now_ms);
-  }
   worker->unknown_run_count = 0;
   /* The runs in lists that were requested before have ended. */
   worker->list_sent_ms = MAX (worker->list_sent_ms, now_ms);
@@ -78,16 +78,17 @@
       = (VpJobTask **)g_hash_table_get_keys_as_array (worker->tasks, &count);
   guint stopping_count = 0;
 
+  for (guint i = 0; i < count; i++)
+    vp_runlog_add (&reconcile->log, _vp_reconcile_may_start_again (tasks[i]) ? "stop" : "end",
+                   "restarted", tasks[i], now_ms);
   vp_crash_blame (reconcile->jobs, worker, VP_CRASH_OBSERVED, now_ms);
   for (guint i = 0; i < count; i++) {
     VpJobTask *task = tasks[i];
     if (!_vp_reconcile_may_start_again (task)) {
-      vp_runlog_add (&reconcile->log, "end", "restarted", task, now_ms);
       vp_jobtask_end (reconcile->jobs, task, VP_RUN_LAPSED, 1, now_ms);
       continue;
     }
     /* The next scan sends the stop. */
-    vp_runlog_add (&reconcile->log, "stop", "restarted", task, now_ms);
     task->phase = VP_PHASE_STOPPING;
     task->stop_sent_ms = task->confirmed_ms = 0;
     stopping_count++;
--- a/src/vp-runlog.c
+++ b/src/vp-runlog.c
@@ -60,17 +60,20 @@
 {
   const VpRunlogEntry *head = line->head;
   char failures[32] = "";
+  char crash_points[32] = "";
   char within[40] = "";
 
   if (line->last == NULL)
     return;
   if (head->failures > 0)
     g_snprintf (failures, sizeof failures, " failures=%u", head->failures);
+  if (head->crash_points > 0)
+    g_snprintf (crash_points, sizeof crash_points, " crash_points=%u", head->crash_points);
   if (line->now_ms > line->first_ms)
     g_snprintf (within, sizeof within, " within_ms=%" G_GINT64_FORMAT,
                 line->now_ms - line->first_ms);
-  vp_log (line->now_ms, head->event, "why=%s run=%u%s%s tasks=%s", head->why, head->run, failures,
-          within, line->text);
+  vp_log (line->now_ms, head->event, "why=%s run=%u%s%s%s tasks=%s", head->why, head->run, failures,
+          crash_points, within, line->text);
   line->size = 0;
   line->last = NULL;
 }
@@ -79,7 +82,9 @@
 static uint32_t
 _vp_runlog_size_max (const VpRunlogEntry *head)
 {
-  size_t key_bytes = strlen ("why= run=4294967295 failures=4294967295 within_ms= tasks=") + 20;
+  size_t key_bytes = strlen ("why= run=4294967295 failures=4294967295 crash_points=4294967295"
+                             " within_ms= tasks=")
+                     + 20;
 
   return vp_log_text_max (head->event) - (uint32_t)(key_bytes + strlen (head->why)) + 1;
 }
@@ -172,8 +177,8 @@
 static bool
 _vp_runlog_is_same_group (const VpRunlogEntry *a, const VpRunlogEntry *b)
 {
-  return a->run == b->run && a->failures == b->failures && strcmp (a->why, b->why) == 0
-         && strcmp (a->event, b->event) == 0;
+  return a->run == b->run && a->failures == b->failures && a->crash_points == b->crash_points
+         && strcmp (a->why, b->why) == 0 && strcmp (a->event, b->event) == 0;
 }
 
 /* Returns the number of the group of @entry, which is a new one if no other run belongs to it. */
@@ -204,6 +209,7 @@
   vp_jobtask_name (task, &entry->task);
   entry->run = task->run;
   entry->failures = task->failures;
+  entry->crash_points = task->crash_points;
   entry->at_ms = now_ms;
   g_strlcpy (entry->worker, task->worker == NULL ? "-" : task->worker->entry.id,
              sizeof entry->worker);
--- a/src/vp-runlog.h
+++ b/src/vp-runlog.h
@@ -6,8 +6,8 @@
  *   vp_runlog_flush (&log, now_ms);                          // at the end of the decision
  *   vp_runlog_shutdown (&log);                               // writes the remaining runs
  *
- * Runs with the same event, reason, run number and number of failures share a line. Lines are in
- * the order in which the first run of each was added:
+ * Runs with the same event, reason, run number, number of failures and points for crashes share a
+ * line. Lines are in the order in which the first run of each was added:
  *
  *   event=start why=fits run=1 tasks=ID.K.STEP:w1:0-3,w2:4+7;ID.K.STEP:w1:0
  *
@@ -29,6 +29,7 @@
   VpTaskName task;
   uint32_t run;
   uint32_t failures;
+  uint32_t crash_points;
   uint32_t group; /* runs of one group share lines; groups are numbered in the order in which their
                      first runs were added */
   int64_t at_ms;
--- a/tests/test-runlog.c
+++ b/tests/test-runlog.c
@@ -221,6 +221,28 @@
   _teardown (&fixture);
 }
 
+/* Guards against points for crashes that aren't the task's: they show why a task was given up. */
+static void
+test_crash_points (void)
+{
+  Fixture fixture;
+  VpJobStep *step;
+  g_autofree char *text = NULL;
+
+  _setup (&fixture, 0);
+  step = _add_step (&fixture, JOB_A, 2);
+  step->tasks[1].crash_points = 4;
+  _start_task (&fixture, step, 0, 2, 1);
+  _start_task (&fixture, step, 1, 2, 1);
+  text = _flush (&fixture);
+  g_assert_cmpstr (text, ==,
+                   "t=1789369418790 node=edge-1 event=start why=fits run=2 "
+                   "tasks=20127c9b96d3bd88.0.0:i-0000000001:0\n"
+                   "t=1789369418790 node=edge-1 event=start why=fits run=2 crash_points=4 "
+                   "tasks=20127c9b96d3bd88.0.0:i-0000000001:1\n");
+  _teardown (&fixture);
+}
+
 /* Guards against runs that are lost where a line is split between two workers. */
 static void
 test_split_workers (void)
@@ -350,6 +372,7 @@
   g_test_add_func ("/runlog/ranges", test_ranges);
   g_test_add_func ("/runlog/steps", test_steps);
   g_test_add_func ("/runlog/groups", test_groups);
+  g_test_add_func ("/runlog/crash-points", test_crash_points);
   g_test_add_func ("/runlog/split-workers", test_split_workers);
   g_test_add_func ("/runlog/split-ranges", test_split_ranges);
   g_test_add_func ("/runlog/full", test_full);
