--- a/tests/test-crash.c
+++ b/tests/test-crash.c
@@ -234,6 +234,32 @@
   _teardown (&fixture);
 }
 
+/* Guards against a job that is shown as failed although no worker has crashed: links break off
+ * shortly after each start of its task, and the leases expire. */
+static void
+test_partitions_after_starts (void)
+{
+  Fixture fixture;
+  VpJob *job;
+
+  _setup (&fixture, 1, false);
+  _sync (&fixture);
+  job = _run_one (&fixture, 1000);
+  for (uint32_t i = 0; i < 12; i++) {
+    fixture.now_ms += 7000;
+    _decide (&fixture);
+    /* The same process answers again. */
+    _sync (&fixture);
+    if (_task (job)->worker == NULL)
+      _decide (&fixture);
+    if (_find_command (&fixture, VP_COMMAND_START) != NULL)
+      _answer (&fixture, _find_command (&fixture, VP_COMMAND_START), VP_COMMAND_OK);
+  }
+  g_assert_cmpuint (_task (job)->run, >=, 5);
+  g_assert_false (vp_job_is_ended (job));
+  _teardown (&fixture);
+}
+
 int
 main (int argc, char *argv[])
 {
@@ -241,6 +267,7 @@
   g_test_add_func ("/crash/given-up", test_given_up);
   g_test_add_func ("/crash/isolated-start", test_isolated_start);
   g_test_add_func ("/crash/no-crash", test_no_crash);
+  g_test_add_func ("/crash/partitions-after-starts", test_partitions_after_starts);
   g_test_add_func ("/crash/lasting-task", test_lasting_task);
   g_test_add_func ("/crash/stored", test_stored);
   g_test_add_func ("/crash/earlier-format", test_earlier_format);
