Blame a task for at most one crash that isn't certain

Found by a review: a job that could be done was shown as failed although no worker had crashed. Leases that expire shortly after each start of a task gave a point each time, and five points fail the job; partitions and a leader that gets answers late look like that. And a new leader blamed a stored run with two points for a worker that had just started, though the start may never have reached it.

Expired leases now only make a suspect: they count if the task has no points yet. What only a new leader sees counts one point instead of two. So a task that is given up has been under two crashes at least, as users allow. The time at which a worker was last known to live isn't taken from late answers any more.

The review's third case, two restarts of a worker 1.9 s after an isolated start each, is left as it is: two workers have gone down under that task, which users allow to give up.

--- a/src/vp-crash.c
+++ b/src/vp-crash.c
@@ -16,8 +16,8 @@
 /* A task is given up with this many points if its last start was isolated. Users accept that a task
  * is given up after two crashes. */
 #define VP_CRASH_POINTS_ISOLATED_MAX (2 * VP_CRASH_POINTS_OBSERVED)
-/* A task is given up with this many points in any case. Even if no crash was certain, it has then
- * crashed five workers: users accept two starts after the third crash. */
+/* A task is given up with this many points in any case. Even if it was the certain cause of none,
+ * five workers have then crashed under it: users accept two starts after the third crash. */
 #define VP_CRASH_POINTS_MAX 5
 /* A worker that answers and has run for less than this may have crashed with the tasks of an
  * earlier scheduler: workers are down for some seconds, and a takeover takes some more. */
@@ -94,6 +94,10 @@
     if (_vp_crash_rank (tasks[i], worker, evidence) != best
         || vp_job_is_ended (tasks[i]->step->occurrence->job))
       continue;
+    /* A partition, or a leader that gets answers late, looks like a crash. That makes a suspect,
+     * but no more, as nothing else may have happened. */
+    if (evidence == VP_CRASH_POSSIBLE && tasks[i]->crash_points > 0)
+      continue;
     _vp_crash_add_points (jobs, tasks[i], worker,
                           is_certain ? VP_CRASH_POINTS_OBSERVED : VP_CRASH_POINTS_POSSIBLE,
                           is_isolated && is_certain, now_ms);
@@ -111,10 +115,9 @@
 
   if (worker->entry.is_draining || (!worker->is_replaced && !has_restarted))
     return;
-  /* A worker that this scheduler has never seen in the platform's list may have drained. */
-  _vp_crash_add_points (jobs, task, worker,
-                        worker->was_listed ? VP_CRASH_POINTS_OBSERVED : VP_CRASH_POINTS_POSSIBLE,
-                        false, now_ms);
+  /* The worker may have drained, or have been started for the first time, and the start of the run
+   * may have been lost. */
+  _vp_crash_add_points (jobs, task, worker, VP_CRASH_POINTS_POSSIBLE, false, now_ms);
 }
 
 void
--- a/src/vp-workerlist.c
+++ b/src/vp-workerlist.c
@@ -137,7 +137,6 @@
   /* Answers on several connections may overtake each other, but the clock never runs backwards. */
   if (clock_ms < worker->clock_ms)
     return;
-  worker->alive_ms = MAX (worker->alive_ms, received_ms);
   /* An answer that was long on its way shows an older time than an earlier answer implies. */
   if (clock_ms >= vp_workerlist_clock_ms (worker, received_ms)) {
     worker->clock_ms = clock_ms;
@@ -156,6 +155,8 @@
   worker->is_replaced = false;
   if (worker->is_dc_unreachable)
     vp_workerlist_set_dc_unreachable (worker_list, worker, false);
+  if (clock_ms > 0 && clock_ms >= worker->clock_ms)
+    worker->alive_ms = MAX (worker->alive_ms, received_ms);
   vp_workerlist_note_clock (worker_list, worker, clock_ms, received_ms);
 }
 
