Don't take a relay's silence for the worker's

Cause: a worker whose HOLDs were given up, since their relay was silent or slow, counted as lost once its lease was over, although its answer might have been on its way. With all relays slow, a leader that was too weak for its cell handled no answer of a worker for 22 s, while the worker answered each HOLD within 81 ms and listed the ends of its runs. The leader started these tasks again (TWICE).

Change: results that were given up are marked. After one, a worker is lost 6 s later than its lease expires. If the HOLD through another relay reports the worker as silent, it is lost as before.

--- a/src/vp-cell.c
+++ b/src/vp-cell.c
@@ -253,6 +253,7 @@
     return;
   }
   worker->is_hold_pending = false;
+  worker->is_relay_silent = result->is_given_up;
   switch (result->outcome) {
   case VP_COMMAND_OK:
     worker->hold_next_ms = vp_reconcile_handle_list (&cell->reconcile, worker, result, now_ms)
--- a/src/vp-command.h
+++ b/src/vp-command.h
@@ -100,6 +100,8 @@
   uint32_t run;
   VpCommandOutcome outcome;
   bool is_repeated; /* the transport sent the command twice; @outcome is that of the second one */
+  bool is_given_up; /* the process that should have sent the command didn't report its outcome,
+                       which says nothing about the worker */
   bool is_late; /* the outcome of the command was reported as uncertain before; others may have been
                    sent and answered since */
   uint64_t fence;      /* fencing token of the command */
--- a/src/vp-relay.c
+++ b/src/vp-relay.c
@@ -567,7 +567,9 @@
 {
   pending->process->pending_count--;
   pending->result.received_ms = now_ms;
+  pending->result.is_given_up = true;
   g_array_append_val (results, pending->result);
+  pending->result.is_given_up = false;
   pending->result.is_late = true;
   pending->due_ms = now_ms + VP_RELAY_LATE_MS;
   g_hash_table_insert (relay->given_up, serial, pending);
--- a/src/vp-workerlist.c
+++ b/src/vp-workerlist.c
@@ -20,6 +20,10 @@
 #define VP_WORKERLIST_SLOWNESS_MIN 0.3
 #define VP_WORKERLIST_SLOWNESS_MAX 5.0
 
+/* Time that answers of workers may take on their way through slow relays. In trials with a leader
+ * on a full core they took 4 s and more. */
+#define VP_WORKERLIST_RELAY_DELAY_MS 6000
+
 static void
 _vp_workerlist_worker_free (gpointer data)
 {
@@ -211,6 +215,15 @@
          > worker->lease_end_ms + VP_WORKERLIST_EXPIRY_MARGIN_MS;
 }
 
+bool
+vp_workerlist_is_lost (const VpWorkerList *worker_list, const VpCellWorker *worker, int64_t now_ms)
+{
+  if (worker->clock_at_ms == 0)
+    return false;
+  return vp_workerlist_is_lease_expired (
+      worker_list, worker, now_ms - (worker->is_relay_silent ? VP_WORKERLIST_RELAY_DELAY_MS : 0));
+}
+
 int64_t
 vp_workerlist_dc_answer_ms (const VpWorkerList *worker_list, const VpCellWorker *worker)
 {
--- a/src/vp-workerlist.h
+++ b/src/vp-workerlist.h
@@ -55,10 +55,12 @@
   bool is_placement_blocked;     /* gets no tasks, as a later scheduler wouldn't know of them */
   bool is_stored_active; /* active in the stored list: may get tasks whose starts aren't stored */
   bool is_staged_active; /* active in the list that the current commit stores */
-  bool is_unverified; /* an earlier scheduler may have started tasks there without storing that */
-  bool is_replaced;   /* another worker has its address, so none of its runs exists any more */
-  bool is_synced;     /* has listed its runs since this scheduler took over */
-  bool is_reachable;  /* the last call got an answer */
+  bool is_unverified;   /* an earlier scheduler may have started tasks there without storing that */
+  bool is_replaced;     /* another worker has its address, so none of its runs exists any more */
+  bool is_synced;       /* has listed its runs since this scheduler took over */
+  bool is_reachable;    /* the last call got an answer */
+  bool is_relay_silent; /* the last HOLD was given up as its relay was silent; the worker may
+                           have answered it */
   bool is_dc_unreachable;     /* no worker of its DC answers */
   int64_t booted_ms;          /* boot time in the last answer; 0: none */
   int64_t clock_ms;           /* the worker's clock in its last answer */
@@ -139,6 +141,12 @@
 bool vp_workerlist_is_lease_expired (const VpWorkerList *worker_list,
                                      const VpCellWorker *worker,
                                      int64_t now_ms);
+/* Returns true if the runs there must be taken as ended without having heard the worker: every
+ * lease has certainly expired, and the worker's answers aren't just held up at slow relays, which
+ * have another 6 s to deliver them. An answer may list a run as done that would be started again.
+ */
+bool
+vp_workerlist_is_lost (const VpWorkerList *worker_list, const VpCellWorker *worker, int64_t now_ms);
 /* Returns the time of the last answer of any worker in the DC of @worker. */
 int64_t vp_workerlist_dc_answer_ms (const VpWorkerList *worker_list, const VpCellWorker *worker);
 /* Sets whether the DC of @worker is unreachable. Its workers get no tasks until one of them
--- a/tests/test-cell-takeover.c
+++ b/tests/test-cell-takeover.c
@@ -815,6 +815,37 @@
   _teardown (&fixture);
 }
 
+/* Guards against a task that starts again after it is done: with slow relays, the lease is over
+ * before any answer of the worker has arrived. Answers have 6 s more; a worker that the relays
+ * can't reach is lost at once. */
+static void
+test_lease_expires_at_slow_relay (void)
+{
+  for (int is_given_up = 0; is_given_up < 2; is_given_up++) {
+    Fixture fixture;
+    VpCommandResult result;
+    VpJob *job;
+
+    _setup (&fixture, 1, false);
+    _sync (&fixture);
+    job = _run_one (&fixture, 1000);
+    result = _hold_result (&fixture, "w0");
+    result.outcome = VP_COMMAND_UNCERTAIN;
+    result.is_given_up = is_given_up != 0;
+    _apply (&fixture, &result);
+    fixture.now_ms += 6300;
+    _decide (&fixture);
+    g_assert_cmpuint (job->assigned_count, ==, is_given_up != 0 ? 1 : 0);
+    fixture.now_ms += 5800;
+    _decide (&fixture);
+    g_assert_cmpuint (job->assigned_count, ==, is_given_up != 0 ? 1 : 0);
+    fixture.now_ms += 300;
+    _decide (&fixture);
+    g_assert_cmpuint (job->assigned_count, ==, 0);
+    _teardown (&fixture);
+  }
+}
+
 /* Guards against a run that is adopted from an old list: it has ended since, as a later list says.
  * Only the ends in the old one count. */
 static void
@@ -879,8 +910,9 @@
   _teardown (&fixture);
 }
 
-/* Guards against leases that run out although the worker answers: a late result shows an old time of
- * the worker's clock, and the leader, which knew the clock better, took it as the present one. */
+/* Guards against leases that run out although the worker answers: a late result shows an old time
+ * of the worker's clock, and the leader, which knew the clock better, took it as the present one.
+ */
 static void
 test_late_clock (void)
 {
@@ -974,6 +1006,7 @@
   g_test_add_func ("/cell/restarted-worker-with-start-on-the-way",
                    test_restarted_worker_with_start_on_the_way);
   g_test_add_func ("/cell/late-list", test_late_list);
+  g_test_add_func ("/cell/lease-expires-at-slow-relay", test_lease_expires_at_slow_relay);
   g_test_add_func ("/cell/overtaken-list", test_overtaken_list);
   g_test_add_func ("/cell/late-start-result", test_late_start_result);
   g_test_add_func ("/cell/late-clock", test_late_clock);
--- a/tests/test-relay.c
+++ b/tests/test-relay.c
@@ -451,12 +451,14 @@
   result = &g_array_index (fixture.results, VpCommandResult, 0);
   g_assert_cmpint (result->outcome, ==, VP_COMMAND_UNCERTAIN);
   g_assert_false (result->is_late);
+  g_assert_true (result->is_given_up);
   _clear_results (&fixture);
   vp_command_result_begin (&sent, &g_array_index (commands, VpCommand, 0), fixture.now_ms);
   _return_result (&fixture, "strong", &sent);
   g_assert_cmpuint (fixture.results->len, ==, 1);
   result = &g_array_index (fixture.results, VpCommandResult, 0);
   g_assert_true (result->is_late);
+  g_assert_false (result->is_given_up);
   g_assert_cmpint (result->outcome, ==, VP_COMMAND_OK);
   g_assert_cmpint (result->clock_ms, ==, 77);
   g_assert_cmpuint (result->task.index, ==, 0);
