Don't take relays for silent after the leader itself was stopped

Found by a review. A leader that was stopped or busy for more than 800 ms checked its relays before it had received what they had sent meanwhile, took all of them for silent, and gave up all their commands.

Silence now counts from the time at which the leader was found to have been stopped: 300 ms without a check. /relay/leader-stopped fails before (one command given up at once) and passes now.

--- a/src/vp-relay.c
+++ b/src/vp-relay.c
@@ -19,6 +19,9 @@
 /* A relay is avoided if neither results nor pings of it have arrived for this long while results
  * are outstanding, as it may have died: two pings are missing then. */
 #define VP_RELAY_SILENT_MS 800
+/* A leader that has not looked at its relays for this long was stopped or very busy. It has their
+ * pings and results still to receive, so their silence counts from then on only. */
+#define VP_RELAY_STALLED_MS 300
 /* A result that arrives up to this long after its command was given up is still reported. */
 #define VP_RELAY_LATE_MS 15000
 /* Interval at which older ones are forgotten. */
@@ -81,6 +84,8 @@
   uint32_t last_serial;
   uint64_t signature; /* of the members and workers that @by_worker was made for */
   int64_t check_next_ms;
+  int64_t called_ms;   /* time of the last call of vp_relay_expire() */
+  int64_t resumed_ms;  /* time at which this process was found to have been stopped; 0: never */
   int64_t answered_ms; /* the latest of all relays */
 };
 
@@ -540,7 +545,7 @@
 
   /* A HOLD may wait at the worker, so only other commands tell whether the relay is silent. */
   if (pending->result.kind != VP_COMMAND_HOLD
-      && now_ms - MAX (process->heard_ms, sent_ms) > VP_RELAY_SILENT_MS)
+      && now_ms - MAX (MAX (process->heard_ms, sent_ms), relay->resumed_ms) > VP_RELAY_SILENT_MS)
     return true;
   /* If a later command has been answered through the relay, this one waits for its worker. */
   return now_ms >= pending->due_ms && process->answered_ms < sent_ms
@@ -588,6 +593,9 @@
   GHashTableIter iter;
   gpointer serial, value;
 
+  if (now_ms - relay->called_ms > VP_RELAY_STALLED_MS)
+    relay->resumed_ms = now_ms;
+  relay->called_ms = now_ms;
   if (now_ms < relay->check_next_ms)
     return;
   if (now_ms >= relay->late_check_next_ms) {
--- a/tests/test-relay.c
+++ b/tests/test-relay.c
@@ -427,6 +427,31 @@
   _teardown (&fixture);
 }
 
+/* Guards against a leader that gives up the commands of all relays after it was stopped for a
+ * while: their pings and results are still to be received. A relay that stays silent after that is
+ * given up.
+ */
+static void
+test_leader_stopped (void)
+{
+  Fixture fixture;
+
+  _setup (&fixture, 4);
+  _ping (&fixture, "strong", "a", 500, 5000);
+  _update (&fixture);
+  vp_relay_expire (fixture.relay, fixture.now_ms, fixture.results);
+  _add_start (&fixture, "a1", 0);
+  _flush (&fixture);
+  _clear_messages (&fixture);
+  fixture.now_ms += 1500;
+  vp_relay_expire (fixture.relay, fixture.now_ms, fixture.results);
+  g_assert_cmpuint (fixture.results->len, ==, 0);
+  for (int64_t end_ms = fixture.now_ms + 900; fixture.now_ms < end_ms; fixture.now_ms += 50)
+    vp_relay_expire (fixture.relay, fixture.now_ms, fixture.results);
+  g_assert_cmpuint (fixture.results->len, ==, 1);
+  _teardown (&fixture);
+}
+
 /* Guards against losing what a worker said because its answer came after the command was given up:
  * with all relays slow, the leader knew nothing of workers that answered, and started tasks again
  * that were done. The result is reported once and marked as late; after 15 s it is dropped. */
@@ -602,6 +627,7 @@
   g_test_add_func ("/relay/overloaded-relay", test_overloaded_relay);
   g_test_add_func ("/relay/leader-behind", test_leader_behind);
   g_test_add_func ("/relay/batch-interval", test_batch_interval);
+  g_test_add_func ("/relay/leader-stopped", test_leader_stopped);
   g_test_add_func ("/relay/late-result", test_late_result);
   g_test_add_func ("/relay/text-once", test_text_once);
   g_test_add_func ("/relay/malformed", test_malformed);
