Refuse submissions that were sent to a leader of an earlier term

A node sent a request to a process that led, and, as no answer came, to its successor, which rejected the job truly. The first copy arrived seconds later at the first process, which led again by then and accepted it. An answer of an earlier leader was told apart by its term, a request wasn't.

Submissions carry the term of the leader that they are sent to now. A leader of another term answers that it isn't that leader, and the node sends the request again if it still waits.

--- a/src/vp-frontend.c
+++ b/src/vp-frontend.c
@@ -289,7 +289,8 @@
                    int64_t now_ms,
                    GArray *requests)
 {
-  VpNodeMsg message = { .kind = pending->kind, .serial = pending->serial, .job = pending->job };
+  VpNodeMsg message
+      = { .kind = pending->kind, .serial = pending->serial, .term = term, .job = pending->job };
 
   g_strlcpy (message.from, frontend->name, sizeof message.from);
   g_strlcpy (message.queue, pending->queue, sizeof message.queue);
--- a/src/vp-node.c
+++ b/src/vp-node.c
@@ -192,7 +192,10 @@
                                              .serial = message->serial,
                                              .answer = VP_ANSWER_NOT_LEADER } };
 
-  if (vp_node_is_leading (node)) {
+  /* A submission that was sent to this process as leader of an earlier term may have been rejected
+   * by another leader in the meantime. */
+  if (vp_node_is_leading (node)
+      && (message->kind != VP_NODEMSG_SUBMIT || message->term == node->election.term)) {
     vp_jobservice_request (node->service, message, now_ms, node->answers);
     return;
   }
--- a/src/vp-nodemsg.h
+++ b/src/vp-nodemsg.h
@@ -41,7 +41,8 @@
 
 /* A PING carries the highest term that the sender knows, which is its own if it leads. The other
  * requests carry a @serial, which the answer repeats together with the term of the answering
- * leader. COMMANDS and RESULTS carry the term of the leader that gives the commands. */
+ * leader. Callers' requests carry the term of the leader that they are sent to. COMMANDS and
+ * RESULTS carry the term of the leader that gives the commands. */
 typedef struct {
   VpNodeMsgKind kind;
   char from[VP_NAME_MAX];
--- a/tests/test-frontend.c
+++ b/tests/test-frontend.c
@@ -163,6 +163,23 @@
   _teardown (&fixture);
 }
 
+/* Guards against a job that is accepted after its rejection: the term in the message lets a process
+ * that leads again refuse a copy that was sent to it in an earlier term. */
+static void
+test_request_has_term (void)
+{
+  Fixture fixture;
+
+  _setup (&fixture);
+  _request (&fixture, VP_CALLER_REQUEST_SUBMIT, JOB, "secret");
+  _tick (&fixture, "leader", 3);
+  g_assert_cmpuint (g_array_index (fixture.requests, VpNodeMsg, 0).term, ==, 3);
+  _tick (&fixture, "other", 4);
+  g_assert_cmpuint (g_array_index (fixture.requests, VpNodeMsg, fixture.requests->len - 1).term, ==,
+                    4);
+  _teardown (&fixture);
+}
+
 /* A node that is cut off replies at once: a request that was never sent is rejected, the outcome of
  * one that was sent is unknown. */
 static void
@@ -237,6 +254,7 @@
   g_test_add_func ("/frontend/public", test_public);
   g_test_add_func ("/frontend/no-leader", test_no_leader);
   g_test_add_func ("/frontend/no-answer", test_no_answer);
+  g_test_add_func ("/frontend/request-has-term", test_request_has_term);
   g_test_add_func ("/frontend/cut-off", test_cut_off);
   g_test_add_func ("/frontend/outdated-rejection", test_outdated_rejection);
   g_test_add_func ("/frontend/cut-off-retry", test_cut_off_retry);
