Release the parsed value in the test of the earlier format

g_variant_parse() returns a reference that isn't floating, so sinking it leaked one. The leak sanitizer failed test-crash for it; the code under test is not concerned.

--- a/tests/test-crash.c
+++ b/tests/test-crash.c
@@ -221,10 +221,10 @@
 
   _setup (&fixture, 1, false);
   job = _submit (&fixture, 2, 1000);
-  progress = g_variant_ref_sink (g_variant_parse (G_VARIANT_TYPE ("(tba(uuaqa(us)a(ut)))"),
-                                                  "(1, true, [(0, 0, [2049, 1], [(0, 'w0')], "
-                                                  "[(0, 1)])])",
-                                                  NULL, NULL, NULL));
+  progress = g_variant_parse (G_VARIANT_TYPE ("(tba(uuaqa(us)a(ut)))"),
+                              "(1, true, [(0, 0, [2049, 1], [(0, 'w0')], "
+                              "[(0, 1)])])",
+                              NULL, NULL, NULL);
   g_assert_true (
       vp_joblist_decode_progress (vp_cell_jobs (fixture.cell), progress, fixture.now_ms));
   g_assert_cmpuint (_task (job)->run, ==, 1);
