--- a/review/standin/workers.c
+++ b/review/standin/workers.c
@@ -124,6 +124,13 @@
   worker->heartbeat_at_ms = 0;
 }
 
+/* The heartbeats of the workers don't coincide. */
+static int64_t
+_first_heartbeat_ms (const Worker *worker)
+{
+  return HEARTBEAT_MS * (worker->number + 1) / stage_desc ()->worker_count;
+}
+
 static void
 _heartbeat (Worker *worker, int64_t now_ms)
 {
@@ -132,7 +139,8 @@
 
   if (now_ms < worker->heartbeat_at_ms)
     return;
-  worker->heartbeat_at_ms = now_ms + HEARTBEAT_MS;
+  worker->heartbeat_at_ms
+      = now_ms + (worker->heartbeat_at_ms == 0 ? _first_heartbeat_ms (worker) : HEARTBEAT_MS);
   worker->silent_since_ms = now_ms;
   worker->is_listed = true;
   text = g_strdup_printf (
