--- a/review/standin/stage.c
+++ b/review/standin/stage.c
@@ -26,6 +26,8 @@
 #define READY_TIMEOUT_MS   30000
 #define RETRY_AFTER_MAX_MS 2000
 #define STORE_ANSWER_MS    4
+#define METRICS_PORT       9464
+#define PREFIX_TRIES       20
 
 typedef struct {
   GPid pid; /* 0: not running */
@@ -502,14 +504,60 @@
   soak_store_set_fault (_stage.store, number, &(SoakStoreFault){ .delay_ms = STORE_ANSWER_MS });
   text = g_strdup_printf (
       "{\"name\":\"node-%u\",\"dc\":\"zone\",\"callers_address\":\"%s\",\"ready_address\":\"%s\","
-      "\"host\":\"%s\",\"peer_port\":%d,\"metrics_address\":\"%s:9464\",\"cpu_share\":0.25,"
+      "\"host\":\"%s\",\"peer_port\":%d,\"metrics_address\":\"%s:%d\",\"cpu_share\":0.25,"
       "\"link_mbps\":1000.0,\"store_address\":\"%s\",\"advice_address\":\"%s.250:7400\","
       "\"hold_max_ms\":6000,\"retention_s\":120,\"grace_s\":6}",
-      number, node->address, node->ready_address, host, PEER_PORT, host, store, _stage.prefix);
+      number, node->address, node->ready_address, host, PEER_PORT, host, METRICS_PORT, store,
+      _stage.prefix);
   if (!g_file_set_contents (node->settings_path, text, -1, NULL))
     exit (2);
 }
 
+static bool
+_is_free (uint32_t host, uint32_t port)
+{
+  g_autofree char *address = g_strdup_printf ("%s.%u:%u", _stage.prefix, host, port);
+  struct sockaddr_in to = fake_address (address);
+  int fd = socket (AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+  bool is_free;
+
+  setsockopt (fd, SOL_SOCKET, SO_REUSEADDR, &(int){ 1 }, sizeof (int));
+  is_free = bind (fd, (struct sockaddr *)&to, sizeof to) == 0 && listen (fd, 1) == 0;
+  close (fd);
+  return is_free;
+}
+
+static bool
+_is_prefix_free (void)
+{
+  static const uint32_t ports[] = { CALLERS_PORT, READY_PORT, PEER_PORT, STORE_PORT, METRICS_PORT };
+  bool is_free = true;
+
+  for (uint32_t i = 0; i < _stage.desc.node_count; i++) {
+    for (guint p = 0; p < G_N_ELEMENTS (ports); p++)
+      is_free = is_free && _is_free (i + 1, ports[p]);
+  }
+  for (uint32_t i = 0; i < _stage.desc.worker_count; i++)
+    is_free
+        = is_free && _is_free (251, STAGE_WORKER_PORT + i) && _is_free (252, STAGE_LINK_PORT + i);
+  return is_free;
+}
+
+/* Chooses loopback addresses on which all ports are free. */
+static void
+_choose_prefix (void)
+{
+  uint32_t number = (uint32_t)getpid ();
+
+  for (uint32_t i = 0; i < PREFIX_TRIES; i++, number += 37) {
+    g_snprintf (_stage.prefix, sizeof _stage.prefix, "127.%u.%u", 40 + number % 100,
+                number / 100 % 250);
+    if (_is_prefix_free ())
+      return;
+  }
+  exit (2);
+}
+
 void
 stage_setup (const StageDesc *desc, int argc, char **argv)
 {
@@ -525,8 +573,7 @@
     fprintf (stderr, "no record, no temporary folder or no " CELLD "\n");
     exit (2);
   }
-  g_snprintf (_stage.prefix, sizeof _stage.prefix, "127.%d.%d", 40 + getpid () % 100,
-              getpid () / 100 % 250);
+  _choose_prefix ();
   g_mutex_init (&_stage.lock);
   g_cond_init (&_stage.done);
   fake_setup ();
--- a/review/standin/stage.h
+++ b/review/standin/stage.h
@@ -16,6 +16,9 @@
 #define STAGE_HOST     "stage.example"
 #define STAGE_KEY      "stage-key"
 #define STAGE_BODY_MAX 4096
+/* Ports of the first worker and of the link to it. */
+#define STAGE_WORKER_PORT 7300
+#define STAGE_LINK_PORT   7400
 
 typedef struct {
   uint32_t node_count;
--- a/review/standin/workers.c
+++ b/review/standin/workers.c
@@ -12,8 +12,6 @@
 #define CHECKPOINT_MS   500
 #define WORKERS_MAX     64
 #define UPTIME_MS       3600000 /* of the workers at the beginning of a case */
-#define WORKER_PORT     7300
-#define LINK_PORT       7400
 #define NEVER_MS        INT64_MAX
 #define VIOLATIONS_SHOW 20
 
@@ -587,8 +585,8 @@
     worker->highest_runs = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
     worker->ports = g_hash_table_new (NULL, NULL);
     worker->dead_ports = g_hash_table_new (NULL, NULL);
-    g_snprintf (address, sizeof address, "%s.251:%u", stage_prefix (), WORKER_PORT + i);
-    g_snprintf (link, sizeof link, "%s.252:%u", stage_prefix (), LINK_PORT + i);
+    g_snprintf (address, sizeof address, "%s.251:%u", stage_prefix (), STAGE_WORKER_PORT + i);
+    g_snprintf (link, sizeof link, "%s.252:%u", stage_prefix (), STAGE_LINK_PORT + i);
     fake_listen (address, 0, _handle_command, worker);
     worker->link = fake_mapping_new (link, address);
     _boot (worker);
