Check the nesting of all JSON from outside before json-glib reads it

Cause: json-glib's parser recurses once for each level, and entries are read on threads with stacks of 192 KiB. Only the project's own interface checked the syntax first.

Change: vp_json_load() checks syntax and nesting and is the only caller of json-glib's parser. The check builds paths only for errors, as it now runs for each answer of a worker.

--- a/cli/cli-config.c
+++ b/cli/cli-config.c
@@ -42,7 +42,7 @@
 static VpConfig *
 _cli_parse_config (const CliResponse *response, GError **error)
 {
-  g_autoptr (JsonNode) root = json_from_string (response->body, NULL);
+  g_autoptr (JsonNode) root = vp_json_load_root (response->body, response->size);
   JsonNode *document = root != NULL && JSON_NODE_HOLDS_OBJECT (root)
                            ? json_object_get_member (json_node_get_object (root), "config")
                            : NULL;
@@ -131,7 +131,7 @@
     cli_print (cli, &response);
   } else if (code == CLI_OK) {
     /* Only the document is printed to stdout, so that it can be edited and submitted. */
-    root = json_from_string (response.body, NULL);
+    root = vp_json_load_root (response.body, response.size);
     document = root != NULL && JSON_NODE_HOLDS_OBJECT (root)
                    ? json_object_get_member (json_node_get_object (root), "config")
                    : NULL;
--- a/cli/cli-http.c
+++ b/cli/cli-http.c
@@ -41,9 +41,9 @@
 {
   JsonNode *root;
 
-  if (response->body == NULL || !vp_json_check_syntax (response->body, response->size, NULL))
+  if (response->body == NULL)
     return NULL;
-  root = json_from_string (response->body, NULL);
+  root = vp_json_load_root (response->body, response->size);
   if (root != NULL && !JSON_NODE_HOLDS_OBJECT (root))
     g_clear_pointer (&root, json_node_unref);
   return root;
--- a/cli/cli-print.c
+++ b/cli/cli-print.c
@@ -1,5 +1,7 @@
 #include "cli.h"
 
+#include "vp-json.h"
+
 #include <stdio.h>
 #include <string.h>
 
@@ -146,7 +148,8 @@
 void
 cli_print (const Cli *cli, const CliResponse *response)
 {
-  g_autoptr (JsonNode) root = cli->is_json ? NULL : json_from_string (response->body, NULL);
+  g_autoptr (JsonNode) root
+      = cli->is_json ? NULL : vp_json_load_root (response->body, response->size);
 
   if (root == NULL)
     printf ("%s\n", response->body);
--- a/src/vp-json-check.c
+++ b/src/vp-json-check.c
@@ -5,34 +5,61 @@
 #include <stdarg.h>
 #include <string.h>
 
+/* A member of an object, or an element of an array. */
+typedef struct _VpJsonScanFrame {
+  const struct _VpJsonScanFrame *parent; /* NULL: the root */
+  const char *name;                      /* not terminated; NULL: an element */
+  size_t name_size;                      /* bytes of the name */
+  uint32_t index;                        /* index of an element */
+} VpJsonScanFrame;
+
 /* Scanner that checks JSON text before json-glib parses it. json-glib accepts comments, repeated
  * members and trailing text, lets large integers overflow, and recurses without a limit. */
 typedef struct {
   const char *at;
   const char *start;
   const char *end;
-  GString *path;
+  const VpJsonScanFrame *frame; /* member or element that is scanned; NULL: the root */
   uint32_t depth;
   GError **error;
 } VpJsonScan;
 
+/* Integers with up to this many characters fit into int64_t. */
+#define VP_JSON_SCAN_SHORT_NUMBER 18
+
 static bool _vp_json_scan_value (VpJsonScan *scan);
 
+static void
+_vp_json_scan_append_path (const VpJsonScanFrame *frame, GString *out)
+{
+  if (frame == NULL)
+    return;
+  _vp_json_scan_append_path (frame->parent, out);
+  if (frame->name == NULL) {
+    g_string_append_printf (out, "[%u]", frame->index);
+    return;
+  }
+  if (out->len > 0)
+    g_string_append_c (out, '.');
+  g_string_append_len (out, frame->name, (gssize)frame->name_size);
+}
+
 static bool _vp_json_scan_set_error (VpJsonScan *scan, const char *format, ...)
     G_GNUC_PRINTF (2, 3);
 
 static bool
 _vp_json_scan_set_error (VpJsonScan *scan, const char *format, ...)
 {
+  g_autoptr (GString) path = g_string_new (NULL);
   va_list args;
   g_autofree char *text = NULL;
 
   va_start (args, format);
   text = g_strdup_vprintf (format, args);
   va_end (args);
-  g_set_error (scan->error, VP_JSON_ERROR, VP_JSON_ERROR_SYNTAX, "%s%s%s (byte %zu)",
-               scan->path->str, scan->path->len > 0 ? ": " : "", text,
-               (size_t)(scan->at - scan->start));
+  _vp_json_scan_append_path (scan->frame, path);
+  g_set_error (scan->error, VP_JSON_ERROR, VP_JSON_ERROR_SYNTAX, "%s%s%s (byte %zu)", path->str,
+               path->len > 0 ? ": " : "", text, (size_t)(scan->at - scan->start));
   return false;
 }
 
@@ -130,14 +157,28 @@
   return scan->at > from;
 }
 
+/* Returns true if the number fits into int64_t, or into double if it isn't an integer. */
+static bool
+_vp_json_scan_is_in_range (const char *from, size_t size, bool is_integer)
+{
+  g_autofree char *text = NULL;
+
+  if (is_integer && size <= VP_JSON_SCAN_SHORT_NUMBER)
+    return true;
+  text = g_strndup (from, size);
+  if (!is_integer)
+    return isfinite (g_ascii_strtod (text, NULL));
+  errno = 0;
+  (void)g_ascii_strtoll (text, NULL, 10);
+  return errno != ERANGE;
+}
+
 static bool
 _vp_json_scan_number (VpJsonScan *scan)
 {
   const char *from = scan->at;
   const char *digits;
   bool is_integer = true;
-  bool is_finite;
-  g_autofree char *text = NULL;
 
   _vp_json_scan_accept (scan, '-');
   digits = scan->at;
@@ -155,15 +196,8 @@
     if (!_vp_json_scan_digits (scan))
       return _vp_json_scan_set_error (scan, "bad number");
   }
-  text = g_strndup (from, scan->at - from);
-  errno = 0;
-  if (is_integer) {
-    (void)g_ascii_strtoll (text, NULL, 10);
-    is_finite = errno != ERANGE;
-  } else {
-    is_finite = isfinite (g_ascii_strtod (text, NULL));
-  }
-  return is_finite || _vp_json_scan_set_error (scan, "number out of range");
+  return _vp_json_scan_is_in_range (from, (size_t)(scan->at - from), is_integer)
+         || _vp_json_scan_set_error (scan, "number out of range");
 }
 
 static bool
@@ -185,16 +219,16 @@
 static bool
 _vp_json_scan_member (VpJsonScan *scan, GHashTable *names)
 {
-  size_t path_size = scan->path->len;
-  const char *from;
+  VpJsonScanFrame frame = { .parent = scan->frame };
   g_autofree char *name = NULL;
 
   _vp_json_scan_whitespace (scan);
-  from = scan->at + 1;
+  frame.name = scan->at + 1;
   if (!_vp_json_scan_string (scan))
     return false;
-  name = g_strndup (from, scan->at - 1 - from);
-  g_string_append_printf (scan->path, "%s%s", path_size > 0 ? "." : "", name);
+  frame.name_size = (size_t)(scan->at - 1 - frame.name);
+  name = g_strndup (frame.name, frame.name_size);
+  scan->frame = &frame;
   /* No known field has an escape in its name. Without escapes, equal names have equal bytes. */
   if (strchr (name, '\\') != NULL)
     return _vp_json_scan_set_error (scan, "escape in a field name");
@@ -205,7 +239,7 @@
     return _vp_json_scan_set_error (scan, "expected ':'");
   if (!_vp_json_scan_value (scan))
     return false;
-  g_string_truncate (scan->path, path_size);
+  scan->frame = frame.parent;
   return true;
 }
 
@@ -228,17 +262,17 @@
 static bool
 _vp_json_scan_array (VpJsonScan *scan)
 {
-  size_t path_size = scan->path->len;
-  uint32_t index = 0;
+  VpJsonScanFrame frame = { .parent = scan->frame };
 
   _vp_json_scan_whitespace (scan);
   if (_vp_json_scan_accept (scan, ']'))
     return true;
   do {
-    g_string_append_printf (scan->path, "[%u]", index++);
+    scan->frame = &frame;
     if (!_vp_json_scan_value (scan))
       return false;
-    g_string_truncate (scan->path, path_size);
+    scan->frame = frame.parent;
+    frame.index++;
     _vp_json_scan_whitespace (scan);
   } while (_vp_json_scan_accept (scan, ','));
   return _vp_json_scan_accept (scan, ']') || _vp_json_scan_set_error (scan, "expected ',' or ']'");
@@ -269,8 +303,7 @@
 bool
 vp_json_check_syntax (const char *text, size_t size, GError **error)
 {
-  g_autoptr (GString) path = g_string_new (NULL);
-  VpJsonScan scan = { .at = text, .start = text, .end = text + size, .path = path, .error = error };
+  VpJsonScan scan = { .at = text, .start = text, .end = text + size, .error = error };
   const char *invalid;
 
   if (!g_utf8_validate_len (text, size, &invalid)) {
--- a/src/vp-json.c
+++ b/src/vp-json.c
@@ -53,16 +53,29 @@
   return json->error != NULL;
 }
 
+bool
+vp_json_load (JsonParser *parser, const char *text, size_t size, GError **error)
+{
+  return vp_json_check_syntax (text, size, error)
+         && json_parser_load_from_data (parser, text, (gssize)size, error);
+}
+
+JsonNode *
+vp_json_load_root (const char *text, size_t size)
+{
+  g_autoptr (JsonParser) parser = json_parser_new ();
+
+  return vp_json_load (parser, text, size, NULL) ? json_parser_steal_root (parser) : NULL;
+}
+
 bool
 vp_json_open (VpJson *json, const char *text, size_t size, GError **error)
 {
   JsonNode *root;
 
   memset (json, 0, sizeof *json);
-  if (!vp_json_check_syntax (text, size, error))
-    return false;
   json->parser = json_parser_new_immutable ();
-  if (!json_parser_load_from_data (json->parser, text, (gssize)size, error)) {
+  if (!vp_json_load (json->parser, text, size, error)) {
     g_clear_object (&json->parser);
     return false;
   }
--- a/src/vp-json.h
+++ b/src/vp-json.h
@@ -100,3 +100,9 @@
 /* Checks the syntax of JSON text without parsing it into objects, by the rules of vp_json_open().
  * The root may be any value. */
 bool vp_json_check_syntax (const char *text, size_t size, GError **error);
+/* Parses @text with @parser if vp_json_check_syntax() accepts it. All JSON from outside the process
+ * has to be parsed by this function or by vp_json_open(), since json-glib alone overflows the stack
+ * on deeply nested text and wraps large integers around. */
+bool vp_json_load (JsonParser *parser, const char *text, size_t size, GError **error);
+/* Returns the root of @text, or NULL if vp_json_load() fails. */
+JsonNode *vp_json_load_root (const char *text, size_t size);
--- a/src/vp-vmlist-http.c
+++ b/src/vp-vmlist-http.c
@@ -1,9 +1,9 @@
 #include "vp-vmlist-http-private.h"
 
 #include "vp-http-client.h"
+#include "vp-json.h"
 #include "vp-vmlist.h"
 
-#include <json-glib/json-glib.h>
 #include <string.h>
 
 #define VP_VMLIST_TIMEOUT_MS 2000
@@ -80,8 +80,7 @@
   JsonNode *node = NULL;
   JsonArray *list;
 
-  if (size == 0 || !g_utf8_validate (data, (gssize)size, NULL)
-      || !json_parser_load_from_data (parser, data, (gssize)size, NULL))
+  if (size == 0 || !vp_json_load (parser, data, size, NULL))
     return NULL;
   if (json_parser_get_root (parser) != NULL
       && JSON_NODE_HOLDS_OBJECT (json_parser_get_root (parser)))
--- a/src/vp-worker-http.c
+++ b/src/vp-worker-http.c
@@ -1,10 +1,10 @@
 #include "vp-worker-http-private.h"
 
 #include "vp-http-client.h"
+#include "vp-json.h"
 #include "vp-metrics.h"
 #include "vp-worker.h"
 
-#include <json-glib/json-glib.h>
 #include <string.h>
 
 /* Time-out of commands other than checkpoints. */
@@ -107,8 +107,7 @@
   const char *data = g_bytes_get_data (body, &size);
   JsonNode *root;
 
-  if (size == 0 || !g_utf8_validate (data, (gssize)size, NULL)
-      || !json_parser_load_from_data (parser, data, (gssize)size, NULL))
+  if (size == 0 || !vp_json_load (parser, data, size, NULL))
     return NULL;
   root = json_parser_get_root (parser);
   return root != NULL && JSON_NODE_HOLDS_OBJECT (root) ? json_node_get_object (root) : NULL;
