Let the runs of a restarted worker that never answers again expire

Cause: after a restart the worker's clock is unknown until it answers, and vp_workerlist_is_lost() returned false as long as that lasts, while tasks that a command on its way may still start were left to the worker's answers.

Change: each worker has a time after which every lease has expired although it doesn't answer, by the rule that a new leader uses for all workers (2 s until a command is carried out, the longest lease, a clock 2 % slow). A restart starts it anew. The two functions need the list of workers no more.

--- a/src/vp-cell-private.h
+++ b/src/vp-cell-private.h
@@ -47,7 +47,7 @@
 void _vp_cell_send_stop (VpCell *cell, VpJobTask *task, int64_t now_ms, GArray *effects);
 /* Returns true if the scheduler knows everything that earlier schedulers have running on the
  * worker. */
-bool _vp_cell_is_verified_worker (const VpCell *cell, const VpCellWorker *worker, int64_t now_ms);
+bool _vp_cell_is_verified_worker (const VpCellWorker *worker, int64_t now_ms);
 /* Sets @cell->is_recovered once no run of an earlier scheduler can be unknown. */
 void _vp_cell_check_recovered (VpCell *cell, int64_t now_ms);
 /* Blocks new tasks on a worker that isn't active, and marks the list of workers as changed if the
--- a/src/vp-cell-recovery.c
+++ b/src/vp-cell-recovery.c
@@ -5,9 +5,9 @@
 #define VP_CELL_INACTIVE_MS 1000
 
 bool
-_vp_cell_is_verified_worker (const VpCell *cell, const VpCellWorker *worker, int64_t now_ms)
+_vp_cell_is_verified_worker (const VpCellWorker *worker, int64_t now_ms)
 {
-  return worker->is_synced || vp_workerlist_is_lease_expired (cell->worker_list, worker, now_ms);
+  return worker->is_synced || vp_workerlist_is_lease_expired (worker, now_ms);
 }
 
 /* Returns true if an earlier scheduler may have used workers that aren't in the list of workers. */
@@ -26,7 +26,7 @@
 _vp_cell_is_unverified (const VpCell *cell, const VpCellWorker *worker, int64_t now_ms)
 {
   return !cell->is_recovered && (worker->is_unverified || !cell->has_stored_workers)
-         && !_vp_cell_is_verified_worker (cell, worker, now_ms);
+         && !_vp_cell_is_verified_worker (worker, now_ms);
 }
 
 uint32_t
--- a/src/vp-cell-scan.c
+++ b/src/vp-cell-scan.c
@@ -153,8 +153,7 @@
   guint count;
   g_autofree VpJobTask **tasks = NULL;
 
-  if (g_hash_table_size (worker->tasks) > 0
-      && vp_workerlist_is_lost (cell->worker_list, worker, now_ms))
+  if (g_hash_table_size (worker->tasks) > 0 && vp_workerlist_is_lost (worker, now_ms))
     vp_reconcile_worker_lost (&cell->reconcile, worker, VP_CRASH_POSSIBLE, "lease-expired", now_ms);
   tasks = (VpJobTask **)g_hash_table_get_keys_as_array (worker->tasks, &count);
   for (guint i = 0; i < count; i++)
@@ -172,7 +171,7 @@
     return false;
   if (worker->is_synced && worker->unknown_run_count == 0)
     return worker->was_listed || now_ms > cell->worker_list->inherited_until_ms;
-  return vp_workerlist_is_lease_expired (cell->worker_list, worker, now_ms);
+  return vp_workerlist_is_lease_expired (worker, now_ms);
 }
 
 /* Releases the tasks that earlier schedulers had on a worker that is about to be removed, since
--- a/src/vp-cell.c
+++ b/src/vp-cell.c
@@ -508,9 +508,9 @@
   if (task->inherited_worker[0] == '\0')
     return vp_cell_has_complete_state (cell);
   worker = vp_workerlist_find (cell->worker_list, task->inherited_worker);
-  if (worker == NULL ? now_ms <= cell->worker_list->inherited_until_ms
-                     : !vp_cell_has_complete_state (cell)
-                           || !_vp_cell_is_verified_worker (cell, worker, now_ms))
+  if (worker == NULL
+          ? now_ms <= cell->worker_list->inherited_until_ms
+          : !vp_cell_has_complete_state (cell) || !_vp_cell_is_verified_worker (worker, now_ms))
     return false;
   if (worker != NULL)
     vp_crash_blame_inherited (cell->jobs, task, worker, now_ms);
--- a/src/vp-reconcile.c
+++ b/src/vp-reconcile.c
@@ -97,7 +97,7 @@
           "worker=%s why=restarted tasks=%u stopping=%u silent_ms=%" G_GINT64_FORMAT,
           worker->entry.id, count, stopping_count, now_ms - worker->last_answer_ms);
   worker->unknown_run_count = 0;
-  vp_workerlist_note_restart (worker, booted_ms, now_ms);
+  vp_workerlist_note_restart (reconcile->worker_list, worker, booted_ms, now_ms);
 }
 
 static void
--- a/src/vp-workerlist.c
+++ b/src/vp-workerlist.c
@@ -33,6 +33,18 @@
   g_free (worker);
 }
 
+/* Returns the time after which every lease has expired that was granted by commands sent until
+ * @sent_ms, for a worker whose clock isn't known. Commands may take VP_WORKERLIST_UNCONFIRMED_MS to
+ * be carried out. */
+static int64_t
+_vp_workerlist_leases_until_ms (int64_t hold_max_ms, int64_t sent_ms)
+{
+  return sent_ms
+         + (hold_max_ms + VP_WORKERLIST_UNCONFIRMED_MS) * 1000
+               / (1000 - VP_WORKERLIST_CLOCK_SLOW_MILLI)
+         + VP_WORKERLIST_EXPIRY_MARGIN_MS;
+}
+
 VpWorkerList *
 vp_workerlist_setup (int64_t hold_max_ms, int64_t now_ms)
 {
@@ -42,10 +54,7 @@
   worker_list->workers = g_ptr_array_new_with_free_func (_vp_workerlist_worker_free);
   worker_list->racks = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
   worker_list->hold_max_ms = hold_max_ms;
-  worker_list->inherited_until_ms = now_ms
-                                    + (hold_max_ms + VP_WORKERLIST_UNCONFIRMED_MS) * 1000
-                                          / (1000 - VP_WORKERLIST_CLOCK_SLOW_MILLI)
-                                    + VP_WORKERLIST_EXPIRY_MARGIN_MS;
+  worker_list->inherited_until_ms = _vp_workerlist_leases_until_ms (hold_max_ms, now_ms);
   return worker_list;
 }
 
@@ -84,6 +93,7 @@
   worker->slowness = 1;
   worker->entry = *entry;
   worker->rack_index = _vp_workerlist_rack_index (worker_list, entry);
+  worker->silent_until_ms = worker_list->inherited_until_ms;
   worker_list->is_changed = true;
   g_ptr_array_add (worker_list->workers, worker);
   g_hash_table_insert (worker_list->by_id, worker->entry.id, worker);
@@ -165,9 +175,13 @@
 }
 
 void
-vp_workerlist_note_restart (VpCellWorker *worker, int64_t booted_ms, int64_t now_ms)
+vp_workerlist_note_restart (const VpWorkerList *worker_list,
+                            VpCellWorker *worker,
+                            int64_t booted_ms,
+                            int64_t now_ms)
 {
   worker->restart_noted_ms = now_ms;
+  worker->silent_until_ms = _vp_workerlist_leases_until_ms (worker_list->hold_max_ms, now_ms);
   worker->booted_ms = booted_ms;
   worker->clock_ms = worker->clock_at_ms = worker->lease_end_ms = worker->list_sent_ms = 0;
   worker->last_end_seen = worker->last_end_staged = worker->last_end_durable = 0;
@@ -203,25 +217,21 @@
 }
 
 bool
-vp_workerlist_is_lease_expired (const VpWorkerList *worker_list,
-                                const VpCellWorker *worker,
-                                int64_t now_ms)
+vp_workerlist_is_lease_expired (const VpCellWorker *worker, int64_t now_ms)
 {
   if (worker->is_replaced)
     return true;
   if (worker->clock_at_ms == 0)
-    return now_ms > worker_list->inherited_until_ms;
+    return now_ms > worker->silent_until_ms;
   return vp_workerlist_clock_ms (worker, now_ms)
          > worker->lease_end_ms + VP_WORKERLIST_EXPIRY_MARGIN_MS;
 }
 
 bool
-vp_workerlist_is_lost (const VpWorkerList *worker_list, const VpCellWorker *worker, int64_t now_ms)
+vp_workerlist_is_lost (const VpCellWorker *worker, int64_t now_ms)
 {
-  if (worker->clock_at_ms == 0)
-    return false;
   return vp_workerlist_is_lease_expired (
-      worker_list, worker, now_ms - (worker->is_relay_silent ? VP_WORKERLIST_RELAY_DELAY_MS : 0));
+      worker, now_ms - (worker->is_relay_silent ? VP_WORKERLIST_RELAY_DELAY_MS : 0));
 }
 
 int64_t
--- a/src/vp-workerlist.h
+++ b/src/vp-workerlist.h
@@ -3,7 +3,7 @@
  *   VpWorkerList *worker_list = vp_workerlist_setup (hold_max_ms, now_ms);
  *   VpCellWorker *worker = vp_workerlist_update (worker_list, &entry);
  *   vp_workerlist_note_answer (worker_list, worker, clock_ms, received_ms);   // any answer
- *   if (vp_workerlist_is_lease_expired (worker_list, worker, now_ms))
+ *   if (vp_workerlist_is_lease_expired (worker, now_ms))
  *     ... nothing can be running there any more ...
  *   vp_workerlist_shutdown (worker_list);
  *
@@ -75,6 +75,8 @@
                                  before say nothing about the worker */
   int64_t restart_noted_ms; /* time at which its last restart was noted; 0: none. A command that was
                                sent before may have been carried out before the restart. */
+  int64_t silent_until_ms;  /* while it hasn't answered in its present life: every lease has expired
+                               after this time */
   uint64_t last_end_seen;   /* highest number of an end that was processed */
   uint64_t last_end_staged; /* highest end that the current commit covers */
   uint64_t last_end_durable; /* highest end that is durable, so that the worker may drop it */
@@ -127,7 +129,10 @@
                                int64_t clock_ms,
                                int64_t received_ms);
 /* Resets leases, ends, clock and health after a restart of the worker. */
-void vp_workerlist_note_restart (VpCellWorker *worker, int64_t booted_ms, int64_t now_ms);
+void vp_workerlist_note_restart (const VpWorkerList *worker_list,
+                                 VpCellWorker *worker,
+                                 int64_t booted_ms,
+                                 int64_t now_ms);
 /* Returns the minimum value that the worker's clock can show now, or 0 if it never answered. */
 int64_t vp_workerlist_clock_ms (const VpCellWorker *worker, int64_t now_ms);
 /* Returns the end, on the worker's clock, of a lease that is granted now, and records it as the
@@ -138,15 +143,12 @@
  */
 void vp_workerlist_set_replaced (VpCellWorker *worker);
 /* Returns true if every lease granted to the worker has certainly expired. */
-bool vp_workerlist_is_lease_expired (const VpWorkerList *worker_list,
-                                     const VpCellWorker *worker,
-                                     int64_t now_ms);
+bool vp_workerlist_is_lease_expired (const VpCellWorker *worker, int64_t now_ms);
 /* Returns true if the runs there must be taken as ended without having heard the worker: every
  * lease has certainly expired, and the worker's answers aren't just held up at slow relays, which
  * have another 6 s to deliver them. An answer may list a run as done that would be started again.
  */
-bool
-vp_workerlist_is_lost (const VpWorkerList *worker_list, const VpCellWorker *worker, int64_t now_ms);
+bool vp_workerlist_is_lost (const VpCellWorker *worker, int64_t now_ms);
 /* Returns the time of the last answer of any worker in the DC of @worker. */
 int64_t vp_workerlist_dc_answer_ms (const VpWorkerList *worker_list, const VpCellWorker *worker);
 /* Sets whether the DC of @worker is unreachable. Its workers get no tasks until one of them
--- a/tests/test-cell-takeover.c
+++ b/tests/test-cell-takeover.c
@@ -770,6 +770,71 @@
   _teardown (&fixture);
 }
 
+/* The platform lists the worker with a later boot time. */
+static void
+_list_restarted (Fixture *fixture, const char *id)
+{
+  const VpCellWorker *worker = vp_workerlist_find (vp_cell_workers (fixture->cell), id);
+  VpWorkerEntry entry = worker->entry;
+
+  entry.booted_ms = worker->booted_ms + 1000;
+  vp_cell_worker_listed (fixture->cell, &entry, fixture->now_ms);
+}
+
+/* Guards against tasks that are never started again: their worker restarted, and was lost before it
+ * answered in its new life. They count as ended once every lease there has expired. */
+static void
+test_restarted_worker_never_answers (void)
+{
+  Fixture fixture;
+  VpCommandResult result;
+  VpRunningEntry running = { .is_task = true, .run = 3, .percent = 100 };
+  int64_t expired_ms;
+  VpJob *jobs[2];
+
+  _setup (&fixture, 2, false);
+  jobs[0] = _submit (&fixture, 1, 1000);
+  jobs[1] = _submit (&fixture, 1, 1000);
+  /* One task is adopted from an earlier scheduler, the other has an unanswered start. */
+  running.task.job = jobs[0]->spec->id;
+  result = _hold_result (&fixture, "w0");
+  g_array_append_val (result.running, running);
+  _apply (&fixture, &result);
+  _decide (&fixture);
+  g_assert_cmpstr (_find_command (&fixture, VP_COMMAND_START)->worker, ==, "w0");
+  fixture.now_ms += 100;
+  _list_restarted (&fixture, "w0");
+  fixture.now_ms += 15;
+  vp_cell_worker_unlisted (fixture.cell, "w0", fixture.now_ms);
+  result = _hold_result (&fixture, "w0");
+  result.outcome = VP_COMMAND_UNREACHABLE;
+  _apply (&fixture, &result);
+  result = _hold_result (&fixture, "w1");
+  _apply (&fixture, &result);
+  /* The longest lease, of a command that is carried out 2 s late, on a clock that is 2 % slow. */
+  expired_ms = fixture.now_ms - 15 + (6000 + 2000) * 1000 / 980;
+  while (fixture.now_ms < expired_ms) {
+    _decide (&fixture);
+    g_assert_null (_find_command (&fixture, VP_COMMAND_START));
+    fixture.now_ms += 50;
+  }
+  /* The task whose start may have crashed the worker is started by itself. */
+  for (int i = 0; i < 20; i++) {
+    const VpCommand *start;
+    fixture.now_ms += 50;
+    _decide (&fixture);
+    start = _find_command (&fixture, VP_COMMAND_START);
+    if (start != NULL)
+      _answer (&fixture, start, VP_COMMAND_OK);
+  }
+  for (guint i = 0; i < G_N_ELEMENTS (jobs); i++) {
+    const VpJobTask *task = &jobs[i]->occurrences[0].steps[0].tasks[0];
+    g_assert_nonnull (task->worker);
+    g_assert_cmpstr (task->worker->entry.id, ==, "w1");
+  }
+  _teardown (&fixture);
+}
+
 /* Answers the HOLD to the worker as uncertain, as it was given up. */
 static void
 _give_up_hold (Fixture *fixture, const char *worker)
@@ -1005,6 +1070,7 @@
   g_test_add_func ("/cell/restarted-worker", test_restarted_worker);
   g_test_add_func ("/cell/restarted-worker-with-start-on-the-way",
                    test_restarted_worker_with_start_on_the_way);
+  g_test_add_func ("/cell/restarted-worker-never-answers", test_restarted_worker_never_answers);
   g_test_add_func ("/cell/late-list", test_late_list);
   g_test_add_func ("/cell/lease-expires-at-slow-relay", test_lease_expires_at_slow_relay);
   g_test_add_func ("/cell/overtaken-list", test_overtaken_list);
