Let the first list after a worker's restart decide which runs have ended

Cause: an answer to a start doesn't show which life of the worker gave it. On the new boot time the scheduler ended all tasks whose starts had been answered, as runs of the earlier life, and started them elsewhere.

Change: a restart ends nothing by itself. The first list of the new life shows what runs there; what is missing and was confirmed before the list was requested has ended, and shares the blame for the crash.

--- a/src/vp-cell.h
+++ b/src/vp-cell.h
@@ -12,8 +12,8 @@
  * A state machine without I/O: calls report events, and vp_cell_decide() appends the actions to
  * take. Every command carries the fencing token of this scheduler's term; a worker that has seen
  * the token rejects commands of earlier schedulers. A task is started again only when its last run
- * can't be running any more: the worker reports its end or doesn't list it, the worker has
- * restarted, or the lease of the run has expired.
+ * can't be running any more: the worker reports its end or doesn't list it, or the lease of the run
+ * has expired.
  */
 #pragma once
 
--- a/src/vp-crash.c
+++ b/src/vp-crash.c
@@ -32,7 +32,8 @@
 static VpCrashRank
 _vp_crash_rank (const VpJobTask *task, const VpCellWorker *worker, VpCrashEvidence evidence)
 {
-  int64_t age_ms = worker->alive_ms - MAX (task->started_ms, task->start_sent_ms);
+  int64_t alive_ms = worker->is_restart_unlisted ? worker->earlier_alive_ms : worker->alive_ms;
+  int64_t age_ms = alive_ms - MAX (task->started_ms, task->start_sent_ms);
 
   if (age_ms <= VP_CRASH_START_MS)
     return VP_CRASH_RANK_START;
@@ -67,18 +68,17 @@
 void
 vp_crash_blame (VpJobList *jobs,
                 const VpCellWorker *worker,
+                VpJobTask *const *tasks,
+                guint count,
                 VpCrashEvidence evidence,
                 int64_t now_ms)
 {
   VpCrashRank best = VP_CRASH_RANK_NONE;
   const VpJob *cause = NULL;
   bool is_isolated = evidence == VP_CRASH_OBSERVED;
-  g_autofree VpJobTask **tasks = NULL;
-  guint count;
 
   if (worker->entry.is_draining)
     return;
-  tasks = (VpJobTask **)g_hash_table_get_keys_as_array (worker->tasks, &count);
   for (guint i = 0; i < count; i++) {
     const VpJob *job = tasks[i]->step->occurrence->job;
     VpCrashRank rank = _vp_crash_rank (tasks[i], worker, evidence);
--- a/src/vp-crash.h
+++ b/src/vp-crash.h
@@ -1,6 +1,6 @@
 /* Attribution of crashes of workers to tasks: a task may crash each worker that starts it.
  *
- *   vp_crash_blame (jobs, worker, VP_CRASH_OBSERVED, now_ms);   // before its runs are ended
+ *   vp_crash_blame (jobs, worker, tasks, count, VP_CRASH_OBSERVED, now_ms);   // before they end
  *   if (vp_crash_is_suspect (task) && vp_crash_is_quiet (worker, task, now_ms))
  *     ... a start of the task there is isolated: another crash has one possible cause ...
  *   vp_crash_isolate (worker, task, now_ms);
@@ -20,10 +20,13 @@
   VP_CRASH_POSSIBLE, /* the leases have expired without an answer, maybe through a partition */
 } VpCrashEvidence;
 
-/* Blames tasks that are assigned to the worker for its crash, and gives up those with too many
- * points. A worker that drains may leave, so nothing is blamed for that. */
+/* Blames those of @tasks, which were lost with the worker, that are the likely cause of its crash,
+ * and gives up those with too many points. A worker that drains may leave, so nothing is blamed for
+ * that. */
 void vp_crash_blame (VpJobList *jobs,
                      const VpCellWorker *worker,
+                     VpJobTask *const *tasks,
+                     guint count,
                      VpCrashEvidence evidence,
                      int64_t now_ms);
 /* Blames a task that an earlier scheduler had on the worker, which doesn't list its run, if the
--- a/src/vp-reconcile.c
+++ b/src/vp-reconcile.c
@@ -51,7 +51,7 @@
           worker->entry.id, why, count, now_ms - worker->last_answer_ms);
   for (guint i = 0; i < count; i++)
     vp_runlog_add (&reconcile->log, "end", why, tasks[i], now_ms);
-  vp_crash_blame (reconcile->jobs, worker, evidence, now_ms);
+  vp_crash_blame (reconcile->jobs, worker, tasks, count, evidence, now_ms);
   for (guint i = 0; i < count; i++)
     vp_jobtask_end (reconcile->jobs, tasks[i], VP_RUN_LAPSED, 1, now_ms);
   worker->unknown_run_count = 0;
@@ -73,29 +73,24 @@
                                int64_t booted_ms,
                                int64_t now_ms)
 {
-  guint count;
-  g_autofree VpJobTask **tasks
-      = (VpJobTask **)g_hash_table_get_keys_as_array (worker->tasks, &count);
-  guint stopping_count = 0;
+  GHashTableIter iter;
+  gpointer key;
 
-  for (guint i = 0; i < count; i++)
-    vp_runlog_add (&reconcile->log, _vp_reconcile_may_start_again (tasks[i]) ? "stop" : "end",
-                   "restarted", tasks[i], now_ms);
-  vp_crash_blame (reconcile->jobs, worker, VP_CRASH_OBSERVED, now_ms);
-  for (guint i = 0; i < count; i++) {
-    VpJobTask *task = tasks[i];
-    if (!_vp_reconcile_may_start_again (task)) {
-      vp_jobtask_end (reconcile->jobs, task, VP_RUN_LAPSED, 1, now_ms);
+  g_hash_table_iter_init (&iter, worker->tasks);
+  while (g_hash_table_iter_next (&iter, &key, NULL)) {
+    VpJobTask *task = key;
+    if (!_vp_reconcile_may_start_again (task))
       continue;
-    }
     /* The next scan sends the stop. */
+    vp_runlog_add (&reconcile->log, "stop", "restarted", task, now_ms);
     task->phase = VP_PHASE_STOPPING;
     task->stop_sent_ms = task->confirmed_ms = 0;
-    stopping_count++;
   }
-  vp_log (now_ms, "worker-lost",
-          "worker=%s why=restarted tasks=%u stopping=%u silent_ms=%" G_GINT64_FORMAT,
-          worker->entry.id, count, stopping_count, now_ms - worker->last_answer_ms);
+  vp_log (now_ms, "worker-restarted",
+          "worker=%s booted_ms=%" G_GINT64_FORMAT " from_ms=%" G_GINT64_FORMAT
+          " tasks=%u silent_ms=%" G_GINT64_FORMAT,
+          worker->entry.id, booted_ms, worker->booted_ms, g_hash_table_size (worker->tasks),
+          now_ms - worker->last_answer_ms);
   worker->unknown_run_count = 0;
   vp_workerlist_note_restart (reconcile->worker_list, worker, booted_ms, now_ms);
 }
@@ -253,6 +248,25 @@
   }
 }
 
+/* Returns the tasks of the worker that aren't in @listed, to be freed by the caller. Those that
+ * were confirmed after the list was requested may run. */
+static VpJobTask **
+_vp_reconcile_missing_tasks (const VpCellWorker *worker,
+                             const VpCommandResult *result,
+                             GHashTable *listed,
+                             guint *count)
+{
+  VpJobTask **tasks = (VpJobTask **)g_hash_table_get_keys_as_array (worker->tasks, count);
+  guint kept = 0;
+
+  for (guint i = 0; i < *count; i++) {
+    if (!g_hash_table_contains (listed, tasks[i]) && tasks[i]->confirmed_ms < result->sent_ms)
+      tasks[kept++] = tasks[i];
+  }
+  *count = kept;
+  return tasks;
+}
+
 /* Ends runs that were confirmed before the list was requested and aren't in it. */
 static void
 _vp_reconcile_end_missing_runs (VpReconcile *reconcile,
@@ -262,17 +276,21 @@
                                 int64_t now_ms)
 {
   guint count;
-  g_autofree VpJobTask **tasks
-      = (VpJobTask **)g_hash_table_get_keys_as_array (worker->tasks, &count);
+  g_autofree VpJobTask **tasks = _vp_reconcile_missing_tasks (worker, result, listed, &count);
 
   for (guint i = 0; i < count; i++) {
-    VpJobTask *task = tasks[i];
-    if (task->confirmed_ms == 0 || task->confirmed_ms >= result->sent_ms
-        || g_hash_table_contains (listed, task) || task->worker != worker)
-      continue;
-    vp_runlog_add (&reconcile->log, "end", "not-listed", task, now_ms);
-    vp_jobtask_end (reconcile->jobs, task, VP_RUN_LAPSED, 1, now_ms);
+    if (tasks[i]->confirmed_ms != 0)
+      vp_runlog_add (&reconcile->log, "end",
+                     worker->is_restart_unlisted ? "restarted" : "not-listed", tasks[i], now_ms);
+  }
+  /* Those that are missing from the first list of a worker's life ended with the earlier one. */
+  if (worker->is_restart_unlisted)
+    vp_crash_blame (reconcile->jobs, worker, tasks, count, VP_CRASH_OBSERVED, now_ms);
+  for (guint i = 0; i < count; i++) {
+    if (tasks[i]->worker == worker && tasks[i]->confirmed_ms != 0)
+      vp_jobtask_end (reconcile->jobs, tasks[i], VP_RUN_LAPSED, 1, now_ms);
   }
+  worker->is_restart_unlisted = false;
 }
 
 bool
--- a/src/vp-reconcile.h
+++ b/src/vp-reconcile.h
@@ -42,10 +42,10 @@
                                VpCellWorker *worker,
                                const VpCommandResult *result,
                                int64_t now_ms);
-/* Handles a restart of the worker, which has ended all runs there. A run of which a start may still
- * be on its way, as it waits at a relay or on a slow link, is stopped before it counts as ended:
- * the worker, which knows nothing of the time before its restart, would carry out that start. Tasks
- * are blamed for the crash. */
+/* Handles a restart of the worker under its identity. Starts that were answered may have been
+ * answered by the present life, so its first list decides which of the assigned tasks have ended.
+ * Tasks with an unanswered start are stopped, as the present life may still carry that out. If the
+ * worker doesn't answer again, all end once their leases have expired. */
 void vp_reconcile_worker_restarted (VpReconcile *reconcile,
                                     VpCellWorker *worker,
                                     int64_t booted_ms,
--- a/src/vp-workerlist.c
+++ b/src/vp-workerlist.c
@@ -181,6 +181,8 @@
                             int64_t now_ms)
 {
   worker->restart_noted_ms = now_ms;
+  worker->is_restart_unlisted = true;
+  worker->earlier_alive_ms = worker->alive_ms;
   worker->silent_until_ms = _vp_workerlist_leases_until_ms (worker_list->hold_max_ms, now_ms);
   worker->booted_ms = booted_ms;
   worker->clock_ms = worker->clock_at_ms = worker->lease_end_ms = worker->list_sent_ms = 0;
--- a/src/vp-workerlist.h
+++ b/src/vp-workerlist.h
@@ -75,6 +75,9 @@
                                  before say nothing about the worker */
   int64_t restart_noted_ms; /* time at which its last restart was noted; 0: none. A command that was
                                sent before may have been carried out before the restart. */
+  bool is_restart_unlisted; /* hasn't listed its runs since then, so that the assigned tasks may run
+                               in its present life or have ended with the earlier one */
+  int64_t earlier_alive_ms; /* @alive_ms of its earlier life */
   int64_t silent_until_ms;  /* while it hasn't answered in its present life: every lease has expired
                                after this time */
   uint64_t last_end_seen;   /* highest number of an end that was processed */
--- a/tests/test-cell-takeover.c
+++ b/tests/test-cell-takeover.c
@@ -781,6 +781,53 @@
   vp_cell_worker_listed (fixture->cell, &entry, fixture->now_ms);
 }
 
+/* Guards against a task that runs twice: its start reached the worker after a restart and was
+ * answered before the platform's list showed the restart, and the run was taken for one of before.
+ * The first list of the worker's new life decides. */
+static void
+test_start_answered_after_restart (void)
+{
+  Fixture fixture;
+  VpCommandResult result;
+  VpRunningEntry running = { .is_task = true, .run = 1, .percent = 100 };
+  g_autofree char *id = NULL;
+  VpJob *jobs[2];
+  VpJobTask *task, *other;
+
+  _setup (&fixture, 2, false);
+  _sync (&fixture);
+  jobs[0] = _run_one (&fixture, 1000);
+  task = &jobs[0]->occurrences[0].steps[0].tasks[0];
+  id = g_strdup (task->worker->entry.id);
+  jobs[1] = _submit (&fixture, 1, 1000);
+  /* The restart comes between the starts of the two tasks, both on the same worker. */
+  fixture.now_ms += 100;
+  other = &jobs[1]->occurrences[0].steps[0].tasks[0];
+  vp_jobtask_assign (vp_cell_jobs (fixture.cell), other, task->worker, 1, fixture.now_ms);
+  other->phase = VP_PHASE_RUNNING;
+  other->start_tries = other->start_answers = 1;
+  other->confirmed_ms = fixture.now_ms;
+  fixture.now_ms += 100;
+  _list_restarted (&fixture, id);
+  _decide (&fixture);
+  g_assert_null (_find_command (&fixture, VP_COMMAND_START));
+  g_assert_null (_find_command (&fixture, VP_COMMAND_STOP));
+  fixture.now_ms += 10;
+  result = _hold_result (&fixture, id);
+  result.booted_ms = task->worker->booted_ms;
+  result.clock_ms = 120;
+  running.task.job = jobs[1]->spec->id;
+  g_array_append_val (result.running, running);
+  _apply (&fixture, &result);
+  g_assert_cmpuint (jobs[0]->assigned_count, ==, 0);
+  g_assert_cmpuint (jobs[1]->assigned_count, ==, 1);
+  _decide (&fixture);
+  g_assert_cmpuint (_count_commands (&fixture, VP_COMMAND_START), ==, 1);
+  g_assert_cmpuint (_find_command (&fixture, VP_COMMAND_START)->task.job, ==, jobs[0]->spec->id);
+  g_assert_null (_find_command (&fixture, VP_COMMAND_STOP));
+  _teardown (&fixture);
+}
+
 /* Guards against tasks that are never started again: their worker restarted, and was lost before it
  * answered in its new life. They count as ended once every lease there has expired. */
 static void
@@ -1070,6 +1117,7 @@
   g_test_add_func ("/cell/restarted-worker", test_restarted_worker);
   g_test_add_func ("/cell/restarted-worker-with-start-on-the-way",
                    test_restarted_worker_with_start_on_the_way);
+  g_test_add_func ("/cell/start-answered-after-restart", test_start_answered_after_restart);
   g_test_add_func ("/cell/restarted-worker-never-answers", test_restarted_worker_never_answers);
   g_test_add_func ("/cell/late-list", test_late_list);
   g_test_add_func ("/cell/lease-expires-at-slow-relay", test_lease_expires_at_slow_relay);
