Acknowledge ends only to the life of a worker that numbered them

Cause: last_seen is a number of one life, and nothing tied the command to that life. Expect-Instance holds the identity, which a restart keeps.

Change: a HOLD names the boot time that the number belongs to. The sending process, the leader or a relay, passes the number on only on the connection on which that life has answered, since a connection ends with the process that accepted it; on any other it sends 0. The HTTP client has a mode that never sends a body on a new connection. The simulated transport keeps the same contract. Messages between nodes have version 6.

--- a/src/vp-cell.c
+++ b/src/vp-cell.c
@@ -759,6 +759,7 @@
   if (worker->is_reachable && now_ms <= cell->commands_until_ms)
     command->lease_end_ms = vp_workerlist_extend_lease (cell->worker_list, worker, now_ms);
   command->acked_end = worker->last_end_durable;
+  command->booted_ms = worker->booted_ms;
   command->wait_ms = worker->is_synced && worker->is_reachable
                              && worker->last_end_seen == worker->last_end_durable
                          ? VP_CELL_HOLD_WAIT_MS
--- a/src/vp-command.h
+++ b/src/vp-command.h
@@ -41,9 +41,12 @@
   char *text;           /* START: text of the job; owned */
   char checkpoint[VP_CHECKPOINT_MAX]; /* START: continue from this one; empty: from the beginning */
   char ticket[VP_TICKET_MAX];         /* START: ticket of the advice service; empty: none */
-  uint64_t acked_end;                 /* HOLD: the worker may drop ends up to this number */
-  int64_t wait_ms;  /* HOLD: the worker may delay its answer this long until a run ends */
-  uint32_t percent; /* THROTTLE: share of its CPU that the task may use */
+  uint64_t acked_end; /* HOLD: the life @booted_ms of the worker may drop ends up to this number.
+                         The numbers of another life are others, so the transport must not pass it
+                         on to one. */
+  int64_t booted_ms;  /* HOLD: boot time (Unix time) that the scheduler knows of; 0: none */
+  int64_t wait_ms;    /* HOLD: the worker may delay its answer this long until a run ends */
+  uint32_t percent;   /* THROTTLE: share of its CPU that the task may use */
 } VpCommand;
 
 typedef enum {
--- a/src/vp-http-client.c
+++ b/src/vp-http-client.c
@@ -26,6 +26,7 @@
   const VpHttpClientRequest *call;
   size_t body_offset;
   bool is_expired;
+  bool is_withheld; /* the body wasn't sent on a new connection */
 };
 
 static void
@@ -84,6 +85,12 @@
   g_free (client);
 }
 
+bool
+vp_http_client_is_connected (const VpHttpClient *client)
+{
+  return client->is_connected;
+}
+
 /* Body provider of neon. The length of the body is announced in the header, so a body that ends
  * early makes the request incomplete, and a server must not carry it out. */
 static ssize_t
@@ -93,6 +100,10 @@
   const VpHttpClientRequest *call = client->call;
   size_t part = MIN (size, call->body_size - client->body_offset);
 
+  if (call->only_on_open_connection && client->connect_count > 0) {
+    client->is_withheld = true;
+    return -1;
+  }
   if (size == 0) {
     client->body_offset = 0;
     return 0;
@@ -164,6 +175,8 @@
   g_clear_pointer (&response->body, g_bytes_unref);
   /* After a failure the rest of a response may follow on the connection. */
   ne_close_connection (client->session);
+  if (client->is_withheld)
+    return VP_HTTP_CLIENT_CLOSED;
   if (client->is_expired && !response->was_resent)
     return VP_HTTP_CLIENT_EXPIRED;
   return was_connected || client->connect_count > 0 ? VP_HTTP_CLIENT_UNCERTAIN
@@ -186,13 +199,18 @@
   client->call = call;
   client->connect_count = 0;
   client->body_offset = 0;
-  client->is_expired = false;
+  client->is_expired = client->is_withheld = false;
   /* neon applies the time-out when it connects, so a different time-out needs a new connection. */
   if (client->timeout_s != (int)((timeout_ms + 999) / 1000)) {
     client->timeout_s = (int)((timeout_ms + 999) / 1000);
     ne_close_connection (client->session);
     ne_set_read_timeout (client->session, client->timeout_s);
   }
+  response->sent_ms = vp_runtime_now_ms ();
+  if (call->only_on_open_connection && !client->is_connected) {
+    response->outcome = VP_HTTP_CLIENT_CLOSED;
+    return;
+  }
   request = ne_request_create (client->session, call->method, call->path);
   ne_set_request_flag (request, NE_REQFLAG_IDEMPOTENT, call->is_idempotent ? 1 : 0);
   if (call->extra_header_name != NULL)
@@ -203,7 +221,6 @@
     ne_set_request_body_provider (request, (ne_off_t)call->body_size, _vp_http_client_provide_body,
                                   client);
   }
-  response->sent_ms = vp_runtime_now_ms ();
   response->outcome = _vp_http_client_dispatch (client, request, response);
   ne_request_destroy (request);
   client->call = NULL;
--- a/src/vp-http-client.h
+++ b/src/vp-http-client.h
@@ -25,17 +25,20 @@
   VP_HTTP_CLIENT_NOT_SENT,  /* no connection was established, so the request had no effect */
   VP_HTTP_CLIENT_EXPIRED,   /* valid_until_ms passed before the body was sent; no effect */
   VP_HTTP_CLIENT_UNCERTAIN, /* the request may have been sent, no complete response was received */
+  VP_HTTP_CLIENT_CLOSED,    /* only_on_open_connection: the connection is closed; the server at its
+                               other    end may have received the request, and no other one has */
 } VpHttpClientOutcome;
 
 typedef struct {
   const char *method;
-  const char *path;         /* path and query */
-  const void *body;         /* NULL for a request without a body */
-  size_t body_size;         /* bytes */
-  const char *content_type; /* media type of the body; NULL for application/json */
-  bool is_idempotent;       /* the request may be sent twice */
-  int64_t timeout_ms;       /* longest silence of the server, rounded up to seconds; 0 for 1,000 */
-  int64_t valid_until_ms;   /* the body is not sent after this time; 0 for no limit */
+  const char *path;             /* path and query */
+  const void *body;             /* NULL for a request without a body */
+  size_t body_size;             /* bytes */
+  const char *content_type;     /* media type of the body; NULL for application/json */
+  bool is_idempotent;           /* the request may be sent twice */
+  bool only_on_open_connection; /* the request, which has a body, isn't sent on a new connection */
+  int64_t timeout_ms;     /* longest silence of the server, rounded up to seconds; 0 for 1,000 */
+  int64_t valid_until_ms; /* the body is not sent after this time; 0 for no limit */
   const char *response_header;   /* name of a response header to return as a number, or NULL */
   const char *extra_header_name; /* name of an additional request header, or NULL */
   const char *extra_header_value;
@@ -54,6 +57,8 @@
 /* Returns NULL if @address is not a numeric "IP:port". */
 VpHttpClient *vp_http_client_new (const char *address);
 void vp_http_client_free (VpHttpClient *client);
+/* Returns true if a connection is open, as far as the client knows. */
+bool vp_http_client_is_connected (const VpHttpClient *client);
 /* Sends a request and waits for its response. All fields of @response are set in any case. */
 void vp_http_client_call (VpHttpClient *client,
                           const VpHttpClientRequest *call,
--- a/src/vp-nodemsg.c
+++ b/src/vp-nodemsg.c
@@ -3,7 +3,7 @@
 #include <string.h>
 
 #define VP_NODEMSG_TYPE    "(yysttbbbsuxxxxttsuuuumv)"
-#define VP_NODEMSG_VERSION 5
+#define VP_NODEMSG_VERSION 6
 /* Maximum size of a message, far more than a configuration of some hundred queues or a job of 64
  * steps needs. */
 #define VP_NODEMSG_BYTES_MAX (4U * 1024 * 1024)
--- a/src/vp-relay-pack.c
+++ b/src/vp-relay-pack.c
@@ -41,6 +41,7 @@
   _vp_relay_put_string (out, command->checkpoint);
   _vp_relay_put_string (out, command->ticket);
   _vp_relay_put (out, command->acked_end, 8);
+  _vp_relay_put (out, (uint64_t)command->booted_ms, 8);
   _vp_relay_put (out, (uint64_t)command->wait_ms, 4);
   _vp_relay_put (out, command->percent, 4);
 }
@@ -102,6 +103,7 @@
   _vp_relay_get_string (&reader, command->checkpoint, sizeof command->checkpoint);
   _vp_relay_get_string (&reader, command->ticket, sizeof command->ticket);
   command->acked_end = _vp_relay_get (&reader, 8);
+  command->booted_ms = (int64_t)_vp_relay_get (&reader, 8);
   command->wait_ms = (int64_t)_vp_relay_get (&reader, 4);
   command->percent = (uint32_t)_vp_relay_get (&reader, 4);
   if (reader.is_short || kind > VP_COMMAND_THROTTLE)
--- a/tests/simcell.c
+++ b/tests/simcell.c
@@ -356,6 +356,9 @@
   else if (sim->now_ms < worker->partitioned_until_ms
            || _are_partitioned (sim, worker->dc, _node (sim, action->node)->dc))
     result.outcome = VP_COMMAND_UNCERTAIN;
+  /* As the transport does, see VpCommand. */
+  if (action->command.booted_ms != worker->entry.booted_ms)
+    action->command.acked_end = 0;
   if (result.outcome == VP_COMMAND_OK) {
     simcell_jobs_advance_worker (&sim->jobs, sim->now_ms, worker);
     /* A HOLD command waits at the worker until a run ends; the run may have started meanwhile. */
--- a/tests/test-node.c
+++ b/tests/test-node.c
@@ -749,10 +749,11 @@
 static void
 test_random_relays_delays (void)
 {
-  static const uint32_t seeds[] = { 151, 335, 427, 449, 1113 };
+  static const uint32_t seeds[] = { 151, 153, 211, 307, 335, 427, 449, 1113 };
   const RandomDayDesc day = { .dc_count = 1, .cpu_milli = RELAY_CPU_MILLI, .has_delays = true };
 
-  /* 151, 335, 427, 449: restarted workers carried out starts from before their restart. 1113: a job
+  /* 151, 335, 427, 449: restarted workers carried out starts from before their restart. 153, 211,
+   * 307: a HOLD from before a restart acknowledged ends of the worker's next life. 1113: a job
    * was rejected, and then accepted by a leader that got an old copy of the request. */
   for (guint i = 0; g_getenv ("VP_SEED") == NULL && i < G_N_ELEMENTS (seeds); i++)
     _run_random_faults (seeds[i], &day);
--- /dev/null
+++ b/tests/test-pf-workers.c
@@ -0,0 +1,117 @@
+#include "script-server.h"
+#include "vp-pf-workers.h"
+
+#define WORKER     "w-1"
+#define TIMEOUT_US (10 * G_USEC_PER_SEC)
+
+/* Static, since vp_pf_workers_shutdown() doesn't free it: its threads may still use it. */
+static VpPfWorkers *_workers;
+static GAsyncQueue *_results; /* VpCommandResult */
+
+static void
+_post (VpNodeEvent *event, void *data)
+{
+  (void)data;
+  g_async_queue_push (_results, g_memdup2 (&event->command, sizeof event->command));
+}
+
+/* Returns the response to a HOLD of the life @booted_ms of a worker. */
+static char *
+_response (int64_t booted_ms, const char *header)
+{
+  g_autofree char *body = g_strdup_printf (
+      "{\"clock_ms\":5,\"born\":%" G_GINT64_FORMAT ",\"running\":[],\"finished\":[]}", booted_ms);
+
+  return g_strdup_printf ("HTTP/1.1 200 OK\r\n%sContent-Length: %zu\r\n\r\n%s", header,
+                          strlen (body), body);
+}
+
+/* Sends a HOLD that acknowledges ends of the life @booted_ms. Returns the boot time in its answer,
+ * or 0 without one. */
+static int64_t
+_hold (const char *address, uint64_t acked_end, int64_t booted_ms)
+{
+  VpCommand command = { .kind = VP_COMMAND_HOLD, .acked_end = acked_end, .booted_ms = booted_ms };
+  g_autofree VpCommandResult *result = NULL;
+  int64_t answered_ms;
+
+  g_strlcpy (command.worker, WORKER, sizeof command.worker);
+  g_strlcpy (command.address, address, sizeof command.address);
+  vp_pf_workers_send (_workers, &command);
+  result = g_async_queue_timeout_pop (_results, TIMEOUT_US);
+  g_assert_nonnull (result);
+  answered_ms = result->outcome == VP_COMMAND_OK ? result->booted_ms : 0;
+  vp_command_result_clear (result);
+  return answered_ms;
+}
+
+static void
+_setup (void)
+{
+  _results = g_async_queue_new ();
+  _workers = vp_pf_workers_setup (&(VpPfWorkersDesc){ .advice_address = "", .post = _post });
+}
+
+/* Ends the server, whose last step must close the connection, and asserts which numbers of
+ * acknowledged ends the requests had. */
+static void
+_stop_and_check (ScriptServer *server, const uint64_t *acked_ends, guint count)
+{
+  script_stop (server);
+  vp_pf_workers_shutdown (_workers);
+  g_assert_cmpuint (server->bodies->len, ==, count);
+  for (guint i = 0; i < count; i++) {
+    g_autofree char *part = g_strdup_printf ("\"last_seen\":%" G_GUINT64_FORMAT, acked_ends[i]);
+    g_assert_nonnull (strstr (server->bodies->pdata[i], part));
+  }
+  script_shutdown (server);
+}
+
+/* Guards against a HOLD that makes a restarted worker forget ends which no scheduler has seen: the
+ * number of acknowledged ends belongs to its earlier life. */
+static void
+test_restarted_worker (void)
+{
+  g_autofree char *first = _response (100, "");
+  g_autofree char *second = _response (200, "");
+  const ScriptStep steps[] = { { SCRIPT_RESPOND, first },    { SCRIPT_RESPOND, first },
+                               { SCRIPT_NO_RESPONSE, NULL }, { SCRIPT_RESPOND, second },
+                               { SCRIPT_RESPOND, second },   { SCRIPT_RESPOND_CLOSE, second } };
+  ScriptServer server;
+
+  _setup ();
+  script_setup (&server, steps, G_N_ELEMENTS (steps));
+  g_assert_cmpint (_hold (server.address, 7, 100), ==, 100);
+  g_assert_cmpint (_hold (server.address, 7, 100), ==, 100);
+  /* The process ends with the HOLD, and another one answers on the next connection. */
+  g_assert_cmpint (_hold (server.address, 8, 100), ==, 200);
+  /* A HOLD from before the restart was known comes late. */
+  g_assert_cmpint (_hold (server.address, 8, 100), ==, 200);
+  g_assert_cmpint (_hold (server.address, 1, 200), ==, 200);
+  _stop_and_check (&server, (const uint64_t[]){ 0, 7, 8, 0, 0, 1 }, 6);
+}
+
+/* Guards against ends that are never acknowledged, as the worker closes each connection. */
+static void
+test_closed_connections (void)
+{
+  g_autofree char *response = _response (100, "Connection: close\r\n");
+  const ScriptStep steps[]
+      = { { SCRIPT_RESPOND_CLOSE, response }, { SCRIPT_RESPOND_CLOSE, response } };
+  ScriptServer server;
+
+  _setup ();
+  script_setup (&server, steps, G_N_ELEMENTS (steps));
+  g_assert_cmpint (_hold (server.address, 7, 100), ==, 100);
+  g_assert_cmpint (_hold (server.address, 7, 100), ==, 100);
+  _stop_and_check (&server, (const uint64_t[]){ 0, 7 }, 2);
+}
+
+int
+main (int argc, char **argv)
+{
+  g_test_init (&argc, &argv, NULL);
+  g_test_add_func ("/pf-workers/restarted-worker", test_restarted_worker);
+  g_test_add_func ("/pf-workers/closed-connections", test_closed_connections);
+  return g_test_run ();
+}
--- a/tests/test-relay.c
+++ b/tests/test-relay.c
@@ -581,6 +581,27 @@
   vp_relay_agent_clear (&agent);
 }
 
+/* Guards against a HOLD that loses the life of the worker to which its acknowledgement belongs. */
+static void
+test_acknowledgement (void)
+{
+  g_autoptr (GByteArray) packed = g_byte_array_new ();
+  VpCommand hold = { .kind = VP_COMMAND_HOLD,
+                     .lease_end_ms = 486000,
+                     .acked_end = 57,
+                     .booted_ms = 1796488110581,
+                     .wait_ms = 2000 };
+  VpRelayPacked out = { 0 };
+  gsize offset = 0;
+
+  vp_relay_pack_command (packed, &hold, 1, 5, 0);
+  g_assert_true (vp_relay_unpack_command (packed->data, packed->len, &offset, &out));
+  g_assert_cmpuint (out.command.acked_end, ==, hold.acked_end);
+  g_assert_cmpint (out.command.booted_ms, ==, hold.booted_ms);
+  g_assert_cmpint (out.command.lease_end_ms, ==, hold.lease_end_ms);
+  g_assert_cmpint (out.command.wait_ms, ==, hold.wait_ms);
+}
+
 /* A batch of results that ends early gives the results before that, and nothing of the last one. */
 static void
 test_truncated_results (void)
@@ -620,6 +641,7 @@
 main (int argc, char **argv)
 {
   g_test_init (&argc, &argv, NULL);
+  g_test_add_func ("/relay/acknowledgement", test_acknowledgement);
   g_test_add_func ("/relay/small-cell", test_small_cell);
   g_test_add_func ("/relay/round-trip", test_round_trip);
   g_test_add_func ("/relay/dead-relay", test_dead_relay);
