Take no odd entry of another writer for a worker

Reported by other operators: one odd entry among those of the workers, and machines that read the list end again and again or stop following it. The other forms were tried: a capacity of 1e300 was taken for a worker with 2,147,483 cores, a boot time of 1e300 or 2^63 - 1 was accepted, and so were a port out of range, a host name and an identity with a line break, which is written into a header. The HOLD to such an address was dropped without a result, so the scheduler waited for it for ever.

Change: numbers beyond their range make an entry malformed, the address must be an IP address with a port, the identity printable without spaces. A command that can't be sent is reported as not delivered.

--- a/soak/soak.c
+++ b/soak/soak.c
@@ -37,6 +37,7 @@
 #define FAULT_DURATION_MIN_MS 300 /* duration of one fault */
 #define FAULT_DURATION_MAX_MS 6000
 #define CONFIG_APPLY_MS       3000
+#define ODD_ENTRY_NESTING     20000
 
 typedef struct {
   GPid pid;                 /* 0 if not running */
@@ -54,6 +55,7 @@
   const char *celld;
   char *work_dir;
   GRand *rand;
+  GRand *odd_entry_rand; /* of its own, so that the faults of a seed don't depend on odd entries */
   Node nodes[SOAK_NODES_MAX];
   SoakWorkers *workers;
   uint32_t config_version;
@@ -269,6 +271,59 @@
   soak_store_put (_run.soak.store, "op/config", text);
 }
 
+/* Odd entries. */
+
+static void _put_odd_entry (void *data);
+
+static void
+_schedule_odd_entry (int64_t now_ms)
+{
+  fake_timer_add (
+      now_ms + g_rand_int_range (_run.odd_entry_rand, FAULT_DURATION_MIN_MS, FAULT_DURATION_MAX_MS),
+      _put_odd_entry, NULL);
+}
+
+static void
+_remove_odd_entry (void *data)
+{
+  (void)data;
+  soak_store_put (_run.soak.store, "servers/odd", NULL);
+  _schedule_odd_entry (fake_now_ms ());
+}
+
+/* Another writer puts an entry among those of the workers that describes none. */
+static void
+_put_odd_entry (void *data)
+{
+  static const char entry[]
+      = "{\"service\":\"service\",\"address\":\"%s\",\"zone\":\"dc\",\"state\":\"ready\","
+        "\"labels\":[\"a\",\"r0\"],\"capacity\":{\"cpu\":%s,\"mem_mb\":32768},\"other\":%s}";
+  static const struct {
+    const char *address;
+    const char *cpu;
+  } odd[] = { { "127.0.0.1:1", "1e300" },
+              { "127.0.0.1:1", "18446744073709551617" },
+              { "127.0.0.1:65536", "16000" },
+              { "printer", "16000" } };
+  int64_t now_ms = fake_now_ms ();
+  guint i = (guint)g_rand_int_range (_run.odd_entry_rand, 0, G_N_ELEMENTS (odd) + 1);
+  g_autofree char *open = g_strnfill (ODD_ENTRY_NESTING, '[');
+  g_autofree char *close = g_strnfill (ODD_ENTRY_NESTING, ']');
+  g_autofree char *nested = g_strconcat (open, close, NULL);
+  g_autofree char *text = i < G_N_ELEMENTS (odd)
+                              ? g_strdup_printf (entry, odd[i].address, odd[i].cpu, "0")
+                              : g_strdup_printf (entry, "127.0.0.1:1", "16000", nested);
+
+  (void)data;
+  if (now_ms > _run.fault_end_ms)
+    return;
+  _log ("odd-entry number=%u", i);
+  soak_store_put (_run.soak.store, "servers/odd", text);
+  fake_timer_add (
+      now_ms + g_rand_int_range (_run.odd_entry_rand, FAULT_DURATION_MIN_MS, FAULT_DURATION_MAX_MS),
+      _remove_odd_entry, NULL);
+}
+
 /* Faults. */
 
 typedef enum {
@@ -609,6 +664,7 @@
   _run.work_dir = g_dir_make_tmp ("soak-XXXXXX", NULL);
   soak->log_dir = _run.work_dir;
   _run.rand = g_rand_new_with_seed (soak->seed);
+  _run.odd_entry_rand = g_rand_new_with_seed (soak->seed);
   g_mutex_init (&soak->lock);
   fake_setup ();
   now_ms = fake_now_ms ();
@@ -626,6 +682,7 @@
   _run.fault_end_ms = now_ms + WARMUP_MS + soak->fault_duration_ms;
   fake_timer_add (now_ms + WARMUP_MS, (FakeTimerFunc)(void *)soak_callers_start, soak);
   fake_timer_add (now_ms + WARMUP_MS, _inject_fault, NULL);
+  _schedule_odd_entry (now_ms + WARMUP_MS);
   fake_timer_add (_run.fault_end_ms + FAULT_DURATION_MAX_MS + CONFIG_APPLY_MS, _end_fault_phase,
                   NULL);
   fake_timer_add (_run.fault_end_ms + FAULT_DURATION_MAX_MS + CONFIG_APPLY_MS, _start_final_checks,
--- a/tests/test-pf-json.c
+++ b/tests/test-pf-json.c
@@ -62,10 +62,66 @@
   _run_on_small_stack (_decode_as_everything, hidden);
 }
 
+/* Guards against an entry of another writer that is taken for a worker: one with a number that
+ * doesn't fit, or an address that can't be connected to. */
+static void
+test_odd_entries (void)
+{
+  static const struct {
+    const char *rest;
+    bool is_worker;
+  } cases[] = {
+    { ENTRY_ADDRESS "," ENTRY_CAPACITY, true },
+    { ENTRY_ADDRESS "," ENTRY_CAPACITY ",\"born\":1796488110581", true },
+    { ENTRY_ADDRESS "," ENTRY_CAPACITY ",\"unknown\":{\"a\":[[1.5,null]]}", true },
+    { ENTRY_ADDRESS "," ENTRY_CAPACITY ",\"born\":1e300", false },
+    { ENTRY_ADDRESS "," ENTRY_CAPACITY ",\"born\":9223372036854775807", false },
+    { ENTRY_ADDRESS "," ENTRY_CAPACITY ",\"born\":9223372036854775808", false },
+    { ENTRY_ADDRESS "," ENTRY_CAPACITY ",\"born\":18446744073709551617", false },
+    { ENTRY_ADDRESS "," ENTRY_CAPACITY ",\"seq\":99999999999999999999", false },
+    { ENTRY_ADDRESS "," ENTRY_CAPACITY ",\"cold_remaining_ms\":1e999", false },
+    { ENTRY_ADDRESS ",\"capacity\":{\"cpu\":1e300,\"mem_mb\":32768}", false },
+    { ENTRY_ADDRESS ",\"capacity\":{\"cpu\":-1,\"mem_mb\":32768}", false },
+    { ENTRY_ADDRESS ",\"capacity\":{\"cpu\":16000,\"mem_mb\":18446744073709551616}", false },
+    { ENTRY_ADDRESS ",\"capacity\":[16000]", false },
+    { ENTRY_CAPACITY, false },
+    { "\"address\":7," ENTRY_CAPACITY, false },
+    { "\"address\":\"10.1.0.9\"," ENTRY_CAPACITY, false },
+    { "\"address\":\"10.1.0.9:0\"," ENTRY_CAPACITY, false },
+    { "\"address\":\"10.1.0.9:-1\"," ENTRY_CAPACITY, false },
+    { "\"address\":\"10.1.0.9:65536\"," ENTRY_CAPACITY, false },
+    { "\"address\":\"10.1.0.9:8080x\"," ENTRY_CAPACITY, false },
+    { "\"address\":\"10.1.0.999:8080\"," ENTRY_CAPACITY, false },
+    { "\"address\":\"printer:8080\"," ENTRY_CAPACITY, false },
+  };
+
+  for (guint i = 0; i < G_N_ELEMENTS (cases); i++) {
+    g_autofree char *text = g_strdup_printf (ENTRY_HEAD "%s}", cases[i].rest);
+    VpWorkerEntry entry;
+    g_test_message ("%s", text);
+    g_assert_true (vp_pf_decode_worker ("w-1", text, strlen (text), &entry) == cases[i].is_worker);
+  }
+}
+
+/* Guards against an identity that adds a header to commands or a line to the log. */
+static void
+test_odd_identities (void)
+{
+  static const char text[] = ENTRY_HEAD ENTRY_ADDRESS "," ENTRY_CAPACITY "}";
+  static const char *const odd[] = { "", "w 1", "w-1\r\nX-A: b", "w\n", "w-\xc3\xa9" };
+  VpWorkerEntry entry;
+
+  g_assert_true (vp_pf_decode_worker ("i-7F3a_91.c2", text, strlen (text), &entry));
+  for (guint i = 0; i < G_N_ELEMENTS (odd); i++)
+    g_assert_false (vp_pf_decode_worker (odd[i], text, strlen (text), &entry));
+}
+
 int
 main (int argc, char **argv)
 {
   g_test_init (&argc, &argv, NULL);
   g_test_add_func ("/pf-json/deep-nesting", test_deep_nesting);
+  g_test_add_func ("/pf-json/odd-entries", test_odd_entries);
+  g_test_add_func ("/pf-json/odd-identities", test_odd_identities);
   return g_test_run ();
 }
--- a/tests/test-pf-workers.c
+++ b/tests/test-pf-workers.c
@@ -107,11 +107,24 @@
   _stop_and_check (&server, (const uint64_t[]){ 0, 7 }, 2);
 }
 
+/* Guards against a HOLD that never has a result, so that the worker is waited for for ever. */
+static void
+test_bad_address (void)
+{
+  static const char *const addresses[] = { "127.0.0.1:65536", "127.0.0.1", "printer:80" };
+
+  _setup ();
+  for (guint i = 0; i < G_N_ELEMENTS (addresses); i++)
+    g_assert_cmpint (_hold (addresses[i], 0, 0), ==, 0);
+  vp_pf_workers_shutdown (_workers);
+}
+
 int
 main (int argc, char **argv)
 {
   g_test_init (&argc, &argv, NULL);
   g_test_add_func ("/pf-workers/restarted-worker", test_restarted_worker);
   g_test_add_func ("/pf-workers/closed-connections", test_closed_connections);
+  g_test_add_func ("/pf-workers/bad-address", test_bad_address);
   return g_test_run ();
 }
