Store the failure of a run whose start an earlier leader hadn't stored

Cause: progress is stored only for jobs that have started. A leader that learned of a failed run of the one before, whose start wasn't stored, counted the failure and acknowledged the end, but didn't take the job for started. The next leader knew neither the run nor its failure.

Change: a counted failure marks the job as started.

Evidence: /committer/failure-of-unstored-start finds no progress in the commit on the code before and passes now.

--- a/src/vp-joblist.c
+++ b/src/vp-joblist.c
@@ -580,6 +580,8 @@
 
   if (!_vp_task_mark_failed_run (task, run))
     return;
+  /* The start may be an earlier scheduler's that isn't stored; without it, no progress is. */
+  job->is_started = true;
   vp_joblist_mark_dirty (list, job);
   task->failures++;
   task->not_before_ms = now_ms + (VP_JOB_RETRY_MS << MIN (task->failures - 1, 5U));
--- a/tests/test-committer.c
+++ b/tests/test-committer.c
@@ -185,6 +185,30 @@
   _teardown_committer (&fixture);
 }
 
+/* Guards against a task that is started once more than its queue allows: a failed run of an earlier
+ * scheduler, which hadn't stored the start, was acknowledged without being stored. */
+static void
+test_failure_of_unstored_start (void)
+{
+  CommitFixture fixture;
+  VpCommandResult result;
+  VpEndedEntry ended = { .number = 7, .is_task = true, .run = 8, .end = VP_RUN_FAILED };
+  VpJob *job;
+
+  _setup_committer (&fixture, 0);
+  job = _submit (&fixture.cell, 1, 1000);
+  job->is_inherited = true;
+  ended.task.job = job->spec->id;
+  result = _hold_result (&fixture.cell, "w0");
+  g_array_append_val (result.ended, ended);
+  _apply (&fixture.cell, &result);
+  g_assert_true (_has_key (_commit (&fixture), "progress/"));
+  _finish_commit (&fixture, VP_WRITE_OK);
+  g_assert_cmpuint (
+      vp_workerlist_find (vp_cell_workers (fixture.cell.cell), "w0")->last_end_durable, ==, 7);
+  _teardown_committer (&fixture);
+}
+
 int
 main (int argc, char **argv)
 {
@@ -194,5 +218,6 @@
   g_test_add_func ("/committer/ends-become-durable", test_ends_become_durable);
   g_test_add_func ("/committer/reverted-round", test_reverted_round);
   g_test_add_func ("/committer/cancelled-job-in-flight", test_cancelled_job_in_flight);
+  g_test_add_func ("/committer/failure-of-unstored-start", test_failure_of_unstored_start);
   return g_test_run ();
 }
