--- a/src/vp-json-check.c
+++ b/src/vp-json-check.c
@@ -5,13 +5,13 @@
 #include <stdarg.h>
 #include <string.h>
 
-/* A member of an object, or an element of an array. */
-typedef struct _VpJsonScanFrame {
-  const struct _VpJsonScanFrame *parent; /* NULL: the root */
-  const char *name;                      /* not terminated; NULL: an element */
-  size_t name_size;                      /* bytes of the name */
-  uint32_t index;                        /* index of an element */
-} VpJsonScanFrame;
+/* Place in an object or array that is scanned. */
+typedef struct {
+  const char *name; /* member, not terminated; NULL: none, or an element */
+  size_t name_size; /* bytes of the name */
+  bool is_element;
+  uint32_t index; /* index of the element */
+} VpJsonScanPlace;
 
 /* Scanner that checks JSON text before json-glib parses it. json-glib accepts comments, repeated
  * members and trailing text, lets large integers overflow, and recurses without a limit. */
@@ -19,8 +19,8 @@
   const char *at;
   const char *start;
   const char *end;
-  const VpJsonScanFrame *frame; /* member or element that is scanned; NULL: the root */
-  uint32_t depth;
+  VpJsonScanPlace places[VP_JSON_DEPTH_MAX]; /* from the root on */
+  uint32_t depth;                            /* objects and arrays that are open */
   GError **error;
 } VpJsonScan;
 
@@ -30,18 +30,17 @@
 static bool _vp_json_scan_value (VpJsonScan *scan);
 
 static void
-_vp_json_scan_append_path (const VpJsonScanFrame *frame, GString *out)
+_vp_json_scan_append_path (const VpJsonScan *scan, GString *out)
 {
-  if (frame == NULL)
-    return;
-  _vp_json_scan_append_path (frame->parent, out);
-  if (frame->name == NULL) {
-    g_string_append_printf (out, "[%u]", frame->index);
-    return;
+  for (uint32_t i = 0; i < scan->depth; i++) {
+    const VpJsonScanPlace *place = &scan->places[i];
+    if (place->is_element)
+      g_string_append_printf (out, "[%u]", place->index);
+    if (place->name != NULL && out->len > 0)
+      g_string_append_c (out, '.');
+    if (place->name != NULL)
+      g_string_append_len (out, place->name, (gssize)place->name_size);
   }
-  if (out->len > 0)
-    g_string_append_c (out, '.');
-  g_string_append_len (out, frame->name, (gssize)frame->name_size);
 }
 
 static bool _vp_json_scan_set_error (VpJsonScan *scan, const char *format, ...)
@@ -57,7 +56,7 @@
   va_start (args, format);
   text = g_strdup_vprintf (format, args);
   va_end (args);
-  _vp_json_scan_append_path (scan->frame, path);
+  _vp_json_scan_append_path (scan, path);
   g_set_error (scan->error, VP_JSON_ERROR, VP_JSON_ERROR_SYNTAX, "%s%s%s (byte %zu)", path->str,
                path->len > 0 ? ": " : "", text, (size_t)(scan->at - scan->start));
   return false;
@@ -219,16 +218,17 @@
 static bool
 _vp_json_scan_member (VpJsonScan *scan, GHashTable *names)
 {
-  VpJsonScanFrame frame = { .parent = scan->frame };
+  VpJsonScanPlace *place = &scan->places[scan->depth - 1];
+  const char *from;
   g_autofree char *name = NULL;
 
   _vp_json_scan_whitespace (scan);
-  frame.name = scan->at + 1;
+  from = scan->at + 1;
   if (!_vp_json_scan_string (scan))
     return false;
-  frame.name_size = (size_t)(scan->at - 1 - frame.name);
-  name = g_strndup (frame.name, frame.name_size);
-  scan->frame = &frame;
+  place->name = from;
+  place->name_size = (size_t)(scan->at - 1 - from);
+  name = g_strndup (from, place->name_size);
   /* No known field has an escape in its name. Without escapes, equal names have equal bytes. */
   if (strchr (name, '\\') != NULL)
     return _vp_json_scan_set_error (scan, "escape in a field name");
@@ -239,7 +239,7 @@
     return _vp_json_scan_set_error (scan, "expected ':'");
   if (!_vp_json_scan_value (scan))
     return false;
-  scan->frame = frame.parent;
+  place->name = NULL;
   return true;
 }
 
@@ -262,19 +262,19 @@
 static bool
 _vp_json_scan_array (VpJsonScan *scan)
 {
-  VpJsonScanFrame frame = { .parent = scan->frame };
+  VpJsonScanPlace *place = &scan->places[scan->depth - 1];
 
   _vp_json_scan_whitespace (scan);
   if (_vp_json_scan_accept (scan, ']'))
     return true;
+  place->is_element = true;
   do {
-    scan->frame = &frame;
     if (!_vp_json_scan_value (scan))
       return false;
-    scan->frame = frame.parent;
-    frame.index++;
+    place->index++;
     _vp_json_scan_whitespace (scan);
   } while (_vp_json_scan_accept (scan, ','));
+  place->is_element = false;
   return _vp_json_scan_accept (scan, ']') || _vp_json_scan_set_error (scan, "expected ',' or ']'");
 }
 
@@ -294,7 +294,7 @@
     return _vp_json_scan_literal (scan);
   if (scan->depth == VP_JSON_DEPTH_MAX)
     return _vp_json_scan_set_error (scan, "nested deeper than %d", VP_JSON_DEPTH_MAX);
-  scan->depth++;
+  scan->places[scan->depth++] = (VpJsonScanPlace){ 0 };
   is_ok = *scan->at++ == '{' ? _vp_json_scan_object (scan) : _vp_json_scan_array (scan);
   scan->depth--;
   return is_ok;
