Don't put off the expiry of leases with each restart of a silent worker

No lease is granted while the worker's clock isn't known, so only the first restart since its last answer counts.

Evidence: /cell/restarted-worker-never-answers now lets the worker restart each second; it fails with the time started anew and passes now.

--- a/src/vp-http-client.h
+++ b/src/vp-http-client.h
@@ -26,7 +26,7 @@
   VP_HTTP_CLIENT_EXPIRED,   /* valid_until_ms passed before the body was sent; no effect */
   VP_HTTP_CLIENT_UNCERTAIN, /* the request may have been sent, no complete response was received */
   VP_HTTP_CLIENT_CLOSED,    /* only_on_open_connection: the connection is closed; the server at its
-                               other    end may have received the request, and no other one has */
+                               other end may have received the request, and no other one has */
 } VpHttpClientOutcome;
 
 typedef struct {
--- a/src/vp-workerlist.c
+++ b/src/vp-workerlist.c
@@ -183,7 +183,10 @@
   worker->restart_noted_ms = now_ms;
   worker->is_restart_unlisted = true;
   worker->earlier_alive_ms = worker->alive_ms;
-  worker->silent_until_ms = _vp_workerlist_leases_until_ms (worker_list->hold_max_ms, now_ms);
+  /* While its clock isn't known the worker is granted no lease, so a worker that restarts again and
+   * again doesn't put off the time. */
+  if (worker->clock_at_ms != 0)
+    worker->silent_until_ms = _vp_workerlist_leases_until_ms (worker_list->hold_max_ms, now_ms);
   worker->booted_ms = booted_ms;
   worker->clock_ms = worker->clock_at_ms = worker->lease_end_ms = worker->list_sent_ms = 0;
   worker->last_end_seen = worker->last_end_staged = worker->last_end_durable = 0;
--- a/src/vp-workerlist.h
+++ b/src/vp-workerlist.h
@@ -78,8 +78,7 @@
   bool is_restart_unlisted; /* hasn't listed its runs since then, so that the assigned tasks may run
                                in its present life or have ended with the earlier one */
   int64_t earlier_alive_ms; /* @alive_ms of its earlier life */
-  int64_t silent_until_ms;  /* while it hasn't answered in its present life: every lease has expired
-                               after this time */
+  int64_t silent_until_ms;  /* every lease has expired after this time, if its clock isn't known */
   uint64_t last_end_seen;   /* highest number of an end that was processed */
   uint64_t last_end_staged; /* highest end that the current commit covers */
   uint64_t last_end_durable; /* highest end that is durable, so that the worker may drop it */
--- a/tests/test-cell-takeover.c
+++ b/tests/test-cell-takeover.c
@@ -837,6 +837,7 @@
   VpCommandResult result;
   VpRunningEntry running = { .is_task = true, .run = 3, .percent = 100 };
   int64_t expired_ms;
+  int64_t restart_ms;
   VpJob *jobs[2];
 
   _setup (&fixture, 2, false);
@@ -860,7 +861,13 @@
   _apply (&fixture, &result);
   /* The longest lease, of a command that is carried out 2 s late, on a clock that is 2 % slow. */
   expired_ms = fixture.now_ms - 15 + (6000 + 2000) * 1000 / 980;
+  restart_ms = fixture.now_ms + 1000;
   while (fixture.now_ms < expired_ms) {
+    /* The worker's process starts again and again. */
+    if (fixture.now_ms >= restart_ms) {
+      _list_restarted (&fixture, "w0");
+      restart_ms += 1000;
+    }
     _decide (&fixture);
     g_assert_null (_find_command (&fixture, VP_COMMAND_START));
     fixture.now_ms += 50;
