Tests of commands to workers: one object, and a queue that ThreadSanitizer sees

The results came through a GAsyncQueue, whose lock ThreadSanitizer doesn't see. The tests now share one object and take the results from a VpNodeQueue, as the daemon does.

--- a/tests/test-pf-workers.c
+++ b/tests/test-pf-workers.c
@@ -1,18 +1,19 @@
 #include "script-server.h"
+#include "vp-node-queue.h"
 #include "vp-pf-workers.h"
+#include "vp-runtime.h"
 
 #define WORKER     "w-1"
-#define TIMEOUT_US (10 * G_USEC_PER_SEC)
+#define TIMEOUT_MS 10000
 
 /* Static, since vp_pf_workers_shutdown() doesn't free it: its threads may still use it. */
 static VpPfWorkers *_workers;
-static GAsyncQueue *_results; /* VpCommandResult */
+static VpNodeQueue _results;
 
 static void
 _post (VpNodeEvent *event, void *data)
 {
-  (void)data;
-  g_async_queue_push (_results, g_memdup2 (&event->command, sizeof event->command));
+  vp_node_queue_post (data, event);
 }
 
 /* Returns the response to a HOLD of the life @booted_ms of a worker. */
@@ -32,33 +33,28 @@
 _hold (const char *address, uint64_t acked_end, int64_t booted_ms)
 {
   VpCommand command = { .kind = VP_COMMAND_HOLD, .acked_end = acked_end, .booted_ms = booted_ms };
-  g_autofree VpCommandResult *result = NULL;
+  int64_t end_ms = vp_runtime_now_ms () + TIMEOUT_MS;
+  VpNodeEvent event;
   int64_t answered_ms;
 
   g_strlcpy (command.worker, WORKER, sizeof command.worker);
   g_strlcpy (command.address, address, sizeof command.address);
   vp_pf_workers_send (_workers, &command);
-  result = g_async_queue_timeout_pop (_results, TIMEOUT_US);
-  g_assert_nonnull (result);
-  answered_ms = result->outcome == VP_COMMAND_OK ? result->booted_ms : 0;
-  vp_command_result_clear (result);
+  while (!vp_node_queue_take (&_results, &event)) {
+    g_assert_cmpint (vp_runtime_now_ms (), <, end_ms);
+    vp_queue_sleep (&_results.queue, TIMEOUT_MS, NULL);
+  }
+  answered_ms = event.command.outcome == VP_COMMAND_OK ? event.command.booted_ms : 0;
+  vp_node_event_clear (&event);
   return answered_ms;
 }
 
-static void
-_setup (void)
-{
-  _results = g_async_queue_new ();
-  _workers = vp_pf_workers_setup (&(VpPfWorkersDesc){ .advice_address = "", .post = _post });
-}
-
 /* Ends the server, whose last step must close the connection, and asserts which numbers of
  * acknowledged ends the requests had. */
 static void
 _stop_and_check (ScriptServer *server, const uint64_t *acked_ends, guint count)
 {
   script_stop (server);
-  vp_pf_workers_shutdown (_workers);
   g_assert_cmpuint (server->bodies->len, ==, count);
   for (guint i = 0; i < count; i++) {
     g_autofree char *part = g_strdup_printf ("\"last_seen\":%" G_GUINT64_FORMAT, acked_ends[i]);
@@ -79,7 +75,6 @@
                                { SCRIPT_RESPOND, second },   { SCRIPT_RESPOND_CLOSE, second } };
   ScriptServer server;
 
-  _setup ();
   script_setup (&server, steps, G_N_ELEMENTS (steps));
   g_assert_cmpint (_hold (server.address, 7, 100), ==, 100);
   g_assert_cmpint (_hold (server.address, 7, 100), ==, 100);
@@ -100,7 +95,6 @@
       = { { SCRIPT_RESPOND_CLOSE, response }, { SCRIPT_RESPOND_CLOSE, response } };
   ScriptServer server;
 
-  _setup ();
   script_setup (&server, steps, G_N_ELEMENTS (steps));
   g_assert_cmpint (_hold (server.address, 7, 100), ==, 100);
   g_assert_cmpint (_hold (server.address, 7, 100), ==, 100);
@@ -113,18 +107,23 @@
 {
   static const char *const addresses[] = { "127.0.0.1:65536", "127.0.0.1", "printer:80" };
 
-  _setup ();
   for (guint i = 0; i < G_N_ELEMENTS (addresses); i++)
     g_assert_cmpint (_hold (addresses[i], 0, 0), ==, 0);
-  vp_pf_workers_shutdown (_workers);
 }
 
 int
 main (int argc, char **argv)
 {
+  int status;
+
   g_test_init (&argc, &argv, NULL);
+  vp_node_queue_setup (&_results, vp_runtime_now_ms);
+  _workers = vp_pf_workers_setup (
+      &(VpPfWorkersDesc){ .advice_address = "", .post = _post, .data = &_results });
   g_test_add_func ("/pf-workers/restarted-worker", test_restarted_worker);
   g_test_add_func ("/pf-workers/closed-connections", test_closed_connections);
   g_test_add_func ("/pf-workers/bad-address", test_bad_address);
-  return g_test_run ();
+  status = g_test_run ();
+  vp_pf_workers_shutdown (_workers);
+  return status;
 }
