Log what a cancellation was answered and which unassigned runs are stopped

Cause: the record of the incident shows runs of cancelled jobs, and no log line tells whether the leader knew the job when it answered the cancellation, which term answered, or which run a new leader found and stopped.

Change: "cancel-unknown" at the leader, "cancel-answered" with the term at the node that was asked, and "stop-unassigned" with task, run, worker and the state of the job.

--- a/src/vp-cell.c
+++ b/src/vp-cell.c
@@ -768,11 +768,17 @@
 
 /* Sends the stops for listed runs that belong to no task. */
 static void
-_vp_cell_stop_orphans (VpCell *cell, GArray *effects)
+_vp_cell_stop_orphans (VpCell *cell, int64_t now_ms, GArray *effects)
 {
   for (guint i = 0; i < cell->reconcile.orphan_stops->len; i++) {
     VpCellEffect effect = { .kind = VP_CELL_COMMAND,
                             .command = g_array_index (cell->reconcile.orphan_stops, VpCommand, i) };
+    const VpJob *job = vp_joblist_find (cell->jobs, effect.command.task.job);
+    char name[VP_TASK_NAME_MAX];
+    vp_task_name_format (&effect.command.task, name);
+    vp_log (now_ms, "stop-unassigned", "task=%s run=%u worker=%s job_state=%s", name,
+            effect.command.run, effect.command.worker,
+            job == NULL ? "unknown" : vp_job_state_token (job->state));
     g_array_append_val (effects, effect);
   }
   g_array_set_size (cell->reconcile.orphan_stops, 0);
@@ -781,7 +787,7 @@
 void
 vp_cell_decide (VpCell *cell, int64_t now_ms, GArray *effects)
 {
-  _vp_cell_stop_orphans (cell, effects);
+  _vp_cell_stop_orphans (cell, now_ms, effects);
   for (guint i = 0; i < cell->worker_list->workers->len; i++)
     _vp_cell_send_hold (cell, cell->worker_list->workers->pdata[i], now_ms, effects);
   _vp_cell_check_recovered (cell, now_ms);
--- a/src/vp-frontend.c
+++ b/src/vp-frontend.c
@@ -250,6 +250,12 @@
     vp_metrics_add (VP_COUNTER_LATE_ANSWERS, 1);
     return;
   }
+  if (pending->kind == VP_NODEMSG_CANCEL)
+    vp_log (now_ms, "cancel-answered",
+            "job=%016" G_GINT64_MODIFIER "x answer=%s term=%" G_GUINT64_FORMAT
+            " waited_ms=%" G_GINT64_FORMAT,
+            pending->job, vp_answer_kind_token (message->answer), message->term,
+            now_ms - pending->arrived_ms);
   switch (message->answer) {
   case VP_ANSWER_NOT_LEADER:
     pending->next_send_ms = now_ms + VP_FRONTEND_NOT_LEADER_RETRY_MS;
--- a/src/vp-jobservice.c
+++ b/src/vp-jobservice.c
@@ -220,6 +220,10 @@
   VpJob *job = vp_joblist_find (vp_cell_jobs (service->cell), message->job);
 
   if (job == NULL) {
+    vp_log (now_ms, "cancel-unknown",
+            "job=%016" G_GINT64_MODIFIER "x commit_age_ms=%" G_GINT64_FORMAT " from=%s",
+            message->job, vp_committer_last_commit_age_ms (service->committer, now_ms),
+            message->from);
     _vp_jobservice_answer_unknown_job (service, message, now_ms, answers);
     return;
   }
--- a/src/vp-nodemsg.c
+++ b/src/vp-nodemsg.c
@@ -81,3 +81,13 @@
 
   return tokens[kind];
 }
+
+const char *
+vp_answer_kind_token (VpAnswerKind kind)
+{
+  static const char *const tokens[]
+      = { "accepted", "state",           "pending-count", "no-such-job",
+          "rejected", "outcome-unknown", "not-leader" };
+
+  return tokens[kind];
+}
--- a/src/vp-nodemsg.h
+++ b/src/vp-nodemsg.h
@@ -73,3 +73,4 @@
 bool vp_nodemsg_decode (GBytes *wire, VpNodeMsg *out);
 void vp_nodemsg_clear (VpNodeMsg *message);
 const char *vp_nodemsg_kind_token (VpNodeMsgKind kind);
+const char *vp_answer_kind_token (VpAnswerKind kind);
