Remember the cancellation of a job whose submission is still under way

What callers saw: a cancellation was answered 410, the job was accepted afterwards and ran.

Cause: the leader answered that there is no such job from its memory and kept nothing. The submission waited at another node for a leader, or was on its way, and was accepted like any other. A leader that had been replaced without noticing gave the same answer for jobs that its successor had accepted.

Change: the cancellation of an unknown job is stored as the end of a job without a queue before it is answered 410. A submission that arrives later is accepted as that of a cancelled job. A new leader loads these ends with all others, and they are kept as long. At most 4,096 of them are kept; beyond that, and while the store takes no commits, such a cancellation is rejected. That of a job whose submission is rejected for want of the store is rejected as well.

--- a/src/vp-joblist.c
+++ b/src/vp-joblist.c
@@ -312,10 +312,35 @@
   job->state = state;
   job->ended_ms = ended_ms;
   job->is_durable = job->is_end_durable = job->is_started = true;
+  job->is_unsubmitted = state == VP_JOB_CANCELLED && queue[0] == '\0';
+  list->unsubmitted_count += job->is_unsubmitted ? 1 : 0;
   g_hash_table_replace (list->jobs, &job->spec->id, job);
   return job;
 }
 
+VpJob *
+vp_joblist_add_unsubmitted (VpJobList *list, uint64_t id, int64_t now_ms)
+{
+  VpJob *job;
+
+  if (list->unsubmitted_count >= VP_JOBLIST_UNSUBMITTED_MAX)
+    return NULL;
+  job = vp_joblist_add_ended (list, id, "", VP_JOB_CANCELLED, now_ms);
+  job->is_durable = job->is_end_durable = false;
+  vp_joblist_mark_dirty (list, job);
+  return job;
+}
+
+void
+vp_joblist_note_submission (VpJobList *list, VpJob *job, const char *queue)
+{
+  job->is_unsubmitted = false;
+  list->unsubmitted_count--;
+  g_strlcpy (job->spec->queue, queue, sizeof job->spec->queue);
+  job->is_end_durable = false;
+  vp_joblist_mark_dirty (list, job);
+}
+
 static void
 _vp_job_remove_ready_steps (VpJobList *list, const VpJob *job)
 {
@@ -339,6 +364,7 @@
     list->unfinished_count--;
     vp_joblist_team (list, job->spec->team)->job_count--;
   }
+  list->unsubmitted_count -= job->is_unsubmitted ? 1 : 0;
   g_hash_table_remove (list->jobs, &job->spec->id);
 }
 
--- a/src/vp-joblist.h
+++ b/src/vp-joblist.h
@@ -28,6 +28,9 @@
 #define VP_PROGRESS_TYPE "(tba(uuaqa(us)a(ut)))"
 #define VP_JOB_END_TYPE  "(tsyx)"
 
+/* Maximum number of jobs in a list that were cancelled before they were submitted. */
+#define VP_JOBLIST_UNSUBMITTED_MAX 4096
+
 typedef struct _VpJob VpJob;
 typedef struct _VpJobOccurrence VpJobOccurrence;
 typedef struct _VpJobStep VpJobStep;
@@ -130,6 +133,7 @@
   bool is_durable;         /* the job is stored, so that its tasks may start */
   bool is_end_durable;     /* the end of the job is stored, so that callers may see it */
   bool is_started;         /* a task was started at least once */
+  bool is_unsubmitted;     /* it was cancelled, but no submission of it has arrived yet */
   bool is_progress_stored; /* progress of the job is stored */
   GList *dirty_link;       /* its link in @dirty of its list; NULL: none */
   bool is_dirty_urgent;    /* it is among the urgent jobs in @dirty */
@@ -158,14 +162,20 @@
   uint64_t dirty_round;      /* see vp_joblist_begin_round() */
   GHashTable *teams;         /* name -> VpTeamUsage */
   uint32_t unfinished_count; /* number of jobs that haven't ended */
+  uint32_t unsubmitted_count; /* number of jobs that were cancelled before they were submitted */
 } VpJobList;
 
 VpJobList *vp_joblist_setup (void);
 void vp_joblist_shutdown (VpJobList *list);
 /* Adds a new job and takes a reference to @spec. The job belongs to the list. */
 VpJob *vp_joblist_add (VpJobList *list, VpJobSpec *spec, int64_t arrived_ms, int64_t now_ms);
+/* Adds a cancelled job of which no submission has arrived. One that arrives later finds a job that
+ * has ended. Returns NULL if the list has VP_JOBLIST_UNSUBMITTED_MAX such jobs. */
+VpJob *vp_joblist_add_unsubmitted (VpJobList *list, uint64_t id, int64_t now_ms);
+/* Notes that a submission of the cancelled job to @queue has arrived, which has to be stored. */
+void vp_joblist_note_submission (VpJobList *list, VpJob *job, const char *queue);
 /* Adds an ended job that was read from the store. Only its state and the time of its end are known.
- */
+ * An empty @queue: the job was cancelled before it was submitted. */
 VpJob *vp_joblist_add_ended (VpJobList *list,
                              uint64_t id,
                              const char *queue,
--- a/src/vp-jobservice.c
+++ b/src/vp-jobservice.c
@@ -26,6 +26,7 @@
   char from[VP_NAME_MAX]; /* node that sent the request */
   uint64_t serial;
   VpNodeMsgKind kind;
+  char queue[VP_NAME_MAX]; /* queue of the request */
   int64_t since_ms;
 } VpJobServiceWaiter;
 
@@ -98,6 +99,17 @@
   return &g_array_index (answers, VpJobServiceAnswer, answers->len - 1).message;
 }
 
+static void
+_vp_jobservice_add_rejection (const VpJobService *service,
+                              const char *to,
+                              uint64_t serial,
+                              GArray *answers)
+{
+  _vp_jobservice_add_answer (service, to, serial, VP_ANSWER_REJECTED, answers)->retry_after_ms
+      = VP_JOBSERVICE_STORE_RETRY_MS;
+}
+
+/* Rejects a submission and remembers that. */
 static void
 _vp_jobservice_reject (VpJobService *service,
                        const char *to,
@@ -109,8 +121,7 @@
 
   g_strlcpy (rejected.from, to, sizeof rejected.from);
   g_array_append_val (service->rejections, rejected);
-  _vp_jobservice_add_answer (service, to, serial, VP_ANSWER_REJECTED, answers)->retry_after_ms
-      = VP_JOBSERVICE_STORE_RETRY_MS;
+  _vp_jobservice_add_rejection (service, to, serial, answers);
 }
 
 static bool
@@ -134,6 +145,7 @@
       = { .serial = message->serial, .kind = message->kind, .since_ms = now_ms };
 
   g_strlcpy (waiter.from, message->from, sizeof waiter.from);
+  g_strlcpy (waiter.queue, message->queue, sizeof waiter.queue);
   if (waiters == NULL) {
     waiters = g_array_new (FALSE, FALSE, sizeof (VpJobServiceWaiter));
     g_hash_table_insert (service->waiters, g_memdup2 (&message->job, sizeof message->job), waiters);
@@ -141,6 +153,19 @@
   g_array_append_val (waiters, waiter);
 }
 
+/* Lets the submission of a job that was cancelled before be stored. */
+static void
+_vp_jobservice_note_submission (VpJobService *service,
+                                VpJob *job,
+                                const char *queue,
+                                int64_t now_ms)
+{
+  vp_log (now_ms, "submit-cancelled",
+          "job=%016" G_GINT64_MODIFIER "x queue=%s cancelled_ms=%" G_GINT64_FORMAT, job->spec->id,
+          queue, now_ms - job->ended_ms);
+  vp_joblist_note_submission (vp_cell_jobs (service->cell), job, queue);
+}
+
 static void
 _vp_jobservice_submit (VpJobService *service,
                        const VpNodeMsg *message,
@@ -151,6 +176,13 @@
   VpJob *job = vp_joblist_find (jobs, message->job);
   g_autoptr (VpJobSpec) spec = NULL;
 
+  if (job != NULL && job->is_unsubmitted) {
+    _vp_jobservice_add_waiter (service, message, now_ms);
+    /* Otherwise the submission is noted once the commit that may be in flight is done. */
+    if (job->is_end_durable)
+      _vp_jobservice_note_submission (service, job, message->queue, now_ms);
+    return;
+  }
   if (job != NULL && job->is_durable) {
     _vp_jobservice_add_answer (service, message->from, message->serial, VP_ANSWER_ACCEPTED,
                                answers);
@@ -203,14 +235,46 @@
       = vp_committer_last_commit_age_ms (service->committer, now_ms) > VP_JOBSERVICE_UNCONFIRMED_MS;
 
   if (is_unconfirmed)
-    _vp_jobservice_add_answer (service, message->from, message->serial, VP_ANSWER_REJECTED, answers)
-        ->retry_after_ms
-        = VP_JOBSERVICE_STORE_RETRY_MS;
+    _vp_jobservice_add_rejection (service, message->from, message->serial, answers);
   else
     _vp_jobservice_add_answer (service, message->from, message->serial, VP_ANSWER_NO_SUCH_JOB,
                                answers);
 }
 
+/* Cancels a job of which no submission has arrived. Returns NULL if the request was answered. */
+static VpJob *
+_vp_jobservice_cancel_unsubmitted (VpJobService *service,
+                                   const VpNodeMsg *message,
+                                   int64_t now_ms,
+                                   GArray *answers)
+{
+  int64_t commit_age_ms = vp_committer_last_commit_age_ms (service->committer, now_ms);
+  VpJob *job;
+
+  if (service->is_paused) {
+    _vp_jobservice_add_answer (service, message->from, message->serial, VP_ANSWER_NOT_LEADER,
+                               answers);
+    return NULL;
+  }
+  job = commit_age_ms > VP_JOBSERVICE_REJECT_MS
+            ? NULL
+            : vp_joblist_add_unsubmitted (vp_cell_jobs (service->cell), message->job, now_ms);
+  vp_log (
+      now_ms, job == NULL ? "cancel-rejected" : "cancel-unsubmitted",
+      "job=%016" G_GINT64_MODIFIER "x commit_age_ms=%" G_GINT64_FORMAT " unsubmitted=%u from=%s",
+      message->job, commit_age_ms, vp_cell_jobs (service->cell)->unsubmitted_count, message->from);
+  if (job == NULL)
+    _vp_jobservice_add_rejection (service, message->from, message->serial, answers);
+  return job;
+}
+
+/* Returns the answer to the cancellation of a job whose end is durable. */
+static VpAnswerKind
+_vp_jobservice_cancelled_answer (const VpJob *job)
+{
+  return job->is_unsubmitted ? VP_ANSWER_NO_SUCH_JOB : VP_ANSWER_ACCEPTED;
+}
+
 static void
 _vp_jobservice_cancel (VpJobService *service,
                        const VpNodeMsg *message,
@@ -219,20 +283,16 @@
 {
   VpJob *job = vp_joblist_find (vp_cell_jobs (service->cell), message->job);
 
-  if (job == NULL) {
-    vp_log (now_ms, "cancel-unknown",
-            "job=%016" G_GINT64_MODIFIER "x commit_age_ms=%" G_GINT64_FORMAT " from=%s",
-            message->job, vp_committer_last_commit_age_ms (service->committer, now_ms),
-            message->from);
-    _vp_jobservice_answer_unknown_job (service, message, now_ms, answers);
+  if (job == NULL)
+    job = _vp_jobservice_cancel_unsubmitted (service, message, now_ms, answers);
+  if (job == NULL)
     return;
-  }
   if (vp_cell_cancel (service->cell, message->job, now_ms))
     vp_log (now_ms, "cancel", "job=%016" G_GINT64_MODIFIER "x dispatched=%u from=%s", message->job,
             job->assigned_count, message->from);
   if (job->is_end_durable)
-    _vp_jobservice_add_answer (service, message->from, message->serial, VP_ANSWER_ACCEPTED,
-                               answers);
+    _vp_jobservice_add_answer (service, message->from, message->serial,
+                               _vp_jobservice_cancelled_answer (job), answers);
   else
     _vp_jobservice_add_waiter (service, message, now_ms);
 }
@@ -254,7 +314,7 @@
     break;
   case VP_NODEMSG_QUERY:
     job = vp_joblist_find (vp_cell_jobs (service->cell), message->job);
-    if (job == NULL || !job->is_durable)
+    if (job == NULL || !job->is_durable || job->is_unsubmitted)
       _vp_jobservice_answer_unknown_job (service, message, now_ms, answers);
     else
       _vp_jobservice_add_answer (service, message->from, message->serial, VP_ANSWER_STATE, answers)
@@ -272,27 +332,45 @@
   }
 }
 
+/* Answers the requests that wait for what has become durable of the job. */
+static void
+_vp_jobservice_answer_durable (VpJobService *service,
+                               VpJob *job,
+                               GArray *waiters,
+                               int64_t now_ms,
+                               GArray *answers)
+{
+  const char *queue = NULL;
+
+  for (guint i = 0; i < waiters->len;) {
+    const VpJobServiceWaiter *waiter = &g_array_index (waiters, VpJobServiceWaiter, i);
+    bool is_cancel = waiter->kind == VP_NODEMSG_CANCEL;
+    if (is_cancel ? !job->is_end_durable : job->is_unsubmitted) {
+      queue = is_cancel ? queue : waiter->queue;
+      i++;
+      continue;
+    }
+    _vp_jobservice_add_answer (
+        service, waiter->from, waiter->serial,
+        is_cancel ? _vp_jobservice_cancelled_answer (job) : VP_ANSWER_ACCEPTED, answers);
+    g_array_remove_index (waiters, i);
+  }
+  if (queue != NULL)
+    _vp_jobservice_note_submission (service, job, queue, now_ms);
+}
+
 void
 vp_jobservice_handle_durable (VpJobService *service,
                               const GArray *durable,
                               int64_t now_ms,
                               GArray *answers)
 {
-  (void)now_ms;
   for (guint i = 0; i < durable->len; i++) {
     const uint64_t *id = &g_array_index (durable, uint64_t, i);
     GArray *waiters = g_hash_table_lookup (service->waiters, id);
-    const VpJob *job = vp_joblist_find (vp_cell_jobs (service->cell), *id);
-    for (guint w = 0; waiters != NULL && w < waiters->len;) {
-      const VpJobServiceWaiter *waiter = &g_array_index (waiters, VpJobServiceWaiter, w);
-      if (waiter->kind == VP_NODEMSG_CANCEL && (job == NULL || !job->is_end_durable)) {
-        w++;
-        continue;
-      }
-      _vp_jobservice_add_answer (service, waiter->from, waiter->serial, VP_ANSWER_ACCEPTED,
-                                 answers);
-      g_array_remove_index (waiters, w);
-    }
+    VpJob *job = vp_joblist_find (vp_cell_jobs (service->cell), *id);
+    if (waiters != NULL && job != NULL)
+      _vp_jobservice_answer_durable (service, job, waiters, now_ms, answers);
     if (waiters != NULL && waiters->len == 0)
       g_hash_table_remove (service->waiters, id);
   }
@@ -311,7 +389,7 @@
   VpJob *job = vp_joblist_find (jobs, id);
   const VpJobServiceWaiter *first = &g_array_index (waiters, VpJobServiceWaiter, 0);
 
-  if (job == NULL || job->is_durable || job->assigned_count > 0
+  if (job == NULL || job->is_durable || job->assigned_count > 0 || job->occurrences == NULL
       || now_ms - first->since_ms < VP_JOBSERVICE_WITHDRAW_MS
       || !vp_committer_is_unsent (service->committer, id))
     return false;
@@ -320,9 +398,9 @@
           vp_committer_last_commit_age_ms (service->committer, now_ms));
   for (guint i = 0; i < waiters->len; i++) {
     const VpJobServiceWaiter *waiter = &g_array_index (waiters, VpJobServiceWaiter, i);
+    /* The same job may still be submitted at another node, so no cancellation is confirmed. */
     if (waiter->kind == VP_NODEMSG_CANCEL)
-      _vp_jobservice_add_answer (service, waiter->from, waiter->serial, VP_ANSWER_NO_SUCH_JOB,
-                                 answers);
+      _vp_jobservice_add_rejection (service, waiter->from, waiter->serial, answers);
     else
       _vp_jobservice_reject (service, waiter->from, waiter->serial, now_ms, answers);
   }
--- a/src/vp-jobservice.h
+++ b/src/vp-jobservice.h
@@ -8,6 +8,11 @@
  *
  * A job is accepted, and a cancellation confirmed, once it is durable. If an answer is lost, the
  * node sends its request again with the same serial and gets the same answer.
+ *
+ * A cancellation can overtake the submission, which may wait at another node, for example for a new
+ * leader. So that of an unknown job is stored like the end of a job, for as long, before it is
+ * answered; a submission that arrives later is accepted as one of a cancelled job. Their number is
+ * limited by VP_JOBLIST_UNSUBMITTED_MAX, beyond which such cancellations are rejected.
  */
 #pragma once
 
--- a/tests/simcell-jobs.c
+++ b/tests/simcell-jobs.c
@@ -2,6 +2,9 @@
 
 /* A task may be started two times more after it has crashed three workers. */
 #define CRASHES_MAX 5
+/* No task is started later than this after a node has confirmed that its job is cancelled. The
+ * platform's cancel_ms has this value on all sites or a higher one. */
+#define CANCEL_MS 3000
 
 SimJob *
 simcell_jobs_find (const SimCellJobs *jobs, uint64_t id)
@@ -70,6 +73,29 @@
   }
 }
 
+void
+simcell_jobs_check_cancelled (const SimCellJobs *jobs, int64_t now_ms, const VpCommand *command)
+{
+  const SimJob *job = simcell_jobs_find (jobs, command->task.job);
+
+  if (job->cancelled_ms != 0 && now_ms > job->cancelled_ms + CANCEL_MS)
+    _report_violation (jobs, now_ms, "started after the cancel of its job was confirmed",
+                       &command->task);
+}
+
+uint32_t
+simcell_jobs_running_count (const SimCellJobs *jobs, uint64_t id)
+{
+  uint32_t count = 0;
+
+  for (guint i = 0; i < jobs->workers->len; i++) {
+    const SimCellWorker *worker = jobs->workers->pdata[i];
+    for (guint r = 0; worker->is_up && r < worker->runs->len; r++)
+      count += g_array_index (worker->runs, SimCellRun, r).task.job == id ? 1 : 0;
+  }
+  return count;
+}
+
 /* Ends all members of a gang after one of them has ended. If that one is done, all are done;
  * otherwise the others are stopped. */
 static void
@@ -164,6 +190,7 @@
 
   job->id = id;
   job->desc = *desc;
+  job->cancel_next_ms = INT64_MAX;
   job->done = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
   job->acked = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
   job->started = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
--- a/tests/simcell-jobs.h
+++ b/tests/simcell-jobs.h
@@ -35,7 +35,11 @@
   bool is_rejected;        /* the job was rejected and no earlier request had an unknown outcome */
   bool is_outcome_unknown; /* a request had no answer, so the job may have been accepted */
   bool is_cancel_requested;
-  bool is_cancelled; /* a node has confirmed the cancel */
+  bool is_cancelled;      /* a node has confirmed the cancel */
+  int64_t cancelled_ms;   /* time of the first confirmation; 0: none */
+  uint32_t cancel_node;   /* as @node and @handle, for the cancel */
+  uint64_t cancel_handle; /* 0: no cancel waits for a reply */
+  int64_t cancel_next_ms; /* time of the next cancel; INT64_MAX: none */
   int64_t next_attempt_ms;
   GHashTable *done;     /* names of the tasks that have ended as done */
   GHashTable *acked;    /* names of the done tasks whose end was acknowledged to the worker */
@@ -60,6 +64,12 @@
                                int64_t now_ms,
                                const SimCellWorker *worker,
                                const VpCommand *command);
+/* Checks that the job of a start that a worker has carried out at once wasn't cancelled long ago.
+ */
+void
+simcell_jobs_check_cancelled (const SimCellJobs *jobs, int64_t now_ms, const VpCommand *command);
+/* Number of runs of the job on all workers. */
+uint32_t simcell_jobs_running_count (const SimCellJobs *jobs, uint64_t id);
 /* Checks the ends that were acknowledged to the worker since the last call: the task must not have
  * been started after such an end. */
 void simcell_jobs_check_acked_ends (const SimCellJobs *jobs, int64_t now_ms, SimCellWorker *worker);
--- a/tests/simcell.c
+++ b/tests/simcell.c
@@ -389,6 +389,8 @@
         worker->crash_ms = MIN (worker->crash_ms, sim->now_ms + CRASH_DELAY_MS);
       }
       simcell_jobs_check_start (&sim->jobs, sim->now_ms, worker, &action->command);
+      if (action->booted_ms == 0)
+        simcell_jobs_check_cancelled (&sim->jobs, sim->now_ms, &action->command);
       if (simcell_jobs_find (&sim->jobs, action->command.task.job)->desc.is_gang)
         simcell_jobs_start_gang_work (&sim->jobs, sim->now_ms, &action->command);
     }
@@ -486,6 +488,20 @@
   }
 }
 
+static void
+_handle_cancel_reply (SimCell *sim, SimJob *job, const VpReply *reply)
+{
+  job->cancel_handle = 0;
+  if (reply->kind != VP_REPLY_CANCELLED && reply->kind != VP_REPLY_NO_SUCH_JOB) {
+    job->cancel_next_ms = sim->now_ms + reply->retry_after_ms;
+    return;
+  }
+  job->cancel_next_ms = INT64_MAX;
+  job->is_cancelled = true;
+  if (job->cancelled_ms == 0)
+    job->cancelled_ms = sim->now_ms;
+}
+
 static void
 _handle_reply (SimCell *sim, const VpReply *reply)
 {
@@ -494,6 +510,10 @@
   if (job == NULL)
     return;
   g_hash_table_remove (sim->pending_calls, &reply->handle);
+  if (reply->handle == job->cancel_handle) {
+    _handle_cancel_reply (sim, job, reply);
+    return;
+  }
   job->handle = 0;
   if (reply->kind == VP_REPLY_ACCEPTED)
     job->is_accepted = true;
@@ -501,8 +521,6 @@
     job->is_rejected = true;
   else if (reply->kind == VP_REPLY_REJECTED)
     job->next_attempt_ms = sim->now_ms + reply->retry_after_ms;
-  if (reply->kind == VP_REPLY_CANCELLED)
-    job->is_cancelled = true;
   if (reply->kind == VP_REPLY_OUTCOME_UNKNOWN) {
     job->is_outcome_unknown = true;
     job->next_attempt_ms = sim->now_ms;
@@ -697,27 +715,53 @@
   _send_changed_worker_lists (sim);
 }
 
+/* Sends a request to the node after @node, if that is up. */
 static VpNodeEvent *
-_send_request (SimCell *sim, SimJob *job, VpCallerRequestKind kind)
+_send_request (SimCell *sim,
+               SimJob *job,
+               VpCallerRequestKind kind,
+               uint32_t *node,
+               uint64_t *handle,
+               int64_t *next_attempt_ms)
 {
   VpNodeEvent *event;
 
-  job->node = job->node + 1 < sim->nodes->len ? job->node + 1 : 0;
-  job->next_attempt_ms = sim->now_ms + CALLER_TIMEOUT_MS;
-  if (_node (sim, job->node)->node == NULL)
+  /* The caller has stopped waiting for the answer to its last request. */
+  g_hash_table_remove (sim->pending_calls, handle);
+  *handle = 0;
+  *node = *node + 1 < sim->nodes->len ? *node + 1 : 0;
+  *next_attempt_ms = sim->now_ms + CALLER_TIMEOUT_MS;
+  if (_node (sim, *node)->node == NULL)
     return NULL;
-  event = _post_node_event (sim, job->node, VP_NODE_EVENT_REQUEST, LINK_DELAY_MS);
-  event->request.handle = job->handle = ++sim->last_handle;
+  event = _post_node_event (sim, *node, VP_NODE_EVENT_REQUEST, LINK_DELAY_MS);
+  event->request.handle = *handle = ++sim->last_handle;
   event->request.kind = kind;
   event->request.wait_ms = CALLER_TIMEOUT_MS;
   g_strlcpy (event->request.host, "host", sizeof event->request.host);
   g_strlcpy (event->request.key, "key", sizeof event->request.key);
   g_snprintf (event->request.path, sizeof event->request.path, "/q/%016" G_GINT64_MODIFIER "x",
               job->id);
-  g_hash_table_insert (sim->pending_calls, g_memdup2 (&job->handle, sizeof job->handle), job);
+  g_hash_table_insert (sim->pending_calls, g_memdup2 (handle, sizeof *handle), job);
   return event;
 }
 
+static void
+_tick_submission (SimCell *sim, SimJob *job)
+{
+  VpNodeEvent *event;
+
+  if (sim->now_ms < job->next_attempt_ms)
+    return;
+  job->next_attempt_ms = INT64_MAX;
+  job->is_outcome_unknown |= job->handle != 0;
+  if (job->is_accepted || job->is_rejected)
+    return;
+  event = _send_request (sim, job, VP_CALLER_REQUEST_SUBMIT, &job->node, &job->handle,
+                         &job->next_attempt_ms);
+  if (event != NULL)
+    event->request.spec = vp_jobspec_ref (job->spec);
+}
+
 static void
 _tick_callers (SimCell *sim)
 {
@@ -727,23 +771,10 @@
   g_hash_table_iter_init (&iter, sim->jobs.by_id);
   while (g_hash_table_iter_next (&iter, NULL, &value)) {
     SimJob *job = value;
-    VpNodeEvent *event;
-    if (sim->now_ms < job->next_attempt_ms)
-      continue;
-    job->next_attempt_ms = INT64_MAX;
-    /* The caller has stopped waiting for the answer to its last request. */
-    if (job->handle != 0) {
-      job->is_outcome_unknown = true;
-      g_hash_table_remove (sim->pending_calls, &job->handle);
-      job->handle = 0;
-    }
-    if (!job->is_accepted && !job->is_rejected) {
-      event = _send_request (sim, job, VP_CALLER_REQUEST_SUBMIT);
-      if (event != NULL)
-        event->request.spec = vp_jobspec_ref (job->spec);
-    } else if (job->is_cancel_requested && !job->is_cancelled) {
-      _send_request (sim, job, VP_CALLER_REQUEST_CANCEL);
-    }
+    _tick_submission (sim, job);
+    if (sim->now_ms >= job->cancel_next_ms)
+      _send_request (sim, job, VP_CALLER_REQUEST_CANCEL, &job->cancel_node, &job->cancel_handle,
+                     &job->cancel_next_ms);
   }
 }
 
@@ -905,12 +936,25 @@
 }
 
 void
-simcell_cancel (SimCell *sim, uint64_t id)
+simcell_cancel (SimCell *sim, uint64_t id, int64_t delay_ms)
 {
   SimJob *job = simcell_jobs_find (&sim->jobs, id);
 
   job->is_cancel_requested = true;
-  job->next_attempt_ms = sim->now_ms;
+  job->cancel_node = (job->node + 1) % sim->nodes->len;
+  job->cancel_next_ms = sim->now_ms + delay_ms;
+}
+
+bool
+simcell_is_job_cancelled (const SimCell *sim, uint64_t id)
+{
+  return simcell_jobs_find (&sim->jobs, id)->is_cancelled;
+}
+
+uint32_t
+simcell_running_count (const SimCell *sim, uint64_t id)
+{
+  return simcell_jobs_running_count (&sim->jobs, id);
 }
 
 bool
--- a/tests/simcell.h
+++ b/tests/simcell.h
@@ -41,9 +41,15 @@
 /* Submits a job, first to @node; returns its identity. The caller retries at the other nodes until
  * it has an answer. */
 uint64_t simcell_submit (SimCell *sim, uint32_t node, const SimJobDesc *desc);
-void simcell_cancel (SimCell *sim, uint64_t id);
+/* Cancels the job after @delay_ms, whether or not its submission was answered or sent, first at the
+ * node after the one that it is submitted to. The caller retries until it has an answer. */
+void simcell_cancel (SimCell *sim, uint64_t id, int64_t delay_ms);
 /* Whether a node has confirmed to the caller that the job is accepted. */
 bool simcell_is_job_accepted (const SimCell *sim, uint64_t id);
+/* Whether a node has confirmed to the caller that the job is cancelled. */
+bool simcell_is_job_cancelled (const SimCell *sim, uint64_t id);
+/* Number of tasks of the job that run. */
+uint32_t simcell_running_count (const SimCell *sim, uint64_t id);
 /* State of the job at the leader; VP_JOB_QUEUED if there is no leader or it doesn't know the job.
  */
 VpJobState simcell_job_state (SimCell *sim, uint64_t id);
--- a/tests/test-joblist.c
+++ b/tests/test-joblist.c
@@ -62,10 +62,34 @@
   vp_joblist_shutdown (list);
 }
 
+/* Guards against a wrong count of the jobs that were cancelled before they were submitted, which
+ * limits their number also under the next leader. */
+static void
+test_unsubmitted_count (void)
+{
+  VpJobList *list = vp_joblist_setup ();
+  VpJobList *loaded = vp_joblist_setup ();
+  VpJob *job = vp_joblist_add_unsubmitted (list, 1, NOW_MS);
+  g_autoptr (GVariant) stored = g_variant_ref_sink (vp_job_encode_end (job));
+
+  g_assert_cmpuint (list->unsubmitted_count, ==, 1);
+  _assert_next (list, 1);
+  vp_joblist_note_submission (list, job, "queue");
+  g_assert_cmpuint (list->unsubmitted_count, ==, 0);
+  _assert_next (list, 1);
+  g_assert_true (vp_joblist_decode_end (loaded, stored)->is_unsubmitted);
+  g_assert_cmpuint (loaded->unsubmitted_count, ==, 1);
+  vp_joblist_remove (loaded, vp_joblist_find (loaded, 1));
+  g_assert_cmpuint (loaded->unsubmitted_count, ==, 0);
+  vp_joblist_shutdown (loaded);
+  vp_joblist_shutdown (list);
+}
+
 int
 main (int argc, char *argv[])
 {
   g_test_init (&argc, &argv, NULL);
   g_test_add_func ("/joblist/new-jobs-first", test_new_jobs_first);
+  g_test_add_func ("/joblist/unsubmitted-count", test_unsubmitted_count);
   return g_test_run ();
 }
--- a/tests/test-jobservice.c
+++ b/tests/test-jobservice.c
@@ -1,4 +1,5 @@
-/* Answers to requests while the store takes no commits. */
+/* Answers to requests while the store takes no commits, and to cancellations that overtake the
+ * submission of their job. */
 #include "vp-jobservice.h"
 
 #include <string.h>
@@ -47,11 +48,60 @@
   spec->id = JOB;
   spec->text = g_strdup ("text");
   spec->steps[0].task_count = 1;
+  g_strlcpy (spec->queue, "queue", sizeof spec->queue);
+  g_strlcpy (message.queue, "queue", sizeof message.queue);
   message.body = g_variant_ref_sink (vp_jobspec_encode (spec));
   vp_jobservice_request (fixture->service, &message, now_ms, fixture->answers);
   vp_nodemsg_clear (&message);
 }
 
+/* Sends a request without a body. */
+static void
+_request (Fixture *fixture, VpNodeMsgKind kind, uint64_t job, uint64_t serial, int64_t now_ms)
+{
+  VpNodeMsg message
+      = { .kind = kind, .from = "other", .queue = "queue", .serial = serial, .job = job };
+
+  vp_jobservice_request (fixture->service, &message, now_ms, fixture->answers);
+}
+
+/* Makes a commit that succeeds. */
+static void
+_commit (Fixture *fixture, int64_t now_ms)
+{
+  g_autoptr (GArray) durable = g_array_new (FALSE, FALSE, sizeof (uint64_t));
+  VpStoreWriteResult written = { .outcome = VP_WRITE_OK, .revision = 2 };
+
+  vp_committer_step (fixture->committer, now_ms, &fixture->effects);
+  written.serial = fixture->effects.items[fixture->effects.count - 1].write.serial;
+  g_assert_true (vp_committer_handle_write_result (fixture->committer, &written, durable, now_ms));
+  vp_jobservice_handle_durable (fixture->service, durable, now_ms, fixture->answers);
+}
+
+/* Gives the stored ends to a new leader. */
+static void
+_change_leader (Fixture *fixture)
+{
+  VpStoreLoadResult loaded = { 0 };
+  const VpStoreWrite *write = &fixture->effects.items[fixture->effects.count - 1].write;
+
+  loaded.ended = g_ptr_array_new_with_free_func ((GDestroyNotify)g_bytes_unref);
+  loaded.jobs = g_ptr_array_new ();
+  loaded.progress = g_ptr_array_new ();
+  loaded.workers = g_ptr_array_new ();
+  for (guint i = 0; i < write->keys->len; i++) {
+    if (g_str_has_prefix (write->keys->pdata[i], "ended/"))
+      g_ptr_array_add (loaded.ended, g_bytes_ref (write->values->pdata[i]));
+  }
+  _teardown (fixture);
+  _setup (fixture);
+  g_assert_cmpuint (vp_committer_load (fixture->committer, &loaded, NOW_MS), ==, 0);
+  g_ptr_array_unref (loaded.ended);
+  g_ptr_array_unref (loaded.jobs);
+  g_ptr_array_unref (loaded.progress);
+  g_ptr_array_unref (loaded.workers);
+}
+
 /* Makes a commit whose outcome is unknown and returns its serial. */
 static uint64_t
 _commit_unknown (Fixture *fixture, int64_t now_ms)
@@ -118,11 +168,115 @@
   _teardown (&fixture);
 }
 
+/* Guards against runs of a job whose cancellation was confirmed before its submission had arrived
+ * from another node. It is confirmed once it is durable. */
+static void
+test_cancel_overtakes_submission (void)
+{
+  Fixture fixture;
+
+  _setup (&fixture);
+  _request (&fixture, VP_NODEMSG_CANCEL, JOB, 1, NOW_MS + 10);
+  g_assert_cmpuint (fixture.answers->len, ==, 0);
+  /* The submission arrives while the commit of the cancellation is on its way. */
+  vp_committer_step (fixture.committer, NOW_MS + 20, &fixture.effects);
+  _submit (&fixture, 2, NOW_MS + 25);
+  _commit (&fixture, NOW_MS + 30);
+  g_assert_cmpuint (fixture.answers->len, ==, 1);
+  g_assert_cmpint (_answer_kind (&fixture, 0), ==, VP_ANSWER_NO_SUCH_JOB);
+  _commit (&fixture, NOW_MS + 60);
+  g_assert_cmpuint (fixture.answers->len, ==, 2);
+  g_assert_cmpint (_answer_kind (&fixture, 1), ==, VP_ANSWER_ACCEPTED);
+  _change_leader (&fixture);
+  _submit (&fixture, 3, NOW_MS + 10);
+  _request (&fixture, VP_NODEMSG_QUERY, JOB, 4, NOW_MS + 20);
+  g_assert_cmpint (_answer_kind (&fixture, 0), ==, VP_ANSWER_ACCEPTED);
+  g_assert_cmpint (_answer_kind (&fixture, 1), ==, VP_ANSWER_STATE);
+  g_assert_cmpint (g_array_index (fixture.answers, VpJobServiceAnswer, 1).message.state, ==,
+                   VP_JOB_CANCELLED);
+  _teardown (&fixture);
+}
+
+/* The same if the leader changes between the cancellation and the submission. Until it is
+ * submitted, the job doesn't exist for callers. */
+static void
+test_cancel_outlives_leader (void)
+{
+  Fixture fixture;
+
+  _setup (&fixture);
+  _request (&fixture, VP_NODEMSG_CANCEL, JOB, 1, NOW_MS + 10);
+  _commit (&fixture, NOW_MS + 20);
+  _change_leader (&fixture);
+  _request (&fixture, VP_NODEMSG_CANCEL, JOB, 2, NOW_MS + 10);
+  _request (&fixture, VP_NODEMSG_QUERY, JOB, 3, NOW_MS + 10);
+  g_assert_cmpuint (fixture.answers->len, ==, 2);
+  g_assert_cmpint (_answer_kind (&fixture, 0), ==, VP_ANSWER_NO_SUCH_JOB);
+  g_assert_cmpint (_answer_kind (&fixture, 1), ==, VP_ANSWER_NO_SUCH_JOB);
+  _submit (&fixture, 4, NOW_MS + 20);
+  g_assert_cmpuint (fixture.answers->len, ==, 2);
+  _commit (&fixture, NOW_MS + 30);
+  _request (&fixture, VP_NODEMSG_QUERY, JOB, 5, NOW_MS + 40);
+  _request (&fixture, VP_NODEMSG_CANCEL, JOB, 6, NOW_MS + 50);
+  g_assert_cmpuint (fixture.answers->len, ==, 5);
+  g_assert_cmpint (_answer_kind (&fixture, 2), ==, VP_ANSWER_ACCEPTED);
+  g_assert_cmpint (g_array_index (fixture.answers, VpJobServiceAnswer, 3).message.state, ==,
+                   VP_JOB_CANCELLED);
+  g_assert_cmpint (_answer_kind (&fixture, 4), ==, VP_ANSWER_ACCEPTED);
+  _teardown (&fixture);
+}
+
+/* Guards against a list of jobs that grows with each cancellation of an unknown job. One that can't
+ * be remembered isn't confirmed; those of known jobs are. */
+static void
+test_unknown_cancels_are_bounded (void)
+{
+  Fixture fixture;
+  uint64_t first = 1000;
+
+  _setup (&fixture);
+  _submit (&fixture, 1, NOW_MS + 10);
+  for (uint64_t i = 0; i < VP_JOBLIST_UNSUBMITTED_MAX; i++)
+    _request (&fixture, VP_NODEMSG_CANCEL, first + i, i, NOW_MS + 10);
+  g_assert_cmpuint (fixture.answers->len, ==, 0);
+  _request (&fixture, VP_NODEMSG_CANCEL, first + VP_JOBLIST_UNSUBMITTED_MAX, 1, NOW_MS + 10);
+  g_assert_cmpuint (fixture.answers->len, ==, 1);
+  g_assert_cmpint (_answer_kind (&fixture, 0), ==, VP_ANSWER_REJECTED);
+  _request (&fixture, VP_NODEMSG_CANCEL, JOB, 1, NOW_MS + 10);
+  _request (&fixture, VP_NODEMSG_CANCEL, first, 1, NOW_MS + 10);
+  g_assert_cmpuint (fixture.answers->len, ==, 1);
+  _teardown (&fixture);
+}
+
+/* Guards against a confirmed cancellation that no later leader knows of: with the submission of a
+ * job that was never stored, its cancellation is rejected. */
+static void
+test_cancel_of_rejected_job (void)
+{
+  Fixture fixture;
+
+  _setup (&fixture);
+  _commit_unknown (&fixture, NOW_MS + 500);
+  _submit (&fixture, 1, NOW_MS + 510);
+  _request (&fixture, VP_NODEMSG_CANCEL, JOB, 2, NOW_MS + 520);
+  vp_jobservice_tick (fixture.service, NOW_MS + 1200, fixture.answers);
+  g_assert_cmpuint (fixture.answers->len, ==, 2);
+  g_assert_cmpint (_answer_kind (&fixture, 0), ==, VP_ANSWER_REJECTED);
+  g_assert_cmpint (_answer_kind (&fixture, 1), ==, VP_ANSWER_REJECTED);
+  _request (&fixture, VP_NODEMSG_CANCEL, JOB, 3, NOW_MS + 1300);
+  g_assert_cmpint (_answer_kind (&fixture, 2), ==, VP_ANSWER_REJECTED);
+  _teardown (&fixture);
+}
+
 int
 main (int argc, char *argv[])
 {
   g_test_init (&argc, &argv, NULL);
   g_test_add_func ("/jobservice/unsent-is-rejected", test_unsent_is_rejected);
   g_test_add_func ("/jobservice/uncertain-outcome-is-reported", test_uncertain_outcome_is_reported);
+  g_test_add_func ("/jobservice/cancel-overtakes-submission", test_cancel_overtakes_submission);
+  g_test_add_func ("/jobservice/cancel-outlives-leader", test_cancel_outlives_leader);
+  g_test_add_func ("/jobservice/unknown-cancels-are-bounded", test_unknown_cancels_are_bounded);
+  g_test_add_func ("/jobservice/cancel-of-rejected-job", test_cancel_of_rejected_job);
   return g_test_run ();
 }
--- a/tests/test-node.c
+++ b/tests/test-node.c
@@ -510,7 +510,7 @@
 
   simcell_run (sim, 1000);
   starts = simcell_start_count (sim);
-  simcell_cancel (sim, job);
+  simcell_cancel (sim, job, 0);
   simcell_run (sim, 3000);
   g_assert_cmpint (simcell_job_state (sim, job), ==, VP_JOB_CANCELLED);
   simcell_run (sim, 3000);
