Remove ended jobs as fast as they expire

What was seen: of 1,000 ended jobs whose retention was over, 910 were left after 30 s of commits, in memory and in the store, and each new leader loads them.

Cause: one commit in 5 s removes at most 15 ended jobs. More than 3 ends a second pile up without a bound, and with them the cancellations of jobs that were never submitted, whose number is limited.

Change: the next batch follows after 100 ms while a batch is full.

/committer/ended-jobs-are-removed fails on the code before (910 left) and passes now.

--- a/src/vp-committer.c
+++ b/src/vp-committer.c
@@ -33,6 +33,10 @@
 #define VP_COMMITTER_RETENTION_MARGIN_MS 30000
 /* Interval between removals of ended jobs, which are removed in batches. */
 #define VP_COMMITTER_PURGE_INTERVAL_MS 5000
+/* Maximum number of ended jobs that one commit removes. */
+#define VP_COMMITTER_PURGE_BATCH (VP_COMMITTER_ENTRIES_MAX / 2)
+/* Interval while a batch doesn't hold all jobs that are to be removed. */
+#define VP_COMMITTER_PURGE_BACKLOG_INTERVAL_MS 100
 /* Share of the link that the progress of jobs may use. */
 #define VP_COMMITTER_PROGRESS_SHARE 0.15
 /* Size of a stored value on the wire relative to its own size: it is written as base64 text. */
@@ -244,11 +248,12 @@
   g_hash_table_iter_init (&iter, jobs->jobs);
   while (g_hash_table_iter_next (&iter, NULL, &value)) {
     VpJob *job = value;
-    if (job->is_end_durable && job->assigned_count == 0
-        && expired->len < VP_COMMITTER_ENTRIES_MAX / 2
+    if (job->is_end_durable && job->assigned_count == 0 && expired->len < VP_COMMITTER_PURGE_BATCH
         && now_ms - job->ended_ms > committer->desc.retention_ms + VP_COMMITTER_RETENTION_MARGIN_MS)
       g_ptr_array_add (expired, job);
   }
+  if (expired->len == VP_COMMITTER_PURGE_BATCH)
+    committer->purge_next_ms = now_ms + VP_COMMITTER_PURGE_BACKLOG_INTERVAL_MS;
   for (guint i = 0; i < expired->len; i++) {
     VpJob *job = expired->pdata[i];
     _vp_committer_remove_key (&committer->write, "ended", job->spec->id);
--- a/tests/test-committer.c
+++ b/tests/test-committer.c
@@ -167,6 +167,23 @@
   _teardown_committer (&fixture);
 }
 
+/* Guards against ended jobs that pile up if more jobs end than one commit in 5 s can remove. */
+static void
+test_ended_jobs_are_removed (void)
+{
+  CommitFixture fixture;
+  VpJobList *jobs;
+
+  _setup_committer (&fixture, 0);
+  jobs = vp_cell_jobs (fixture.cell.cell);
+  for (uint64_t id = 1; id <= 1000; id++)
+    vp_joblist_add_ended (jobs, id, "queue", VP_JOB_COMPLETED, fixture.cell.now_ms);
+  fixture.cell.now_ms += 160000;
+  _run_changes (&fixture, 30000);
+  g_assert_cmpuint (g_hash_table_size (jobs->jobs), ==, 0);
+  _teardown_committer (&fixture);
+}
+
 /* Guards against a false "not run": the end of a job that was cancelled before its first commit is
  * in flight. */
 static void
@@ -219,5 +236,6 @@
   g_test_add_func ("/committer/reverted-round", test_reverted_round);
   g_test_add_func ("/committer/cancelled-job-in-flight", test_cancelled_job_in_flight);
   g_test_add_func ("/committer/failure-of-unstored-start", test_failure_of_unstored_start);
+  g_test_add_func ("/committer/ended-jobs-are-removed", test_ended_jobs_are_removed);
   return g_test_run ();
 }
