Don't send starts that have waited for over two seconds

What callers saw: a task was started 5 s after a node had confirmed that its job was cancelled.

Cause: a start lay on the way to a relay, or at it behind other commands for a slow worker, while the leader changed. The next leader knew nothing of it, confirmed the cancellation, and had not reached the worker yet, so that no newer term refused the start. A worker that has restarted has forgotten the newer term, and the same start ran there beside a run on another worker.

Change: a start has a time after which it isn't sent, 2 s after the leader gave it, which is below the time that the platform allows between the confirmation of a cancellation and the last start. Batches carry the leader's send time, and a relay measures their delay against the fastest ping of the last minute, as clocks differ. It refuses starts of a leader that it knows to be replaced at once. The leader gets a result, "expired", and places the task again; the relay logs start-expired.

--- a/src/vp-cell-commands.c
+++ b/src/vp-cell-commands.c
@@ -30,6 +30,7 @@
   vp_jobtask_name (task, &command->task);
   command->run = task->run;
   command->text = g_strdup (task->step->occurrence->job->spec->text);
+  command->expires_ms = now_ms + VP_COMMAND_START_EXPIRY_MS;
   command->lease_end_ms = vp_workerlist_extend_lease (cell->worker_list, worker, now_ms);
   g_strlcpy (command->checkpoint, task->checkpoint, sizeof command->checkpoint);
   if (ticket != NULL)
--- a/src/vp-cell.c
+++ b/src/vp-cell.c
@@ -374,6 +374,7 @@
     break;
   case VP_COMMAND_LATE:
   case VP_COMMAND_WORKER_REPLACED:
+  case VP_COMMAND_EXPIRED:
     _vp_cell_handle_not_started (cell, task, result, now_ms);
     break;
   }
--- a/src/vp-command.c
+++ b/src/vp-command.c
@@ -40,6 +40,12 @@
          && *rest == '\0';
 }
 
+bool
+vp_command_is_expired (const VpCommand *command, int64_t now_ms)
+{
+  return command->expires_ms != 0 && now_ms > command->expires_ms;
+}
+
 void
 vp_command_result_begin (VpCommandResult *result, const VpCommand *command, int64_t sent_ms)
 {
@@ -63,9 +69,10 @@
 const char *
 vp_command_outcome_token (VpCommandOutcome outcome)
 {
-  static const char *const tokens[] = { "ok",          "fenced",      "superseded",      "late",
-                                        "no-capacity", "bad-ticket",  "worker-replaced", "refused",
-                                        "invalid",     "unreachable", "uncertain" };
+  static const char *const tokens[]
+      = { "ok",          "fenced",      "superseded",      "late",
+          "no-capacity", "bad-ticket",  "worker-replaced", "refused",
+          "invalid",     "unreachable", "uncertain",       "expired" };
 
   return tokens[outcome];
 }
--- a/src/vp-command.h
+++ b/src/vp-command.h
@@ -13,6 +13,11 @@
 #define VP_CHECKPOINT_MAX 64 /* bytes of a checkpoint's name with NUL */
 #define VP_TICKET_MAX     64 /* bytes of an advice ticket with NUL */
 
+/* A start that hasn't been sent to its worker by this time after the scheduler gave it isn't sent
+ * any more. It would start a run that the next scheduler doesn't expect, for example of a job whose
+ * cancellation was confirmed since. */
+#define VP_COMMAND_START_EXPIRY_MS 2000
+
 /* Name of one task: its job, the occurrence of the job, the step, and the index within the step. */
 typedef struct {
   uint64_t job;
@@ -37,6 +42,7 @@
   VpTaskName task;
   uint32_t run;         /* number of the run; increases with each run of the task */
   uint64_t fence;       /* fencing token of the scheduler's term */
+  int64_t expires_ms;   /* START: local time after which it isn't sent; 0: there is none */
   int64_t lease_end_ms; /* START, HOLD: end of the lease on the worker's clock; 0: unchanged */
   char *text;           /* START: text of the job; owned */
   char checkpoint[VP_CHECKPOINT_MAX]; /* START: continue from this one; empty: from the beginning */
@@ -61,6 +67,7 @@
   VP_COMMAND_INVALID,         /* not carried out: the worker can't parse the command */
   VP_COMMAND_UNREACHABLE,     /* certainly not delivered */
   VP_COMMAND_UNCERTAIN,       /* may have been carried out, or may be within seconds */
+  VP_COMMAND_EXPIRED,         /* not sent, as it had waited too long */
 } VpCommandOutcome;
 
 /* A run that the worker lists as running. */
@@ -120,6 +127,8 @@
  * returns false for any other text. */
 void vp_task_name_format (const VpTaskName *name, char out[VP_TASK_NAME_MAX]);
 bool vp_task_name_parse (const char *text, VpTaskName *out);
+/* Returns true if the command has waited too long to be sent. */
+bool vp_command_is_expired (const VpCommand *command, int64_t now_ms);
 /* Sets the fields of @result that it has in common with the command. */
 void vp_command_result_begin (VpCommandResult *result, const VpCommand *command, int64_t sent_ms);
 /* Frees the members of the result. */
--- a/src/vp-members.c
+++ b/src/vp-members.c
@@ -11,6 +11,9 @@
 /* A process that isn't listed is removed this long after its last ping. DCs are usually cut off for
  * a shorter time, and a process of such a DC may be leader when it comes back. */
 #define VP_MEMBERS_STALE_MS 60000
+/* Time span for which the fastest ping of a member is kept, so that clocks of different speed
+ * matter little. */
+#define VP_MEMBERS_TRANSIT_SPAN_MS 30000
 
 GHashTable *
 vp_members_new (void)
@@ -31,9 +34,35 @@
   return member;
 }
 
+static void
+_vp_member_note_transit (VpMemberState *member, int64_t transit_ms, int64_t now_ms)
+{
+  if (member->transit_since_ms == 0) {
+    member->last_transit_ms = member->transit_ms = transit_ms;
+    member->transit_since_ms = now_ms;
+  } else if (now_ms - member->transit_since_ms >= VP_MEMBERS_TRANSIT_SPAN_MS) {
+    member->last_transit_ms = member->transit_ms;
+    member->transit_ms = transit_ms;
+    member->transit_since_ms = now_ms;
+  }
+  member->transit_ms = MIN (member->transit_ms, transit_ms);
+}
+
+int64_t
+vp_member_delay_ms (const VpMemberState *member, int64_t sent_ms, int64_t now_ms)
+{
+  int64_t delay_ms = now_ms - sent_ms - MIN (member->transit_ms, member->last_transit_ms);
+
+  return member->transit_since_ms == 0 ? 0 : MAX (delay_ms, 0);
+}
+
 void
 vp_member_handle_ping (VpMemberState *member, const VpNodeMsg *ping, int64_t now_ms)
 {
+  /* A process that has restarted may have another clock. */
+  if (ping->sent_ms - ping->age_ms != member->own_started_ms)
+    member->transit_since_ms = 0;
+  member->own_started_ms = ping->sent_ms - ping->age_ms;
   member->ping_received_ms = now_ms;
   member->sent_ms = ping->sent_ms;
   member->echo_ms = MAX (member->echo_ms, MIN (ping->echo_ms, now_ms));
@@ -43,6 +72,7 @@
   member->cpu_milli = ping->cpu_milli;
   g_strlcpy (member->dc, ping->dc, sizeof member->dc);
   member->started_ms = now_ms - ping->age_ms;
+  _vp_member_note_transit (member, now_ms - ping->sent_ms, now_ms);
 }
 
 bool
--- a/src/vp-members.h
+++ b/src/vp-members.h
@@ -29,6 +29,11 @@
   bool is_ping_partner;     /* this process and the member ping each other */
   int64_t started_ms;       /* start time of the process */
   int64_t advice_until_ms;  /* time at which its advice calls are expected to be done */
+  int64_t own_started_ms;   /* start time of the process on its own clock */
+  int64_t transit_ms;       /* least difference between the receipt of a ping and its send time on
+                               the sender's clock, since @transit_since_ms */
+  int64_t last_transit_ms;  /* the same in the time span before that */
+  int64_t transit_since_ms; /* 0: no ping yet */
 } VpMemberState;
 
 /* Returns a table of name -> VpMemberState. This process itself isn't in it. */
@@ -36,6 +41,10 @@
 /* Returns the member, adding it if it isn't in the table. */
 VpMemberState *vp_members_get (GHashTable *members, const char *name);
 void vp_member_handle_ping (VpMemberState *member, const VpNodeMsg *ping, int64_t now_ms);
+/* Returns how much longer than the fastest ping of the last minute a message of the member has been
+ * on its way. @sent_ms is its send time on the member's clock, which may be any. Returns 0 if there
+ * was no ping. */
+int64_t vp_member_delay_ms (const VpMemberState *member, int64_t sent_ms, int64_t now_ms);
 /* Returns true if a ping of the member arrived a short time ago. */
 bool vp_member_is_reachable (const VpMemberState *member, int64_t now_ms);
 /* Removes members that are no longer listed and have been silent for long. Returns true if any were
--- a/src/vp-node-work.c
+++ b/src/vp-node-work.c
@@ -128,12 +128,34 @@
                            VpNodeEffects *effects)
 {
   VpRelayMessage full;
-
+  char name[VP_TASK_NAME_MAX];
+
+  if (result->outcome == VP_COMMAND_EXPIRED) {
+    vp_task_name_format (&result->task, name);
+    vp_log (now_ms, "start-expired",
+            "task=%s run=%u worker=%s leader=%s term=%" G_GUINT64_FORMAT
+            " newest_term=%" G_GUINT64_FORMAT,
+            name, result->run, result->worker, result->requester, result->fence,
+            node->election.term);
+  }
   vp_relay_agent_add_result (&node->relay_agent, result, now_ms, &full);
   if (full.to[0] != '\0')
     _vp_node_send_relay_message (node, &full, effects);
 }
 
+/* Returns the time after which the starts in a leader's message aren't sent to workers. Those of a
+ * leader that has been replaced have expired. */
+static int64_t
+_vp_node_starts_expire_ms (const VpNode *node, const VpNodeMsg *message, int64_t now_ms)
+{
+  const VpMemberState *leader = g_hash_table_lookup (node->members, message->from);
+  int64_t delay_ms = leader == NULL ? 0 : vp_member_delay_ms (leader, message->sent_ms, now_ms);
+
+  if (message->term < node->election.term)
+    return now_ms - 1;
+  return now_ms - delay_ms + VP_COMMAND_START_EXPIRY_MS;
+}
+
 void
 _vp_node_handle_commands (VpNode *node,
                           const VpNodeMsg *message,
@@ -143,7 +165,9 @@
   g_autoptr (GArray) commands = g_array_new (FALSE, FALSE, sizeof (VpCommand));
   g_autoptr (GArray) results = g_array_new (FALSE, FALSE, sizeof (VpCommandResult));
 
-  if (!vp_relay_agent_handle_commands (&node->relay_agent, message, now_ms, commands, results))
+  if (!vp_relay_agent_handle_commands (&node->relay_agent, message,
+                                       _vp_node_starts_expire_ms (node, message, now_ms), now_ms,
+                                       commands, results))
     vp_log (now_ms, "commands-malformed", "from=%s", message->from);
   for (guint i = 0; i < commands->len; i++)
     vp_node_effects_add (effects, VP_NODE_EFFECT_COMMAND)->command
--- a/src/vp-relay-agent.c
+++ b/src/vp-relay-agent.c
@@ -75,9 +75,23 @@
   return true;
 }
 
+/* Appends the result of a command that isn't sent. */
+static void
+_vp_relay_agent_fail_command (const VpCommand *command,
+                              VpCommandOutcome outcome,
+                              int64_t now_ms,
+                              GArray *results)
+{
+  VpCommandResult result = { .outcome = outcome, .received_ms = now_ms };
+
+  vp_command_result_begin (&result, command, now_ms);
+  g_array_append_val (results, result);
+}
+
 bool
 vp_relay_agent_handle_commands (VpRelayAgent *agent,
                                 const VpNodeMsg *message,
+                                int64_t starts_expire_ms,
                                 int64_t now_ms,
                                 GArray *commands,
                                 GArray *results)
@@ -111,12 +125,14 @@
         || !vp_name_copy (command->address, sizeof command->address, address)
         || !vp_name_copy (command->requester, sizeof command->requester, message->from))
       return false;
-    if (_vp_relay_agent_set_text (agent, command, texts, item.text, now_ms)) {
-      g_array_append_val (commands, *command);
+    command->expires_ms = command->kind == VP_COMMAND_START ? starts_expire_ms : 0;
+    if (!_vp_relay_agent_set_text (agent, command, texts, item.text, now_ms)) {
+      _vp_relay_agent_fail_command (command, VP_COMMAND_LATE, now_ms, results);
+    } else if (vp_command_is_expired (command, now_ms)) {
+      _vp_relay_agent_fail_command (command, VP_COMMAND_EXPIRED, now_ms, results);
+      g_clear_pointer (&command->text, g_free);
     } else {
-      VpCommandResult result = { .outcome = VP_COMMAND_LATE, .received_ms = now_ms };
-      vp_command_result_begin (&result, command, now_ms);
-      g_array_append_val (results, result);
+      g_array_append_val (commands, *command);
     }
   }
   return true;
--- a/src/vp-relay-pack.c
+++ b/src/vp-relay-pack.c
@@ -209,7 +209,7 @@
   out->ended = g_array_new (FALSE, FALSE, sizeof (VpEndedEntry));
   _vp_relay_get_running (&reader, out->running);
   _vp_relay_get_ended (&reader, out->ended);
-  if (reader.is_short || outcome > VP_COMMAND_UNCERTAIN) {
+  if (reader.is_short || outcome > VP_COMMAND_EXPIRED) {
     vp_command_result_clear (out);
     return false;
   }
--- a/src/vp-relay.c
+++ b/src/vp-relay.c
@@ -422,12 +422,16 @@
 
 /* Moves the batch of the process to @out and begins another one. */
 static void
-_vp_relay_take_batch (const VpRelay *relay, VpRelayProcess *process, VpRelayMessage *out)
+_vp_relay_take_batch (const VpRelay *relay,
+                      VpRelayProcess *process,
+                      int64_t now_ms,
+                      VpRelayMessage *out)
 {
   memset (out, 0, sizeof *out);
   g_strlcpy (out->to, process->name, sizeof out->to);
   out->message.kind = VP_NODEMSG_COMMANDS;
   out->message.term = relay->desc.term;
+  out->message.sent_ms = now_ms;
   out->message.body
       = g_variant_new ("(a(ss)as@ay)", &process->worker_builder, &process->text_builder,
                        g_variant_new_fixed_array (G_VARIANT_TYPE_BYTE, process->commands->data,
@@ -449,7 +453,7 @@
     process->batch_due_ms = now_ms + VP_RELAY_BATCH_INTERVAL_MS;
     g_hash_table_foreach_remove (process->texts, _vp_relay_is_text_unknown, &now_ms);
     g_array_set_size (messages, messages->len + 1);
-    _vp_relay_take_batch (relay, process,
+    _vp_relay_take_batch (relay, process, now_ms,
                           &g_array_index (messages, VpRelayMessage, messages->len - 1));
   }
 }
--- a/src/vp-relay.h
+++ b/src/vp-relay.h
@@ -13,7 +13,8 @@
  * bytes of HTTP for each command. With hundreds of workers these use up its processor and its link,
  * answers become late, and late answers cause repeated commands. So a leader with more workers than
  * its VM can call hands its commands to other processes in batches, and they return results in
- * batches. The leader still decides everything: a relay adds, repeats and drops nothing.
+ * batches. The leader still decides everything: a relay adds and repeats nothing, and drops only
+ * starts that have waited too long, which it reports.
  *
  * A worker's commands go to a relay in its DC, the strongest VMs first. A relay that is out of
  * reach or slow to answer is avoided. The results of its commands are then reported as uncertain,
@@ -67,7 +68,7 @@
 /* The relay's side: what a process keeps while it sends commands for a leader. Zeroed memory is the
  * initial state.
  *
- *   vp_relay_agent_handle_commands (&agent, &message, now_ms, commands, results);
+ *   vp_relay_agent_handle_commands (&agent, &message, expires_ms, now_ms, commands, results);
  *   vp_relay_agent_add_result (&agent, &result, now_ms, &full);
  *   if (now_ms >= vp_relay_agent_due_ms (&agent) && vp_relay_agent_take (&agent, now_ms, &out))
  *     send (out.to, &out.message);
@@ -85,9 +86,11 @@
 
 void vp_relay_agent_clear (VpRelayAgent *agent);
 /* Appends the commands (VpCommand) in the message to @commands. The results (VpCommandResult) of
- * those that can't be sent are appended to @results. Returns false if the message is malformed. */
+ * those that can't be sent, such as starts after @starts_expire_ms, are appended to @results.
+ * Returns false if the message is malformed. */
 bool vp_relay_agent_handle_commands (VpRelayAgent *agent,
                                      const VpNodeMsg *message,
+                                     int64_t starts_expire_ms,
                                      int64_t now_ms,
                                      GArray *commands,
                                      GArray *results);
--- a/tests/test-members.c
+++ b/tests/test-members.c
@@ -128,6 +128,29 @@
   g_assert_cmpint (vp_members_oldest_echo_ms (members, NOW_MS), ==, NOW_MS - 300);
 }
 
+/* Guards against a delay of messages that depends on how the clocks of two processes differ. */
+static void
+test_delay (void)
+{
+  g_autoptr (GHashTable) members = _new_members (0, 1);
+  VpMemberState *one = vp_members_get (members, "node-000");
+
+  g_assert_cmpint (vp_member_delay_ms (one, 0, NOW_MS), ==, 0);
+  /* The member's clock is at 5000 and goes as fast as this one. */
+  vp_member_handle_ping (one, &(VpNodeMsg){ .sent_ms = 5000, .age_ms = 500 }, NOW_MS + 300);
+  vp_member_handle_ping (one, &(VpNodeMsg){ .sent_ms = 5200, .age_ms = 700 }, NOW_MS + 205);
+  g_assert_cmpint (vp_member_delay_ms (one, 5300, NOW_MS + 305), ==, 0);
+  g_assert_cmpint (vp_member_delay_ms (one, 5300, NOW_MS + 2305), ==, 2000);
+  /* It restarts with another clock. */
+  vp_member_handle_ping (one, &(VpNodeMsg){ .sent_ms = 90000, .age_ms = 10 }, NOW_MS + 3000);
+  g_assert_cmpint (vp_member_delay_ms (one, 90100, NOW_MS + 3200), ==, 100);
+  /* It is 1 ms slower in each second: the fastest ping of long ago doesn't count. */
+  for (int64_t i = 1; i <= 600; i++)
+    vp_member_handle_ping (one, &(VpNodeMsg){ .sent_ms = 90000 + i * 999, .age_ms = 10 + i * 999 },
+                           NOW_MS + 3000 + i * 1000);
+  g_assert_cmpint (vp_member_delay_ms (one, 90000 + 600 * 999, NOW_MS + 603000), <=, 100);
+}
+
 int
 main (int argc, char *argv[])
 {
@@ -136,5 +159,6 @@
   g_test_add_func ("/members/cut-off-by-partners", test_cut_off_by_partners);
   g_test_add_func ("/members/successor", test_successor);
   g_test_add_func ("/members/echo", test_echo);
+  g_test_add_func ("/members/delay", test_delay);
   return g_test_run ();
 }
--- a/tests/test-node-cancel.c
+++ b/tests/test-node-cancel.c
@@ -5,12 +5,17 @@
 
 #define NODE_COUNT   3
 #define WORKER_COUNT 6
+/* CPU share with which a leader hands the commands to all of its workers to other processes. */
+#define RELAY_CPU_MILLI 4
 
 static SimCell *
-_simcell_new_with_leader (uint32_t seed)
+_simcell_new_with_leader (uint32_t seed, uint32_t cpu_milli)
 {
-  SimCell *sim = simcell_new (&(SimCellDesc){
-      .seed = seed, .node_count = NODE_COUNT, .worker_count = WORKER_COUNT, .attempts_max = 100 });
+  SimCell *sim = simcell_new (&(SimCellDesc){ .seed = seed,
+                                              .cpu_milli = cpu_milli,
+                                              .node_count = NODE_COUNT,
+                                              .worker_count = WORKER_COUNT,
+                                              .attempts_max = 100 });
 
   simcell_run (sim, 2000);
   g_assert_true (simcell_has_leader (sim));
@@ -45,7 +50,7 @@
 test_leader_killed (void)
 {
   for (uint32_t seed = 100; seed < 110; seed++) {
-    SimCell *sim = _simcell_new_with_leader (seed);
+    SimCell *sim = _simcell_new_with_leader (seed, 0);
     g_autoptr (GArray) jobs = g_array_new (FALSE, FALSE, sizeof (uint64_t));
 
     simcell_kill_node (sim, simcell_leader (sim), 500);
@@ -63,7 +68,7 @@
 test_slow_messages (void)
 {
   for (uint32_t seed = 100; seed < 110; seed++) {
-    SimCell *sim = _simcell_new_with_leader (seed);
+    SimCell *sim = _simcell_new_with_leader (seed, 0);
     g_autoptr (GArray) jobs = g_array_new (FALSE, FALSE, sizeof (uint64_t));
 
     simcell_delay_messages (sim, (simcell_leader (sim) + 1) % NODE_COUNT, 1500, 3000);
@@ -140,11 +145,23 @@
   }
 }
 
+/* Delays the messages of the leader or of any node. */
+static void
+_random_delay (SimCell *sim)
+{
+  GRand *rand = simcell_rand (sim);
+  uint32_t node = g_rand_boolean (rand) ? simcell_leader (sim)
+                                        : (uint32_t)g_rand_int_range (rand, 0, NODE_COUNT);
+
+  simcell_delay_messages (sim, node, g_rand_int_range (rand, 100, 6000),
+                          g_rand_int_range (rand, 500, 8000));
+}
+
 /* Injects random faults for 25 s. */
 static void
-_run_random_faults (uint32_t seed)
+_run_random_faults (uint32_t seed, uint32_t cpu_milli, bool has_delays)
 {
-  SimCell *sim = _simcell_new_with_leader (seed);
+  SimCell *sim = _simcell_new_with_leader (seed, cpu_milli);
   GRand *rand = simcell_rand (sim);
   g_autoptr (GArray) cancelled = g_array_new (FALSE, FALSE, sizeof (uint64_t));
 
@@ -160,6 +177,8 @@
       g_array_append_val (cancelled, job);
     if (g_rand_int_range (rand, 0, 5) == 0)
       _random_fault (sim);
+    if (has_delays && g_rand_int_range (rand, 0, 5) == 0)
+      _random_delay (sim);
     simcell_run (sim, g_rand_int_range (rand, 100, 900));
   }
   simcell_run (sim, 30000);
@@ -170,7 +189,7 @@
 
 /* Runs 20 seeds, or as many as VP_SEEDS says, from 100 or VP_SEED on. */
 static void
-test_random (void)
+_run_seeds (uint32_t cpu_milli, bool has_delays)
 {
   const char *only = g_getenv ("VP_SEED");
   const char *count = g_getenv ("VP_SEEDS");
@@ -179,7 +198,26 @@
       = count == NULL ? (only == NULL ? 20 : 1) : (uint32_t)g_ascii_strtoull (count, NULL, 10);
 
   for (uint32_t seed = first; seed < first + seeds; seed++)
-    _run_random_faults (seed);
+    _run_random_faults (seed, cpu_milli, has_delays);
+}
+
+static void
+test_random (void)
+{
+  _run_seeds (0, false);
+}
+
+/* Guards against starts that wait on the way to a relay, or there, until their job is cancelled. */
+static void
+test_random_relays_delays (void)
+{
+  /* 133, 241, 424: starts that a relay got late. 311: one that reached the next life of its worker,
+   * which had forgotten the newer term. */
+  static const uint32_t seeds[] = { 133, 241, 311, 424 };
+
+  for (guint i = 0; g_getenv ("VP_SEED") == NULL && i < G_N_ELEMENTS (seeds); i++)
+    _run_random_faults (seeds[i], RELAY_CPU_MILLI, true);
+  _run_seeds (RELAY_CPU_MILLI, true);
 }
 
 int
@@ -191,5 +229,6 @@
   g_test_add_func ("/node-cancel/leader-killed", test_leader_killed);
   g_test_add_func ("/node-cancel/slow-messages", test_slow_messages);
   g_test_add_func ("/node-cancel/random", test_random);
+  g_test_add_func ("/node-cancel/random-relays-delays", test_random_relays_delays);
   return g_test_run ();
 }
--- a/tests/test-pf-workers.c
+++ b/tests/test-pf-workers.c
@@ -3,6 +3,8 @@
 #include "vp-pf-workers.h"
 #include "vp-runtime.h"
 
+#include <gio/gio.h>
+
 #define WORKER     "w-1"
 #define TIMEOUT_MS 10000
 
@@ -111,6 +113,36 @@
     g_assert_cmpint (_hold (addresses[i], 0, 0), ==, 0);
 }
 
+/* Guards against a start that waits behind others for a silent worker until its job is cancelled,
+ * and is sent then. */
+static void
+test_start_behind_silent_worker (void)
+{
+  g_autoptr (GSocketListener) silent = g_socket_listener_new ();
+  g_autoptr (GSocketAddress) any_port = g_inet_socket_address_new_from_string ("127.0.0.1", 0);
+  g_autoptr (GSocketAddress) address = NULL;
+  VpCommand start = { .kind = VP_COMMAND_START, .worker = "silent" };
+  VpNodeEvent event;
+
+  g_assert_true (g_socket_listener_add_address (silent, any_port, G_SOCKET_TYPE_STREAM,
+                                                G_SOCKET_PROTOCOL_TCP, NULL, &address, NULL));
+  g_snprintf (start.address, sizeof start.address, "127.0.0.1:%u",
+              g_inet_socket_address_get_port (G_INET_SOCKET_ADDRESS (address)));
+  start.expires_ms = vp_runtime_now_ms () + 300;
+  for (start.run = 1; start.run <= 3; start.run++) {
+    start.text = g_strdup ("text");
+    vp_pf_workers_send (_workers, &start);
+  }
+  for (int i = 0; i < 3; i++) {
+    while (!vp_node_queue_take (&_results, &event))
+      vp_queue_sleep (&_results.queue, TIMEOUT_MS, NULL);
+    /* The first two wait for their answers, and the third for one of them. */
+    g_assert_cmpint (event.command.outcome, ==,
+                     event.command.run == 3 ? VP_COMMAND_EXPIRED : VP_COMMAND_UNCERTAIN);
+    vp_node_event_clear (&event);
+  }
+}
+
 int
 main (int argc, char **argv)
 {
@@ -123,6 +155,7 @@
   g_test_add_func ("/pf-workers/restarted-worker", test_restarted_worker);
   g_test_add_func ("/pf-workers/closed-connections", test_closed_connections);
   g_test_add_func ("/pf-workers/bad-address", test_bad_address);
+  g_test_add_func ("/pf-workers/start-behind-silent-worker", test_start_behind_silent_worker);
   status = g_test_run ();
   vp_pf_workers_shutdown (_workers);
   return status;
--- a/tests/test-relay.c
+++ b/tests/test-relay.c
@@ -140,8 +140,9 @@
   GArray *commands = g_array_new (FALSE, FALSE, sizeof (VpCommand));
   const VpRelayMessage *out = &g_array_index (fixture->messages, VpRelayMessage, index);
 
-  g_assert_true (vp_relay_agent_handle_commands (&fixture->agent, &out->message, fixture->now_ms,
-                                                 commands, refused));
+  g_assert_true (vp_relay_agent_handle_commands (&fixture->agent, &out->message,
+                                                 fixture->now_ms + VP_COMMAND_START_EXPIRY_MS,
+                                                 fixture->now_ms, commands, refused));
   return commands;
 }
 
@@ -555,9 +556,11 @@
   VpCommand command = { .kind = VP_COMMAND_START, .ticket = "ticket" };
   g_autoptr (GByteArray) packed = g_byte_array_new ();
 
-  g_assert_false (vp_relay_agent_handle_commands (&agent, &message, NOW_MS, commands, results));
+  g_assert_false (
+      vp_relay_agent_handle_commands (&agent, &message, NOW_MS, NOW_MS, commands, results));
   message.body = g_variant_ref_sink (g_variant_new_string ("x"));
-  g_assert_false (vp_relay_agent_handle_commands (&agent, &message, NOW_MS, commands, results));
+  g_assert_false (
+      vp_relay_agent_handle_commands (&agent, &message, NOW_MS, NOW_MS, commands, results));
   vp_nodemsg_clear (&message);
   /* An index of a worker that isn't there, then every truncation of the command and a kind that
    * doesn't exist. */
@@ -567,7 +570,8 @@
         "(@a(ss)@as@ay)", g_variant_new_parsed (size == packed->len ? "@a(ss) []" : "[('a', 'b')]"),
         g_variant_new_parsed ("['text']"),
         g_variant_new_fixed_array (G_VARIANT_TYPE_BYTE, packed->data, size, 1)));
-    g_assert_false (vp_relay_agent_handle_commands (&agent, &message, NOW_MS, commands, results));
+    g_assert_false (
+        vp_relay_agent_handle_commands (&agent, &message, NOW_MS, NOW_MS, commands, results));
     vp_nodemsg_clear (&message);
     packed->data[5] = 0;
   }
@@ -575,12 +579,43 @@
   message.body = g_variant_ref_sink (g_variant_new (
       "(@a(ss)@as@ay)", g_variant_new_parsed ("[('a', 'b')]"), g_variant_new_parsed ("['text']"),
       g_variant_new_fixed_array (G_VARIANT_TYPE_BYTE, packed->data, packed->len, 1)));
-  g_assert_false (vp_relay_agent_handle_commands (&agent, &message, NOW_MS, commands, results));
+  g_assert_false (
+      vp_relay_agent_handle_commands (&agent, &message, NOW_MS, NOW_MS, commands, results));
   g_assert_cmpuint (commands->len, ==, 0);
   vp_nodemsg_clear (&message);
   vp_relay_agent_clear (&agent);
 }
 
+/* Guards against a start that arrives at its relay late and is still sent. Other commands are. */
+static void
+test_expired_start (void)
+{
+  Fixture fixture;
+  g_autoptr (GArray) refused = g_array_new (FALSE, FALSE, sizeof (VpCommandResult));
+  GArray *commands;
+  VpCommand stop = { .kind = VP_COMMAND_STOP, .worker = "a1", .run = 1, .fence = TERM };
+  bool is_relayed;
+
+  _setup (&fixture, 4);
+  _ping (&fixture, "n1", "a", 125, 5000);
+  _update (&fixture);
+  _add_start (&fixture, "a1", 0);
+  is_relayed = vp_relay_add (fixture.relay, &stop, fixture.now_ms);
+  g_assert_true (is_relayed);
+  _flush (&fixture);
+  g_assert_cmpuint (fixture.messages->len, ==, 1);
+  commands = g_array_new (FALSE, FALSE, sizeof (VpCommand));
+  g_assert_true (vp_relay_agent_handle_commands (
+      &fixture.agent, &g_array_index (fixture.messages, VpRelayMessage, 0).message,
+      fixture.now_ms - 1, fixture.now_ms, commands, refused));
+  g_assert_cmpuint (commands->len, ==, 1);
+  g_assert_cmpint (g_array_index (commands, VpCommand, 0).kind, ==, VP_COMMAND_STOP);
+  g_assert_cmpuint (refused->len, ==, 1);
+  g_assert_cmpint (g_array_index (refused, VpCommandResult, 0).outcome, ==, VP_COMMAND_EXPIRED);
+  _free_commands (commands);
+  _teardown (&fixture);
+}
+
 /* Guards against a HOLD that loses the life of the worker to which its acknowledgement belongs. */
 static void
 test_acknowledgement (void)
@@ -653,6 +688,7 @@
   g_test_add_func ("/relay/late-result", test_late_result);
   g_test_add_func ("/relay/text-once", test_text_once);
   g_test_add_func ("/relay/malformed", test_malformed);
+  g_test_add_func ("/relay/expired-start", test_expired_start);
   g_test_add_func ("/relay/truncated-results", test_truncated_results);
   return g_test_run ();
 }
