Take starts of leaders that give no send time for prompt

Cause: a leader of the version before doesn't fill in the send time of a batch of commands, and a relay took 0 for a time long ago, so that all its starts would have expired while nodes are updated one by one.

Change: without a send time a message counts as not delayed. /members/delay fails on the code before.

--- a/src/vp-members.c
+++ b/src/vp-members.c
@@ -53,7 +53,7 @@
 {
   int64_t delay_ms = now_ms - sent_ms - MIN (member->transit_ms, member->last_transit_ms);
 
-  return member->transit_since_ms == 0 ? 0 : MAX (delay_ms, 0);
+  return sent_ms == 0 || member->transit_since_ms == 0 ? 0 : MAX (delay_ms, 0);
 }
 
 void
--- a/src/vp-members.h
+++ b/src/vp-members.h
@@ -43,7 +43,7 @@
 void vp_member_handle_ping (VpMemberState *member, const VpNodeMsg *ping, int64_t now_ms);
 /* Returns how much longer than the fastest ping of the last minute a message of the member has been
  * on its way. @sent_ms is its send time on the member's clock, which may be any. Returns 0 if there
- * was no ping. */
+ * was no ping, or if @sent_ms is 0, as in commands of processes of earlier versions. */
 int64_t vp_member_delay_ms (const VpMemberState *member, int64_t sent_ms, int64_t now_ms);
 /* Returns true if a ping of the member arrived a short time ago. */
 bool vp_member_is_reachable (const VpMemberState *member, int64_t now_ms);
--- a/tests/test-members.c
+++ b/tests/test-members.c
@@ -141,6 +141,7 @@
   vp_member_handle_ping (one, &(VpNodeMsg){ .sent_ms = 5200, .age_ms = 700 }, NOW_MS + 205);
   g_assert_cmpint (vp_member_delay_ms (one, 5300, NOW_MS + 305), ==, 0);
   g_assert_cmpint (vp_member_delay_ms (one, 5300, NOW_MS + 2305), ==, 2000);
+  g_assert_cmpint (vp_member_delay_ms (one, 0, NOW_MS + 2305), ==, 0);
   /* It restarts with another clock. */
   vp_member_handle_ping (one, &(VpNodeMsg){ .sent_ms = 90000, .age_ms = 10 }, NOW_MS + 3000);
   g_assert_cmpint (vp_member_delay_ms (one, 90100, NOW_MS + 3200), ==, 100);
