Store a submission of a cancelled job before it is accepted

What callers saw: a job whose cancellation was confirmed before its submission arrived was shown as running until the next commit, and a submission that was sent again in that time was accepted at once, before it was stored. If the leader fails then, its successor answers 410 for a job that was accepted.

Cause: once its submission was noted, the job counted as stored, since its cancellation was, and as not ended, since its end had to be stored again.

Change: until the submission is stored, the job doesn't count as stored either.

Evidence: /jobservice/submission-of-cancelled-job-is-stored fails on the code before: the query is answered with a state. Without the check of the query it fails as the second submission is answered at once. It passes now.

--- a/src/vp-joblist.c
+++ b/src/vp-joblist.c
@@ -337,7 +337,8 @@
   job->is_unsubmitted = false;
   list->unsubmitted_count--;
   g_strlcpy (job->spec->queue, queue, sizeof job->spec->queue);
-  job->is_end_durable = false;
+  /* Until it is stored, callers see neither the job nor an acceptance of it. */
+  job->is_durable = job->is_end_durable = false;
   vp_joblist_mark_dirty (list, job);
 }
 
--- a/tests/test-jobservice.c
+++ b/tests/test-jobservice.c
@@ -268,6 +268,31 @@
   _teardown (&fixture);
 }
 
+/* Guards against a submission that is accepted before it is stored, and against a cancelled job
+ * that is shown as running: a repeated submission, and a query, arrive while the commit that notes
+ * the first submission is on its way. */
+static void
+test_submission_of_cancelled_job_is_stored (void)
+{
+  Fixture fixture;
+
+  _setup (&fixture);
+  _request (&fixture, VP_NODEMSG_CANCEL, JOB, 1, NOW_MS + 10);
+  _commit (&fixture, NOW_MS + 20);
+  g_assert_cmpuint (fixture.answers->len, ==, 1);
+  _submit (&fixture, 2, NOW_MS + 30);
+  _request (&fixture, VP_NODEMSG_QUERY, JOB, 3, NOW_MS + 35);
+  g_assert_cmpuint (fixture.answers->len, ==, 2);
+  g_assert_cmpint (_answer_kind (&fixture, 1), ==, VP_ANSWER_NO_SUCH_JOB);
+  _submit (&fixture, 4, NOW_MS + 40);
+  g_assert_cmpuint (fixture.answers->len, ==, 2);
+  _commit (&fixture, NOW_MS + 60);
+  g_assert_cmpuint (fixture.answers->len, ==, 4);
+  g_assert_cmpint (_answer_kind (&fixture, 2), ==, VP_ANSWER_ACCEPTED);
+  g_assert_cmpint (_answer_kind (&fixture, 3), ==, VP_ANSWER_ACCEPTED);
+  _teardown (&fixture);
+}
+
 int
 main (int argc, char *argv[])
 {
@@ -278,5 +303,7 @@
   g_test_add_func ("/jobservice/cancel-outlives-leader", test_cancel_outlives_leader);
   g_test_add_func ("/jobservice/unknown-cancels-are-bounded", test_unknown_cancels_are_bounded);
   g_test_add_func ("/jobservice/cancel-of-rejected-job", test_cancel_of_rejected_job);
+  g_test_add_func ("/jobservice/submission-of-cancelled-job-is-stored",
+                   test_submission_of_cancelled_job_is_stored);
   return g_test_run ();
 }
