Count the time that a batch of commands waits at the leader

What callers would see: a start reaches its worker over two seconds after the leader gave it, although such starts expire.

Cause: a batch carries the time at which it is sent. A batch waits for up to 12 ms after the one before; a leader that is stopped meanwhile sends it after it continues, and its relays take the starts in it for new ones.

Change: a batch carries the time at which its first command was given.

--- a/src/vp-nodemsg.h
+++ b/src/vp-nodemsg.h
@@ -54,7 +54,8 @@
   char dc[VP_NAME_MAX]; /* PING: DC of the sender */
   uint32_t cpu_milli;   /* PING: CPU share of the sender's VM, in thousandths of a core */
   int64_t age_ms;       /* PING: time since the sender started */
-  int64_t sent_ms;      /* PING, COMMANDS: send time on the sender's clock */
+  int64_t sent_ms;      /* PING: send time on the sender's clock; COMMANDS: time at which it gave
+                           the first one */
   int64_t echo_ms; /* PING: @sent_ms of the receiver's last ping that the sender has; 0: none */
   int64_t store_failing_ms; /* PING of the leader: time without a commit while commits fail */
   uint64_t config_version;  /* PING, CONFIG: version of the configuration; 0: none */
--- a/src/vp-relay.c
+++ b/src/vp-relay.c
@@ -58,6 +58,7 @@
   GByteArray *commands; /* packed commands in the batch */
   uint64_t batch;       /* number of the batch that is being built */
   uint32_t batch_count;
+  int64_t batch_began_ms; /* time of the first command in the batch */
 } VpRelayProcess;
 
 /* A text that the relay has. */
@@ -400,7 +401,8 @@
   vp_relay_pack_command (process->commands, command, serial,
                          _vp_relay_worker_index (process, command),
                          _vp_relay_text_index (process, command, now_ms));
-  process->batch_count++;
+  if (process->batch_count++ == 0)
+    process->batch_began_ms = now_ms;
   pending = g_new0 (VpRelayPending, 1);
   pending->process = process;
   pending->due_ms
@@ -422,16 +424,14 @@
 
 /* Moves the batch of the process to @out and begins another one. */
 static void
-_vp_relay_take_batch (const VpRelay *relay,
-                      VpRelayProcess *process,
-                      int64_t now_ms,
-                      VpRelayMessage *out)
+_vp_relay_take_batch (const VpRelay *relay, VpRelayProcess *process, VpRelayMessage *out)
 {
   memset (out, 0, sizeof *out);
   g_strlcpy (out->to, process->name, sizeof out->to);
   out->message.kind = VP_NODEMSG_COMMANDS;
   out->message.term = relay->desc.term;
-  out->message.sent_ms = now_ms;
+  /* The leader may have been stopped since it gave the commands. */
+  out->message.sent_ms = process->batch_began_ms;
   out->message.body
       = g_variant_new ("(a(ss)as@ay)", &process->worker_builder, &process->text_builder,
                        g_variant_new_fixed_array (G_VARIANT_TYPE_BYTE, process->commands->data,
@@ -453,7 +453,7 @@
     process->batch_due_ms = now_ms + VP_RELAY_BATCH_INTERVAL_MS;
     g_hash_table_foreach_remove (process->texts, _vp_relay_is_text_unknown, &now_ms);
     g_array_set_size (messages, messages->len + 1);
-    _vp_relay_take_batch (relay, process, now_ms,
+    _vp_relay_take_batch (relay, process,
                           &g_array_index (messages, VpRelayMessage, messages->len - 1));
   }
 }
--- a/tests/test-relay.c
+++ b/tests/test-relay.c
@@ -616,6 +616,39 @@
   _teardown (&fixture);
 }
 
+/* Guards against a start that counts as new at its relay although the leader was stopped between
+ * giving and sending it: a batch waits for a short time after the one before. */
+static void
+test_send_time_of_waiting_batch (void)
+{
+  Fixture fixture;
+  int64_t given_ms;
+
+  _setup (&fixture, 4);
+  _ping (&fixture, "n1", "a", 125, 5000);
+  _update (&fixture);
+  _add_start (&fixture, "a1", 0);
+  _flush (&fixture);
+  g_assert_cmpuint (fixture.messages->len, ==, 1);
+  given_ms = fixture.now_ms + 1;
+  fixture.now_ms = given_ms;
+  _add_start (&fixture, "a1", 1);
+  fixture.now_ms += 5;
+  _add_start (&fixture, "a1", 2);
+  fixture.now_ms += 5000;
+  _flush (&fixture);
+  g_assert_cmpuint (fixture.messages->len, ==, 1);
+  g_assert_cmpint (g_array_index (fixture.messages, VpRelayMessage, 0).message.sent_ms, ==,
+                   given_ms);
+  /* The next batch has a time of its own. */
+  given_ms = fixture.now_ms;
+  _add_start (&fixture, "a1", 3);
+  _flush (&fixture);
+  g_assert_cmpint (g_array_index (fixture.messages, VpRelayMessage, 0).message.sent_ms, ==,
+                   given_ms);
+  _teardown (&fixture);
+}
+
 /* Guards against a HOLD that loses the life of the worker to which its acknowledgement belongs. */
 static void
 test_acknowledgement (void)
@@ -689,6 +722,7 @@
   g_test_add_func ("/relay/text-once", test_text_once);
   g_test_add_func ("/relay/malformed", test_malformed);
   g_test_add_func ("/relay/expired-start", test_expired_start);
+  g_test_add_func ("/relay/send-time-of-waiting-batch", test_send_time_of_waiting_batch);
   g_test_add_func ("/relay/truncated-results", test_truncated_results);
   return g_test_run ();
 }
