Let a repeated request wait once for its job to be stored

What was seen: while the store is slow, the leader keeps another entry each time that a node sends a request again, every 600 ms, and answers each of them. Those of cancellations are kept until the store takes commits again.

Cause: requests that wait were not compared with those that wait already.

Change: they are, by node and serial.

Evidence: /jobservice/repeated-requests-wait-once fails on the code before with 4 answers to 2 requests, and passes now.

--- a/src/vp-jobservice.c
+++ b/src/vp-jobservice.c
@@ -136,6 +136,17 @@
   return false;
 }
 
+static bool
+_vp_jobservice_is_waiting (const GArray *waiters, const VpNodeMsg *message)
+{
+  for (guint i = 0; waiters != NULL && i < waiters->len; i++) {
+    const VpJobServiceWaiter *waiter = &g_array_index (waiters, VpJobServiceWaiter, i);
+    if (waiter->serial == message->serial && strcmp (waiter->from, message->from) == 0)
+      return true;
+  }
+  return false;
+}
+
 /* Lets the request wait until its job, or the end of the job, is durable. */
 static void
 _vp_jobservice_add_waiter (VpJobService *service, const VpNodeMsg *message, int64_t now_ms)
@@ -144,6 +155,9 @@
   VpJobServiceWaiter waiter
       = { .serial = message->serial, .kind = message->kind, .since_ms = now_ms };
 
+  /* Nodes send a request again until it is answered. */
+  if (_vp_jobservice_is_waiting (waiters, message))
+    return;
   g_strlcpy (waiter.from, message->from, sizeof waiter.from);
   g_strlcpy (waiter.queue, message->queue, sizeof waiter.queue);
   if (waiters == NULL) {
--- a/tests/test-jobservice.c
+++ b/tests/test-jobservice.c
@@ -293,6 +293,23 @@
   _teardown (&fixture);
 }
 
+/* Guards against a list that grows each time a node repeats a request while the store is slow: it
+ * is answered once. */
+static void
+test_repeated_requests_wait_once (void)
+{
+  Fixture fixture;
+
+  _setup (&fixture);
+  _submit (&fixture, 1, NOW_MS + 10);
+  _submit (&fixture, 1, NOW_MS + 610);
+  _request (&fixture, VP_NODEMSG_CANCEL, JOB + 1, 2, NOW_MS + 10);
+  _request (&fixture, VP_NODEMSG_CANCEL, JOB + 1, 2, NOW_MS + 610);
+  _commit (&fixture, NOW_MS + 620);
+  g_assert_cmpuint (fixture.answers->len, ==, 2);
+  _teardown (&fixture);
+}
+
 int
 main (int argc, char *argv[])
 {
@@ -305,5 +322,6 @@
   g_test_add_func ("/jobservice/cancel-of-rejected-job", test_cancel_of_rejected_job);
   g_test_add_func ("/jobservice/submission-of-cancelled-job-is-stored",
                    test_submission_of_cancelled_job_is_stored);
+  g_test_add_func ("/jobservice/repeated-requests-wait-once", test_repeated_requests_wait_once);
   return g_test_run ();
 }
