--- a/tests/script-server.h
+++ b/tests/script-server.h
@@ -18,10 +18,13 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
+#define SCRIPT_LATE_MS 500
+
 typedef enum {
   SCRIPT_RESPOND,       /* reads the request, responds and keeps the connection open */
   SCRIPT_RESPOND_CLOSE, /* reads the request, responds and closes the connection */
   SCRIPT_NO_RESPONSE,   /* reads the request and closes the connection without a response */
+  SCRIPT_CLOSE_LATE,    /* the same, but waits for SCRIPT_LATE_MS before it closes */
   SCRIPT_RESET,         /* reads the request and resets the connection */
   SCRIPT_STALL,         /* reads the request, sends the text and waits until the client closes */
   SCRIPT_CLOSE_UNREAD,  /* closes a new connection without reading the request */
@@ -93,6 +96,8 @@
       (void)!send (fd, step->text, strlen (step->text), MSG_NOSIGNAL);
     if (step->action == SCRIPT_RESPOND)
       continue;
+    if (step->action == SCRIPT_CLOSE_LATE)
+      g_usleep (SCRIPT_LATE_MS * 1000);
     if (step->action == SCRIPT_RESET)
       setsockopt (fd, SOL_SOCKET, SO_LINGER, &reset, sizeof reset);
     while (step->action == SCRIPT_STALL && recv (fd, &byte, 1, 0) > 0)
--- a/tests/test-pf-workers.c
+++ b/tests/test-pf-workers.c
@@ -143,6 +143,47 @@
   }
 }
 
+/* Sends a start and returns the outcome. */
+static VpCommandOutcome
+_start (const char *address, uint32_t run, int64_t expires_ms)
+{
+  VpCommand command = { .kind = VP_COMMAND_START, .run = run, .expires_ms = expires_ms };
+  VpCommandOutcome outcome;
+  VpNodeEvent event;
+
+  g_strlcpy (command.worker, "closing", sizeof command.worker);
+  g_strlcpy (command.address, address, sizeof command.address);
+  command.text = g_strdup ("text");
+  vp_pf_workers_send (_workers, &command);
+  while (!vp_node_queue_take (&_results, &event))
+    vp_queue_sleep (&_results.queue, TIMEOUT_MS, NULL);
+  outcome = event.command.outcome;
+  vp_node_event_clear (&event);
+  return outcome;
+}
+
+/* Guards against a start that is sent once more after it has expired: the worker closes its
+ * connection late and without an answer, and the call is repeated on another one. */
+static void
+test_expired_start_is_not_resent (void)
+{
+  g_autofree char *response = _response (100, "");
+  const ScriptStep steps[] = { { SCRIPT_RESPOND, response },
+                               { SCRIPT_CLOSE_LATE, NULL },
+                               { SCRIPT_RESPOND_CLOSE, response } };
+  ScriptServer server;
+
+  script_setup (&server, steps, G_N_ELEMENTS (steps));
+  _start (server.address, 1, 0);
+  /* The thread of the first start is idle again, so that the second uses its connection. */
+  g_usleep (200000);
+  g_assert_cmpint (_start (server.address, 2, vp_runtime_now_ms () + SCRIPT_LATE_MS / 2), ==,
+                   VP_COMMAND_UNCERTAIN);
+  script_stop (&server);
+  g_assert_cmpuint (server.bodies->len, ==, 2);
+  script_shutdown (&server);
+}
+
 int
 main (int argc, char **argv)
 {
@@ -156,6 +197,7 @@
   g_test_add_func ("/pf-workers/closed-connections", test_closed_connections);
   g_test_add_func ("/pf-workers/bad-address", test_bad_address);
   g_test_add_func ("/pf-workers/start-behind-silent-worker", test_start_behind_silent_worker);
+  g_test_add_func ("/pf-workers/expired-start-is-not-resent", test_expired_start_is_not_resent);
   status = g_test_run ();
   vp_pf_workers_shutdown (_workers);
   return status;
