Repeat lost stops of unassigned runs within a second

What callers see: a run of a job whose cancellation was confirmed, which a new leader finds in a worker's list, may go on for more than two seconds longer if its stop is lost.

Cause: such a run belongs to no task, so only the next list repeats its stop. The worker was allowed to delay that list for 2 s or until a run ends, and none ends if the stop was lost.

Change: while a worker lists runs that belong to no task, the delay of its next list is limited to 400 ms.

Evidence: with the code before, test-cell-takeover /cell/lost-stop-of-unassigned-run fails: the stop is repeated after 2,400 ms instead of at most 1,000. It isn't shown that a run has outlasted the bound of 3.9 s because of this.

--- a/src/vp-cell.c
+++ b/src/vp-cell.c
@@ -8,6 +8,9 @@
 
 /* Time that a worker may delay its answer to a HOLD until the next run ends. */
 #define VP_CELL_HOLD_WAIT_MS 2000
+/* The same while the worker lists runs that belong to no task. Their stops are repeated only with
+ * the next list, so that a lost stop would otherwise let such a run go on for seconds. */
+#define VP_CELL_HOLD_WAIT_UNASSIGNED_MS 400
 /* Minimum time between an answer to a HOLD that reported ends and the next HOLD. Each HOLD costs a
  * call, so several ends are collected in one; a longer delay between the steps of a job would be
  * noticeable in its duration. */
@@ -745,6 +748,16 @@
   _vp_cell_place_steps (cell, now_ms, effects);
 }
 
+/* Returns the time that the worker may delay its answer to a HOLD. */
+static int64_t
+_vp_cell_hold_wait_ms (const VpCellWorker *worker)
+{
+  if (!worker->is_synced || !worker->is_reachable
+      || worker->last_end_seen != worker->last_end_durable)
+    return 0;
+  return worker->unknown_run_count > 0 ? VP_CELL_HOLD_WAIT_UNASSIGNED_MS : VP_CELL_HOLD_WAIT_MS;
+}
+
 /* Sends a HOLD to the worker if one is due. */
 static void
 _vp_cell_send_hold (VpCell *cell, VpCellWorker *worker, int64_t now_ms, GArray *effects)
@@ -761,10 +774,7 @@
     command->lease_end_ms = vp_workerlist_extend_lease (cell->worker_list, worker, now_ms);
   command->acked_end = worker->last_end_durable;
   command->booted_ms = worker->booted_ms;
-  command->wait_ms = worker->is_synced && worker->is_reachable
-                             && worker->last_end_seen == worker->last_end_durable
-                         ? VP_CELL_HOLD_WAIT_MS
-                         : 0;
+  command->wait_ms = _vp_cell_hold_wait_ms (worker);
 }
 
 /* Sends the stops for listed runs that belong to no task. */
--- a/tests/test-cell-takeover.c
+++ b/tests/test-cell-takeover.c
@@ -910,6 +910,46 @@
   _teardown (&fixture);
 }
 
+/* Guards against a run of a cancelled job that goes on for seconds after its stop was lost: the
+ * worker may answer the next HOLD only when a run ends, and the stop is repeated after that. */
+static void
+test_lost_stop_of_unassigned_run (void)
+{
+  Fixture fixture;
+  VpRunningEntry entry = { .task = { .job = 99 }, .is_task = true, .run = 1, .percent = 100 };
+  VpCommandResult result;
+  const VpCommand *hold;
+  int64_t lost_ms;
+
+  _setup (&fixture, 1, false);
+  _sync (&fixture);
+  _decide (&fixture);
+  g_assert_cmpint (_find_command (&fixture, VP_COMMAND_HOLD)->wait_ms, >, 1000);
+  result = _hold_result (&fixture, "w0");
+  g_array_append_val (result.running, entry);
+  _apply (&fixture, &result);
+  _decide (&fixture);
+  g_assert_cmpuint (_count_commands (&fixture, VP_COMMAND_STOP), ==, 1);
+  lost_ms = fixture.now_ms;
+  while ((hold = _find_command (&fixture, VP_COMMAND_HOLD)) == NULL) {
+    fixture.now_ms += 50;
+    _decide (&fixture);
+  }
+  fixture.now_ms += hold->wait_ms;
+  result = _hold_result (&fixture, "w0");
+  g_array_append_val (result.running, entry);
+  _apply (&fixture, &result);
+  _decide (&fixture);
+  g_assert_cmpuint (_count_commands (&fixture, VP_COMMAND_STOP), ==, 1);
+  g_assert_cmpint (fixture.now_ms - lost_ms, <=, 1000);
+  /* Once the run has ended the answers wait again. */
+  result = _hold_result (&fixture, "w0");
+  _apply (&fixture, &result);
+  _decide (&fixture);
+  g_assert_cmpint (_find_command (&fixture, VP_COMMAND_HOLD)->wait_ms, >, 1000);
+  _teardown (&fixture);
+}
+
 int
 main (int argc, char *argv[])
 {
@@ -943,5 +983,6 @@
   g_test_add_func ("/cell/late-start-result", test_late_start_result);
   g_test_add_func ("/cell/late-clock", test_late_clock);
   g_test_add_func ("/cell/late-list-of-replaced-worker", test_late_list_of_replaced_worker);
+  g_test_add_func ("/cell/lost-stop-of-unassigned-run", test_lost_stop_of_unassigned_run);
   return g_test_run ();
 }
