Tests: check runs of cancelled jobs after each calm stretch

The random tests of cancellations looked at running tasks only 30 s after the last fault, and the faults left out gangs, jobs that run when their cancellation comes, and commands that are carried out late.

/node-cancel/calm-stretches cancels running jobs of all kinds amid faults that mostly strike the leader, and checks after the bounds of the platform (3 s of contact, 3 s + 0.9 s from the confirmation to the end of the last run) that nothing of a confirmed cancellation runs. The other random tests wait for the end of the last fault and then for these bounds, and no longer.

--- a/tests/test-node-cancel.c
+++ b/tests/test-node-cancel.c
@@ -7,6 +7,23 @@
 #define WORKER_COUNT 6
 /* CPU share with which a leader hands the commands to all of its workers to other processes. */
 #define RELAY_CPU_MILLI 4
+/* The platform's bounds, which are these on all sites: machines are in touch CONTACT_MS after the
+ * last disruption, a job of which the cancellation is confirmed starts nothing after CANCEL_MS, and
+ * a stop takes up to STOP_MS. */
+#define CONTACT_MS 3000
+#define CANCEL_MS  3000
+#define STOP_MS    900
+/* Within this time of calm a cancellation is confirmed. */
+#define ACK_MS 4000
+/* Limits of the random faults and delays. */
+#define FAULT_MAX_MS         3000
+#define MESSAGE_DELAY_MAX_MS 6000
+#define DELAYED_MAX_MS       8000
+#define SHORT_DELAY_MAX_MS   1000
+/* Longest delay of a write, or of a command, after simcell_lose_write_results() and
+ * simcell_delay_commands(). */
+#define LATE_WRITE_MAX_MS   5000
+#define LATE_COMMAND_MAX_MS 12000
 
 static SimCell *
 _simcell_new_with_leader (uint32_t seed, uint32_t cpu_milli)
@@ -88,7 +105,7 @@
   GRand *rand = simcell_rand (sim);
   uint32_t node = (uint32_t)g_rand_int_range (rand, 0, NODE_COUNT);
   uint32_t worker = (uint32_t)g_rand_int_range (rand, 0, WORKER_COUNT);
-  int64_t for_ms = g_rand_int_range (rand, 200, 3000);
+  int64_t for_ms = g_rand_int_range (rand, 200, FAULT_MAX_MS);
 
   switch (g_rand_int_range (rand, 0, 9)) {
   case 0:
@@ -153,8 +170,8 @@
   uint32_t node = g_rand_boolean (rand) ? simcell_leader (sim)
                                         : (uint32_t)g_rand_int_range (rand, 0, NODE_COUNT);
 
-  simcell_delay_messages (sim, node, g_rand_int_range (rand, 100, 6000),
-                          g_rand_int_range (rand, 500, 8000));
+  simcell_delay_messages (sim, node, g_rand_int_range (rand, 100, MESSAGE_DELAY_MAX_MS),
+                          g_rand_int_range (rand, 500, DELAYED_MAX_MS));
 }
 
 /* Injects random faults for 25 s. */
@@ -181,12 +198,141 @@
       _random_delay (sim);
     simcell_run (sim, g_rand_int_range (rand, 100, 900));
   }
-  simcell_run (sim, 30000);
+  /* A message may be delayed at both of its ends. */
+  simcell_run (sim, has_delays ? DELAYED_MAX_MS + 2 * MESSAGE_DELAY_MAX_MS
+                               : FAULT_MAX_MS + LATE_WRITE_MAX_MS);
+  simcell_run (sim, CONTACT_MS + ACK_MS + CANCEL_MS + STOP_MS);
   for (guint i = 0; i < cancelled->len; i++)
     _assert_cancelled (sim, g_array_index (cancelled, uint64_t, i));
   simcell_free (sim);
 }
 
+/* Submits a job of a random kind. */
+static uint64_t
+_submit_random (SimCell *sim)
+{
+  GRand *rand = simcell_rand (sim);
+  SimJobDesc desc = { .steps = (uint32_t)g_rand_int_range (rand, 1, 4),
+                      .width = (uint32_t)g_rand_int_range (rand, 1, 5),
+                      .work_ms = g_rand_int_range (rand, 100, 8000),
+                      .is_long_running = g_rand_int_range (rand, 0, 2) == 0 };
+
+  desc.is_gang = !desc.is_long_running && g_rand_int_range (rand, 0, 3) == 0;
+  desc.steps = desc.is_long_running ? 1 : desc.steps;
+  return simcell_submit (sim, (uint32_t)g_rand_int_range (rand, 0, NODE_COUNT), &desc);
+}
+
+/* Injects a fault that lasts up to 2 s, most often at the leader. Returns the time at which its
+ * last effect ends. */
+static int64_t
+_short_fault (SimCell *sim)
+{
+  GRand *rand = simcell_rand (sim);
+  uint32_t node = g_rand_boolean (rand) ? simcell_leader (sim)
+                                        : (uint32_t)g_rand_int_range (rand, 0, NODE_COUNT);
+  uint32_t worker = (uint32_t)g_rand_int_range (rand, 0, WORKER_COUNT);
+  int64_t for_ms = g_rand_int_range (rand, 200, 2000);
+
+  switch (g_rand_int_range (rand, 0, 13)) {
+  case 0:
+    simcell_kill_node (sim, node, for_ms);
+    break;
+  case 1:
+    simcell_pause_node (sim, node, for_ms);
+    break;
+  case 2:
+  case 3:
+    simcell_stop_node (sim, node, 0);
+    break;
+  case 4:
+    simcell_partition_node (sim, node, for_ms);
+    break;
+  case 5:
+    simcell_disconnect_store (sim, g_rand_int_range (rand, -1, NODE_COUNT), g_rand_boolean (rand),
+                              for_ms);
+    break;
+  case 6:
+    simcell_lose_write_results (sim, 0.4, for_ms);
+    for_ms += LATE_WRITE_MAX_MS;
+    break;
+  case 7:
+    simcell_crash_worker (sim, worker, for_ms);
+    break;
+  case 8:
+    simcell_delay_commands (sim, 0.5, for_ms);
+    for_ms += LATE_COMMAND_MAX_MS;
+    break;
+  case 9:
+    simcell_slow_node (sim, node, g_rand_int_range (rand, 1, 20), for_ms);
+    break;
+  case 10:
+    simcell_delay_messages (sim, node, g_rand_int_range (rand, 100, SHORT_DELAY_MAX_MS), for_ms);
+    for_ms += 2 * SHORT_DELAY_MAX_MS;
+    break;
+  case 11:
+    simcell_expire_members (sim, node);
+    break;
+  default:
+    simcell_partition_worker (sim, worker, for_ms);
+    break;
+  }
+  return simcell_now_ms (sim) + for_ms;
+}
+
+/* Asserts that of the jobs whose cancellation is confirmed now nothing runs CANCEL_MS + STOP_MS
+ * later, if nothing is disrupted meanwhile. */
+static void
+_check_calm (SimCell *sim, const GArray *jobs, uint32_t seed)
+{
+  g_autoptr (GArray) confirmed = g_array_new (FALSE, FALSE, sizeof (uint64_t));
+  int64_t began_ms = simcell_now_ms (sim);
+
+  for (guint i = 0; i < jobs->len; i++) {
+    uint64_t job = g_array_index (jobs, uint64_t, i);
+    if (simcell_is_job_cancelled (sim, job))
+      g_array_append_val (confirmed, job);
+  }
+  simcell_run (sim, CANCEL_MS + STOP_MS);
+  for (guint i = 0; i < confirmed->len; i++) {
+    uint64_t job = g_array_index (confirmed, uint64_t, i);
+    if (simcell_running_count (sim, job) > 0)
+      g_error ("seed %u: calm since %" G_GINT64_FORMAT ": %u tasks of %016" G_GINT64_MODIFIER
+               "x run after the cancel of the job was confirmed",
+               seed, began_ms, simcell_running_count (sim, job), job);
+  }
+}
+
+/* Lets jobs run, cancels most of them amid faults of up to 2 s, and checks a calm stretch after the
+ * last fault. */
+static void
+_run_calm_stretches (uint32_t seed, uint32_t cpu_milli)
+{
+  SimCell *sim = _simcell_new_with_leader (seed, cpu_milli);
+  GRand *rand = simcell_rand (sim);
+  g_autoptr (GArray) jobs = g_array_new (FALSE, FALSE, sizeof (uint64_t));
+
+  for (int round = 0; round < 4; round++) {
+    guint first = jobs->len;
+    int64_t faulty_until_ms = simcell_now_ms (sim);
+    for (int i = 0; i < 10; i++) {
+      uint64_t job = _submit_random (sim);
+      g_array_append_val (jobs, job);
+    }
+    simcell_run (sim, g_rand_int_range (rand, 100, 2000));
+    for (guint i = first; i < jobs->len; i++) {
+      uint64_t job = g_array_index (jobs, uint64_t, i);
+      if (g_rand_int_range (rand, 0, 5) > 0)
+        simcell_cancel (sim, job, g_rand_int_range (rand, 0, 1500));
+      if (g_rand_int_range (rand, 0, 3) == 0)
+        faulty_until_ms = MAX (faulty_until_ms, _short_fault (sim));
+      simcell_run (sim, g_rand_int_range (rand, 0, 400));
+    }
+    simcell_run (sim, MAX (faulty_until_ms - simcell_now_ms (sim), 0) + CONTACT_MS);
+    _check_calm (sim, jobs, seed);
+  }
+  simcell_free (sim);
+}
+
 /* Runs 20 seeds, or as many as VP_SEEDS says, from 100 or VP_SEED on. */
 static void
 _run_seeds (uint32_t cpu_milli, bool has_delays)
@@ -220,6 +366,23 @@
   _run_seeds (RELAY_CPU_MILLI, true);
 }
 
+/* Guards against a run of a cancelled job that survives changes of the leader, lost or late stops
+ * and restarts of workers: with and without relays. */
+static void
+test_calm_stretches (void)
+{
+  const char *first = g_getenv ("VP_SEED");
+  const char *count = g_getenv ("VP_SEEDS");
+  uint32_t seed = first == NULL ? 100 : (uint32_t)g_ascii_strtoull (first, NULL, 10);
+  uint32_t seeds
+      = count == NULL ? (first == NULL ? 20 : 1) : (uint32_t)g_ascii_strtoull (count, NULL, 10);
+
+  for (uint32_t i = 0; i < seeds; i++) {
+    _run_calm_stretches (seed + i, 0);
+    _run_calm_stretches (seed + i, RELAY_CPU_MILLI);
+  }
+}
+
 int
 main (int argc, char *argv[])
 {
@@ -230,5 +393,6 @@
   g_test_add_func ("/node-cancel/slow-messages", test_slow_messages);
   g_test_add_func ("/node-cancel/random", test_random);
   g_test_add_func ("/node-cancel/random-relays-delays", test_random_relays_delays);
+  g_test_add_func ("/node-cancel/calm-stretches", test_calm_stretches);
   return g_test_run ();
 }
