Soak: cancel early, late and twice, and bound the starts after it

What was missing: the callers of the soak cancelled only after the submission had been accepted, and only the end of the run was checked.

Change: callers also cancel at the same time as they submit, up to 3 s after the acceptance, at two nodes at once, and again after the first confirmation. These draws come from a random source of their own. A start later than cancel_ms after a confirmed cancellation fails the run; _has_cancel_bound() says which starts don't count. An accepted job whose cancellation was confirmed must be shown as cancelled, or as completed if all its tasks were done. Tasks of cancelled jobs must be gone cancel_ms + stop_ms after the confirmation; as the last one may come late, the end of the run is checked twice.

--- a/soak/callers.c
+++ b/soak/callers.c
@@ -7,20 +7,39 @@
 #include <ne_socket.h>
 #include <string.h>
 
-#define TRIES_MAX         6
-#define READ_TIMEOUT_S    4
-#define DEADLINE_MS       3000
-#define RETRY_AFTER_MAX_S 2 /* longer values of Retry-After are shortened to this */
-#define POLL_INTERVAL_MS  300
-#define VISIBLE_WITHIN_MS 3000 /* each node must know an accepted job after this time */
-#define BODY_MAX          4096
+#define TRIES_MAX           6
+#define READ_TIMEOUT_S      4
+#define DEADLINE_MS         3000
+#define RETRY_AFTER_MAX_S   2 /* longer values of Retry-After are shortened to this */
+#define POLL_INTERVAL_MS    300
+#define VISIBLE_WITHIN_MS   3000 /* each node must know an accepted job after this time */
+#define CANCEL_LATE_MAX_MS  3000
+#define MEASURE_INTERVAL_MS 10
+#define BODY_MAX            4096
 
 typedef struct {
   Soak *soak;
   uint32_t number;
   GRand *rand;
+  GRand *cancel_rand; /* of its own, so that the jobs of a seed don't depend on cancellations */
 } Caller;
 
+typedef enum {
+  CANCEL_NONE,
+  CANCEL_EARLY, /* at the same time as the submission */
+  CANCEL_ONCE_ACCEPTED,
+  CANCEL_LATE, /* after some tasks may have ended */
+} CancelTime;
+
+/* A cancellation on a thread of its own. */
+typedef struct {
+  Soak *soak;
+  SimJob *job;
+  const char *path;
+  GRand *rand;
+  const char *address; /* NULL: a random node for each attempt */
+} Canceller;
+
 typedef struct {
   uint32_t status; /* 0 without a complete reply */
   uint32_t retry_after_s;
@@ -97,10 +116,9 @@
 }
 
 static const char *
-_random_node_address (const Caller *caller)
+_random_node_address (const Soak *soak, GRand *rand)
 {
-  Soak *soak = caller->soak;
-  guint node = (guint)g_rand_int_range (caller->rand, 0, (gint32)soak->node_count);
+  guint node = (guint)g_rand_int_range (rand, 0, (gint32)soak->node_count);
 
   return fake_mapping_address (soak->caller_links[node]);
 }
@@ -181,7 +199,7 @@
   Reply reply;
 
   for (int i = 0; i < TRIES_MAX && !_is_stopping (soak); i++) {
-    _http_call (_random_node_address (caller), "POST", path, SOAK_KEY, body, &reply);
+    _http_call (_random_node_address (soak, caller->rand), "POST", path, SOAK_KEY, body, &reply);
     if (reply.status == 200) {
       g_mutex_lock (&soak->lock);
       job->is_accepted = true;
@@ -206,23 +224,66 @@
   return false;
 }
 
-static void
-_cancel (Caller *caller, SimJob *job, const char *path)
+/* Cancels the job until a node confirms it. */
+static gpointer
+_cancel (gpointer data)
 {
-  Reply reply;
+  Canceller *canceller = data;
+  Soak *soak = canceller->soak;
+  SimJob *job = canceller->job;
+  Reply reply = { 0 };
 
-  g_mutex_lock (&caller->soak->lock);
-  job->is_cancel_requested = true;
-  g_mutex_unlock (&caller->soak->lock);
-  while (!_is_stopping (caller->soak)) {
-    _http_call (_random_node_address (caller), "DELETE", path, SOAK_KEY, NULL, &reply);
+  while (!_is_stopping (soak)) {
+    _http_call (canceller->address != NULL ? canceller->address
+                                           : _random_node_address (soak, canceller->rand),
+                "DELETE", canceller->path, SOAK_KEY, NULL, &reply);
     if (reply.status == 200 || reply.status == 410)
       break;
     _sleep_ms (POLL_INTERVAL_MS);
   }
+  g_mutex_lock (&soak->lock);
+  if (!_is_stopping (soak)) {
+    job->is_cancelled = true;
+    if (job->cancelled_ms == 0)
+      job->cancelled_ms = fake_now_ms ();
+    soak->cancelled_count++;
+    if (reply.status == 410)
+      g_hash_table_add (soak->cancel_unknown, &job->id);
+  }
+  g_mutex_unlock (&soak->lock);
+  g_rand_free (canceller->rand);
+  g_free (canceller);
+  return NULL;
+}
+
+static GThread *
+_start_cancel (Caller *caller, SimJob *job, const char *path)
+{
+  Canceller *canceller = g_new0 (Canceller, 1);
+
+  canceller->soak = caller->soak;
+  canceller->job = job;
+  canceller->path = path;
+  canceller->rand = g_rand_new_with_seed (g_rand_int (caller->cancel_rand));
   g_mutex_lock (&caller->soak->lock);
-  job->is_cancelled = !_is_stopping (caller->soak);
+  job->is_cancel_requested = true;
   g_mutex_unlock (&caller->soak->lock);
+  return g_thread_new ("cancel", _cancel, canceller);
+}
+
+/* Cancels the job once, at two nodes at the same time, or again after the first confirmation. */
+static void
+_cancel_accepted (Caller *caller, SimJob *job, const char *path)
+{
+  int kind = g_rand_int_range (caller->cancel_rand, 0, 3);
+  GThread *first = _start_cancel (caller, job, path);
+  GThread *second = kind == 1 ? _start_cancel (caller, job, path) : NULL;
+
+  g_thread_join (first);
+  if (kind == 2)
+    second = _start_cancel (caller, job, path);
+  if (second != NULL)
+    g_thread_join (second);
 }
 
 static void
@@ -249,7 +310,7 @@
   while (!_is_stopping (soak)) {
     int64_t faults_ended_ms = __atomic_load_n (&soak->faults_ended_ms, __ATOMIC_SEQ_CST);
     int64_t asked_ms = fake_now_ms ();
-    _http_call (_random_node_address (caller), "GET", path, SOAK_KEY, NULL, &reply);
+    _http_call (_random_node_address (soak, caller->rand), "GET", path, SOAK_KEY, NULL, &reply);
     if (reply.status == 410 && asked_ms > accepted_ms + VISIBLE_WITHIN_MS)
       soak_fail (soak, "GET %s of an accepted job returned status 410", path);
     if (strstr (reply.body, "\"failed\"") != NULL || strstr (reply.body, "\"cancelled\"") != NULL)
@@ -265,15 +326,60 @@
   }
 }
 
+/* Polls an accepted job whose cancellation was confirmed until it is shown as ended. It may be
+ * shown as completed only if all of its tasks were done. While faults are active, a node that was
+ * paused may still answer from the time before the cancellation. */
+static void
+_poll_until_cancelled (Caller *caller, const SimJob *job, const char *path)
+{
+  Soak *soak = caller->soak;
+  Reply reply;
+
+  while (!_is_stopping (soak)) {
+    int64_t faults_ended_ms = __atomic_load_n (&soak->faults_ended_ms, __ATOMIC_SEQ_CST);
+    int64_t asked_ms = fake_now_ms ();
+    _http_call (_random_node_address (soak, caller->cancel_rand), "GET", path, SOAK_KEY, NULL,
+                &reply);
+    if (strstr (reply.body, "\"cancelled\"") != NULL)
+      return;
+    if (strstr (reply.body, "\"completed\"") != NULL) {
+      _check_completed (soak, job);
+      return;
+    }
+    if (strstr (reply.body, "\"failed\"") != NULL)
+      soak_fail (soak, "GET %s of a cancelled job returned %s", path, reply.body);
+    if (reply.status == 410 && asked_ms > job->cancelled_ms + VISIBLE_WITHIN_MS)
+      soak_fail (soak, "GET %s of an accepted, cancelled job returned status 410", path);
+    if (reply.status == 200 && faults_ended_ms != 0
+        && asked_ms > MAX (faults_ended_ms, job->cancelled_ms) + VISIBLE_WITHIN_MS)
+      soak_fail (soak, "GET %s of a cancelled job returned %s", path, reply.body);
+    if (faults_ended_ms != 0 && asked_ms > faults_ended_ms + soak->completion_timeout_ms)
+      soak_fail (soak, "GET %s returned status %u %s, not cancelled %d ms after the last fault",
+                 path, reply.status, reply.body, (int)soak->completion_timeout_ms);
+    _sleep_ms (POLL_INTERVAL_MS);
+  }
+}
+
 static void
 _check_unknown_key (const Caller *caller)
 {
-  uint32_t status = soak_callers_get (_random_node_address (caller), "/plain/", "no-such-key");
+  uint32_t status = soak_callers_get (_random_node_address (caller->soak, caller->rand), "/plain/",
+                                      "no-such-key");
 
   if (status != 401 && status != 503 && status != 0)
     soak_fail (caller->soak, "a request with an unknown key returned status %u", status);
 }
 
+static CancelTime
+_draw_cancel_time (Caller *caller, bool is_cancelled)
+{
+  int draw = g_rand_int_range (caller->cancel_rand, 0, 10);
+
+  if (is_cancelled)
+    return CANCEL_ONCE_ACCEPTED;
+  return draw < 2 ? CANCEL_EARLY : draw == 2 ? CANCEL_LATE : CANCEL_NONE;
+}
+
 static gpointer
 _caller_main (gpointer data)
 {
@@ -285,17 +391,30 @@
     g_autofree char *path
         = g_strdup_printf ("/%s/%016" G_GINT64_MODIFIER "x", job->spec->queue, job->id);
     bool is_cancelled = g_rand_int_range (caller->rand, 0, 10) == 0;
+    CancelTime time = _draw_cancel_time (caller, is_cancelled);
+    GThread *early = NULL;
+    bool is_accepted;
     if (g_rand_int_range (caller->rand, 0, 10) == 0)
       _check_unknown_key (caller);
-    if (!_submit (caller, job, path))
+    if (time == CANCEL_EARLY)
+      early = _start_cancel (caller, job, path);
+    is_accepted = _submit (caller, job, path);
+    if (early != NULL)
+      g_thread_join (early);
+    if (!is_accepted)
       continue;
-    if (is_cancelled)
-      _cancel (caller, job, path);
+    if (time == CANCEL_LATE)
+      _sleep_ms (g_rand_int_range (caller->cancel_rand, 0, CANCEL_LATE_MAX_MS));
+    if (time == CANCEL_LATE || time == CANCEL_ONCE_ACCEPTED)
+      _cancel_accepted (caller, job, path);
+    if (time != CANCEL_NONE)
+      _poll_until_cancelled (caller, job, path);
     else if (!job->desc.is_long_running)
       _poll_until_completed (caller, job, path, fake_now_ms ());
     _sleep_ms (g_rand_int_range (caller->rand, 0, 400));
   }
   g_rand_free (caller->rand);
+  g_rand_free (caller->cancel_rand);
   g_free (caller);
   return NULL;
 }
@@ -310,10 +429,57 @@
     caller->soak = soak;
     caller->number = i;
     caller->rand = g_rand_new_with_seed (soak->seed * 1000 + i);
+    caller->cancel_rand = g_rand_new_with_seed (soak->seed * 1000 + 500 + i);
     g_ptr_array_add (_threads, g_thread_new ("caller", _caller_main, caller));
   }
 }
 
+/* Submits the job once; returns after the reply. */
+static gpointer
+_submit_once (gpointer data)
+{
+  Canceller *submission = data;
+  g_autofree char *body = _job_json (submission->job);
+  Reply reply;
+
+  _http_call (submission->address, "POST", submission->path, SOAK_KEY, body, &reply);
+  g_mutex_lock (&submission->soak->lock);
+  submission->job->is_accepted = reply.status == 200;
+  submission->soak->accepted_count += reply.status == 200 ? 1 : 0;
+  g_mutex_unlock (&submission->soak->lock);
+  g_rand_free (submission->rand);
+  g_free (submission);
+  return NULL;
+}
+
+/* Submits jobs and cancels each at another node at the same time, all at once. */
+void
+soak_callers_measure (Soak *soak)
+{
+  Caller caller = { .soak = soak,
+                    .rand = g_rand_new_with_seed (soak->seed),
+                    .cancel_rand = g_rand_new_with_seed (soak->seed) };
+
+  _threads = g_ptr_array_new ();
+  ne_sock_init ();
+  for (uint32_t i = 0; i < soak->measured_count; i++) {
+    Canceller *pair[2] = { g_new0 (Canceller, 1), g_new0 (Canceller, 1) };
+    SimJob *job = _new_job (&caller);
+    for (int p = 0; p < 2; p++) {
+      pair[p]->soak = soak;
+      pair[p]->job = job;
+      pair[p]->path = g_strdup_printf ("/%s/%016" G_GINT64_MODIFIER "x", job->spec->queue, job->id);
+      pair[p]->rand = g_rand_new_with_seed (i);
+      pair[p]->address
+          = fake_mapping_address (soak->caller_links[(i + (uint32_t)p) % soak->node_count]);
+    }
+    g_ptr_array_add (_threads, g_thread_new ("submit", _submit_once, pair[0]));
+    g_ptr_array_add (_threads, g_thread_new ("cancel", _cancel, pair[1]));
+    _sleep_ms (MEASURE_INTERVAL_MS);
+  }
+  soak_callers_join ();
+}
+
 void
 soak_callers_join (void)
 {
--- a/soak/soak.c
+++ b/soak/soak.c
@@ -38,6 +38,7 @@
 #define FAULT_DURATION_MAX_MS 6000
 #define CONFIG_APPLY_MS       3000
 #define ODD_ENTRY_NESTING     20000
+#define MEASURE_SETTLE_MS     5000
 
 typedef struct {
   GPid pid;                 /* 0 if not running */
@@ -56,6 +57,7 @@
   char *work_dir;
   GRand *rand;
   GRand *odd_entry_rand; /* of its own, so that the faults of a seed don't depend on odd entries */
+  bool kills_leader;     /* before a measurement */
   Node nodes[SOAK_NODES_MAX];
   SoakWorkers *workers;
   uint32_t config_version;
@@ -203,6 +205,8 @@
     return;
   node->resume_at_ms = fake_now_ms () + for_ms;
   node->was_paused = true;
+  _run.soak.paused_until_ms
+      = MAX (_run.soak.paused_until_ms, node->resume_at_ms + PROCESS_POLL_MS + SOAK_CONTACT_MS);
   kill (node->pid, SIGSTOP);
 }
 
@@ -526,9 +530,12 @@
       soak_fail (soak, "node %u returned status %u for a removed queue", i, status);
   }
   soak_workers_check_long_running (_run.workers);
-  printf ("seed %u: faults=%u accepted=%u completed=%u refused=%u uncertain=%u\n", soak->seed,
-          _run.fault_count, soak->accepted_count, soak->completed_count, soak->refused_count,
-          soak->uncertain_count);
+  /* Covers the jobs that were cancelled last. */
+  g_usleep ((SOAK_CANCELLED_GONE_MS + PROCESS_POLL_MS) * 1000);
+  soak_workers_check_long_running (_run.workers);
+  printf ("seed %u: faults=%u accepted=%u completed=%u refused=%u uncertain=%u cancelled=%u\n",
+          soak->seed, _run.fault_count, soak->accepted_count, soak->completed_count,
+          soak->refused_count, soak->uncertain_count, soak->cancelled_count);
   fflush (stdout);
   _kill_all ();
   if (soak->completed_count == 0)
@@ -536,6 +543,47 @@
   _exit (EXIT_SUCCESS);
 }
 
+/* Counts the jobs of a measurement that were accepted and of which a task was started. */
+static gpointer
+_measure_and_exit (gpointer data)
+{
+  Soak *soak = &_run.soak;
+  uint32_t ran_count = 0, running_count = 0, despite_count = 0;
+  GHashTableIter iter;
+  gpointer value;
+
+  (void)data;
+  soak_callers_measure (soak);
+  g_usleep (MEASURE_SETTLE_MS * 1000);
+  g_mutex_lock (&soak->lock);
+  g_hash_table_iter_init (&iter, soak->jobs.by_id);
+  while (g_hash_table_iter_next (&iter, NULL, &value)) {
+    const SimJob *job = value;
+    uint32_t started = g_hash_table_size (job->started);
+    ran_count += started > 0 ? 1 : 0;
+    despite_count += started > 0 && g_hash_table_contains (soak->cancel_unknown, &job->id) ? 1 : 0;
+    running_count += simcell_jobs_running_count (&soak->jobs, job->id) > 0 ? 1 : 0;
+  }
+  printf ("submitted=%u accepted=%u cancelled=%u answered_410=%u ran=%u ran_despite_410=%u"
+          " still_running=%u\n",
+          soak->measured_count, soak->accepted_count, soak->cancelled_count,
+          g_hash_table_size (soak->cancel_unknown), ran_count, despite_count, running_count);
+  fflush (stdout);
+  _kill_all ();
+  _exit (EXIT_SUCCESS);
+}
+
+static void
+_start_measurement (void *data)
+{
+  int32_t leader = soak_store_leader (_run.soak.store);
+
+  (void)data;
+  if (_run.kills_leader && leader >= 0)
+    _kill_node ((uint32_t)leader, MEASURE_SETTLE_MS);
+  g_thread_unref (g_thread_new ("measure", _measure_and_exit, NULL));
+}
+
 static void
 _tick (void *data)
 {
@@ -624,6 +672,12 @@
   case 'c':
     soak->caller_count = (uint32_t)strtoul (arg, NULL, 10);
     return 0;
+  case 'm':
+    soak->measured_count = (uint32_t)strtoul (arg, NULL, 10);
+    return 0;
+  case 'k':
+    _run.kills_leader = true;
+    return 0;
   case ARGP_KEY_END:
     if (_run.celld == NULL)
       argp_error (state, "--celld is missing");
@@ -643,6 +697,8 @@
     { "nodes", 'n', "N", 0, "processes under test; default 4", 0 },
     { "workers", 'w', "N", 0, "stand-ins for workers; default 6", 0 },
     { "callers", 'c', "N", 0, "concurrent callers; default 12", 0 },
+    { "measure", 'm', "N", 0, "instead: cancel N jobs as they are submitted, and count", 0 },
+    { "kill-leader", 'k', NULL, 0, "kill the leader before the measurement", 0 },
     { 0 },
   };
   static const struct argp argp = { options, _parse_option, NULL, NULL, NULL, NULL, NULL };
@@ -672,6 +728,7 @@
                               .begin_ms = now_ms,
                               .by_id = g_hash_table_new (g_int64_hash, g_int64_equal),
                               .workers = g_ptr_array_new () };
+  soak->cancel_unknown = g_hash_table_new (g_int64_hash, g_int64_equal);
   soak->store = soak_store_new (soak->seed, _rewrite_member_address, NULL);
   _run.workers = soak_workers_new (soak);
   _setup_peer_links ();
@@ -680,6 +737,12 @@
   _write_config ();
   _write_config ();
   _run.fault_end_ms = now_ms + WARMUP_MS + soak->fault_duration_ms;
+  if (soak->measured_count > 0) {
+    fake_timer_add (now_ms + 2 * WARMUP_MS, _start_measurement, NULL);
+    _tick (NULL);
+    fake_run ();
+    return EXIT_SUCCESS;
+  }
   fake_timer_add (now_ms + WARMUP_MS, (FakeTimerFunc)(void *)soak_callers_start, soak);
   fake_timer_add (now_ms + WARMUP_MS, _inject_fault, NULL);
   _schedule_odd_entry (now_ms + WARMUP_MS);
--- a/soak/soak.h
+++ b/soak/soak.h
@@ -10,6 +10,7 @@
 #include "store.h"
 
 #define SOAK_WORKERS_MAX 64
+#define SOAK_CONTACT_MS  3000 /* the platform's contact_ms */
 #define SOAK_HOST        "soak.example"
 #define SOAK_KEY         "soak-key"
 
@@ -31,6 +32,10 @@
   uint32_t completed_count;
   uint32_t refused_count;
   uint32_t uncertain_count;
+  uint32_t cancelled_count;      /* confirmed cancellations */
+  GHashTable *cancel_unknown;    /* ids of jobs whose cancellation was answered 410 */
+  uint32_t measured_count;       /* jobs of a measurement; 0: faults are injected */
+  int64_t paused_until_ms;       /* a paused process is in touch again after this time */
   bool is_stopping;              /* tells the callers to return; atomic */
   void (*kill_processes) (void); /* kills the processes under test before a failed run exits */
 } Soak;
--- a/soak/store.c
+++ b/soak/store.c
@@ -518,6 +518,33 @@
   _answer_watches (store);
 }
 
+static gboolean
+_find_leader (gpointer key, gpointer value, gpointer data)
+{
+  const Item *item = value;
+  gsize size;
+  g_autofree guchar *record = NULL;
+  const char *name;
+
+  if (!g_str_has_suffix (key, "/lead"))
+    return FALSE;
+  record = g_base64_decode (item->value, &size);
+  /* The name in the binary record ends with a NUL. */
+  name = memmem (record, size, "node-", strlen ("node-"));
+  if (name != NULL)
+    *(int32_t *)data = (int32_t)g_ascii_strtoull (name + strlen ("node-"), NULL, 10);
+  return TRUE;
+}
+
+int32_t
+soak_store_leader (SoakStore *store)
+{
+  int32_t number = -1;
+
+  g_tree_foreach (store->items, _find_leader, &number);
+  return number;
+}
+
 void
 soak_store_set_fault (SoakStore *store, uint32_t node, const SoakStoreFault *fault)
 {
--- a/soak/store.h
+++ b/soak/store.h
@@ -38,6 +38,8 @@
 void soak_store_listen (SoakStore *store, uint32_t node, const char *address);
 /* Stores @text under @key; removes the key if @text is NULL. */
 void soak_store_put (SoakStore *store, const char *key, const char *text);
+/* Returns the number of the node that holds the leader record, or -1. */
+int32_t soak_store_leader (SoakStore *store);
 void soak_store_set_fault (SoakStore *store, uint32_t node, const SoakStoreFault *fault);
 /* Discards the history: watches from revisions before the current one are answered with 410. */
 void soak_store_compact (SoakStore *store);
--- a/soak/workers.c
+++ b/soak/workers.c
@@ -19,6 +19,7 @@
   uint32_t number;
   SimCellWorker *sim_worker;
   FakeMapping *link;
+  int64_t held_up_until_ms;  /* commands may have lain on the link until this time */
   int64_t next_heartbeat_ms; /* time of the next heartbeat */
   int64_t last_heartbeat_ms; /* time of the last heartbeat */
   bool is_listed;
@@ -193,8 +194,20 @@
                                 entry->id);
 }
 
+/* Returns whether the start must not come later than cancel_ms after the cancellation of its job.
+ * Starts that the worker carries out late don't count, nor, as their sender isn't in touch, all
+ * starts while a process is paused and until contact_ms after; nor those that may have lain on the
+ * worker's own link while it stalled. All others count, also from processes that were just started
+ * or terminated, or that have a disrupted store or links to the other nodes. */
+static bool
+_has_cancel_bound (const Worker *worker, bool is_late, int64_t now_ms)
+{
+  return !is_late && now_ms > worker->workers->soak->paused_until_ms
+         && now_ms > worker->held_up_until_ms;
+}
+
 static void
-_apply_command (Worker *worker, const VpCommand *command, VpCommandResult *result)
+_apply_command (Worker *worker, const VpCommand *command, bool is_late, VpCommandResult *result)
 {
   Soak *soak = worker->workers->soak;
   int64_t now_ms = fake_now_ms ();
@@ -216,6 +229,8 @@
   } else if (simcell_worker_apply_command (worker->sim_worker, command, &work, now_ms, result)
              && job != NULL) {
     simcell_jobs_check_start (&soak->jobs, now_ms, worker->sim_worker, command);
+    if (_has_cancel_bound (worker, is_late, now_ms) && soak->measured_count == 0)
+      simcell_jobs_check_cancelled (&soak->jobs, now_ms, command);
     if (job->desc.is_gang)
       simcell_jobs_start_gang_work (&soak->jobs, now_ms, command);
   }
@@ -263,7 +278,7 @@
 
   if (delayed->worker->sim_worker->is_up
       && delayed->worker->sim_worker->entry.booted_ms == delayed->booted_ms)
-    _apply_command (delayed->worker, &delayed->command, &result);
+    _apply_command (delayed->worker, &delayed->command, true, &result);
   vp_command_result_clear (&result);
   g_free (delayed->command.text);
   g_free (delayed);
@@ -294,7 +309,7 @@
   worker->pending_hold = NULL;
   if (call == NULL)
     return;
-  _apply_command (worker, &worker->hold_command, &result);
+  _apply_command (worker, &worker->hold_command, false, &result);
   _reply (call, &result);
   vp_command_result_clear (&result);
 }
@@ -336,7 +351,7 @@
     return;
   }
   result.kind = command.kind;
-  _apply_command (worker, &command, &result);
+  _apply_command (worker, &command, false, &result);
   if (command.kind == VP_COMMAND_HOLD && command.wait_ms > 0 && result.outcome == VP_COMMAND_OK
       && result.ended->len == 0) {
     _reply_to_hold (worker);
@@ -504,7 +519,13 @@
 void
 soak_workers_set_link_mode (SoakWorkers *workers, uint32_t number, const char *mode)
 {
-  fake_mapping_set_mode (workers->workers[number].link, mode, 0);
+  Worker *worker = &workers->workers[number];
+
+  if (strcmp (mode, "stall") == 0)
+    worker->held_up_until_ms = INT64_MAX;
+  else if (worker->held_up_until_ms == INT64_MAX)
+    worker->held_up_until_ms = fake_now_ms () + SOAK_CONTACT_MS;
+  fake_mapping_set_mode (worker->link, mode, 0);
 }
 
 void
@@ -543,7 +564,8 @@
                  "job %016" G_GINT64_MODIFIER
                  "x is long-running, but %u of its %u tasks are running",
                  job->id, count, job->desc.width);
-    if (job->is_cancelled && count > 0)
+    if (job->is_cancelled && count > 0
+        && fake_now_ms () > job->cancelled_ms + SOAK_CANCELLED_GONE_MS)
       soak_fail (workers->soak,
                  "job %016" G_GINT64_MODIFIER "x is cancelled, but %u of its tasks are running",
                  job->id, count);
--- a/soak/workers.h
+++ b/soak/workers.h
@@ -24,6 +24,8 @@
 void soak_workers_set_link_mode (SoakWorkers *workers, uint32_t number, const char *mode);
 /* Lets workers execute this share of the commands up to 4 s late and without a reply. */
 void soak_workers_set_delayed_share (SoakWorkers *workers, double share);
-/* Fails the run unless all tasks of accepted long-running jobs are running, and no task of a
- * cancelled job. */
+/* Latest end of the tasks of a cancelled job: the platform's cancel_ms and stop_ms. */
+#define SOAK_CANCELLED_GONE_MS 3900
+/* Fails the run unless all tasks of accepted long-running jobs are running, and no task of a job
+ * that was cancelled longer ago than SOAK_CANCELLED_GONE_MS. */
 void soak_workers_check_long_running (SoakWorkers *workers);
