Soak: name the logs when a check of starts fails

A violated check of tests/simcell-jobs.c ended the soak with "Trace/breakpoint trap" as its last line, without the directory of the processes' logs: the checks use structured logging, which doesn't call the default handler. A writer is set instead.

--- a/soak/soak.c
+++ b/soak/soak.c
@@ -90,14 +90,15 @@
 }
 
 /* Fails the run on g_error(), which the checks of simcell-jobs.h call. */
-static void
-_on_log (const char *domain, GLogLevelFlags level, const char *message, gpointer data)
+static GLogWriterOutput
+_write_log (GLogLevelFlags level, const GLogField *fields, gsize field_count, gpointer data)
 {
-  (void)domain;
   (void)data;
-  if ((level & G_LOG_LEVEL_ERROR) != 0)
-    soak_fail (&_run.soak, "%s", message);
-  fprintf (stderr, "%s\n", message);
+  for (gsize i = 0; (level & G_LOG_LEVEL_ERROR) != 0 && i < field_count; i++) {
+    if (strcmp (fields[i].key, "MESSAGE") == 0)
+      soak_fail (&_run.soak, "%s", (const char *)fields[i].value);
+  }
+  return g_log_writer_standard_streams (level, fields, field_count, NULL);
 }
 
 /* Processes. */
@@ -716,7 +717,7 @@
   /* Concurrent runs use different loopback addresses. */
   g_snprintf (soak->address_prefix, sizeof soak->address_prefix, "127.%d.%d", 40 + getpid () % 100,
               getpid () / 100 % 250);
-  g_log_set_default_handler (_on_log, NULL);
+  g_log_set_writer_func (_write_log, NULL, NULL);
   _run.work_dir = g_dir_make_tmp ("soak-XXXXXX", NULL);
   soak->log_dir = _run.work_dir;
   _run.rand = g_rand_new_with_seed (soak->seed);
