Tests: leaders in series and stops that miss a restarted worker

The hypothesis was that a new leader adopts a run of a cancelled job, or never hears of it, if its predecessor was replaced before it had stopped the run. It didn't hold in these cases; the tests guard them:

/node-cancel/leaders-in-series replaces four leaders, 800 ms apart, by kills or orderly stops, the first one as soon as the cancellations are confirmed and no stop has been carried out. A worker is sound, draining, unreachable, or the workers' entries have expired; with and without relays.

--- a/tests/test-cell-takeover.c
+++ b/tests/test-cell-takeover.c
@@ -950,6 +950,81 @@
   _teardown (&fixture);
 }
 
+/* Guards against a run of a cancelled job that is overlooked in a list with the highest number of
+ * ends, or is adopted from a list that a later one has overtaken. */
+static void
+test_unassigned_run_in_full_list (void)
+{
+  Fixture fixture;
+  VpRunningEntry entry = { .is_task = true, .run = 9, .percent = 100 };
+  VpCommandResult result, overtaken;
+  VpJob *job;
+
+  _setup (&fixture, 1, false);
+  job = _submit (&fixture, 1, 1000);
+  job->is_inherited = true;
+  entry.task.job = job->spec->id;
+  g_assert_true (vp_cell_cancel (fixture.cell, job->spec->id, fixture.now_ms));
+  overtaken = _hold_result (&fixture, "w0");
+  g_array_append_val (overtaken.running, entry);
+  fixture.now_ms += 100;
+  result = _hold_result (&fixture, "w0");
+  g_array_append_val (result.running, entry);
+  for (uint64_t i = 1; i <= 500; i++) {
+    VpEndedEntry ended = { .number = i, .task = { .job = 1000 + i }, .is_task = true, .run = 1 };
+    g_array_append_val (result.ended, ended);
+  }
+  _apply (&fixture, &result);
+  _decide (&fixture);
+  g_assert_cmpuint (_count_commands (&fixture, VP_COMMAND_STOP), ==, 1);
+  g_assert_cmpuint (_find_command (&fixture, VP_COMMAND_STOP)->run, ==, 9);
+  g_assert_null (_find_command (&fixture, VP_COMMAND_START));
+  _apply (&fixture, &overtaken);
+  _decide (&fixture);
+  g_assert_cmpuint (job->assigned_count, ==, 0);
+  g_assert_null (_find_command (&fixture, VP_COMMAND_START));
+  _teardown (&fixture);
+}
+
+/* Guards against a run of a job that was stopped in vain: the stop reaches one life of the worker,
+ * and a repeated start, which nobody has answered, the next one. */
+static void
+test_stop_before_restart_start_after (void)
+{
+  Fixture fixture;
+  VpRunningEntry entry = { .is_task = true, .run = 1, .percent = 100 };
+  VpCommandResult result;
+  VpCommand start, stop;
+  VpJob *job;
+
+  _setup (&fixture, 1, false);
+  _sync (&fixture);
+  job = _submit (&fixture, 1, 1000);
+  _decide (&fixture);
+  start = *_find_command (&fixture, VP_COMMAND_START);
+  start.text = NULL;
+  /* The first copy isn't answered, so a second one is sent. */
+  fixture.now_ms += 200;
+  _decide (&fixture);
+  g_assert_cmpuint (_count_commands (&fixture, VP_COMMAND_START), ==, 1);
+  _answer (&fixture, &start, VP_COMMAND_OK);
+  g_assert_true (vp_cell_cancel (fixture.cell, job->spec->id, fixture.now_ms));
+  fixture.now_ms += 200;
+  _decide (&fixture);
+  stop = *_find_command (&fixture, VP_COMMAND_STOP);
+  _answer (&fixture, &stop, VP_COMMAND_OK);
+  fixture.now_ms += 400;
+  entry.task = start.task;
+  result = _hold_result (&fixture, "w0");
+  result.booted_ms = 2;
+  g_array_append_val (result.running, entry);
+  _apply (&fixture, &result);
+  fixture.now_ms += 100;
+  _decide (&fixture);
+  g_assert_cmpuint (_count_commands (&fixture, VP_COMMAND_STOP), ==, 1);
+  _teardown (&fixture);
+}
+
 int
 main (int argc, char *argv[])
 {
@@ -984,5 +1059,7 @@
   g_test_add_func ("/cell/late-clock", test_late_clock);
   g_test_add_func ("/cell/late-list-of-replaced-worker", test_late_list_of_replaced_worker);
   g_test_add_func ("/cell/lost-stop-of-unassigned-run", test_lost_stop_of_unassigned_run);
+  g_test_add_func ("/cell/unassigned-run-in-full-list", test_unassigned_run_in_full_list);
+  g_test_add_func ("/cell/stop-before-restart-start-after", test_stop_before_restart_start_after);
   return g_test_run ();
 }
--- a/tests/test-node-cancel.c
+++ b/tests/test-node-cancel.c
@@ -366,6 +366,99 @@
   _run_seeds (RELAY_CPU_MILLI, true);
 }
 
+/* Number of jobs of which the cancellation is confirmed. */
+static uint32_t
+_confirmed_count (SimCell *sim, const GArray *jobs)
+{
+  uint32_t count = 0;
+
+  for (guint i = 0; i < jobs->len; i++)
+    count += simcell_is_job_cancelled (sim, g_array_index (jobs, uint64_t, i)) ? 1 : 0;
+  return count;
+}
+
+static uint32_t
+_running_count (SimCell *sim, const GArray *jobs)
+{
+  uint32_t count = 0;
+
+  for (guint i = 0; i < jobs->len; i++)
+    count += simcell_running_count (sim, g_array_index (jobs, uint64_t, i));
+  return count;
+}
+
+/* What is wrong with worker 0 while the leaders change. */
+typedef enum { WORKER_SOUND, WORKER_DRAINING, WORKER_UNREACHABLE, WORKER_UNLISTED } WorkerState;
+
+static void
+_disturb_worker (SimCell *sim, WorkerState state)
+{
+  switch (state) {
+  case WORKER_SOUND:
+    break;
+  case WORKER_DRAINING:
+    simcell_drain_worker (sim, 0, 60000);
+    break;
+  case WORKER_UNREACHABLE:
+    simcell_partition_worker (sim, 0, 2500);
+    break;
+  case WORKER_UNLISTED:
+    /* Long enough for the entries of the workers to expire. */
+    simcell_disconnect_store (sim, -1, true, 5500);
+    simcell_run (sim, 5500);
+    break;
+  }
+}
+
+/* Cancels running jobs, replaces the leader as soon as the ends are durable, before the stops are
+ * answered, and each of the next leaders within a second. */
+static void
+_run_leaders_in_series (uint32_t seed, uint32_t cpu_milli, bool is_clean, WorkerState state)
+{
+  SimCell *sim = _simcell_new_with_leader (seed, cpu_milli);
+  SimJobDesc desc = { .steps = 1, .width = 3, .is_long_running = true };
+  g_autoptr (GArray) jobs = g_array_new (FALSE, FALSE, sizeof (uint64_t));
+
+  for (uint32_t i = 0; i < 8; i++) {
+    uint64_t job = simcell_submit (sim, i % NODE_COUNT, &desc);
+    g_array_append_val (jobs, job);
+  }
+  simcell_run (sim, 1500);
+  _disturb_worker (sim, state);
+  for (guint i = 0; i < jobs->len; i++)
+    simcell_cancel (sim, g_array_index (jobs, uint64_t, i), 0);
+  for (int64_t i = 0; i < ACK_MS && _confirmed_count (sim, jobs) < jobs->len; i++)
+    simcell_run (sim, 1);
+  g_assert_cmpuint (_confirmed_count (sim, jobs), ==, jobs->len);
+  /* No stop has been carried out. */
+  g_assert_cmpuint (_running_count (sim, jobs), ==, jobs->len * desc.width);
+  for (int i = 0; i < 4; i++) {
+    if (is_clean)
+      simcell_stop_node (sim, simcell_leader (sim), 0);
+    else
+      simcell_kill_node (sim, simcell_leader (sim), 300);
+    simcell_run (sim, 800);
+  }
+  simcell_run (sim, CONTACT_MS);
+  _check_calm (sim, jobs, seed);
+  simcell_free (sim);
+}
+
+/* Guards against runs of cancelled jobs that a new leader adopts, or never hears of, because its
+ * predecessor was replaced before it stopped them. */
+static void
+test_leaders_in_series (void)
+{
+  for (uint32_t seed = 100; seed < 105; seed++) {
+    for (WorkerState state = WORKER_SOUND; state <= WORKER_UNLISTED; state++) {
+      _run_leaders_in_series (seed, 0, false, state);
+      _run_leaders_in_series (seed, 0, true, state);
+      _run_leaders_in_series (seed, RELAY_CPU_MILLI, false, state);
+      _run_leaders_in_series (seed, RELAY_CPU_MILLI, true, state);
+    }
+  }
+}
+
 /* Guards against a run of a cancelled job that survives changes of the leader, lost or late stops
  * and restarts of workers: with and without relays. */
 static void
@@ -393,6 +486,7 @@
   g_test_add_func ("/node-cancel/slow-messages", test_slow_messages);
   g_test_add_func ("/node-cancel/random", test_random);
   g_test_add_func ("/node-cancel/random-relays-delays", test_random_relays_delays);
+  g_test_add_func ("/node-cancel/leaders-in-series", test_leaders_in_series);
   g_test_add_func ("/node-cancel/calm-stretches", test_calm_stretches);
   return g_test_run ();
 }
