Tests: cancel a repeated job before its later occurrences are due

/cell/cancelled-repeated-job: no later occurrence starts, and the run of the first one is stopped, also by a scheduler that has loaded only the end of the job. The test passed at once. It fails with a deliberate fault that omits stops for runs that belong to no task; a fault that starts later occurrences wasn't tried.

--- a/tests/test-cell-takeover.c
+++ b/tests/test-cell-takeover.c
@@ -1025,6 +1025,55 @@
   _teardown (&fixture);
 }
 
+/* Guards against later occurrences of a cancelled job that are started when they are due, and
+ * against a run of the first one that isn't stopped. The new scheduler stops it as well. */
+static void
+test_cancelled_repeated_job (void)
+{
+  Fixture fixture;
+  g_autoptr (VpJobSpec) spec = vp_jobspec_new (1);
+  VpRunningEntry entry = { .is_task = true, .run = 1, .percent = 100 };
+  VpCommandResult result;
+  VpJob *job;
+
+  _setup (&fixture, 1, false);
+  _sync (&fixture);
+  spec->id = 5;
+  spec->text = g_strdup ("text");
+  spec->occurrence_count = 3;
+  spec->first_ms = fixture.now_ms;
+  spec->interval_ms = 1000;
+  g_strlcpy (spec->queue, "q", sizeof spec->queue);
+  g_strlcpy (spec->team, "team", sizeof spec->team);
+  spec->steps[0] = (VpStepSpec){ .task_count = 1,
+                                 .size = { .cpu_milli = 1000, .mem_mib = 100 },
+                                 .estimate_ms = 1000 };
+  job = vp_joblist_add (vp_cell_jobs (fixture.cell), spec, fixture.now_ms, fixture.now_ms);
+  job->is_durable = true;
+  _decide (&fixture);
+  entry.task = _find_command (&fixture, VP_COMMAND_START)->task;
+  _answer (&fixture, _find_command (&fixture, VP_COMMAND_START), VP_COMMAND_OK);
+  g_assert_true (vp_cell_cancel (fixture.cell, job->spec->id, fixture.now_ms));
+  _decide (&fixture);
+  g_assert_cmpuint (_count_commands (&fixture, VP_COMMAND_STOP), ==, 1);
+  for (int i = 0; i < 40; i++) {
+    fixture.now_ms += 100;
+    _decide (&fixture);
+    g_assert_null (_find_command (&fixture, VP_COMMAND_START));
+  }
+  _teardown (&fixture);
+  _setup (&fixture, 1, false);
+  vp_joblist_add_ended (vp_cell_jobs (fixture.cell), entry.task.job, "q", VP_JOB_CANCELLED,
+                        fixture.now_ms);
+  result = _hold_result (&fixture, "w0");
+  g_array_append_val (result.running, entry);
+  _apply (&fixture, &result);
+  _decide (&fixture);
+  g_assert_cmpuint (_count_commands (&fixture, VP_COMMAND_STOP), ==, 1);
+  g_assert_null (_find_command (&fixture, VP_COMMAND_START));
+  _teardown (&fixture);
+}
+
 int
 main (int argc, char *argv[])
 {
@@ -1061,5 +1110,6 @@
   g_test_add_func ("/cell/lost-stop-of-unassigned-run", test_lost_stop_of_unassigned_run);
   g_test_add_func ("/cell/unassigned-run-in-full-list", test_unassigned_run_in_full_list);
   g_test_add_func ("/cell/stop-before-restart-start-after", test_stop_before_restart_start_after);
+  g_test_add_func ("/cell/cancelled-repeated-job", test_cancelled_repeated_job);
   return g_test_run ();
 }
