Count the runs of a job that ended before a new leader saw them

A new leader could start more than a team's cap allows. When a job of an earlier leader was cancelled after the takeover but before the workers had listed its runs, the listed runs counted as unassigned: they were stopped, but until they had stopped, the team's usage lacked them, and waiting tasks of its other jobs were started in their place.

The runs are now adopted although their job has ended. They count for the team and on their worker until they have ended, and the next scan stops them like all other runs of ended jobs.

The new test starts 5 tasks instead of 2 on the code before.

/cell/unassigned-run-in-full-list asserted that such a run isn't assigned at all. It now asserts that the run is assigned until it is stopped and gone, and that neither is changed by the list that was overtaken.

Runs on a worker that hasn't listed them yet, and runs of jobs whose end an earlier leader has stored, still don't count.

--- a/src/vp-reconcile.c
+++ b/src/vp-reconcile.c
@@ -191,12 +191,12 @@
 static bool
 _vp_reconcile_may_adopt (const VpJobTask *task, const VpRunningEntry *entry)
 {
-  return task != NULL && task->phase == VP_PHASE_WAITING
-         && !vp_job_is_ended (task->step->occurrence->job) && entry->run >= task->run;
+  return task != NULL && task->phase == VP_PHASE_WAITING && entry->run >= task->run;
 }
 
 /* Handles a listed run that isn't assigned to the worker. The run is adopted if its task waits,
- * otherwise it is stopped. */
+ * otherwise it is stopped. Runs of ended jobs are adopted too, so that they count as used by their
+ * team until they have ended; the next scan stops them. */
 static void
 _vp_reconcile_unassigned_run (VpReconcile *reconcile,
                               VpCellWorker *worker,
--- a/tests/test-cell-takeover.c
+++ b/tests/test-cell-takeover.c
@@ -80,6 +80,43 @@
   _teardown (&fixture);
 }
 
+/* Guards against exceeding a team's cap after a takeover: the runs of a job that was cancelled
+ * before their workers listed them count until they have stopped. */
+static void
+test_cancelled_tasks_count (void)
+{
+  Fixture fixture;
+  VpCommandResult result;
+  VpJob *job;
+
+  _setup (&fixture, 8, false);
+  job = _submit (&fixture, 18, 1000);
+  job->is_inherited = true;
+  g_assert_true (vp_cell_cancel (fixture.cell, job->spec->id, fixture.now_ms));
+  _decide (&fixture);
+  for (uint32_t i = 0; i < 6; i++) {
+    g_autofree char *worker = g_strdup_printf ("w%u", i);
+    result = _hold_result (&fixture, worker);
+    for (uint32_t t = 3 * i; t < 3 * i + 3; t++) {
+      VpRunningEntry entry = { .is_task = true, .run = 1, .percent = 100 };
+      entry.task = (VpTaskName){ .job = job->spec->id, .index = t };
+      g_array_append_val (result.running, entry);
+    }
+    _apply (&fixture, &result);
+  }
+  for (uint32_t i = 6; i < 8; i++) {
+    g_autofree char *worker = g_strdup_printf ("w%u", i);
+    result = _hold_result (&fixture, worker);
+    _apply (&fixture, &result);
+  }
+  _submit (&fixture, 5, 1000);
+  fixture.now_ms += 100;
+  _decide (&fixture);
+  g_assert_cmpuint (_count_commands (&fixture, VP_COMMAND_STOP), ==, 18);
+  g_assert_cmpuint (_count_commands (&fixture, VP_COMMAND_START), ==, 2);
+  _teardown (&fixture);
+}
+
 /* If another worker answers at the address of a worker, the runs of that worker have ended, so
  * inherited tasks needn't wait for its leases. */
 static void
@@ -979,6 +1016,13 @@
   g_assert_cmpuint (_count_commands (&fixture, VP_COMMAND_STOP), ==, 1);
   g_assert_cmpuint (_find_command (&fixture, VP_COMMAND_STOP)->run, ==, 9);
   g_assert_null (_find_command (&fixture, VP_COMMAND_START));
+  /* It counts until it has ended. */
+  g_assert_cmpuint (job->assigned_count, ==, 1);
+  _answer (&fixture, _find_command (&fixture, VP_COMMAND_STOP), VP_COMMAND_OK);
+  fixture.now_ms += 100;
+  result = _hold_result (&fixture, "w0");
+  _apply (&fixture, &result);
+  g_assert_cmpuint (job->assigned_count, ==, 0);
   _apply (&fixture, &overtaken);
   _decide (&fixture);
   g_assert_cmpuint (job->assigned_count, ==, 0);
@@ -1081,6 +1125,7 @@
   g_test_add_func ("/cell/inherited-lease", test_inherited_lease);
   g_test_add_func ("/cell/unobserved-tasks-count", test_unobserved_tasks_count);
   g_test_add_func ("/cell/possibly-running-tasks-count", test_possibly_running_tasks_count);
+  g_test_add_func ("/cell/cancelled-tasks-count", test_cancelled_tasks_count);
   g_test_add_func ("/cell/worker-replaced", test_worker_replaced);
   g_test_add_func ("/cell/already-done", test_already_done);
   g_test_add_func ("/cell/relisted", test_relisted);
