Forget cancellations of unknown jobs after 150 s at the latest

Cause: they were kept as long as other ends, which callers may query. A submission waits at a node for some seconds.

Change: a retention of their own of 120 s and the margin of other ends, unless that of other ends is shorter.

/committer/unsubmitted-jobs-expire fails on the code before and passes now.

--- a/src/vp-committer.c
+++ b/src/vp-committer.c
@@ -31,6 +31,9 @@
 #define VP_COMMITTER_BYTES_MAX (512U * 1024)
 /* Ended jobs are stored this much longer than callers may query them. */
 #define VP_COMMITTER_RETENTION_MARGIN_MS 30000
+/* Jobs that were cancelled before they were submitted are kept for at most this long, which is far
+ * longer than a submission waits at a node. Their number is limited. */
+#define VP_COMMITTER_UNSUBMITTED_RETENTION_MS 120000
 /* Interval between removals of ended jobs, which are removed in batches. */
 #define VP_COMMITTER_PURGE_INTERVAL_MS 5000
 /* Maximum number of ended jobs that one commit removes. */
@@ -233,6 +236,18 @@
   return size;
 }
 
+/* Returns true if the job ended so long ago that it needn't be stored any more. */
+static bool
+_vp_committer_is_expired (const VpCommitter *committer, const VpJob *job, int64_t now_ms)
+{
+  int64_t retention_ms = committer->desc.retention_ms;
+
+  if (job->is_unsubmitted)
+    retention_ms = MIN (retention_ms, VP_COMMITTER_UNSUBMITTED_RETENTION_MS);
+  return job->is_end_durable && job->assigned_count == 0
+         && now_ms - job->ended_ms > retention_ms + VP_COMMITTER_RETENTION_MARGIN_MS;
+}
+
 /* Removes ended jobs that callers can't query any more. */
 static void
 _vp_committer_purge_ended (VpCommitter *committer, int64_t now_ms)
@@ -248,8 +263,8 @@
   g_hash_table_iter_init (&iter, jobs->jobs);
   while (g_hash_table_iter_next (&iter, NULL, &value)) {
     VpJob *job = value;
-    if (job->is_end_durable && job->assigned_count == 0 && expired->len < VP_COMMITTER_PURGE_BATCH
-        && now_ms - job->ended_ms > committer->desc.retention_ms + VP_COMMITTER_RETENTION_MARGIN_MS)
+    if (expired->len < VP_COMMITTER_PURGE_BATCH
+        && _vp_committer_is_expired (committer, job, now_ms))
       g_ptr_array_add (expired, job);
   }
   if (expired->len == VP_COMMITTER_PURGE_BATCH)
--- a/tests/test-committer.c
+++ b/tests/test-committer.c
@@ -184,6 +184,34 @@
   _teardown_committer (&fixture);
 }
 
+/* Guards against a limit on cancellations of unknown jobs that is used up for as long as ended jobs
+ * can be queried, which may be a day. */
+static void
+test_unsubmitted_jobs_expire (void)
+{
+  CommitFixture fixture;
+  VpJobList *jobs;
+
+  _setup_committer (&fixture, 0);
+  vp_committer_shutdown (fixture.committer);
+  fixture.committer = vp_committer_setup (&(VpCommitterDesc){ .election = &fixture.election,
+                                                              .cell = fixture.cell.cell,
+                                                              .retention_ms = 86400000 },
+                                          fixture.cell.now_ms);
+  jobs = vp_cell_jobs (fixture.cell.cell);
+  vp_joblist_add_unsubmitted (jobs, 1, fixture.cell.now_ms);
+  vp_joblist_add_ended (jobs, 2, "queue", VP_JOB_CANCELLED, fixture.cell.now_ms);
+  _run_changes (&fixture, 1000);
+  fixture.cell.now_ms += 110000;
+  _run_changes (&fixture, 10000);
+  g_assert_cmpuint (jobs->unsubmitted_count, ==, 1);
+  fixture.cell.now_ms += 40000;
+  _run_changes (&fixture, 10000);
+  g_assert_cmpuint (jobs->unsubmitted_count, ==, 0);
+  g_assert_nonnull (vp_joblist_find (jobs, 2));
+  _teardown_committer (&fixture);
+}
+
 /* Guards against a false "not run": the end of a job that was cancelled before its first commit is
  * in flight. */
 static void
@@ -237,5 +265,6 @@
   g_test_add_func ("/committer/cancelled-job-in-flight", test_cancelled_job_in_flight);
   g_test_add_func ("/committer/failure-of-unstored-start", test_failure_of_unstored_start);
   g_test_add_func ("/committer/ended-jobs-are-removed", test_ended_jobs_are_removed);
+  g_test_add_func ("/committer/unsubmitted-jobs-expire", test_unsubmitted_jobs_expire);
   return g_test_run ();
 }
