Accept connections outside libmicrohttpd

A process that was quiesced while callers connected could abort: "Fatal error in GNU libmicrohttpd daemon.c:5531: Failed to remove listen FD from epoll set". All requests of the process were lost then.

MHD_quiesce_daemon() marks a thread of its pool as quiesced and removes the listening socket from the thread's epoll set. A thread that is awake at that time removes it as well, and MHD aborts at the second removal.

MHD gets no listening socket any more. The watcher accepts connections and passes them to the HTTP threads, as the shutdown did already for the backlog. It also keeps the limit of connections: further ones wait in the backlog, as before, and it tries again every 10 ms while the limit or the limit of descriptors is reached.

The test connection-limit guards the limit.

--- a/src/vp-http-server.c
+++ b/src/vp-http-server.c
@@ -31,6 +31,9 @@
 #define VP_HTTP_SERVER_FLUSH_CHECK_MS 10
 #define VP_HTTP_SERVER_RETRY_AFTER_S  1          /* of requests that are refused at shutdown */
 #define VP_HTTP_SERVER_WAKE_ID        UINT64_MAX /* epoll data of the wake-up eventfd */
+#define VP_HTTP_SERVER_LISTEN_ID      (UINT64_MAX - 1) /* epoll data of the listening socket */
+/* Interval of the attempts to accept connections at the limit of connections or descriptors. */
+#define VP_HTTP_SERVER_ACCEPT_RETRY_MS 10
 
 typedef enum {
   VP_HTTP_SERVER_RECEIVING,
@@ -72,6 +75,7 @@
   int listen_fd;
   bool is_quiesced; /* atomic */
   uint16_t port;
+  pthread_mutex_t accept_lock; /* held while connections are accepted; taken before lock */
   pthread_mutex_t lock;
   pthread_cond_t flushed;
   GHashTable *waiting; /* handle -> VpHttpServerCall in state VP_HTTP_SERVER_WAITING */
@@ -79,10 +83,11 @@
   uint64_t last_handle;
   uint32_t unwritten_count; /* replies that are not written yet */
   uint32_t posting_count;   /* requests whose event is not posted yet */
-  GHashTable *adopted;      /* connections of the backlog that MHD has not begun to serve */
-  bool is_stopping;         /* requests are refused */
-  /* Detects slow clients, and closed connections among the suspended ones, which MHD does not poll.
-   */
+  GHashTable *adopted;      /* accepted connections that MHD has not begun to serve */
+  uint32_t connection_count;
+  bool is_stopping; /* requests are refused */
+  /* Accepts connections, and detects slow clients, and closed connections among the suspended ones,
+   * which MHD does not poll. */
   GThread *watcher;
   int epoll_fd;
   int wake_fd;
@@ -162,6 +167,9 @@
   if (code == MHD_CONNECTION_NOTIFY_CLOSED) {
     if (conn != NULL)
       _vp_http_server_stop_receiving (http, conn);
+    pthread_mutex_lock (&http->lock);
+    http->connection_count--;
+    pthread_mutex_unlock (&http->lock);
     g_free (conn);
     *socket_context = NULL;
     return;
@@ -550,19 +558,86 @@
   return (int)(next_ms - now_ms);
 }
 
+/* Passes an accepted connection to the HTTP threads. */
+static void
+_vp_http_server_adopt (VpHttpServer *http, int fd, const struct sockaddr *address, socklen_t size)
+{
+  pthread_mutex_lock (&http->lock);
+  http->connection_count++;
+  g_hash_table_add (http->adopted, GINT_TO_POINTER (fd));
+  pthread_mutex_unlock (&http->lock);
+  if (MHD_add_connection (http->daemon, fd, address, size) == MHD_YES)
+    return;
+  g_warning ("can't serve an accepted connection");
+  pthread_mutex_lock (&http->lock);
+  http->connection_count--;
+  g_hash_table_remove (http->adopted, GINT_TO_POINTER (fd));
+  pthread_mutex_unlock (&http->lock);
+}
+
+/* Accepts the connections that the kernel has completed, at most until there are @limit. Returns
+ * false if some may be left. The accept lock is held. */
+static bool
+_vp_http_server_accept_backlog (VpHttpServer *http, uint32_t limit)
+{
+  for (;;) {
+    struct sockaddr_storage address;
+    socklen_t size = sizeof address;
+    uint32_t count;
+    int fd;
+    pthread_mutex_lock (&http->lock);
+    count = http->connection_count;
+    pthread_mutex_unlock (&http->lock);
+    if (count >= limit)
+      return false;
+    fd = accept4 (http->listen_fd, (struct sockaddr *)&address, &size,
+                  SOCK_CLOEXEC | SOCK_NONBLOCK);
+    if (fd >= 0)
+      _vp_http_server_adopt (http, fd, (struct sockaddr *)&address, size);
+    else if (errno == EAGAIN || errno == EINVAL)
+      return true;
+    else if (errno == EMFILE || errno == ENFILE || errno == ENOBUFS || errno == ENOMEM)
+      return false;
+  }
+}
+
+/* Accepts connections, and stops polling the listening socket while it can't accept more. Returns
+ * false then. */
+static bool
+_vp_http_server_accept (VpHttpServer *http)
+{
+  struct epoll_event watch = { .data.u64 = VP_HTTP_SERVER_LISTEN_ID };
+  bool is_complete = true;
+
+  pthread_mutex_lock (&http->accept_lock);
+  if (!__atomic_load_n (&http->is_quiesced, __ATOMIC_RELAXED)) {
+    is_complete = _vp_http_server_accept_backlog (http, http->desc.connections_max);
+    watch.events = is_complete ? EPOLLIN : 0;
+    epoll_ctl (http->epoll_fd, EPOLL_CTL_MOD, http->listen_fd, &watch);
+  }
+  pthread_mutex_unlock (&http->accept_lock);
+  return is_complete;
+}
+
 static gpointer
 _vp_http_server_watch (gpointer data)
 {
   VpHttpServer *http = data;
   struct epoll_event events[64];
+  bool is_accepting = true;
   bool is_stopping = false;
 
   while (!is_stopping) {
+    int wait_ms = _vp_http_server_close_slow (http);
     int count = epoll_wait (http->epoll_fd, events, G_N_ELEMENTS (events),
-                            _vp_http_server_close_slow (http));
+                            is_accepting ? wait_ms : MIN (wait_ms, VP_HTTP_SERVER_ACCEPT_RETRY_MS));
+    if (!is_accepting)
+      is_accepting = _vp_http_server_accept (http);
     for (int i = 0; i < count; i++) {
       if (events[i].data.u64 == VP_HTTP_SERVER_WAKE_ID)
         is_stopping = true;
+      else if (events[i].data.u64 == VP_HTTP_SERVER_LISTEN_ID)
+        is_accepting = _vp_http_server_accept (http);
       else
         _vp_http_server_abort_closed (http, events[i].data.u64);
     }
@@ -606,22 +681,29 @@
 _vp_http_server_start (VpHttpServer *http, GError **error)
 {
   struct epoll_event wake = { .events = EPOLLIN, .data.u64 = VP_HTTP_SERVER_WAKE_ID };
+  struct epoll_event watch = { .events = EPOLLIN, .data.u64 = VP_HTTP_SERVER_LISTEN_ID };
   /* Longer than the time limit of a request, so that slow clients get the 408 response first. */
   unsigned timeout_s = (unsigned)((3 * http->desc.client_timeout_ms + 999) / 1000);
 
   http->epoll_fd = epoll_create1 (EPOLL_CLOEXEC);
   http->wake_fd = eventfd (0, EFD_CLOEXEC | EFD_NONBLOCK);
   if (http->epoll_fd < 0 || http->wake_fd < 0
-      || epoll_ctl (http->epoll_fd, EPOLL_CTL_ADD, http->wake_fd, &wake) != 0)
+      || epoll_ctl (http->epoll_fd, EPOLL_CTL_ADD, http->wake_fd, &wake) != 0
+      || epoll_ctl (http->epoll_fd, EPOLL_CTL_ADD, http->listen_fd, &watch) != 0)
     return _vp_http_server_set_error (error, "HTTP watcher for", http->desc.address);
+  /* MHD does not get the listening socket: MHD_quiesce_daemon() and an HTTP thread may both remove
+   * it from the thread's epoll set, and MHD aborts the process then. Since MHD divides its limit
+   * among the threads and closes connections above it, the limit is kept by the watcher. */
   http->daemon = MHD_start_daemon (
-      MHD_USE_EPOLL_INTERNAL_THREAD | MHD_ALLOW_SUSPEND_RESUME | MHD_USE_ITC, 0, NULL, NULL,
-      _vp_http_server_on_request, http, MHD_OPTION_LISTEN_SOCKET, http->listen_fd,
-      MHD_OPTION_THREAD_POOL_SIZE, http->desc.thread_count, MHD_OPTION_CONNECTION_LIMIT,
-      http->desc.connections_max, MHD_OPTION_CONNECTION_TIMEOUT, timeout_s,
-      MHD_OPTION_CONNECTION_MEMORY_LIMIT, (size_t)VP_HTTP_SERVER_CONNECTION_MEMORY,
-      MHD_OPTION_STRICT_FOR_CLIENT, 1, MHD_OPTION_NOTIFY_COMPLETED, _vp_http_server_on_completed,
-      http, MHD_OPTION_NOTIFY_CONNECTION, _vp_http_server_on_connection, http, MHD_OPTION_END);
+      MHD_USE_EPOLL_INTERNAL_THREAD | MHD_ALLOW_SUSPEND_RESUME | MHD_USE_ITC
+          | MHD_USE_NO_LISTEN_SOCKET,
+      0, NULL, NULL, _vp_http_server_on_request, http, MHD_OPTION_THREAD_POOL_SIZE,
+      http->desc.thread_count, MHD_OPTION_CONNECTION_LIMIT,
+      (http->desc.connections_max + VP_HTTP_SERVER_BACKLOG + 1) * http->desc.thread_count,
+      MHD_OPTION_CONNECTION_TIMEOUT, timeout_s, MHD_OPTION_CONNECTION_MEMORY_LIMIT,
+      (size_t)VP_HTTP_SERVER_CONNECTION_MEMORY, MHD_OPTION_STRICT_FOR_CLIENT, 1,
+      MHD_OPTION_NOTIFY_COMPLETED, _vp_http_server_on_completed, http, MHD_OPTION_NOTIFY_CONNECTION,
+      _vp_http_server_on_connection, http, MHD_OPTION_END);
   if (http->daemon == NULL)
     return _vp_http_server_set_error (error, "HTTP server on", http->desc.address);
   http->watcher = g_thread_new ("vp-http-watch", _vp_http_server_watch, http);
@@ -642,6 +724,7 @@
     http->desc.client_timeout_ms = VP_HTTP_SERVER_CLIENT_TIMEOUT_MS;
   if (desc->thread_count == 0)
     http->desc.thread_count = VP_HTTP_SERVER_THREADS;
+  pthread_mutex_init (&http->accept_lock, NULL);
   pthread_mutex_init (&http->lock, NULL);
   vp_sync_cond_setup (&http->flushed);
   g_queue_init (&http->receiving);
@@ -672,52 +755,20 @@
     g_warning ("can't stop handshakes before the listener is closed: %s", g_strerror (errno));
 }
 
-/* Passes an accepted connection to the HTTP threads. */
-static void
-_vp_http_server_adopt (VpHttpServer *http, int fd, const struct sockaddr *address, socklen_t size)
-{
-  pthread_mutex_lock (&http->lock);
-  g_hash_table_add (http->adopted, GINT_TO_POINTER (fd));
-  pthread_mutex_unlock (&http->lock);
-  if (MHD_add_connection (http->daemon, fd, address, size) == MHD_YES)
-    return;
-  g_warning ("can't serve a connection that was accepted at shutdown");
-  pthread_mutex_lock (&http->lock);
-  g_hash_table_remove (http->adopted, GINT_TO_POINTER (fd));
-  pthread_mutex_unlock (&http->lock);
-}
-
-/* Accepts the connections that the kernel has completed. Their callers may have sent a request, and
- * the shutdown of the listening socket would reset them. */
-static void
-_vp_http_server_accept_backlog (VpHttpServer *http)
-{
-  struct sockaddr_storage address;
-  socklen_t size = sizeof address;
-  int fd;
-
-  while ((fd = accept4 (http->listen_fd, (struct sockaddr *)&address, &size,
-                        SOCK_CLOEXEC | SOCK_NONBLOCK))
-             >= 0
-         || errno == EINTR || errno == ECONNABORTED) {
-    if (fd >= 0)
-      _vp_http_server_adopt (http, fd, (struct sockaddr *)&address, size);
-    size = sizeof address;
-  }
-}
-
 void
 vp_http_server_quiesce (VpHttpServer *http)
 {
   if (__atomic_exchange_n (&http->is_quiesced, true, __ATOMIC_ACQ_REL))
     return;
-  if (MHD_quiesce_daemon (http->daemon) == MHD_INVALID_SOCKET)
-    return;
+  pthread_mutex_lock (&http->accept_lock);
+  epoll_ctl (http->epoll_fd, EPOLL_CTL_DEL, http->listen_fd, NULL);
   _vp_http_server_drop_handshakes (http);
-  _vp_http_server_accept_backlog (http);
-  /* Without the shutdown of the socket callers would wait instead of being refused. The descriptor
-   * stays open until MHD has stopped using it. */
+  /* The shutdown of the listening socket would reset these connections, whose callers may have sent
+   * a request. */
+  _vp_http_server_accept_backlog (http, UINT32_MAX);
+  /* Without the shutdown of the socket callers would wait instead of being refused. */
   shutdown (http->listen_fd, SHUT_RDWR);
+  pthread_mutex_unlock (&http->accept_lock);
 }
 
 void
@@ -811,5 +862,6 @@
   g_hash_table_unref (http->adopted);
   pthread_cond_destroy (&http->flushed);
   pthread_mutex_destroy (&http->lock);
+  pthread_mutex_destroy (&http->accept_lock);
   g_free (http);
 }
--- a/tests/test-http-server.c
+++ b/tests/test-http-server.c
@@ -3,12 +3,14 @@
 #include "vp-sync.h"
 
 #include <errno.h>
+#include <fcntl.h>
 #include <poll.h>
 #include <string.h>
 #include <unistd.h>
 
-#define BODY_MAX 4096
-#define TASK_HEX "000000000000000a000000000000000b"
+#define BODY_MAX       4096
+#define QUIESCE_ROUNDS 20 /* of each address */
+#define TASK_HEX       "000000000000000a000000000000000b"
 #define SUBMIT                                                                                     \
   "{\"team\":\"nadi\",\"profile\":\"booking\",\"size\":{\"cpu_milli\":1,\"mem_mib\":1},"           \
   "\"repeatable\":true}"
@@ -121,7 +123,7 @@
 }
 
 static void
-server_setup_threads (Server *server, bool is_echo, uint32_t thread_count)
+server_setup_at (Server *server, const char *address, bool is_echo, uint32_t thread_count)
 {
   g_autoptr (GError) error = NULL;
 
@@ -129,7 +131,7 @@
   pthread_mutex_init (&server->lock, NULL);
   vp_sync_cond_setup (&server->changed);
   server->is_echo = is_echo;
-  server->http = vp_http_server_setup (&(VpHttpServerDesc){ .address = "127.0.0.1:0",
+  server->http = vp_http_server_setup (&(VpHttpServerDesc){ .address = address,
                                                             .post = on_event,
                                                             .data = server,
                                                             .body_max = BODY_MAX,
@@ -139,6 +141,12 @@
   g_assert_no_error (error);
 }
 
+static void
+server_setup_threads (Server *server, bool is_echo, uint32_t thread_count)
+{
+  server_setup_at (server, "127.0.0.1:0", is_echo, thread_count);
+}
+
 static void
 server_setup (Server *server, bool is_echo)
 {
@@ -485,8 +493,8 @@
   close (fds[1]);
 }
 
-/* Guards against a quiesce that resets connections which the kernel has completed, but the server
- * has not accepted. */
+/* Guards against a quiesce that resets connections which the kernel has completed, but the HTTP
+ * threads have not begun to serve. */
 static void
 test_quiesce_backlog (void)
 {
@@ -498,7 +506,7 @@
   for (guint i = 0; i < G_N_ELEMENTS (fds); i++) {
     fds[i] = open_client (&server);
     send_text (fds[i], GET ("/v1/status"));
-    /* From here on the only HTTP thread waits, and the others' connections stay in the backlog. */
+    /* From here on the only HTTP thread waits, and the others' connections are not served. */
     if (i == 0)
       wait_count (&server, &server.request_count, 1);
   }
@@ -513,6 +521,137 @@
   server_shutdown (&server);
 }
 
+/* Guards against connections above the limit that are closed instead of waiting for a place. */
+static void
+test_connection_limit (void)
+{
+  g_autoptr (GError) error = NULL;
+  Server server = { .is_echo = true };
+  int fds[6];
+
+  pthread_mutex_init (&server.lock, NULL);
+  vp_sync_cond_setup (&server.changed);
+  server.http = vp_http_server_setup (&(VpHttpServerDesc){ .address = "127.0.0.1:0",
+                                                           .post = on_event,
+                                                           .data = &server,
+                                                           .body_max = BODY_MAX,
+                                                           .connections_max = 2 },
+                                      &error);
+  g_assert_no_error (error);
+  for (guint i = 0; i < G_N_ELEMENTS (fds); i++) {
+    fds[i] = open_client (&server);
+    send_text (fds[i], GET ("/v1/status"));
+  }
+  for (guint i = 0; i < G_N_ELEMENTS (fds); i++) {
+    struct pollfd readable = { .fd = fds[i], .events = POLLIN };
+    g_autofree char *response = NULL;
+    /* At most two connections are open, besides the i closed ones. */
+    pthread_mutex_lock (&server.lock);
+    g_assert_cmpuint (server.request_count, <=, i + 2);
+    pthread_mutex_unlock (&server.lock);
+    g_assert_cmpint (poll (&readable, 1, 5000), ==, 1);
+    response = read_response (fds[i]);
+    g_assert_true (g_str_has_prefix (response, "HTTP/1.1 200"));
+    close (fds[i]);
+  }
+  server_shutdown (&server);
+}
+
+/* Returns a connected client that has sent a request, or -1 if the listener refuses the connection
+ * or does not complete the handshake. */
+static int
+open_client_at (const char *host, uint16_t port)
+{
+  g_autofree char *text = g_strdup_printf ("%s:%u", host, port);
+  VpNetAddress address;
+  struct pollfd writable = { .events = POLLOUT };
+  int code = 0;
+  socklen_t size = sizeof code;
+
+  g_assert_true (vp_net_parse_address (text, &address));
+  writable.fd = socket (address.any.sa_family, SOCK_STREAM | SOCK_CLOEXEC | SOCK_NONBLOCK, 0);
+  g_assert_cmpint (writable.fd, >=, 0);
+  if ((connect (writable.fd, &address.any, address.size) == 0 || errno == EINPROGRESS)
+      && poll (&writable, 1, 100) == 1
+      && getsockopt (writable.fd, SOL_SOCKET, SO_ERROR, &code, &size) == 0 && code == 0
+      && fcntl (writable.fd, F_SETFL, 0) == 0) {
+    /* Fails if the connection is reset already, which the missing response shows. */
+    send (writable.fd, GET ("/v1/status"), strlen (GET ("/v1/status")), MSG_NOSIGNAL);
+    return writable.fd;
+  }
+  close (writable.fd);
+  return -1;
+}
+
+typedef struct {
+  const char *host;
+  uint16_t port;
+  uint32_t reply_count;
+  uint32_t lost_count;
+} QuiesceClient;
+
+/* Calls the server until it accepts no more connections. */
+static gpointer
+run_quiesce_client (gpointer data)
+{
+  QuiesceClient *client = data;
+  int fd;
+
+  while ((fd = open_client_at (client->host, client->port)) >= 0) {
+    g_autofree char *response = read_response (fd);
+    if (g_str_has_prefix (response, "HTTP/1.1 200"))
+      client->reply_count++;
+    else
+      client->lost_count++;
+    close (fd);
+  }
+  return NULL;
+}
+
+/* Guards against an abort of the process when the server is quiesced while callers connect. */
+static void
+check_quiesce_load (const char *address, const char *host)
+{
+  uint32_t reply_count = 0;
+  uint32_t lost_count = 0;
+
+  for (int round = 0; round < QUIESCE_ROUNDS; round++) {
+    Server server;
+    GThread *threads[8];
+    QuiesceClient clients[8];
+    server_setup_at (&server, address, true, 0);
+    for (guint i = 0; i < G_N_ELEMENTS (threads); i++) {
+      clients[i] = (QuiesceClient){ .host = host, .port = vp_http_server_port (server.http) };
+      threads[i] = g_thread_new ("client", run_quiesce_client, &clients[i]);
+    }
+    g_usleep (5000);
+    vp_http_server_quiesce (server.http);
+    for (guint i = 0; i < G_N_ELEMENTS (threads); i++) {
+      g_thread_join (threads[i]);
+      reply_count += clients[i].reply_count;
+      lost_count += clients[i].lost_count;
+    }
+    server_shutdown (&server);
+  }
+  g_test_message ("%s from %s: %u replies, %u lost", address, host, reply_count, lost_count);
+  g_assert_cmpuint (reply_count, >, 0);
+}
+
+static const struct {
+  const char *address;
+  const char *host;
+} quiesce_cases[] = {
+  { "127.0.0.1:0", "127.0.0.1" }, { "0.0.0.0:0", "127.0.0.1" }, { "[::1]:0", "[::1]" },
+  { "[::]:0", "[::1]" },          { "[::]:0", "127.0.0.1" },
+};
+
+static void
+test_quiesce_load (void)
+{
+  for (guint i = 0; i < G_N_ELEMENTS (quiesce_cases); i++)
+    check_quiesce_load (quiesce_cases[i].address, quiesce_cases[i].host);
+}
+
 static gpointer
 run_shutdown (gpointer data)
 {
@@ -569,6 +708,8 @@
   g_test_add_func ("/http-server/concurrent", test_concurrent);
   g_test_add_func ("/http-server/shutdown", test_shutdown);
   g_test_add_func ("/http-server/quiesce-backlog", test_quiesce_backlog);
+  g_test_add_func ("/http-server/connection-limit", test_connection_limit);
+  g_test_add_func ("/http-server/quiesce-load", test_quiesce_load);
   g_test_add_func ("/http-server/shutdown-unread", test_shutdown_unread);
   return g_test_run ();
 }
