Lose no requests on handshakes while the listener closes

Where SO_ATTACH_FILTER is refused, a connection that the kernel completed between the last accept4() and the shutdown of the listening socket was reset, and its caller got no response (ECONNRESET, no bytes). Where it is permitted, the filter also dropped the last packet of handshakes that had begun, and their callers, who had an open connection, were reset too.

At the shutdown the listening socket now first gets a minimum TTL of 255 (IP_MINTTL, IPV6_MINHOPCOUNT), which needs no privilege. The kernel drops new SYNs then, but completes the handshakes that have begun; these are accepted for 10 ms. The filter is attached afterwards, for callers that send a TTL of 255. Accepted connections inherit the limit, so it is taken back from each. A refused filter is logged once per process.

What stays: a caller whose TTL is 255, if the filter is refused; a handshake that takes over 10 ms; the behaviour as before, with a warning, if the minimum TTL is refused, too.

--- a/src/vp-http-server.c
+++ b/src/vp-http-server.c
@@ -8,6 +8,7 @@
 #include <gio/gio.h>
 #include <linux/filter.h>
 #include <microhttpd.h>
+#include <poll.h>
 #include <string.h>
 #include <sys/epoll.h>
 #include <sys/eventfd.h>
@@ -29,9 +30,12 @@
 #define VP_HTTP_SERVER_FLUSH_TIMEOUT_MS 2000
 /* Interval of the checks for unread requests during that wait; nothing signals their arrival. */
 #define VP_HTTP_SERVER_FLUSH_CHECK_MS 10
-#define VP_HTTP_SERVER_RETRY_AFTER_S  1          /* of requests that are refused at shutdown */
-#define VP_HTTP_SERVER_WAKE_ID        UINT64_MAX /* epoll data of the wake-up eventfd */
-#define VP_HTTP_SERVER_LISTEN_ID      (UINT64_MAX - 1) /* epoll data of the listening socket */
+/* Wait at shutdown for handshakes that have begun; a round trip in a data centre takes under 1 ms.
+ */
+#define VP_HTTP_SERVER_HANDSHAKE_MS  10
+#define VP_HTTP_SERVER_RETRY_AFTER_S 1                /* of requests that are refused at shutdown */
+#define VP_HTTP_SERVER_WAKE_ID       UINT64_MAX       /* epoll data of the wake-up eventfd */
+#define VP_HTTP_SERVER_LISTEN_ID     (UINT64_MAX - 1) /* epoll data of the listening socket */
 /* Interval of the attempts to accept connections at the limit of connections or descriptors. */
 #define VP_HTTP_SERVER_ACCEPT_RETRY_MS 10
 
@@ -575,6 +579,22 @@
   pthread_mutex_unlock (&http->lock);
 }
 
+/* Sets the TTL below which the kernel drops packets to a socket; 0 for no limit. A listening socket
+ * gets no SYN then, but handshakes that have begun are completed. No privilege is needed. */
+static bool
+_vp_http_server_set_min_ttl (int fd, int ttl)
+{
+  int domain = 0;
+  socklen_t size = sizeof domain;
+
+  if (getsockopt (fd, SOL_SOCKET, SO_DOMAIN, &domain, &size) != 0)
+    return false;
+  /* IPv6 sockets may have IPv4 callers. */
+  if (domain == AF_INET6 && setsockopt (fd, IPPROTO_IPV6, IPV6_MINHOPCOUNT, &ttl, sizeof ttl) != 0)
+    return false;
+  return setsockopt (fd, IPPROTO_IP, IP_MINTTL, &ttl, sizeof ttl) == 0;
+}
+
 /* Accepts the connections that the kernel has completed, at most until there are @limit. Returns
  * false if some may be left. The accept lock is held. */
 static bool
@@ -592,6 +612,9 @@
       return false;
     fd = accept4 (http->listen_fd, (struct sockaddr *)&address, &size,
                   SOCK_CLOEXEC | SOCK_NONBLOCK);
+    /* Connections inherit the limit of the listening socket, and would receive nothing. */
+    if (fd >= 0 && __atomic_load_n (&http->is_quiesced, __ATOMIC_RELAXED))
+      _vp_http_server_set_min_ttl (fd, 0);
     if (fd >= 0)
       _vp_http_server_adopt (http, fd, (struct sockaddr *)&address, size);
     else if (errno == EAGAIN || errno == EINVAL)
@@ -743,32 +766,74 @@
   return http->port;
 }
 
-/* Drops all further packets to the listening socket, so that the kernel completes no handshakes
- * after this call. It has no effect on connections that it has completed already. */
-static void
-_vp_http_server_drop_handshakes (VpHttpServer *http)
+/* Attaches a filter to the listening socket that drops all further packets to it. The kernel
+ * completes no handshakes after this call, not even those that have begun. It has no effect on
+ * connections that it has completed already. */
+static bool
+_vp_http_server_drop_packets (VpHttpServer *http)
 {
   struct sock_filter drop_all = BPF_STMT (BPF_RET | BPF_K, 0);
   struct sock_fprog program = { .len = 1, .filter = &drop_all };
 
-  if (setsockopt (http->listen_fd, SOL_SOCKET, SO_ATTACH_FILTER, &program, sizeof program) != 0)
-    g_warning ("can't stop handshakes before the listener is closed: %s", g_strerror (errno));
+  return setsockopt (http->listen_fd, SOL_SOCKET, SO_ATTACH_FILTER, &program, sizeof program) == 0;
+}
+
+static void
+_vp_http_server_warn_handshakes (bool is_ttl_limited, int code)
+{
+  static bool is_warned; /* atomic */
+
+  if (__atomic_exchange_n (&is_warned, true, __ATOMIC_RELAXED))
+    return;
+  if (is_ttl_limited)
+    g_warning ("can't attach a filter to the listener at shutdown: %s; handshakes are stopped by "
+               "its minimum TTL",
+               g_strerror (code));
+  else
+    g_warning ("can't stop handshakes before the listener is closed: %s", g_strerror (code));
+}
+
+/* Accepts the connections whose handshakes have begun, for a limited time. */
+static void
+_vp_http_server_accept_begun (VpHttpServer *http)
+{
+  struct pollfd completed = { .fd = http->listen_fd, .events = POLLIN };
+  int64_t now_ms = _vp_http_server_now_ms ();
+  int64_t end_ms = now_ms + VP_HTTP_SERVER_HANDSHAKE_MS;
+
+  while (now_ms < end_ms) {
+    _vp_http_server_accept_backlog (http, UINT32_MAX);
+    poll (&completed, 1, (int)(end_ms - now_ms));
+    now_ms = _vp_http_server_now_ms ();
+  }
 }
 
 void
 vp_http_server_quiesce (VpHttpServer *http)
 {
+  bool is_ttl_limited;
+  bool is_filtered;
+  int code;
+
   if (__atomic_exchange_n (&http->is_quiesced, true, __ATOMIC_ACQ_REL))
     return;
   pthread_mutex_lock (&http->accept_lock);
   epoll_ctl (http->epoll_fd, EPOLL_CTL_DEL, http->listen_fd, NULL);
-  _vp_http_server_drop_handshakes (http);
+  /* Handshakes that have begun are completed, and no others begin, except by callers with a TTL of
+   * 255, which the filter stops. The filter may be refused where system calls are restricted. */
+  is_ttl_limited = _vp_http_server_set_min_ttl (http->listen_fd, 255);
+  if (is_ttl_limited)
+    _vp_http_server_accept_begun (http);
+  is_filtered = _vp_http_server_drop_packets (http);
+  code = errno;
   /* The shutdown of the listening socket would reset these connections, whose callers may have sent
    * a request. */
   _vp_http_server_accept_backlog (http, UINT32_MAX);
   /* Without the shutdown of the socket callers would wait instead of being refused. */
   shutdown (http->listen_fd, SHUT_RDWR);
   pthread_mutex_unlock (&http->accept_lock);
+  if (!is_filtered)
+    _vp_http_server_warn_handshakes (is_ttl_limited, code);
 }
 
 void
--- a/tests/test-http-server.c
+++ b/tests/test-http-server.c
@@ -6,6 +6,7 @@
 #include <fcntl.h>
 #include <poll.h>
 #include <string.h>
+#include <sys/syscall.h>
 #include <unistd.h>
 
 #define BODY_MAX       4096
@@ -557,6 +558,27 @@
   server_shutdown (&server);
 }
 
+/* What the system calls below do instead of the kernel's. Set while no server runs. */
+static struct {
+  bool is_filter_refused; /* SO_ATTACH_FILTER fails with EPERM */
+  /* If not NULL, a client connects here immediately before a listener is shut down. */
+  const char *late_host;
+  int late_fd; /* -1 if the kernel did not complete the handshake */
+} calls;
+
+/* Replaces the C library's function for this program. */
+int
+setsockopt (int fd, int level, int optname, const void *optval, socklen_t optlen)
+{
+  bool is_filter = level == SOL_SOCKET && optname == SO_ATTACH_FILTER;
+
+  if (is_filter && calls.is_filter_refused) {
+    errno = EPERM;
+    return -1;
+  }
+  return (int)syscall (SYS_setsockopt, fd, level, optname, optval, optlen);
+}
+
 /* Returns a connected client that has sent a request, or -1 if the listener refuses the connection
  * or does not complete the handshake. */
 static int
@@ -583,6 +605,19 @@
   return -1;
 }
 
+/* Replaces the C library's function for this program. */
+int
+shutdown (int fd, int how)
+{
+  int is_listener = 0;
+  socklen_t size = sizeof is_listener;
+
+  if (calls.late_host != NULL
+      && getsockopt (fd, SOL_SOCKET, SO_ACCEPTCONN, &is_listener, &size) == 0 && is_listener != 0)
+    calls.late_fd = open_client_at (calls.late_host, vp_net_bound_port (fd));
+  return (int)syscall (SYS_shutdown, fd, how);
+}
+
 typedef struct {
   const char *host;
   uint16_t port;
@@ -608,7 +643,28 @@
   return NULL;
 }
 
-/* Guards against an abort of the process when the server is quiesced while callers connect. */
+/* Guards against requests that are lost since the kernel completes their connections between the
+ * last accept4() and the shutdown of the listening socket. The late client connects there. */
+static void
+check_quiesce_late (const char *address, const char *host)
+{
+  Server server;
+
+  server_setup_at (&server, address, true, 0);
+  calls.late_host = host;
+  calls.late_fd = -1;
+  vp_http_server_quiesce (server.http);
+  calls.late_host = NULL;
+  if (calls.late_fd >= 0) {
+    g_autofree char *response = read_response (calls.late_fd);
+    g_test_message ("%s from %s: connected, response '%s'", address, host, response);
+    g_assert_true (g_str_has_prefix (response, "HTTP/1.1 200"));
+    close (calls.late_fd);
+  }
+  server_shutdown (&server);
+}
+
+/* The same with callers that connect all the time. */
 static void
 check_quiesce_load (const char *address, const char *host)
 {
@@ -635,6 +691,7 @@
   }
   g_test_message ("%s from %s: %u replies, %u lost", address, host, reply_count, lost_count);
   g_assert_cmpuint (reply_count, >, 0);
+  g_assert_cmpuint (lost_count, ==, 0);
 }
 
 static const struct {
@@ -645,6 +702,13 @@
   { "[::]:0", "[::1]" },          { "[::]:0", "127.0.0.1" },
 };
 
+static void
+test_quiesce_late (void)
+{
+  for (guint i = 0; i < G_N_ELEMENTS (quiesce_cases); i++)
+    check_quiesce_late (quiesce_cases[i].address, quiesce_cases[i].host);
+}
+
 static void
 test_quiesce_load (void)
 {
@@ -652,6 +716,41 @@
     check_quiesce_load (quiesce_cases[i].address, quiesce_cases[i].host);
 }
 
+static uint32_t warning_count; /* atomic */
+
+static GLogWriterOutput
+count_warning (GLogLevelFlags level, const GLogField *fields, gsize count, gpointer data)
+{
+  if ((level & G_LOG_LEVEL_WARNING) != 0)
+    __atomic_add_fetch (&warning_count, 1, __ATOMIC_RELAXED);
+  return g_log_writer_default (level, fields, count, data);
+}
+
+/* The same where socket filters are refused. Guards also against a warning for every listener. */
+static void
+check_refused (void (*check) (void))
+{
+  GLogLevelFlags fatal = g_log_set_always_fatal (G_LOG_FATAL_MASK | G_LOG_LEVEL_CRITICAL);
+
+  calls.is_filter_refused = true;
+  check ();
+  calls.is_filter_refused = false;
+  g_log_set_always_fatal (fatal);
+  g_assert_cmpuint (warning_count, ==, 1);
+}
+
+static void
+test_quiesce_refused_late (void)
+{
+  check_refused (test_quiesce_late);
+}
+
+static void
+test_quiesce_refused_load (void)
+{
+  check_refused (test_quiesce_load);
+}
+
 static gpointer
 run_shutdown (gpointer data)
 {
@@ -700,6 +799,7 @@
 main (int argc, char **argv)
 {
   g_test_init (&argc, &argv, NULL);
+  g_log_set_writer_func (count_warning, NULL, NULL);
   g_test_add_func ("/http-server/routes", test_routes);
   g_test_add_func ("/http-server/oversize", test_oversize);
   g_test_add_func ("/http-server/slow", test_slow);
@@ -709,7 +809,10 @@
   g_test_add_func ("/http-server/shutdown", test_shutdown);
   g_test_add_func ("/http-server/quiesce-backlog", test_quiesce_backlog);
   g_test_add_func ("/http-server/connection-limit", test_connection_limit);
+  g_test_add_func ("/http-server/quiesce-late", test_quiesce_late);
   g_test_add_func ("/http-server/quiesce-load", test_quiesce_load);
+  g_test_add_func ("/http-server/quiesce-refused-late", test_quiesce_refused_late);
+  g_test_add_func ("/http-server/quiesce-refused-load", test_quiesce_refused_load);
   g_test_add_func ("/http-server/shutdown-unread", test_shutdown_unread);
   return g_test_run ();
 }
