Soak: change leaders in series while relays carry the commands

These draws come from a random source of their own, so that the other faults of a seed stay. The CPU shares are so small that leaders hand their commands to relays.

--- a/soak/soak.c
+++ b/soak/soak.c
@@ -38,6 +38,10 @@
 #define FAULT_DURATION_MAX_MS 6000
 #define CONFIG_APPLY_MS       3000
 #define ODD_ENTRY_NESTING     20000
+#define SERIES_LENGTH         4    /* changes of the leader in a series, after the first */
+#define SERIES_GAP_MAX_MS     2000 /* time between two changes of the leader */
+#define SERIES_DELAY_MAX_MS   6000 /* delay of slow links between nodes */
+#define SERIES_PAUSE_MS       6000 /* time between two series */
 #define MEASURE_SETTLE_MS     5000
 
 typedef struct {
@@ -57,6 +61,8 @@
   char *work_dir;
   GRand *rand;
   GRand *odd_entry_rand; /* of its own, so that the faults of a seed don't depend on odd entries */
+  GRand *series_rand;    /* of its own for the same reason */
+  bool has_series;       /* leaders change in series, and relays carry the commands */
   bool kills_leader;     /* before a measurement */
   Node nodes[SOAK_NODES_MAX];
   SoakWorkers *workers;
@@ -499,6 +505,49 @@
                   _inject_fault, NULL);
 }
 
+/* Series of faults: the leaders are killed or terminated one after the other, while links between
+ * nodes are slow. */
+
+static void
+_end_slow_links (void *data)
+{
+  _set_peer_link_modes (GPOINTER_TO_UINT (data), "pass", "pass");
+}
+
+static void
+_continue_series (void *data)
+{
+  uint32_t left = GPOINTER_TO_UINT (data);
+  int64_t now_ms = fake_now_ms ();
+  int32_t leader = soak_store_leader (_run.soak.store);
+  uint32_t node = (uint32_t)g_rand_int_range (_run.series_rand, 0, (gint32)_run.soak.node_count);
+  int64_t for_ms = g_rand_int_range (_run.series_rand, 100, SERIES_GAP_MAX_MS);
+  int64_t delay_ms = g_rand_int_range (_run.series_rand, 500, SERIES_DELAY_MAX_MS);
+  bool is_killed = g_rand_boolean (_run.series_rand);
+  int64_t gap_ms
+      = left > 0 ? g_rand_int_range (_run.series_rand, 200, SERIES_GAP_MAX_MS) : SERIES_PAUSE_MS;
+
+  if (now_ms > _run.fault_end_ms)
+    return;
+  _log ("series leader=%d %s slow_node=%u delay_ms=%d", leader, is_killed ? "kill" : "term", node,
+        (int)delay_ms);
+  if (leader >= 0 && (uint32_t)leader < _run.soak.node_count) {
+    if (is_killed)
+      _kill_node ((uint32_t)leader, for_ms);
+    else
+      _terminate_node ((uint32_t)leader);
+  }
+  for (uint32_t i = 0; i < _run.soak.node_count; i++) {
+    if (i == node)
+      continue;
+    fake_mapping_set_mode (_run.nodes[i].peer_links[node], "delay", delay_ms);
+    fake_mapping_set_mode (_run.nodes[node].peer_links[i], "delay", delay_ms);
+  }
+  fake_timer_add (now_ms + for_ms + delay_ms, _end_slow_links, GUINT_TO_POINTER (node));
+  fake_timer_add (now_ms + gap_ms, _continue_series,
+                  GUINT_TO_POINTER (left > 0 ? left - 1 : SERIES_LENGTH));
+}
+
 static void
 _end_fault_phase (void *data)
 {
@@ -605,6 +654,16 @@
 
 /* Setup. */
 
+/* With series the shares are so small that a leader hands its commands to relays: it keeps them
+ * only with 4 thousandths of a core for each worker. */
+static const char *
+_cpu_share (uint32_t number)
+{
+  if (_run.has_series)
+    return number % 2 == 0 ? "0.02" : "0.01";
+  return number % 2 == 0 ? "0.5" : "0.25";
+}
+
 static void
 _setup_node (uint32_t number)
 {
@@ -627,9 +686,8 @@
                           "\"cpu_share\":%s,\"store_address\":\"%s\",\"advice_address\":\"%s\","
                           "\"hold_max_ms\":6000,\"retention_s\":120,\"grace_s\":%d}",
                           number, node->callers_address, soak->address_prefix, host, READY_PORT,
-                          soak->address_prefix, host, PEER_PORT, number % 2 == 0 ? "0.5" : "0.25",
-                          address, soak_workers_advice_address (_run.workers),
-                          SHUTDOWN_GRACE_MS / 1000);
+                          soak->address_prefix, host, PEER_PORT, _cpu_share (number), address,
+                          soak_workers_advice_address (_run.workers), SHUTDOWN_GRACE_MS / 1000);
   if (!g_file_set_contents (node->settings_path, text, -1, NULL))
     soak_fail (soak, "failed to write %s", node->settings_path);
 }
@@ -673,6 +731,9 @@
   case 'c':
     soak->caller_count = (uint32_t)strtoul (arg, NULL, 10);
     return 0;
+  case 'r':
+    _run.has_series = true;
+    return 0;
   case 'm':
     soak->measured_count = (uint32_t)strtoul (arg, NULL, 10);
     return 0;
@@ -698,6 +759,7 @@
     { "nodes", 'n', "N", 0, "processes under test; default 4", 0 },
     { "workers", 'w', "N", 0, "stand-ins for workers; default 6", 0 },
     { "callers", 'c', "N", 0, "concurrent callers; default 12", 0 },
+    { "series", 'r', NULL, 0, "change leaders in series, with relays", 0 },
     { "measure", 'm', "N", 0, "instead: cancel N jobs as they are submitted, and count", 0 },
     { "kill-leader", 'k', NULL, 0, "kill the leader before the measurement", 0 },
     { 0 },
@@ -721,6 +783,7 @@
   _run.work_dir = g_dir_make_tmp ("soak-XXXXXX", NULL);
   soak->log_dir = _run.work_dir;
   _run.rand = g_rand_new_with_seed (soak->seed);
+  _run.series_rand = g_rand_new_with_seed (soak->seed);
   _run.odd_entry_rand = g_rand_new_with_seed (soak->seed);
   g_mutex_init (&soak->lock);
   fake_setup ();
@@ -744,6 +807,8 @@
     fake_run ();
     return EXIT_SUCCESS;
   }
+  if (_run.has_series)
+    fake_timer_add (now_ms + 2 * WARMUP_MS, _continue_series, GUINT_TO_POINTER (SERIES_LENGTH));
   fake_timer_add (now_ms + WARMUP_MS, (FakeTimerFunc)(void *)soak_callers_start, soak);
   fake_timer_add (now_ms + WARMUP_MS, _inject_fault, NULL);
   _schedule_odd_entry (now_ms + WARMUP_MS);
