--- a/tests/test-node-cancel.c
+++ b/tests/test-node-cancel.c
@@ -7,9 +7,9 @@
 #define WORKER_COUNT 6
 /* CPU share with which a leader hands the commands to all of its workers to other processes. */
 #define RELAY_CPU_MILLI 4
-/* The platform's bounds, which are these on all sites: machines are in touch CONTACT_MS after the
- * last disruption, a job of which the cancellation is confirmed starts nothing after CANCEL_MS, and
- * a stop takes up to STOP_MS. */
+/* The platform's bounds, of the sites on which cancellations take effect soonest: machines are in
+ * touch CONTACT_MS after the last disruption, a job of which the cancellation is confirmed starts
+ * nothing after CANCEL_MS, and a stop takes up to STOP_MS. */
 #define CONTACT_MS 3000
 #define CANCEL_MS  3000
 #define STOP_MS    900
