Lint: one file for each call of clang-tidy

On x86-64 clang-tidy 14 reports the va_list of review/standin/stage.c as uninitialized if it checks that file after others in one call, and nothing if it checks the file alone.

--- a/Makefile
+++ b/Makefile
@@ -71,8 +71,9 @@
 	@clang-format --dry-run --Werror $(SOURCES)
 
 lint: build
+	@# One file a call: clang-tidy 14 on x86-64 carries state of va_list over to the next file of a call.
 	@echo "clang-tidy"; printf '%s\n' $(filter %.c,$(SOURCES)) \
-	  | xargs -P $(JOBS) -n 4 clang-tidy --quiet -p $(BUILD) 2>/dev/null
+	  | xargs -P $(JOBS) -n 1 clang-tidy --quiet -p $(BUILD) 2>/dev/null
 	@echo "cppcheck"; cppcheck --quiet --error-exitcode=1 --inline-suppr -j $(JOBS) \
 	  --enable=warning,portability --suppress=missingInclude --library=gtk --std=c11 \
 	  -Isrc $(filter %.c,$(SOURCES))
