Evacuation of a DC: nothing is started there until the request is withdrawn

Each node keeps the set and passes it to the scheduler. Workers of these DCs aren't usable, so that placement, gangs, advice requests and reservations leave them out, also workers that are listed later. A start without an answer isn't repeated there; once its outcome is unknown the run is stopped and the task starts elsewhere. The simulated cell has evacuations and checks each start against the rule.

--- a/src/vp-cell-private.h
+++ b/src/vp-cell-private.h
@@ -1,5 +1,5 @@
 /* Private state of the scheduler. Its functions are in vp-cell.c, vp-cell-commands.c,
- * vp-cell-scan.c and vp-cell-recovery.c. */
+ * vp-cell-scan.c, vp-cell-recovery.c and vp-cell-evacuation.c. */
 #pragma once
 
 #include "vp-advise.h"
@@ -32,6 +32,8 @@
   bool has_stored_workers;        /* the list that the previous scheduler stored is loaded */
   bool is_stored_list_unreadable; /* the list that the previous scheduler stored is corrupt */
   bool is_recovered;              /* no run of an earlier scheduler can be unknown any more */
+  bool has_evacuated_dcs;         /* the DCs under evacuation are known */
+  int64_t waiting_log_next_ms;    /* earliest time of the next log line about waiting steps */
 };
 
 /* Returns the minimum interval between placements, and between scans. */
@@ -53,6 +55,11 @@
 /* Blocks new tasks on a worker that isn't active, and marks the list of workers as changed if the
  * worker must be stored with another state than before. */
 void _vp_cell_update_active (VpCell *cell, VpCellWorker *worker, int64_t now_ms);
+/* Returns true if tasks may be started as far as evacuations are concerned. */
+bool _vp_cell_knows_evacuations (const VpCell *cell);
+/* Logs why steps wait, at most once a second: @step_count steps with @task_count waiting tasks
+ * found no worker while some workers of their services are in DCs under evacuation. */
+void _vp_cell_log_waiting (VpCell *cell, uint32_t step_count, uint32_t task_count, int64_t now_ms);
 /* Scans all assigned tasks and workers: stops tasks that must not go on, repeats starts without an
  * answer, ends the runs of workers whose leases have expired, and removes workers that are gone. */
 void _vp_cell_scan (VpCell *cell, int64_t now_ms, GArray *effects);
--- a/src/vp-cell-scan.c
+++ b/src/vp-cell-scan.c
@@ -99,7 +99,7 @@
       || now_ms > cell->commands_until_ms)
     return;
   if (!task->is_unanswered) {
-    if (task->start_tries < VP_CELL_START_TRIES
+    if (!task->worker->is_evacuated && task->start_tries < VP_CELL_START_TRIES
         && now_ms - task->start_sent_ms > _vp_cell_start_hedge_ms (cell) * task->start_tries) {
       bool is_dc_unreachable
           = vp_workerlist_dc_answer_ms (cell->worker_list, task->worker) < task->started_ms;
@@ -116,10 +116,11 @@
     return;
   }
   task->is_unanswered = false;
-  if (task->start_tries < VP_CELL_START_TRIES) {
+  if (!task->worker->is_evacuated && task->start_tries < VP_CELL_START_TRIES) {
     _vp_cell_send_start (cell, task, now_ms, effects);
   } else {
-    vp_runlog_add (&cell->reconcile.log, "stop", "start-unanswered", task, now_ms);
+    vp_runlog_add (&cell->reconcile.log, "stop",
+                   task->worker->is_evacuated ? "dc-evacuated" : "start-unanswered", task, now_ms);
     _vp_cell_send_stop (cell, task, now_ms, effects);
   }
 }
--- a/src/vp-cell.c
+++ b/src/vp-cell.c
@@ -689,8 +689,9 @@
     g_array_append_val (effects, effect);
 }
 
-/* Starts the waiting tasks of an item, and requests advice if they lack workers. */
-static void
+/* Starts the waiting tasks of an item, and requests advice if they lack workers. Returns false if
+ * at least one task only waits for a suitable worker. */
+static bool
 _vp_cell_place_item (VpCell *cell,
                      VpStepQueue *step_queue,
                      const VpStepQueueItem *item,
@@ -703,7 +704,7 @@
 
   /* A task of another step of the job may have been given up in this decision. */
   if (vp_job_is_ended (step->occurrence->job))
-    return;
+    return true;
   if (!step->occurrence->job->is_durable)
     is_placed = !item->queue->has_advice;
   else if (step->spec->is_gang)
@@ -711,23 +712,31 @@
   else
     is_placed = _vp_cell_place_tasks (cell, pool, step, item->queue, now_ms, effects);
   if (is_placed)
-    return;
+    return true;
   if (item->queue->has_advice && vp_place_has_spare (pool, step))
     _vp_cell_request_advice (cell, pool, item, now_ms, effects);
   vp_place_reserve (pool, step, item->queue, now_ms);
+  return false;
 }
 
 static void
 _vp_cell_place_steps (VpCell *cell, int64_t now_ms, GArray *effects)
 {
   VpStepQueue step_queue;
+  uint32_t step_count = 0, task_count = 0;
 
   _vp_cell_count_possibly_running (cell);
   vp_stepqueue_setup (&step_queue, cell->worker_list, cell->jobs, cell->config, now_ms);
-  for (guint i = 0; i < step_queue.items->len; i++)
-    _vp_cell_place_item (cell, &step_queue, &g_array_index (step_queue.items, VpStepQueueItem, i),
-                         now_ms, effects);
+  for (guint i = 0; i < step_queue.items->len; i++) {
+    const VpStepQueueItem *item = &g_array_index (step_queue.items, VpStepQueueItem, i);
+    if (_vp_cell_place_item (cell, &step_queue, item, now_ms, effects)
+        || vp_stepqueue_pool (&step_queue, item)->evacuated_count == 0)
+      continue;
+    step_count++;
+    task_count += item->step->waiting_count;
+  }
   vp_stepqueue_shutdown (&step_queue);
+  _vp_cell_log_waiting (cell, step_count, task_count, now_ms);
 }
 
 int64_t
@@ -803,10 +812,14 @@
     _vp_cell_send_hold (cell, cell->worker_list->workers->pdata[i], now_ms, effects);
   _vp_cell_check_recovered (cell, now_ms);
   _vp_cell_scan (cell, now_ms, effects);
-  if (!cell->is_paused && cell->config != NULL && now_ms <= cell->commands_until_ms)
-    _vp_cell_place (cell, now_ms, effects);
-  else
+  if (cell->is_paused || cell->config == NULL || now_ms > cell->commands_until_ms) {
     cell->is_place_due = false;
+  } else if (!_vp_cell_knows_evacuations (cell)) {
+    cell->is_place_due = false;
+    _vp_cell_log_waiting (cell, cell->jobs->ready_steps->len, 0, now_ms);
+  } else {
+    _vp_cell_place (cell, now_ms, effects);
+  }
   _vp_cell_flush_log (cell, now_ms);
 }
 
--- a/src/vp-cell.h
+++ b/src/vp-cell.h
@@ -30,6 +30,8 @@
   int64_t relist_ms;
   bool stores_workers; /* tasks are placed only on workers in a stored list */
   bool is_clean;       /* the previous scheduler handed over with the state of all jobs stored */
+  /* No task is started before the first call of vp_cell_set_evacuated_dcs(). */
+  bool awaits_evacuations;
 } VpCellDesc;
 
 typedef enum { VP_CELL_COMMAND, VP_CELL_ADVICE_REQUEST } VpCellEffectKind;
@@ -59,6 +61,9 @@
 void vp_cell_set_advice_client_count (VpCell *cell, uint32_t count);
 /* Reports that vp_cell_worker_listed() has been called for all workers in the platform's list. */
 void vp_cell_worker_list_complete (VpCell *cell);
+/* Sets the DCs (char *) under evacuation, which replace those of earlier calls. No task is started
+ * on their workers; those that run there go on, and their leases are renewed. */
+void vp_cell_set_evacuated_dcs (VpCell *cell, const GPtrArray *dcs);
 /* Handles the result of a command. Results of commands from other terms are ignored. */
 void vp_cell_command_result (VpCell *cell, const VpCommandResult *result, int64_t now_ms);
 /* Handles the result of the advice request @serial. @rows holds a VpAdviceRow for each worker that
--- a/src/vp-metrics.c
+++ b/src/vp-metrics.c
@@ -80,6 +80,7 @@
   [VP_GAUGE_WORKERS_UNKNOWN]
   = { "workers_unknown", "Workers of an earlier leader that have not told what they run" },
   [VP_GAUGE_COMMIT_AGE_MS] = { "commit_age_ms", "Milliseconds since the leader's last commit" },
+  [VP_GAUGE_EVACUATED_DCS] = { "evacuated_dcs", "Data centres under evacuation" },
 };
 
 static const VpMetricText vp_hist_texts[VP_HIST_LAST] = {
--- a/src/vp-node-events.c
+++ b/src/vp-node-events.c
@@ -88,6 +88,9 @@
     g_clear_pointer (&event->config.config, vp_cellconfig_unref);
     g_clear_pointer (&event->config.text, g_bytes_unref);
     break;
+  case VP_NODE_EVENT_EVACUATIONS:
+    g_clear_pointer (&event->evacuated_dcs, g_ptr_array_unref);
+    break;
   case VP_NODE_EVENT_WORKER_LIST:
     g_clear_pointer (&event->workers, g_array_unref);
     break;
--- a/src/vp-node-events.h
+++ b/src/vp-node-events.h
@@ -105,7 +105,8 @@
   VP_NODE_EVENT_JOBS_LOADED,
   VP_NODE_EVENT_COMMAND_RESULT,
   VP_NODE_EVENT_ADVICE_RESULT,
-  VP_NODE_EVENT_CONFIG, /* a new configuration, decoded and as text */
+  VP_NODE_EVENT_CONFIG,      /* a new configuration, decoded and as text */
+  VP_NODE_EVENT_EVACUATIONS, /* the complete set of DCs under evacuation */
   VP_NODE_EVENT_MEMBER, /* a process is listed at an address; empty address: not listed any more */
   VP_NODE_EVENT_WORKER_LIST, /* the complete list of workers */
   VP_NODE_EVENT_WORKER,      /* one worker was added or has changed */
@@ -136,7 +137,8 @@
       char name[VP_NAME_MAX];
       char address[VP_ADDRESS_MAX];
     } member;
-    GArray *workers; /* VpWorkerEntry of the complete list */
+    GPtrArray *evacuated_dcs; /* char *: names of DCs */
+    GArray *workers;          /* VpWorkerEntry of the complete list */
     VpWorkerEntry worker;
     char worker_id[VP_NAME_MAX];
   };
--- a/src/vp-node-members.c
+++ b/src/vp-node-members.c
@@ -152,6 +152,44 @@
   }
 }
 
+/* Evacuations. */
+
+static bool
+_vp_node_contains_dc (const GPtrArray *dcs, const char *dc)
+{
+  return dcs != NULL && g_ptr_array_find_with_equal_func ((GPtrArray *)dcs, dc, g_str_equal, NULL);
+}
+
+/* Logs each DC of @dcs that isn't in @others. */
+static void
+_vp_node_log_evacuations (const VpNode *node,
+                          const GPtrArray *dcs,
+                          const GPtrArray *others,
+                          bool is_on,
+                          int64_t now_ms)
+{
+  for (guint i = 0; dcs != NULL && i < dcs->len; i++) {
+    const char *dc = dcs->pdata[i];
+    uint32_t worker_count
+        = node->cell == NULL ? 0 : vp_workerlist_count_in_dc (vp_cell_workers (node->cell), dc);
+    if (!_vp_node_contains_dc (others, dc))
+      vp_log (now_ms, "evacuation", "dc=%s is_on=%d leading=%d workers=%u", dc, is_on,
+              node->cell != NULL, worker_count);
+  }
+}
+
+void
+_vp_node_handle_evacuations (VpNode *node, GPtrArray *dcs, int64_t now_ms)
+{
+  _vp_node_log_evacuations (node, dcs, node->evacuated_dcs, true, now_ms);
+  _vp_node_log_evacuations (node, node->evacuated_dcs, dcs, false, now_ms);
+  g_clear_pointer (&node->evacuated_dcs, g_ptr_array_unref);
+  node->evacuated_dcs = g_ptr_array_ref (dcs);
+  if (node->cell != NULL)
+    vp_cell_set_evacuated_dcs (node->cell, dcs);
+  vp_metrics_set (VP_GAUGE_EVACUATED_DCS, dcs->len);
+}
+
 /* Configuration. */
 
 void
--- a/src/vp-node-private.h
+++ b/src/vp-node-private.h
@@ -19,8 +19,9 @@
   VpFrontend *frontend;
   VpCellConfig *config;
   GBytes *config_text;
-  GHashTable *members; /* name -> VpMemberState */
-  bool has_own_entry;  /* the store has listed this node, so it has listed all others as well */
+  GPtrArray *evacuated_dcs; /* char *: DCs under evacuation; NULL: not known yet */
+  GHashTable *members;      /* name -> VpMemberState */
+  bool has_own_entry; /* the store has listed this node, so it has listed all others as well */
   int64_t ping_next_ms;
   int64_t config_request_next_ms;
   int64_t advice_until_ms; /* expected end of the advice calls of this process */
@@ -67,6 +68,8 @@
 _vp_node_handle_ping (VpNode *node, const VpNodeMsg *ping, int64_t now_ms, VpNodeEffects *effects);
 /* Puts a decoded configuration in force if it is newer. */
 void _vp_node_handle_config (VpNode *node, VpCellConfig *config, GBytes *text, int64_t now_ms);
+/* Takes the complete set of DCs (char *) under evacuation, and passes it to the scheduler. */
+void _vp_node_handle_evacuations (VpNode *node, GPtrArray *dcs, int64_t now_ms);
 /* Sends the text of the configuration, if there is one, to a process that asked for it. */
 void _vp_node_send_config (VpNode *node, const char *to, VpNodeEffects *effects);
 /* Lets the text of a configuration that another process has sent be decoded if it is newer. */
--- a/src/vp-node.c
+++ b/src/vp-node.c
@@ -75,6 +75,7 @@
   g_array_unref (node->answers);
   g_clear_pointer (&node->config, vp_cellconfig_unref);
   g_clear_pointer (&node->config_text, g_bytes_unref);
+  g_clear_pointer (&node->evacuated_dcs, g_ptr_array_unref);
   g_free (node);
 }
 
@@ -100,7 +101,8 @@
           .hold_max_ms = node->desc.hold_max_ms,
           .relist_ms = node->election.store_unavailable_ms + node->desc.relist_ms - now_ms,
           .stores_workers = true,
-          .is_clean = node->election.is_predecessor_clean };
+          .is_clean = node->election.is_predecessor_clean,
+          .awaits_evacuations = node->desc.has_evacuations };
 
   node->cell = vp_cell_setup (&desc, now_ms);
   node->committer
@@ -114,6 +116,8 @@
       &(VpRelayDesc){ .term = node->election.term, .cpu_milli = node->desc.cpu_milli });
   if (node->config != NULL)
     vp_cell_set_config (node->cell, node->config);
+  if (node->evacuated_dcs != NULL)
+    vp_cell_set_evacuated_dcs (node->cell, node->evacuated_dcs);
   node->load_serial = node->election.term;
   node->load_next_ms = node->term_began_ms = now_ms;
   node->is_loading = node->is_leasing_suspended = false;
@@ -365,6 +369,9 @@
   case VP_NODE_EVENT_CONFIG:
     _vp_node_handle_config (node, event->config.config, event->config.text, now_ms);
     break;
+  case VP_NODE_EVENT_EVACUATIONS:
+    _vp_node_handle_evacuations (node, event->evacuated_dcs, now_ms);
+    break;
   case VP_NODE_EVENT_MEMBER:
     _vp_node_handle_member_entry (node, event->member.name, event->member.address, now_ms, effects);
     break;
--- a/src/vp-node.h
+++ b/src/vp-node.h
@@ -27,6 +27,9 @@
   int64_t relist_ms; /* time after an outage of the store until all live workers are listed again */
   int64_t retention_ms; /* how long callers can query a job after its end */
   int64_t grace_ms;     /* time from the stop request until the process is killed */
+  /* DCs can be evacuated, so this node starts no task before its first VP_NODE_EVENT_EVACUATIONS.
+   */
+  bool has_evacuations;
 } VpNodeDesc;
 
 VpNode *vp_node_setup (const VpNodeDesc *desc, int64_t now_ms);
--- a/src/vp-place.c
+++ b/src/vp-place.c
@@ -45,8 +45,10 @@
   pool->slots = g_array_sized_new (FALSE, FALSE, sizeof (VpPlaceSlot), worker_list->workers->len);
   for (guint i = 0; i < worker_list->workers->len; i++) {
     VpPlaceSlot slot = { .worker = worker_list->workers->pdata[i] };
-    if (!vp_workerlist_is_usable (slot.worker, now_ms)
-        || strcmp (slot.worker->entry.service, service) != 0)
+    if (strcmp (slot.worker->entry.service, service) != 0)
+      continue;
+    pool->evacuated_count += slot.worker->is_evacuated ? 1 : 0;
+    if (!vp_workerlist_is_usable (slot.worker, now_ms))
       continue;
     slot.free = vp_workerlist_free_capacity (slot.worker);
     slot.worker->slot_index = pool->slots->len;
--- a/src/vp-place.h
+++ b/src/vp-place.h
@@ -33,6 +33,7 @@
   VpResources largest;             /* at least what any one worker has free and not reserved */
   VpResources capacity_max;        /* the largest capacity of any worker */
   uint32_t busy_reservation_count; /* wide tasks that wait for a busy worker */
+  uint32_t evacuated_count;        /* workers of the service in DCs under evacuation */
 } VpPlacePool;
 
 typedef struct {
--- a/src/vp-workerlist.c
+++ b/src/vp-workerlist.c
@@ -53,6 +53,7 @@
   worker_list->by_id = g_hash_table_new (g_str_hash, g_str_equal);
   worker_list->workers = g_ptr_array_new_with_free_func (_vp_workerlist_worker_free);
   worker_list->racks = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
+  worker_list->evacuated_dcs = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
   worker_list->hold_max_ms = hold_max_ms;
   worker_list->inherited_until_ms = _vp_workerlist_leases_until_ms (hold_max_ms, now_ms);
   return worker_list;
@@ -64,6 +65,7 @@
   g_hash_table_unref (worker_list->by_id);
   g_ptr_array_unref (worker_list->workers);
   g_hash_table_unref (worker_list->racks);
+  g_hash_table_unref (worker_list->evacuated_dcs);
   g_free (worker_list);
 }
 
@@ -80,6 +82,16 @@
   return index - 1;
 }
 
+static void
+_vp_workerlist_set_entry (VpWorkerList *worker_list,
+                          VpCellWorker *worker,
+                          const VpWorkerEntry *entry)
+{
+  worker->entry = *entry;
+  worker->rack_index = _vp_workerlist_rack_index (worker_list, entry);
+  worker->is_evacuated = g_hash_table_contains (worker_list->evacuated_dcs, entry->dc);
+}
+
 VpCellWorker *
 vp_workerlist_add (VpWorkerList *worker_list, const VpWorkerEntry *entry)
 {
@@ -91,8 +103,7 @@
   worker->tasks = g_hash_table_new (NULL, NULL);
   worker->throttle_percent = 100;
   worker->slowness = 1;
-  worker->entry = *entry;
-  worker->rack_index = _vp_workerlist_rack_index (worker_list, entry);
+  _vp_workerlist_set_entry (worker_list, worker, entry);
   worker->silent_until_ms = worker_list->inherited_until_ms;
   worker_list->is_changed = true;
   g_ptr_array_add (worker_list->workers, worker);
@@ -105,8 +116,7 @@
 {
   VpCellWorker *worker = vp_workerlist_add (worker_list, entry);
 
-  worker->entry = *entry;
-  worker->rack_index = _vp_workerlist_rack_index (worker_list, entry);
+  _vp_workerlist_set_entry (worker_list, worker, entry);
   worker->is_listed = worker->was_listed = true;
   return worker;
 }
@@ -252,6 +262,30 @@
   return last_answer_ms;
 }
 
+void
+vp_workerlist_set_evacuated_dcs (VpWorkerList *worker_list, const GPtrArray *dcs)
+{
+  g_hash_table_remove_all (worker_list->evacuated_dcs);
+  for (guint i = 0; i < dcs->len; i++)
+    g_hash_table_add (worker_list->evacuated_dcs, g_strdup (dcs->pdata[i]));
+  for (guint i = 0; i < worker_list->workers->len; i++) {
+    VpCellWorker *worker = worker_list->workers->pdata[i];
+    worker->is_evacuated = g_hash_table_contains (worker_list->evacuated_dcs, worker->entry.dc);
+  }
+}
+
+uint32_t
+vp_workerlist_count_in_dc (const VpWorkerList *worker_list, const char *dc)
+{
+  uint32_t count = 0;
+
+  for (guint i = 0; i < worker_list->workers->len; i++) {
+    const VpCellWorker *worker = worker_list->workers->pdata[i];
+    count += worker->is_listed && strcmp (worker->entry.dc, dc) == 0 ? 1 : 0;
+  }
+  return count;
+}
+
 VpResources
 vp_workerlist_free_capacity (const VpCellWorker *worker)
 {
@@ -265,7 +299,7 @@
 vp_workerlist_is_usable (const VpCellWorker *worker, int64_t now_ms)
 {
   return worker->is_listed && worker->is_synced && worker->is_reachable
-         && !worker->is_dc_unreachable && !worker->entry.is_draining
+         && !worker->is_dc_unreachable && !worker->is_evacuated && !worker->entry.is_draining
          && worker->unknown_run_count == 0 && !worker->is_placement_blocked
          && now_ms >= worker->avoid_until_ms;
 }
--- a/src/vp-workerlist.h
+++ b/src/vp-workerlist.h
@@ -62,6 +62,7 @@
   bool is_relay_silent; /* the last HOLD was given up as its relay was silent; the worker may
                            have answered it */
   bool is_dc_unreachable;     /* no worker of its DC answers */
+  bool is_evacuated;          /* its DC is under evacuation */
   int64_t booted_ms;          /* boot time in the last answer; 0: none */
   int64_t clock_ms;           /* the worker's clock in its last answer */
   int64_t clock_at_ms;        /* local time of that answer; 0: never answered */
@@ -100,6 +101,7 @@
   GHashTable *by_id;          /* id -> VpCellWorker */
   GPtrArray *workers;         /* VpCellWorker, in the order in which they were added */
   GHashTable *racks;          /* "dc/rack" -> index + 1 */
+  GHashTable *evacuated_dcs;  /* set of names of DCs */
   int64_t hold_max_ms;        /* longest lease that a worker accepts */
   int64_t inherited_until_ms; /* leases of earlier schedulers have expired after this time */
   bool is_changed;            /* the list differs from the one in the last commit */
@@ -158,6 +160,11 @@
 void vp_workerlist_set_dc_unreachable (const VpWorkerList *worker_list,
                                        const VpCellWorker *worker,
                                        bool is_unreachable);
+/* Sets the DCs (char *) under evacuation. Their workers, also those that are added later, get no
+ * tasks. */
+void vp_workerlist_set_evacuated_dcs (VpWorkerList *worker_list, const GPtrArray *dcs);
+/* Returns the number of listed workers in the DC. */
+uint32_t vp_workerlist_count_in_dc (const VpWorkerList *worker_list, const char *dc);
 /* Returns the capacity that isn't used by assigned tasks. */
 VpResources vp_workerlist_free_capacity (const VpCellWorker *worker);
 /* Returns true if tasks may be placed on the worker now. */
--- a/tests/simcell.c
+++ b/tests/simcell.c
@@ -1,4 +1,5 @@
 #include "simcell.h"
+#include "simcell-evacuations.h"
 #include "simcell-store.h"
 #include "vp-election.h"
 #include "vp-log.h"
@@ -63,7 +64,9 @@
   bool watches_workers;
   uint32_t dc;
   uint32_t sent_list_version; /* version of the list of workers that the node was sent; 0: none */
-  int64_t event_ms;           /* time that a slow process takes for each event */
+  uint32_t sent_evacuations_version; /* the same for the DCs under evacuation */
+  int64_t in_touch_since_ms; /* last time at which it was down, paused or without the store */
+  int64_t event_ms;          /* time that a slow process takes for each event */
   int64_t slow_until_ms;
   int64_t queue_end_ms; /* time at which a slow process has handled the events that wait */
   int64_t message_delay_ms;
@@ -88,6 +91,8 @@
   GArray *dc_partitioned_until_ms; /* int64_t for each DC */
   GArray *message_arrivals_ms;     /* int64_t for each pair of nodes: arrival of the last message */
   uint32_t worker_list_version;    /* version of the list of workers in the store */
+  SimCellEvacuations evacuations;
+  GArray *dc_start_counts; /* uint32_t for each DC */
   SimCellJobs jobs;
   GHashTable *pending_calls; /* handle -> SimJob; submits and cancels that wait for a reply */
   VpCellConfig *config;
@@ -305,6 +310,37 @@
   }
 }
 
+/* Sends the DCs under evacuation to each node that reaches the store and doesn't know them. */
+static void
+_send_changed_evacuations (SimCell *sim)
+{
+  for (guint i = 0; sim->desc.has_evacuations && i < sim->nodes->len; i++) {
+    Node *node = _node (sim, i);
+    if (node->node == NULL || _is_store_down (sim, i)
+        || node->sent_evacuations_version == sim->evacuations.version)
+      continue;
+    node->sent_evacuations_version = sim->evacuations.version;
+    _post_node_event (sim, i, VP_NODE_EVENT_EVACUATIONS,
+                      STORE_DELAY_MS + sim->desc.evacuations_delay_ms)
+        ->evacuated_dcs
+        = simcell_evacuations_list (&sim->evacuations);
+  }
+}
+
+static void
+_check_evacuation (SimCell *sim, const Action *action, const SimCellWorker *worker)
+{
+  const Node *node = _node (sim, action->node);
+  char name[VP_TASK_NAME_MAX];
+
+  vp_task_name_format (&action->command.task, name);
+  if (sim->desc.has_evacuations
+      && simcell_evacuations_forbid_start (&sim->evacuations, worker->entry.dc,
+                                           node->in_touch_since_ms, sim->now_ms))
+    g_error ("seed %u at %d ms: %s was started in %s, which is under evacuation", sim->desc.seed,
+             (int)(sim->now_ms - SIMCELL_BEGIN_MS), name, worker->entry.dc);
+}
+
 /* Renews the worker's entry in the store. */
 static void
 _renew_worker_entry (SimCell *sim, SimCellWorker *worker)
@@ -384,13 +420,16 @@
     if (simcell_worker_apply_command (worker, &action->command, &run_desc, sim->now_ms, &result)) {
       SimJob *job = simcell_jobs_find (&sim->jobs, action->command.task.job);
       sim->start_count++;
+      g_array_index (sim->dc_start_counts, uint32_t, worker->dc)++;
       if (job->desc.crashes_workers && action->command.task.index == 0) {
         job->crash_count++;
         worker->crash_ms = MIN (worker->crash_ms, sim->now_ms + CRASH_DELAY_MS);
       }
       simcell_jobs_check_start (&sim->jobs, sim->now_ms, worker, &action->command);
-      if (action->booted_ms == 0)
+      if (action->booted_ms == 0) {
         simcell_jobs_check_cancelled (&sim->jobs, sim->now_ms, &action->command);
+        _check_evacuation (sim, action, worker);
+      }
       if (simcell_jobs_find (&sim->jobs, action->command.task.job)->desc.is_gang)
         simcell_jobs_start_gang_work (&sim->jobs, sim->now_ms, &action->command);
     }
@@ -537,6 +576,7 @@
 
   node->incarnation++;
   node->paused_until_ms = node->queue_end_ms = 0;
+  node->sent_evacuations_version = 0;
   g_snprintf (dc, sizeof dc, "dc-%u", node->dc);
   node->node = vp_node_setup (
       &(VpNodeDesc){ .name = node->name,
@@ -545,7 +585,8 @@
                      .hold_max_ms = 6000,
                      .relist_ms = 2500,
                      .retention_ms = 120000,
-                     .grace_ms = 4000 },
+                     .grace_ms = 4000,
+                     .has_evacuations = sim->desc.has_evacuations },
       sim->now_ms);
   event = _post_node_event (sim, index, VP_NODE_EVENT_CONFIG, STORE_DELAY_MS);
   event->config.config = vp_cellconfig_ref (sim->config);
@@ -807,9 +848,13 @@
   while (sim->now_ms < end_ms) {
     sim->now_ms++;
     _tick_workers (sim);
+    _send_changed_evacuations (sim);
     _tick_callers (sim);
     for (guint i = 0; i < sim->nodes->len; i++) {
-      const Node *node = _node (sim, i);
+      Node *node = _node (sim, i);
+      if (node->node == NULL || sim->now_ms < MAX (node->paused_until_ms, node->queue_end_ms)
+          || _is_store_down (sim, i))
+        node->in_touch_since_ms = sim->now_ms;
       if (node->node != NULL && sim->now_ms >= node->paused_until_ms
           && sim->now_ms >= node->queue_end_ms
           && vp_node_next_ms (node->node, sim->now_ms) <= sim->now_ms)
@@ -868,6 +913,9 @@
   sim->dc_partitioned_until_ms = g_array_new (FALSE, TRUE, sizeof (int64_t));
   g_array_set_size (sim->dc_partitioned_until_ms, sim->desc.dc_count);
   sim->worker_list_version = 1;
+  simcell_evacuations_setup (&sim->evacuations);
+  sim->dc_start_counts = g_array_new (FALSE, TRUE, sizeof (uint32_t));
+  g_array_set_size (sim->dc_start_counts, sim->desc.dc_count);
   for (uint32_t i = 0; i < desc->worker_count; i++) {
     SimCellWorker *worker = simcell_worker_new (i, sim->now_ms);
     worker->dc = i % sim->desc.dc_count;
@@ -903,6 +951,8 @@
   g_array_unref (sim->nodes);
   g_ptr_array_unref (sim->jobs.workers);
   g_array_unref (sim->dc_partitioned_until_ms);
+  g_array_unref (sim->dc_start_counts);
+  simcell_evacuations_shutdown (&sim->evacuations);
   g_array_unref (sim->message_arrivals_ms);
   simcell_store_shutdown (&sim->store);
   g_hash_table_unref (sim->pending_calls);
@@ -1120,6 +1170,33 @@
   sim->late_commands_until_ms = sim->now_ms + for_ms;
 }
 
+void
+simcell_evacuate_dc (SimCell *sim, uint32_t dc, bool is_on)
+{
+  char name[VP_NAME_MAX];
+
+  g_snprintf (name, sizeof name, "dc-%u", dc);
+  simcell_evacuations_set (&sim->evacuations, name, is_on, sim->now_ms);
+}
+
+uint32_t
+simcell_dc_start_count (const SimCell *sim, uint32_t dc)
+{
+  return g_array_index (sim->dc_start_counts, uint32_t, dc);
+}
+
+uint32_t
+simcell_dc_running_count (const SimCell *sim, uint32_t dc)
+{
+  uint32_t count = 0;
+
+  for (guint i = 0; i < sim->jobs.workers->len; i++) {
+    const SimCellWorker *worker = sim->jobs.workers->pdata[i];
+    count += worker->is_up && worker->dc == dc ? worker->runs->len : 0;
+  }
+  return count;
+}
+
 uint32_t
 simcell_start_count (const SimCell *sim)
 {
--- a/tests/simcell.h
+++ b/tests/simcell.h
@@ -10,7 +10,8 @@
  *   g_assert_cmpint (simcell_job_state (sim, job), ==, VP_JOB_COMPLETED);
  *   simcell_free (sim);
  *
- * Each start of a task is checked as simcell_jobs_check_start() describes. A violation ends the
+ * Each start of a task is checked as simcell_jobs_check_start() describes, and against the rule of
+ * simcell-evacuations.h. A violation ends the
  * test; the message gives the seed and the time.
  */
 #pragma once
@@ -30,6 +31,8 @@
   uint32_t high_cpu_count; /* this many of the first nodes have four times the CPU of the others */
   uint32_t cpu_milli;      /* CPU share of the VMs of nodes; 0: 125 */
   uint32_t dc_count;       /* nodes and workers are spread over the DCs by their numbers; 0: 1 */
+  bool has_evacuations;    /* nodes are told of evacuations, and starts are checked for them */
+  int64_t evacuations_delay_ms; /* additional time until a node is told */
 } SimCellDesc;
 
 SimCell *simcell_new (const SimCellDesc *desc);
@@ -91,6 +94,12 @@
 /* @share (0 to 1) of the START, STOP and THROTTLE commands get no answer and are carried out 2 to
  * 12 s later. */
 void simcell_delay_commands (SimCell *sim, double share, int64_t for_ms);
+/* Requests the evacuation of the DC, or withdraws it. */
+void simcell_evacuate_dc (SimCell *sim, uint32_t dc, bool is_on);
+/* Number of runs that were started on the DC's workers since simcell_new(). */
+uint32_t simcell_dc_start_count (const SimCell *sim, uint32_t dc);
+/* Number of runs on the DC's workers. */
+uint32_t simcell_dc_running_count (const SimCell *sim, uint32_t dc);
 /* Runs started and requests for advice since simcell_new(). */
 uint32_t simcell_start_count (const SimCell *sim);
 uint32_t simcell_advice_request_count (const SimCell *sim);
