--- /dev/null
+++ b/tests/test-pf-store.c
@@ -0,0 +1,290 @@
+/* Watches of the platform's store, against a stand-in on a loopback address. */
+#include "vp-net.h"
+#include "vp-pf-store.h"
+
+#include <microhttpd.h>
+#include <string.h>
+
+/* A watch call is answered after this time even without a change. */
+#define WATCH_WAIT_MS 200
+#define TIMEOUT_MS    10000
+
+typedef struct {
+  uint64_t revision;
+  char *key;
+  char *value; /* NULL: the key was removed */
+} Change;
+
+/* The stand-in and what the client has posted. */
+static struct {
+  GMutex lock;
+  GCond changed;
+  struct MHD_Daemon *server;
+  char address[VP_ADDRESS_MAX];
+  GHashTable *values; /* key -> value */
+  GArray *changes;    /* Change */
+  uint64_t revision;
+  uint64_t compacted_revision; /* changes up to this one can't be watched any more */
+  uint32_t watch_count;        /* watch calls with the prefix "op/" */
+  GPtrArray *prefixes;         /* char *: prefixes of all lists and watches, without repetitions */
+  GPtrArray *sets;             /* char *: posted sets of DCs, in order: "a,b" */
+  uint64_t config_version;     /* of the last posted configuration */
+} _test;
+
+static void
+_append_item (GString *out, uint64_t revision, const char *key, const char *value)
+{
+  g_autofree char *data
+      = value == NULL ? NULL : g_base64_encode ((const guchar *)value, strlen (value));
+
+  if (out->str[out->len - 1] == '}')
+    g_string_append_c (out, ',');
+  g_string_append_printf (out, "{\"key\":\"%s\",\"revision\":%" G_GUINT64_FORMAT ",", key,
+                          revision);
+  if (value == NULL)
+    g_string_append (out, "\"removed\":true}");
+  else
+    g_string_append_printf (out, "\"value\":\"%s\"}", data);
+}
+
+static char *
+_end_items (GString *out)
+{
+  g_string_append_printf (out, "],\"as_of\":%" G_GUINT64_FORMAT ",\"more_pages\":false}",
+                          _test.revision);
+  return g_string_free (out, FALSE);
+}
+
+static char *
+_list (const char *prefix)
+{
+  GString *out = g_string_new ("{\"items\":[");
+  GHashTableIter iter;
+  gpointer key, value;
+
+  g_hash_table_iter_init (&iter, _test.values);
+  while (g_hash_table_iter_next (&iter, &key, &value)) {
+    if (g_str_has_prefix (key, prefix))
+      _append_item (out, _test.revision, key, value);
+  }
+  return _end_items (out);
+}
+
+/* Waits for a change. Returns NULL if the changes after @after are no longer known. */
+static char *
+_watch (const char *prefix, uint64_t after)
+{
+  int64_t end_us = g_get_monotonic_time () + WATCH_WAIT_MS * 1000;
+  GString *out = g_string_new ("{\"events\":[");
+
+  while (after >= _test.compacted_revision && after >= _test.revision
+         && g_cond_wait_until (&_test.changed, &_test.lock, end_us))
+    continue;
+  if (after < _test.compacted_revision) {
+    g_string_free (out, TRUE);
+    return NULL;
+  }
+  for (guint i = 0; i < _test.changes->len; i++) {
+    const Change *change = &g_array_index (_test.changes, Change, i);
+    if (change->revision > after && g_str_has_prefix (change->key, prefix))
+      _append_item (out, change->revision, change->key, change->value);
+  }
+  return _end_items (out);
+}
+
+static enum MHD_Result
+_serve (void *data,
+        struct MHD_Connection *connection,
+        const char *path,
+        const char *method,
+        const char *version,
+        const char *body,
+        size_t *body_size,
+        void **state)
+{
+  const char *prefix = MHD_lookup_connection_value (connection, MHD_GET_ARGUMENT_KIND, "prefix");
+  const char *after = MHD_lookup_connection_value (connection, MHD_GET_ARGUMENT_KIND, "after");
+  char *text = NULL;
+  struct MHD_Response *response;
+  enum MHD_Result result;
+  unsigned status = 503;
+
+  (void)data;
+  (void)method;
+  (void)version;
+  (void)body;
+  if (*state == NULL || *body_size > 0) {
+    *state = &_test;
+    *body_size = 0;
+    return MHD_YES;
+  }
+  g_mutex_lock (&_test.lock);
+  if (prefix != NULL
+      && !g_ptr_array_find_with_equal_func (_test.prefixes, prefix, g_str_equal, NULL))
+    g_ptr_array_add (_test.prefixes, g_strdup (prefix));
+  if (strcmp (path, "/api/kv-range") == 0 && prefix != NULL) {
+    text = _list (prefix);
+    status = 200;
+  } else if (strcmp (path, "/api/kv-watch") == 0 && prefix != NULL && after != NULL) {
+    _test.watch_count += strcmp (prefix, "op/") == 0 ? 1 : 0;
+    text = _watch (prefix, g_ascii_strtoull (after, NULL, 10));
+    status = text == NULL ? 410 : 200;
+  }
+  g_mutex_unlock (&_test.lock);
+  if (text == NULL)
+    text = g_strdup ("{}");
+  response = MHD_create_response_from_buffer (strlen (text), text, MHD_RESPMEM_MUST_COPY);
+  g_free (text);
+  result = MHD_queue_response (connection, status, response);
+  MHD_destroy_response (response);
+  return result;
+}
+
+/* Sets the key; NULL removes it. The change isn't reported by watches if @is_compacted. */
+static void
+_put (const char *key, const char *value, bool is_compacted)
+{
+  Change change = { .key = g_strdup (key), .value = g_strdup (value) };
+
+  g_mutex_lock (&_test.lock);
+  change.revision = ++_test.revision;
+  g_array_append_val (_test.changes, change);
+  if (value == NULL)
+    g_hash_table_remove (_test.values, key);
+  else
+    g_hash_table_replace (_test.values, g_strdup (key), g_strdup (value));
+  if (is_compacted)
+    _test.compacted_revision = _test.revision;
+  g_cond_broadcast (&_test.changed);
+  g_mutex_unlock (&_test.lock);
+}
+
+static gint
+_compare_texts (gconstpointer a, gconstpointer b)
+{
+  return strcmp (*(char *const *)a, *(char *const *)b);
+}
+
+static void
+_post (VpNodeEvent *event, void *data)
+{
+  (void)data;
+  g_mutex_lock (&_test.lock);
+  if (event->kind == VP_NODE_EVENT_EVACUATIONS) {
+    g_ptr_array_sort (event->evacuated_dcs, _compare_texts);
+    g_ptr_array_add (event->evacuated_dcs, NULL);
+    g_ptr_array_add (_test.sets, g_strjoinv (",", (char **)event->evacuated_dcs->pdata));
+  } else if (event->kind == VP_NODE_EVENT_CONFIG) {
+    _test.config_version = event->config.config->version;
+  }
+  g_cond_broadcast (&_test.changed);
+  g_mutex_unlock (&_test.lock);
+  vp_node_event_clear (event);
+}
+
+/* Waits for the posts that follow those of earlier calls, and asserts that the next set is @set. */
+static void
+_assert_next_set (const char *set)
+{
+  static guint checked_count;
+  int64_t end_us = g_get_monotonic_time () + TIMEOUT_MS * 1000;
+
+  g_mutex_lock (&_test.lock);
+  while (_test.sets->len <= checked_count
+         && g_cond_wait_until (&_test.changed, &_test.lock, end_us))
+    continue;
+  g_assert_cmpuint (_test.sets->len, >, checked_count);
+  g_assert_cmpstr (_test.sets->pdata[checked_count], ==, set);
+  checked_count++;
+  g_mutex_unlock (&_test.lock);
+}
+
+/* Waits until the watch has passed over all changes, and asserts that no set was posted. */
+static void
+_assert_no_set (void)
+{
+  int64_t end_us = g_get_monotonic_time () + TIMEOUT_MS * 1000;
+  uint32_t watch_count;
+  guint count;
+
+  g_mutex_lock (&_test.lock);
+  count = _test.sets->len;
+  watch_count = _test.watch_count + 2;
+  while (_test.watch_count < watch_count && g_get_monotonic_time () < end_us)
+    g_cond_wait_until (&_test.changed, &_test.lock, g_get_monotonic_time () + 10000);
+  g_assert_cmpuint (_test.watch_count, >=, watch_count);
+  g_assert_cmpuint (_test.sets->len, ==, count);
+  g_mutex_unlock (&_test.lock);
+}
+
+static void
+_setup (void)
+{
+  VpNetAddress any;
+
+  g_assert_true (vp_net_parse_address ("127.0.0.1:0", &any));
+  _test.values = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
+  _test.changes = g_array_new (FALSE, FALSE, sizeof (Change));
+  _test.prefixes = g_ptr_array_new ();
+  _test.sets = g_ptr_array_new ();
+  _test.revision = 1;
+  _test.server
+      = MHD_start_daemon (MHD_USE_INTERNAL_POLLING_THREAD | MHD_USE_THREAD_PER_CONNECTION, 0, NULL,
+                          NULL, _serve, NULL, MHD_OPTION_SOCK_ADDR, &any.any, MHD_OPTION_END);
+  g_assert_nonnull (_test.server);
+  g_snprintf (_test.address, sizeof _test.address, "127.0.0.1:%u",
+              (unsigned)MHD_get_daemon_info (_test.server, MHD_DAEMON_INFO_BIND_PORT)->port);
+}
+
+/* Guards against a request to evacuate a DC that isn't noticed or stays in force after its
+ * withdrawal, also if the withdrawal is missing from the history; against other keys of the
+ * operator that are taken for requests; and against a watch of its own for evacuations, as the
+ * platform charges for calls. */
+static void
+test_operator_keys (void)
+{
+  static const char config[] = "{\"version\":%d,\"routes\":[],\"tenants\":[],"
+                               "\"limits\":{\"max_body_bytes\":262144}}";
+  g_autofree char *first = g_strdup_printf (config, 3);
+  g_autofree char *second = g_strdup_printf (config, 4);
+  g_autofree char *long_name = g_strnfill (VP_NAME_MAX, 'x');
+  g_autofree char *long_key = g_strconcat ("op/evacuate/", long_name, NULL);
+  VpPfStore *store;
+
+  _setup ();
+  _put ("op/config", first, false);
+  _put ("op/evacuate/nadi", "{}", false);
+  _put ("op/wave/nadi", "{}", false);
+  store = vp_pf_store_setup (&(VpPfStoreDesc){
+      .address = _test.address, .name = "n1", .peer_address = "127.0.0.1:1", .post = _post });
+  _assert_next_set ("nadi");
+  _put ("op/evacuate/suva", "{}", false);
+  _assert_next_set ("nadi,suva");
+  _put ("op/evacuate/nadi", NULL, false);
+  _assert_next_set ("suva");
+  _put ("op/wave/suva", "{}", false);
+  _put ("op/evacuated", "{}", false);
+  _put (long_key, "{}", false);
+  _put ("op/evacuate/", "{}", false);
+  _put ("op/config", second, false);
+  _assert_no_set ();
+  g_mutex_lock (&_test.lock);
+  g_assert_cmpuint (_test.config_version, ==, 4);
+  for (guint i = 0; i < _test.prefixes->len; i++)
+    g_assert_true (strcmp (_test.prefixes->pdata[i], "op/") == 0
+                   || !g_str_has_prefix (_test.prefixes->pdata[i], "op/"));
+  g_mutex_unlock (&_test.lock);
+  _put ("op/evacuate/suva", NULL, true);
+  _assert_next_set ("");
+  vp_pf_store_shutdown (store);
+}
+
+int
+main (int argc, char **argv)
+{
+  g_test_init (&argc, &argv, NULL);
+  /* The key that names no DC is warned of. */
+  g_log_set_always_fatal (G_LOG_FATAL_MASK);
+  g_test_add_func ("/pf-store/operator-keys", test_operator_keys);
+  return g_test_run ();
+}
