Soak: evacuations at random times beside the other faults, and a check of each start

Cause: no test with real processes covered the operator's keys.

Change: nodes and workers are in two DCs, and a DC is evacuated for 1 to 15 s at random times. A START in it fails the run if it comes later than evacuate_ms after the request, the last outage of the store, the last pause of a process or the last stall of the worker's link. Commands that a worker carries out late don't count.

--- a/soak/soak.c
+++ b/soak/soak.c
@@ -9,6 +9,7 @@
 #include "soak.h"
 
 #include "callers.h"
+#include "evacuations.h"
 #include "workers.h"
 
 #include <argp.h>
@@ -81,10 +82,8 @@
   }
 }
 
-static void _log (const char *format, ...) G_GNUC_PRINTF (1, 2);
-
-static void
-_log (const char *format, ...)
+void
+soak_log (const char *format, ...)
 {
   g_autofree char *text = NULL;
   va_list args;
@@ -328,7 +327,7 @@
   (void)data;
   if (now_ms > _run.fault_end_ms)
     return;
-  _log ("odd-entry number=%u", i);
+  soak_log ("odd-entry number=%u", i);
   soak_store_put (_run.soak.store, "servers/odd", text);
   fake_timer_add (
       now_ms + g_rand_int_range (_run.odd_entry_rand, FAULT_DURATION_MIN_MS, FAULT_DURATION_MAX_MS),
@@ -420,8 +419,8 @@
   SoakStoreMode outage_mode
       = (SoakStoreMode)g_rand_int_range (_run.rand, SOAK_STORE_REJECTS, SOAK_STORE_LOSES_REPLIES);
 
-  _log ("%s node=%u worker=%u for_ms=%d", names[fault->kind], fault->node, fault->worker,
-        (int)for_ms);
+  soak_log ("%s node=%u worker=%u for_ms=%d", names[fault->kind], fault->node, fault->worker,
+            (int)for_ms);
   switch (fault->kind) {
   case FAULT_KILL:
     _kill_node (fault->node, for_ms);
@@ -529,8 +528,8 @@
 
   if (now_ms > _run.fault_end_ms)
     return;
-  _log ("series leader=%d %s slow_node=%u delay_ms=%d", leader, is_killed ? "kill" : "term", node,
-        (int)delay_ms);
+  soak_log ("series leader=%d %s slow_node=%u delay_ms=%d", leader, is_killed ? "kill" : "term",
+            node, (int)delay_ms);
   if (leader >= 0 && (uint32_t)leader < _run.soak.node_count) {
     if (is_killed)
       _kill_node ((uint32_t)leader, for_ms);
@@ -552,7 +551,7 @@
 _end_fault_phase (void *data)
 {
   (void)data;
-  _log ("faults-ended");
+  soak_log ("faults-ended");
   __atomic_store_n (&_run.soak.faults_ended_ms, fake_now_ms (), __ATOMIC_SEQ_CST);
 }
 
@@ -583,9 +582,11 @@
   /* Covers the jobs that were cancelled last. */
   g_usleep ((SOAK_CANCELLED_GONE_MS + PROCESS_POLL_MS) * 1000);
   soak_workers_check_long_running (_run.workers);
-  printf ("seed %u: faults=%u accepted=%u completed=%u refused=%u uncertain=%u cancelled=%u\n",
+  printf ("seed %u: faults=%u accepted=%u completed=%u refused=%u uncertain=%u cancelled=%u"
+          " evacuated_starts=%u\n",
           soak->seed, _run.fault_count, soak->accepted_count, soak->completed_count,
-          soak->refused_count, soak->uncertain_count, soak->cancelled_count);
+          soak->refused_count, soak->uncertain_count, soak->cancelled_count,
+          soak_workers_evacuated_start_count (_run.workers));
   fflush (stdout);
   _kill_all ();
   if (soak->completed_count == 0)
@@ -642,6 +643,8 @@
   (void)data;
   for (uint32_t i = 0; i < _run.soak.node_count; i++)
     _update_node (i, now_ms);
+  if (soak_store_has_outage (_run.soak.store))
+    _run.soak.store_outage_ms = now_ms + PROCESS_POLL_MS;
   fake_timer_add (now_ms + PROCESS_POLL_MS, _tick, NULL);
 }
 
@@ -681,13 +684,14 @@
   soak_store_listen (soak->store, number, address);
   g_snprintf (node->settings_path, sizeof node->settings_path, "%s/node-%u.json", _run.work_dir,
               number);
-  text = g_strdup_printf ("{\"name\":\"node-%u\",\"dc\":\"dc\",\"callers_address\":\"%s\","
-                          "\"ready_address\":\"%s.%u:%d\",\"host\":\"%s.%u\",\"peer_port\":%d,"
-                          "\"cpu_share\":%s,\"store_address\":\"%s\",\"advice_address\":\"%s\","
-                          "\"hold_max_ms\":6000,\"retention_s\":120,\"grace_s\":%d}",
-                          number, node->callers_address, soak->address_prefix, host, READY_PORT,
-                          soak->address_prefix, host, PEER_PORT, _cpu_share (number), address,
-                          soak_workers_advice_address (_run.workers), SHUTDOWN_GRACE_MS / 1000);
+  text = g_strdup_printf (
+      "{\"name\":\"node-%u\",\"dc\":\"dc-%u\",\"callers_address\":\"%s\","
+      "\"ready_address\":\"%s.%u:%d\",\"host\":\"%s.%u\",\"peer_port\":%d,"
+      "\"cpu_share\":%s,\"store_address\":\"%s\",\"advice_address\":\"%s\","
+      "\"hold_max_ms\":6000,\"evacuate_ms\":%d,\"retention_s\":120,\"grace_s\":%d}",
+      number, number % SOAK_DCS, node->callers_address, soak->address_prefix, host, READY_PORT,
+      soak->address_prefix, host, PEER_PORT, _cpu_share (number), address,
+      soak_workers_advice_address (_run.workers), SIMCELL_EVACUATE_MS, SHUTDOWN_GRACE_MS / 1000);
   if (!g_file_set_contents (node->settings_path, text, -1, NULL))
     soak_fail (soak, "failed to write %s", node->settings_path);
 }
@@ -792,6 +796,7 @@
                               .begin_ms = now_ms,
                               .by_id = g_hash_table_new (g_int64_hash, g_int64_equal),
                               .workers = g_ptr_array_new () };
+  simcell_evacuations_setup (&soak->evacuations);
   soak->cancel_unknown = g_hash_table_new (g_int64_hash, g_int64_equal);
   soak->store = soak_store_new (soak->seed, _rewrite_member_address, NULL);
   _run.workers = soak_workers_new (soak);
@@ -812,6 +817,7 @@
   fake_timer_add (now_ms + WARMUP_MS, (FakeTimerFunc)(void *)soak_callers_start, soak);
   fake_timer_add (now_ms + WARMUP_MS, _inject_fault, NULL);
   _schedule_odd_entry (now_ms + WARMUP_MS);
+  soak_evacuations_start (soak, now_ms + WARMUP_MS, _run.fault_end_ms);
   fake_timer_add (_run.fault_end_ms + FAULT_DURATION_MAX_MS + CONFIG_APPLY_MS, _end_fault_phase,
                   NULL);
   fake_timer_add (_run.fault_end_ms + FAULT_DURATION_MAX_MS + CONFIG_APPLY_MS, _start_final_checks,
--- a/soak/soak.h
+++ b/soak/soak.h
@@ -6,11 +6,13 @@
 #pragma once
 
 #include "fake-forward.h"
+#include "simcell-evacuations.h"
 #include "simcell-jobs.h"
 #include "store.h"
 
 #define SOAK_WORKERS_MAX 64
 #define SOAK_CONTACT_MS  3000 /* the platform's contact_ms */
+#define SOAK_DCS         2    /* nodes and workers are spread over them by their numbers */
 #define SOAK_HOST        "soak.example"
 #define SOAK_KEY         "soak-key"
 
@@ -32,14 +34,18 @@
   uint32_t completed_count;
   uint32_t refused_count;
   uint32_t uncertain_count;
-  uint32_t cancelled_count;      /* confirmed cancellations */
-  GHashTable *cancel_unknown;    /* ids of jobs whose cancellation was answered 410 */
-  uint32_t measured_count;       /* jobs of a measurement; 0: faults are injected */
-  int64_t paused_until_ms;       /* a paused process is in touch again after this time */
-  bool is_stopping;              /* tells the callers to return; atomic */
-  void (*kill_processes) (void); /* kills the processes under test before a failed run exits */
+  uint32_t cancelled_count;       /* confirmed cancellations */
+  GHashTable *cancel_unknown;     /* ids of jobs whose cancellation was answered 410 */
+  uint32_t measured_count;        /* jobs of a measurement; 0: faults are injected */
+  int64_t paused_until_ms;        /* a paused process is in touch again after this time */
+  SimCellEvacuations evacuations; /* used by the event loop only */
+  int64_t store_outage_ms;        /* latest time at which a node didn't reach the store */
+  bool is_stopping;               /* tells the callers to return; atomic */
+  void (*kill_processes) (void);  /* kills the processes under test before a failed run exits */
 } Soak;
 
+/* Prints a line with the time since the begin of the run. */
+void soak_log (const char *format, ...) G_GNUC_PRINTF (1, 2);
 /* Prints the seed and the message to stderr, kills the processes under test and exits with a
  * failure. */
 void soak_fail (const Soak *soak, const char *format, ...) G_GNUC_PRINTF (2, 3) G_GNUC_NORETURN;
--- a/soak/store.c
+++ b/soak/store.c
@@ -551,6 +551,17 @@
   store->endpoints[node].fault = *fault;
 }
 
+bool
+soak_store_has_outage (const SoakStore *store)
+{
+  for (uint32_t i = 0; i < SOAK_NODES_MAX; i++) {
+    SoakStoreMode mode = store->endpoints[i].fault.mode;
+    if (mode != SOAK_STORE_SERVES && mode != SOAK_STORE_LOSES_REPLIES)
+      return true;
+  }
+  return false;
+}
+
 void
 soak_store_compact (SoakStore *store)
 {
--- a/soak/store.h
+++ b/soak/store.h
@@ -41,5 +41,7 @@
 /* Returns the number of the node that holds the leader record, or -1. */
 int32_t soak_store_leader (SoakStore *store);
 void soak_store_set_fault (SoakStore *store, uint32_t node, const SoakStoreFault *fault);
+/* Returns true if the store rejects or doesn't answer all calls of a node. */
+bool soak_store_has_outage (const SoakStore *store);
 /* Discards the history: watches from revisions before the current one are answered with 410. */
 void soak_store_compact (SoakStore *store);
--- a/soak/workers.c
+++ b/soak/workers.c
@@ -45,6 +45,7 @@
   Worker workers[SOAK_WORKERS_MAX];
   double delayed_share;
   char advice_address[32];
+  uint32_t evacuated_start_count;
   FakeTimer *tick;
 };
 
@@ -71,10 +72,10 @@
   worker->last_heartbeat_ms = now_ms;
   worker->is_listed = true;
   text = g_strdup_printf (
-      "{\"service\":\"service\",\"address\":\"%s\",\"zone\":\"dc\",\"state\":\"%s\",%s"
+      "{\"service\":\"service\",\"address\":\"%s\",\"zone\":\"%s\",\"state\":\"%s\",%s"
       "\"capacity\":{\"cpu\":%d,\"mem_mb\":%d},\"labels\":[\"a\",\"%s\"],\"seq\":%d,"
       "\"born\":%" G_GINT64_FORMAT "}",
-      fake_mapping_address (worker->link), is_draining ? "draining" : "ready",
+      fake_mapping_address (worker->link), entry->dc, is_draining ? "draining" : "ready",
       is_draining ? "\"remaining_ms\":500," : "", (int)entry->capacity.cpu_milli,
       (int)entry->capacity.mem_mib, entry->rack, (int)(now_ms / HEARTBEAT_MS % 100000),
       entry->booted_ms);
@@ -206,6 +207,26 @@
          && now_ms > worker->held_up_until_ms;
 }
 
+/* Checks a start in a DC under evacuation. A node that doesn't reach the store may start tasks
+ * there, as may one that is paused, and starts may lie on the worker's own link while that stalls.
+ * So the bound begins with the end of the last fault of these kinds. */
+static void
+_check_evacuation (Worker *worker, const VpCommand *command, int64_t now_ms)
+{
+  Soak *soak = worker->workers->soak;
+  const char *dc = worker->sim_worker->entry.dc;
+  int64_t in_touch_since_ms
+      = MAX (MAX (soak->store_outage_ms, soak->paused_until_ms), worker->held_up_until_ms);
+  char name[VP_TASK_NAME_MAX];
+
+  if (!g_hash_table_contains (soak->evacuations.since_ms, dc))
+    return;
+  vp_task_name_format (&command->task, name);
+  if (simcell_evacuations_forbid_start (&soak->evacuations, dc, in_touch_since_ms, now_ms))
+    soak_fail (soak, "%s was started in %s, which is under evacuation", name, dc);
+  worker->workers->evacuated_start_count++;
+}
+
 static void
 _apply_command (Worker *worker, const VpCommand *command, bool is_late, VpCommandResult *result)
 {
@@ -229,6 +250,8 @@
   } else if (simcell_worker_apply_command (worker->sim_worker, command, &work, now_ms, result)
              && job != NULL) {
     simcell_jobs_check_start (&soak->jobs, now_ms, worker->sim_worker, command);
+    if (!is_late)
+      _check_evacuation (worker, command, now_ms);
     if (_has_cancel_bound (worker, is_late, now_ms) && soak->measured_count == 0)
       simcell_jobs_check_cancelled (&soak->jobs, now_ms, command);
     if (job->desc.is_gang)
@@ -477,6 +500,7 @@
     worker->workers = workers;
     worker->number = i;
     worker->sim_worker = simcell_worker_new (i, fake_now_ms ());
+    g_snprintf (worker->sim_worker->entry.dc, VP_NAME_MAX, "dc-%u", i % SOAK_DCS);
     g_snprintf (address, sizeof address, "%s.251:%u", soak->address_prefix, WORKER_PORT + i);
     g_snprintf (link, sizeof link, "%s.252:%u", soak->address_prefix, LINK_PORT + i);
     fake_listen (address, 0, _handle_command, worker);
@@ -487,6 +511,12 @@
   return workers;
 }
 
+uint32_t
+soak_workers_evacuated_start_count (const SoakWorkers *workers)
+{
+  return workers->evacuated_start_count;
+}
+
 const char *
 soak_workers_advice_address (const SoakWorkers *workers)
 {
--- a/soak/workers.h
+++ b/soak/workers.h
@@ -26,6 +26,8 @@
 void soak_workers_set_delayed_share (SoakWorkers *workers, double share);
 /* Latest end of the tasks of a cancelled job: the platform's cancel_ms and stop_ms. */
 #define SOAK_CANCELLED_GONE_MS 3900
+/* Number of runs that were started in DCs under evacuation, within the bound of the rule. */
+uint32_t soak_workers_evacuated_start_count (const SoakWorkers *workers);
 /* Fails the run unless all tasks of accepted long-running jobs are running, and no task of a job
  * that was cancelled longer ago than SOAK_CANCELLED_GONE_MS. */
 void soak_workers_check_long_running (SoakWorkers *workers);
--- a/tests/simcell-evacuations.c
+++ b/tests/simcell-evacuations.c
@@ -49,5 +49,5 @@
 {
   const int64_t *since_ms = g_hash_table_lookup (evacuations->since_ms, dc);
 
-  return since_ms != NULL && now_ms > MAX (*since_ms, in_touch_since_ms) + SIMCELL_EVACUATE_MS;
+  return since_ms != NULL && now_ms - MAX (*since_ms, in_touch_since_ms) > SIMCELL_EVACUATE_MS;
 }
