--- a/src/vp-cell-private.h
+++ b/src/vp-cell-private.h
@@ -1,9 +1,10 @@
 /* Private state of the scheduler. Its functions are in vp-cell.c, vp-cell-commands.c,
- * vp-cell-scan.c and vp-cell-recovery.c. */
+ * vp-cell-hold.c, vp-cell-scan.c and vp-cell-recovery.c. */
 #pragma once
 
 #include "vp-advise.h"
 #include "vp-cell.h"
+#include "vp-holdloss.h"
 #include "vp-reconcile.h"
 
 /* Number of times that a start command is sent for one run. After that many without an answer the
@@ -25,6 +26,10 @@
   int64_t place_next_ms;          /* earliest time of the next placement */
   bool is_place_due;              /* the last decision put the placement off until then */
   int64_t commands_until_ms;      /* no lease is renewed and no task started after this time */
+  VpHoldLoss hold_loss;           /* share of commands that workers leave unanswered */
+  int64_t holds_checked_ms;       /* time at which HOLDs were last looked at */
+  int64_t holds_resumed_ms;       /* time at which that happened after a pause; 0: never */
+  uint32_t overdue_hold_count;    /* workers with an overdue HOLD and a later one */
   double start_answer_ms;         /* moving average of the time until a start is answered */
   bool is_fenced;                 /* a worker has seen a higher fencing token */
   bool is_paused;                 /* no tasks are placed, before a handover */
@@ -40,6 +45,21 @@
  * caller can fill in the rest. */
 VpCommand *
 _vp_cell_add_command (VpCell *cell, VpCellWorker *worker, VpCommandKind kind, GArray *effects);
+/* Handles an answer of another worker at the address to which the command was sent. */
+void _vp_cell_handle_worker_replaced (VpCell *cell,
+                                      VpCellWorker *worker,
+                                      const VpCommandResult *result,
+                                      int64_t now_ms);
+void _vp_cell_handle_hold_result (VpCell *cell,
+                                  VpCellWorker *worker,
+                                  const VpCommandResult *result,
+                                  int64_t now_ms);
+/* Makes the next HOLD acknowledge ends that are durable now. */
+void _vp_cell_ends_acknowledged (VpCellWorker *worker, int64_t now_ms);
+/* Sends the HOLDs that are due. */
+void _vp_cell_send_holds (VpCell *cell, int64_t now_ms, GArray *effects);
+/* Returns the time at which the next HOLD to the worker is due; INT64_MAX: after a result. */
+int64_t _vp_cell_hold_next_ms (const VpCell *cell, const VpCellWorker *worker, int64_t now_ms);
 /* Appends the command that starts the current run of an assigned task. It may be called again for
  * the same run if the first command got no answer. */
 void _vp_cell_send_start (VpCell *cell, VpJobTask *task, int64_t now_ms, GArray *effects);
--- a/src/vp-cell-scan.c
+++ b/src/vp-cell-scan.c
@@ -111,6 +111,9 @@
         vp_workerlist_set_dc_unreachable (cell->worker_list, task->worker, true);
       task->worker->avoid_until_ms
           = MAX (task->worker->avoid_until_ms, now_ms + VP_CELL_SLOW_ANSWER_MS);
+      /* Of a DC that is cut off, no other command is worth sending either. */
+      if (task->start_tries == 1 && !is_dc_unreachable)
+        vp_holdloss_record (&cell->hold_loss, true, now_ms);
       _vp_cell_send_start (cell, task, now_ms, effects);
     }
     return;
@@ -167,7 +170,8 @@
 static bool
 _vp_cell_may_remove (const VpCell *cell, const VpCellWorker *worker, int64_t now_ms)
 {
-  if (worker->is_listed || worker->is_hold_pending || g_hash_table_size (worker->tasks) > 0)
+  if (worker->is_listed || worker->is_hold_pending || worker->overdue_hold.number != 0
+      || g_hash_table_size (worker->tasks) > 0)
     return false;
   if (worker->is_synced && worker->unknown_run_count == 0)
     return worker->was_listed || now_ms > cell->worker_list->inherited_until_ms;
--- a/src/vp-cell.c
+++ b/src/vp-cell.c
@@ -6,24 +6,6 @@
 
 #include <string.h>
 
-/* Time that a worker may delay its answer to a HOLD until the next run ends. */
-#define VP_CELL_HOLD_WAIT_MS 2000
-/* The same while the worker lists runs that belong to no task. Their stops are repeated only with
- * the next list, so that a lost stop would otherwise let such a run go on for seconds. */
-#define VP_CELL_HOLD_WAIT_UNASSIGNED_MS 400
-/* Minimum time between an answer to a HOLD that reported ends and the next HOLD. Each HOLD costs a
- * call, so several ends are collected in one; a longer delay between the steps of a job would be
- * noticeable in its duration. */
-#define VP_CELL_HOLD_INTERVAL_MIN_MS 100
-/* Delay of the next HOLD when reported ends aren't durable yet or the worker rejected the last one.
- */
-#define VP_CELL_HOLD_RETRY_MS 400
-/* Delay of the next HOLD after one that got no answer. */
-#define VP_CELL_HOLD_UNREACHABLE_MS 150
-/* A HOLD that fails sooner has probably not reached the worker. */
-#define VP_CELL_HOLD_REFUSED_MS 20
-/* A HOLD that fails later has probably timed out, and doesn't show when the worker crashed. */
-#define VP_CELL_HOLD_SILENT_MS (VP_CELL_HOLD_WAIT_MS + 900)
 /* No tasks are placed for this long on a worker that rejected a start. */
 #define VP_CELL_REFUSED_MS 500
 /* Delay of the next start of a task after the worker couldn't parse the command; an immediate retry
@@ -48,6 +30,8 @@
   VpCell *cell = g_new0 (VpCell, 1);
 
   cell->desc = *desc;
+  if (cell->desc.hold_policy == NULL)
+    cell->desc.hold_policy = &vp_holdpolicy_default;
   cell->worker_list = vp_workerlist_setup (desc->hold_max_ms, now_ms);
   cell->jobs = vp_joblist_setup ();
   vp_reconcile_setup (&cell->reconcile, cell->worker_list, cell->jobs, desc->fence);
@@ -217,77 +201,6 @@
   cell->has_platform_list = true;
 }
 
-/* Handles an answer of another worker at the address to which the command was sent. */
-static void
-_vp_cell_handle_worker_replaced (VpCell *cell,
-                                 VpCellWorker *worker,
-                                 const VpCommandResult *result,
-                                 int64_t now_ms)
-{
-  if (result->sent_ms < worker->address_changed_ms)
-    return;
-  vp_reconcile_worker_lost (&cell->reconcile, worker, VP_CRASH_OBSERVED, "worker-replaced", now_ms);
-  vp_workerlist_set_replaced (worker);
-}
-
-/* Notes when the connection of a HOLD that waited at the worker broke off: the process lived until
- * then. */
-static void
-_vp_cell_handle_broken_hold (VpCellWorker *worker, const VpCommandResult *result)
-{
-  int64_t waited_ms = result->received_ms - result->sent_ms;
-
-  if (waited_ms > VP_CELL_HOLD_REFUSED_MS && waited_ms < VP_CELL_HOLD_SILENT_MS)
-    worker->alive_ms = MAX (worker->alive_ms, result->received_ms);
-}
-
-static void
-_vp_cell_handle_hold_result (VpCell *cell,
-                             VpCellWorker *worker,
-                             const VpCommandResult *result,
-                             int64_t now_ms)
-{
-  bool was_reachable = worker->is_reachable;
-
-  /* The time of the next HOLD depends on the answer to the one that was sent since. */
-  if (result->is_late) {
-    if (result->outcome == VP_COMMAND_OK)
-      vp_reconcile_handle_list (&cell->reconcile, worker, result, now_ms);
-    return;
-  }
-  worker->is_hold_pending = false;
-  worker->is_relay_silent = result->is_given_up;
-  switch (result->outcome) {
-  case VP_COMMAND_OK:
-    worker->hold_next_ms = vp_reconcile_handle_list (&cell->reconcile, worker, result, now_ms)
-                               ? now_ms
-                               : now_ms + VP_CELL_HOLD_RETRY_MS;
-    /* While the worker was unreachable HOLDs didn't renew the leases, which may expire soon. */
-    if (!was_reachable)
-      worker->hold_next_ms = now_ms;
-    break;
-  case VP_COMMAND_WORKER_REPLACED:
-    _vp_cell_handle_worker_replaced (cell, worker, result, now_ms);
-    worker->hold_next_ms = now_ms + VP_CELL_HOLD_RETRY_MS;
-    break;
-  case VP_COMMAND_UNREACHABLE:
-  case VP_COMMAND_UNCERTAIN:
-    if (worker->is_reachable)
-      vp_log (now_ms, "worker-unreachable",
-              "worker=%s outcome=%s waited_ms=%" G_GINT64_FORMAT " silent_ms=%" G_GINT64_FORMAT,
-              worker->entry.id, vp_command_outcome_token (result->outcome),
-              result->received_ms - result->sent_ms, now_ms - worker->last_answer_ms);
-    if (worker->is_reachable)
-      _vp_cell_handle_broken_hold (worker, result);
-    worker->is_reachable = false;
-    worker->hold_next_ms = now_ms + VP_CELL_HOLD_UNREACHABLE_MS;
-    break;
-  default:
-    worker->hold_next_ms = now_ms + VP_CELL_HOLD_RETRY_MS;
-    break;
-  }
-}
-
 /* Results of starts and stops. */
 
 /* Handles a start after which certainly no run was started: the task waits again. */
@@ -349,6 +262,8 @@
     cell->start_answer_ms
         += VP_CELL_START_ANSWER_WEIGHT
            * ((double)(result->received_ms - task->started_ms) - cell->start_answer_ms);
+    if (task->start_tries == 1)
+      vp_holdloss_record (&cell->hold_loss, false, now_ms);
     break;
   case VP_COMMAND_UNCERTAIN:
     /* The next scan repeats the start or stops the run. */
@@ -465,8 +380,7 @@
     if (worker->last_end_durable == worker->last_end_staged)
       continue;
     worker->last_end_durable = worker->last_end_staged;
-    worker->hold_next_ms = MIN (
-        worker->hold_next_ms, MAX (now_ms, worker->last_answer_ms + VP_CELL_HOLD_INTERVAL_MIN_MS));
+    _vp_cell_ends_acknowledged (worker, now_ms);
   }
 }
 
@@ -748,35 +662,6 @@
   _vp_cell_place_steps (cell, now_ms, effects);
 }
 
-/* Returns the time that the worker may delay its answer to a HOLD. */
-static int64_t
-_vp_cell_hold_wait_ms (const VpCellWorker *worker)
-{
-  if (!worker->is_synced || !worker->is_reachable
-      || worker->last_end_seen != worker->last_end_durable)
-    return 0;
-  return worker->unknown_run_count > 0 ? VP_CELL_HOLD_WAIT_UNASSIGNED_MS : VP_CELL_HOLD_WAIT_MS;
-}
-
-/* Sends a HOLD to the worker if one is due. */
-static void
-_vp_cell_send_hold (VpCell *cell, VpCellWorker *worker, int64_t now_ms, GArray *effects)
-{
-  VpCommand *command;
-
-  if (worker->is_hold_pending || now_ms < worker->hold_next_ms)
-    return;
-  worker->is_hold_pending = true;
-  command = _vp_cell_add_command (cell, worker, VP_COMMAND_HOLD, effects);
-  /* A HOLD for an unreachable worker doesn't renew its leases: if it did, it might arrive, and the
-   * time until the leases are known to have expired would grow. */
-  if (worker->is_reachable && now_ms <= cell->commands_until_ms)
-    command->lease_end_ms = vp_workerlist_extend_lease (cell->worker_list, worker, now_ms);
-  command->acked_end = worker->last_end_durable;
-  command->booted_ms = worker->booted_ms;
-  command->wait_ms = _vp_cell_hold_wait_ms (worker);
-}
-
 /* Sends the stops for listed runs that belong to no task. */
 static void
 _vp_cell_stop_orphans (VpCell *cell, int64_t now_ms, GArray *effects)
@@ -799,8 +684,7 @@
 vp_cell_decide (VpCell *cell, int64_t now_ms, GArray *effects)
 {
   _vp_cell_stop_orphans (cell, now_ms, effects);
-  for (guint i = 0; i < cell->worker_list->workers->len; i++)
-    _vp_cell_send_hold (cell, cell->worker_list->workers->pdata[i], now_ms, effects);
+  _vp_cell_send_holds (cell, now_ms, effects);
   _vp_cell_check_recovered (cell, now_ms);
   _vp_cell_scan (cell, now_ms, effects);
   if (!cell->is_paused && cell->config != NULL && now_ms <= cell->commands_until_ms)
@@ -816,11 +700,9 @@
   int64_t next_ms = MIN (MAX (MAX (cell->scan_next_ms, cell->scan_earliest_ms), now_ms),
                          now_ms + VP_CELL_SCAN_MS);
 
-  for (guint i = 0; i < cell->worker_list->workers->len; i++) {
-    const VpCellWorker *worker = cell->worker_list->workers->pdata[i];
-    if (!worker->is_hold_pending)
-      next_ms = MIN (next_ms, worker->hold_next_ms);
-  }
+  for (guint i = 0; i < cell->worker_list->workers->len; i++)
+    next_ms
+        = MIN (next_ms, _vp_cell_hold_next_ms (cell, cell->worker_list->workers->pdata[i], now_ms));
   if (cell->is_place_due)
     next_ms = MIN (next_ms, cell->place_next_ms);
   return MIN (next_ms, MAX (vp_joblist_next_due_ms (cell->jobs), cell->place_next_ms));
--- a/src/vp-cell.h
+++ b/src/vp-cell.h
@@ -18,6 +18,7 @@
 #pragma once
 
 #include "vp-advise.h"
+#include "vp-holdloss.h"
 
 typedef struct _VpCell VpCell;
 
@@ -28,8 +29,9 @@
    * for example after an outage of its store. With 0 or less the list is complete. Used only if the
    * previous scheduler stored no list of workers. */
   int64_t relist_ms;
-  bool stores_workers; /* tasks are placed only on workers in a stored list */
-  bool is_clean;       /* the previous scheduler handed over with the state of all jobs stored */
+  bool stores_workers;             /* tasks are placed only on workers in a stored list */
+  const VpHoldPolicy *hold_policy; /* NULL: vp_holdpolicy_default; kept by reference */
+  bool is_clean; /* the previous scheduler handed over with the state of all jobs stored */
 } VpCellDesc;
 
 typedef enum { VP_CELL_COMMAND, VP_CELL_ADVICE_REQUEST } VpCellEffectKind;
--- a/src/vp-command.c
+++ b/src/vp-command.c
@@ -52,6 +52,7 @@
   result->kind = command->kind;
   result->task = command->task;
   result->run = command->run;
+  result->hold = command->hold;
   result->fence = command->fence;
   result->serial = command->serial;
   result->sent_ms = sent_ms;
--- a/src/vp-command.h
+++ b/src/vp-command.h
@@ -52,6 +52,7 @@
                          on to one. */
   int64_t booted_ms;  /* HOLD: boot time (Unix time) that the scheduler knows of; 0: none */
   int64_t wait_ms;    /* HOLD: the worker may delay its answer this long until a run ends */
+  uint32_t hold;      /* HOLD: number that the scheduler gave to it; increases for each worker */
   uint32_t percent;   /* THROTTLE: share of its CPU that the task may use */
 } VpCommand;
 
@@ -108,6 +109,7 @@
   char worker[VP_NAME_MAX];
   VpTaskName task;
   uint32_t run;
+  uint32_t hold; /* as in the command */
   VpCommandOutcome outcome;
   bool is_repeated; /* the transport sent the command twice; @outcome is that of the second one */
   bool is_given_up; /* the process that should have sent the command didn't report its outcome,
--- a/src/vp-metrics.c
+++ b/src/vp-metrics.c
@@ -67,6 +67,11 @@
   = { "tasks_given_up", "Tasks given up since workers crashed under them" },
   [VP_COUNTER_INHERITED_STARTS]
   = { "inherited_starts", "Starts of tasks that an earlier leader may have started" },
+  [VP_COUNTER_HOLDS] = { "holds", "HOLD commands sent to workers" },
+  [VP_COUNTER_HOLDS_EXTRA]
+  = { "holds_extra", "HOLD commands sent while an earlier one to the worker was not answered" },
+  [VP_COUNTER_HOLDS_UNANSWERED]
+  = { "holds_unanswered", "HOLD commands that a worker did not answer in time" },
 };
 
 static const VpMetricText vp_gauge_texts[VP_GAUGE_LAST] = {
--- a/src/vp-metrics.h
+++ b/src/vp-metrics.h
@@ -47,6 +47,9 @@
   VP_COUNTER_WORKERS_GIVEN_UP,
   VP_COUNTER_TASKS_GIVEN_UP,
   VP_COUNTER_INHERITED_STARTS,
+  VP_COUNTER_HOLDS,
+  VP_COUNTER_HOLDS_EXTRA,      /* sent while an earlier one to the worker wasn't answered */
+  VP_COUNTER_HOLDS_UNANSWERED, /* not answered within their wait and a grace time */
   VP_COUNTER_LAST,
 } VpCounter;
 
--- a/src/vp-relay.c
+++ b/src/vp-relay.c
@@ -411,6 +411,7 @@
   pending->result = (VpCommandResult){ .kind = command->kind,
                                        .task = command->task,
                                        .run = command->run,
+                                       .hold = command->hold,
                                        .outcome = VP_COMMAND_UNCERTAIN,
                                        .fence = command->fence,
                                        .sent_ms = now_ms };
--- a/src/vp-workerlist.h
+++ b/src/vp-workerlist.h
@@ -41,6 +41,17 @@
   int64_t slow_ms;      /* the worker runs slower for this long while it warms up */
 } VpWorkerEntry;
 
+/* A HOLD without a result. */
+typedef struct {
+  uint32_t number; /* number of the command; 0: there is none */
+  int64_t sent_ms;
+  int64_t due_ms;    /* its answer is overdue after this time; INT64_MAX: never */
+  int64_t probed_ms; /* another one was sent at this time, as this one isn't answered */
+  bool is_extra;     /* it was sent while an earlier one was open */
+  bool is_probe;     /* the worker hasn't answered since then */
+  bool is_counted;   /* it counts as unanswered, see vp-holdloss.h */
+} VpPendingHold;
+
 typedef struct {
   VpWorkerEntry entry;
   uint32_t rack_index; /* the same for all workers of one rack */
@@ -66,7 +77,10 @@
   int64_t clock_ms;           /* the worker's clock in its last answer */
   int64_t clock_at_ms;        /* local time of that answer; 0: never answered */
   int64_t lease_end_ms;       /* end of the latest lease granted to it, on the worker's clock */
-  bool is_hold_pending;       /* a HOLD is waiting for its answer */
+  bool is_hold_pending;       /* the last HOLD is waiting for its answer */
+  VpPendingHold last_hold;    /* the last HOLD that was sent */
+  VpPendingHold overdue_hold; /* an earlier one whose answer was overdue when the last one was sent
+                                 and still is */
   int64_t hold_next_ms;       /* earliest time of the next HOLD */
   int64_t list_sent_ms;       /* sending time of the latest HOLD whose list of runs was handled */
   int64_t last_answer_ms;     /* time of the last answer */
--- a/tests/test-pf-workers.c
+++ b/tests/test-pf-workers.c
@@ -185,6 +185,60 @@
   script_shutdown (&server);
 }
 
+/* Sends a HOLD to the worker "second-hold", without waiting for its result. */
+static void
+_send_hold (const char *address, uint32_t number)
+{
+  VpCommand command = { .kind = VP_COMMAND_HOLD, .hold = number };
+
+  g_strlcpy (command.worker, "second-hold", sizeof command.worker);
+  g_strlcpy (command.address, address, sizeof command.address);
+  vp_pf_workers_send (_workers, &command);
+}
+
+/* Waits for the result of the HOLD with this number and returns its outcome. */
+static VpCommandOutcome
+_await_hold (uint32_t number)
+{
+  VpCommandOutcome outcome;
+  VpNodeEvent event;
+
+  while (!vp_node_queue_take (&_results, &event))
+    vp_queue_sleep (&_results.queue, TIMEOUT_MS, NULL);
+  g_assert_cmpuint (event.command.hold, ==, number);
+  outcome = event.command.outcome;
+  vp_node_event_clear (&event);
+  return outcome;
+}
+
+/* Guards against a second HOLD that waits for the connection on which the first one isn't answered,
+ * and against HOLDs that change their connection although none is open. */
+static void
+test_second_hold (void)
+{
+  g_autofree char *response = _response (100, "");
+  const ScriptStep stalled[]
+      = { { SCRIPT_RESPOND, response }, { SCRIPT_RESPOND, response }, { SCRIPT_STALL, NULL } };
+  const ScriptStep answered[] = { { SCRIPT_RESPOND_CLOSE, response } };
+  ScriptServer first, second;
+
+  script_setup (&first, stalled, G_N_ELEMENTS (stalled));
+  script_setup (&second, answered, G_N_ELEMENTS (answered));
+  _send_hold (first.address, 1);
+  g_assert_cmpint (_await_hold (1), ==, VP_COMMAND_OK);
+  _send_hold (first.address, 2);
+  g_assert_cmpint (_await_hold (2), ==, VP_COMMAND_OK);
+  _send_hold (first.address, 3);
+  _send_hold (second.address, 4);
+  g_assert_cmpint (_await_hold (4), ==, VP_COMMAND_OK);
+  g_assert_cmpint (_await_hold (3), ==, VP_COMMAND_UNCERTAIN);
+  script_stop (&first);
+  script_stop (&second);
+  g_assert_cmpuint (first.connection_count, ==, 1);
+  script_shutdown (&first);
+  script_shutdown (&second);
+}
+
 int
 main (int argc, char **argv)
 {
@@ -197,6 +251,7 @@
   g_test_add_func ("/pf-workers/restarted-worker", test_restarted_worker);
   g_test_add_func ("/pf-workers/closed-connections", test_closed_connections);
   g_test_add_func ("/pf-workers/bad-address", test_bad_address);
+  g_test_add_func ("/pf-workers/second-hold", test_second_hold);
   g_test_add_func ("/pf-workers/start-behind-silent-worker", test_start_behind_silent_worker);
   g_test_add_func ("/pf-workers/expired-start-is-not-resent", test_expired_start_is_not_resent);
   status = g_test_run ();
--- a/tests/test-relay.c
+++ b/tests/test-relay.c
@@ -453,6 +453,37 @@
   _teardown (&fixture);
 }
 
+/* Guards against a result that is taken for that of another HOLD to the worker: the second one is
+ * answered before the first one, and the relay doesn't know their numbers. */
+static void
+test_hold_numbers (void)
+{
+  Fixture fixture;
+  GArray *commands;
+
+  _setup (&fixture, 4);
+  _ping (&fixture, "strong", "a", 500, 5000);
+  _update (&fixture);
+  for (uint32_t number = 5; number <= 6; number++) {
+    VpCommand command = { .kind = VP_COMMAND_HOLD,
+                          .worker = "a1",
+                          .address = "127.0.0.1:1",
+                          .fence = TERM,
+                          .hold = number };
+    g_assert_true (vp_relay_add (fixture.relay, &command, fixture.now_ms));
+  }
+  _flush (&fixture);
+  commands = _take_commands (&fixture, 0, fixture.results);
+  for (guint i = 2; i > 0; i--) {
+    VpCommandResult sent = { .outcome = VP_COMMAND_OK, .clock_ms = 77 };
+    vp_command_result_begin (&sent, &g_array_index (commands, VpCommand, i - 1), fixture.now_ms);
+    _return_result (&fixture, "strong", &sent);
+    g_assert_cmpuint (g_array_index (fixture.results, VpCommandResult, 2 - i).hold, ==, 4 + i);
+  }
+  _free_commands (commands);
+  _teardown (&fixture);
+}
+
 /* Guards against losing what a worker said because its answer came after the command was given up:
  * with all relays slow, the leader knew nothing of workers that answered, and started tasks again
  * that were done. The result is reported once and marked as late; after 15 s it is dropped. */
@@ -718,6 +749,7 @@
   g_test_add_func ("/relay/leader-behind", test_leader_behind);
   g_test_add_func ("/relay/batch-interval", test_batch_interval);
   g_test_add_func ("/relay/leader-stopped", test_leader_stopped);
+  g_test_add_func ("/relay/hold-numbers", test_hold_numbers);
   g_test_add_func ("/relay/late-result", test_late_result);
   g_test_add_func ("/relay/text-once", test_text_once);
   g_test_add_func ("/relay/malformed", test_malformed);
