An answered cancellation holds for a full retention period, and none waits for a store that fails

Cause: a repeated CANCEL was answered from the end of the first one, however soon that was to be removed, and a later submission was accepted as a new job (known red cancel-again). While the store failed, CANCELs of a job whose first one may have been sent waited without an answer, and each was kept (cancels-in-outage).

Change: a CANCEL is answered once the end is stored for the whole retention from then on. Ends are stored 30 s longer than they can be queried, so one that is repeated within 30 s needs no write; a later one renews the time of the end, and is answered when that is durable. The same holds if the first commit took over 30 s. While the store fails, CANCELs get 504 after a second as submissions do, and a cancellation that was never sent to the store is withdrawn with 503.

--- a/src/vp-committer.c
+++ b/src/vp-committer.c
@@ -200,10 +200,10 @@
 {
   VpStoreWrite *write = &committer->write;
 
-  if (job->is_end_durable)
+  if (job->is_end_durable && !job->is_end_outdated)
     return 0;
   g_array_append_val (committer->ended_jobs, job->spec->id);
-  if (job->is_durable) {
+  if (job->is_durable && !job->is_end_durable) {
     _vp_committer_remove_key (write, "job", job->spec->id);
     if (job->is_progress_stored)
       _vp_committer_remove_key (write, "progress", job->spec->id);
@@ -441,8 +441,10 @@
   }
   for (guint i = 0; i < committer->ended_jobs->len; i++) {
     VpJob *job = vp_joblist_find (jobs, g_array_index (committer->ended_jobs, uint64_t, i));
-    if (job != NULL)
-      job->is_durable = job->is_end_durable = true;
+    if (job == NULL)
+      continue;
+    job->is_durable = job->is_end_durable = true;
+    job->is_end_outdated = false;
   }
   g_array_append_vals (durable, committer->accepted_jobs->data, committer->accepted_jobs->len);
   g_array_append_vals (durable, committer->ended_jobs->data, committer->ended_jobs->len);
@@ -569,6 +571,13 @@
   return true;
 }
 
+bool
+vp_committer_keeps_end (const VpJob *job, int64_t now_ms)
+{
+  return job->is_end_durable && !job->is_end_outdated
+         && now_ms - job->ended_ms <= VP_COMMITTER_RETENTION_MARGIN_MS;
+}
+
 void
 vp_committer_finish (VpCommitter *committer)
 {
--- a/src/vp-committer.h
+++ b/src/vp-committer.h
@@ -55,6 +55,9 @@
 bool vp_committer_is_failing (const VpCommitter *committer);
 /* True if no commit that may have reached the store includes the job. */
 bool vp_committer_is_unsent (const VpCommitter *committer, uint64_t job);
+/* Returns true if the end of the job, as it is stored, is kept for at least the whole retention
+ * from now on. */
+bool vp_committer_keeps_end (const VpJob *job, int64_t now_ms);
 /* Ends the series of commits. The last commit includes everything pending, and declares the stored
  * jobs complete if the leader knows all runs. */
 void vp_committer_finish (VpCommitter *committer);
--- a/src/vp-joblist.c
+++ b/src/vp-joblist.c
@@ -342,6 +342,14 @@
   vp_joblist_mark_dirty (list, job);
 }
 
+void
+vp_joblist_renew_end (VpJobList *list, VpJob *job, int64_t now_ms)
+{
+  job->ended_ms = now_ms;
+  job->is_end_outdated = true;
+  vp_joblist_mark_dirty (list, job);
+}
+
 static void
 _vp_job_remove_ready_steps (VpJobList *list, const VpJob *job)
 {
--- a/src/vp-joblist.h
+++ b/src/vp-joblist.h
@@ -132,6 +132,7 @@
   bool is_inherited;       /* an earlier scheduler has accepted the job */
   bool is_durable;         /* the job is stored, so that its tasks may start */
   bool is_end_durable;     /* the end of the job is stored, so that callers may see it */
+  bool is_end_outdated;    /* it is stored with an earlier time than @ended_ms */
   bool is_started;         /* a task was started at least once */
   bool is_unsubmitted;     /* it was cancelled, but no submission of it has arrived yet */
   bool is_progress_stored; /* progress of the job is stored */
@@ -174,6 +175,8 @@
 VpJob *vp_joblist_add_unsubmitted (VpJobList *list, uint64_t id, int64_t now_ms);
 /* Notes that a submission of the cancelled job to @queue has arrived, which has to be stored. */
 void vp_joblist_note_submission (VpJobList *list, VpJob *job, const char *queue);
+/* Lets the stored end of the job count as of now, so that it is kept longer. */
+void vp_joblist_renew_end (VpJobList *list, VpJob *job, int64_t now_ms);
 /* Adds an ended job that was read from the store. Only its state and the time of its end are known.
  * An empty @queue: the job was cancelled before it was submitted. */
 VpJob *vp_joblist_add_ended (VpJobList *list,
--- a/src/vp-jobservice.c
+++ b/src/vp-jobservice.c
@@ -282,6 +282,18 @@
   return job;
 }
 
+/* Returns true if the end of the job is stored for long enough that its cancellation can be
+ * answered. If it is stored for a shorter time, lets it be stored for longer. */
+static bool
+_vp_jobservice_secure_end (VpJobService *service, VpJob *job, int64_t now_ms)
+{
+  if (vp_committer_keeps_end (job, now_ms))
+    return true;
+  if (job->is_end_durable && !job->is_end_outdated)
+    vp_joblist_renew_end (vp_cell_jobs (service->cell), job, now_ms);
+  return false;
+}
+
 /* Returns the answer to the cancellation of a job whose end is durable. */
 static VpAnswerKind
 _vp_jobservice_cancelled_answer (const VpJob *job)
@@ -304,7 +316,7 @@
   if (vp_cell_cancel (service->cell, message->job, now_ms))
     vp_log (now_ms, "cancel", "job=%016" G_GINT64_MODIFIER "x dispatched=%u from=%s", message->job,
             job->assigned_count, message->from);
-  if (job->is_end_durable)
+  if (_vp_jobservice_secure_end (service, job, now_ms))
     _vp_jobservice_add_answer (service, message->from, message->serial,
                                _vp_jobservice_cancelled_answer (job), answers);
   else
@@ -359,7 +371,7 @@
   for (guint i = 0; i < waiters->len;) {
     const VpJobServiceWaiter *waiter = &g_array_index (waiters, VpJobServiceWaiter, i);
     bool is_cancel = waiter->kind == VP_NODEMSG_CANCEL;
-    if (is_cancel ? !job->is_end_durable : job->is_unsubmitted) {
+    if (is_cancel ? !_vp_jobservice_secure_end (service, job, now_ms) : job->is_unsubmitted) {
       queue = is_cancel ? queue : waiter->queue;
       i++;
       continue;
@@ -403,7 +415,9 @@
   VpJob *job = vp_joblist_find (jobs, id);
   const VpJobServiceWaiter *first = &g_array_index (waiters, VpJobServiceWaiter, 0);
 
-  if (job == NULL || job->is_durable || job->assigned_count > 0 || job->occurrences == NULL
+  /* A submission that was noted for a stored cancellation isn't withdrawn with it. */
+  if (job == NULL || job->is_durable || job->assigned_count > 0
+      || (job->occurrences == NULL && !job->is_unsubmitted)
       || now_ms - first->since_ms < VP_JOBSERVICE_WITHDRAW_MS
       || !vp_committer_is_unsent (service->committer, id))
     return false;
@@ -422,8 +436,8 @@
   return true;
 }
 
-/* Answers submissions whose outcome is known to the store only. The job itself stays in the commit.
- */
+/* Answers submissions and cancellations whose outcome is known to the store only. The job itself
+ * stays in the commit. */
 static void
 _vp_jobservice_answer_outcome_unknown (VpJobService *service,
                                        uint64_t id,
@@ -433,15 +447,15 @@
 {
   for (guint i = 0; i < waiters->len;) {
     const VpJobServiceWaiter *waiter = &g_array_index (waiters, VpJobServiceWaiter, i);
-    if (waiter->kind != VP_NODEMSG_SUBMIT || now_ms - waiter->since_ms < VP_JOBSERVICE_UNKNOWN_MS) {
+    if (now_ms - waiter->since_ms < VP_JOBSERVICE_UNKNOWN_MS) {
       i++;
       continue;
     }
     vp_log (now_ms, "outcome-unknown",
             "job=%016" G_GINT64_MODIFIER "x commit_age_ms=%" G_GINT64_FORMAT
-            " waited_ms=%" G_GINT64_FORMAT,
+            " waited_ms=%" G_GINT64_FORMAT " cancel=%d",
             id, vp_committer_last_commit_age_ms (service->committer, now_ms),
-            now_ms - waiter->since_ms);
+            now_ms - waiter->since_ms, waiter->kind == VP_NODEMSG_CANCEL);
     _vp_jobservice_add_answer (service, waiter->from, waiter->serial, VP_ANSWER_OUTCOME_UNKNOWN,
                                answers);
     g_array_remove_index (waiters, i);
--- a/src/vp-jobservice.h
+++ b/src/vp-jobservice.h
@@ -12,7 +12,8 @@
  * A cancellation can overtake the submission, which may wait at another node, for example for a new
  * leader. So that of an unknown job is stored like the end of a job, for as long, before it is
  * answered; a submission that arrives later is accepted as one of a cancelled job. Their number is
- * limited by VP_JOBLIST_UNSUBMITTED_MAX, beyond which such cancellations are rejected.
+ * limited by VP_JOBLIST_UNSUBMITTED_MAX, beyond which such cancellations are rejected. A repeated
+ * cancellation is answered once the end is stored for the whole retention from then on.
  */
 #pragma once
 
--- a/tests/test-jobservice.c
+++ b/tests/test-jobservice.c
@@ -6,6 +6,9 @@
 
 #define NOW_MS 1000000
 #define JOB    7
+/* How long ended jobs can be queried, and how long their ends are stored. */
+#define RETENTION_MS 120000
+#define KEPT_MS      (RETENTION_MS + 30000)
 
 typedef struct {
   VpElection election;
@@ -23,8 +26,10 @@
   vp_election_setup (&fixture->election, "node", 1000, NOW_MS);
   fixture->election.term = 1;
   fixture->cell = vp_cell_setup (&(VpCellDesc){ .fence = 1, .hold_max_ms = 6000 }, NOW_MS);
-  fixture->committer = vp_committer_setup (
-      &(VpCommitterDesc){ .election = &fixture->election, .cell = fixture->cell }, NOW_MS);
+  fixture->committer = vp_committer_setup (&(VpCommitterDesc){ .election = &fixture->election,
+                                                               .cell = fixture->cell,
+                                                               .retention_ms = RETENTION_MS },
+                                           NOW_MS);
   fixture->service = vp_jobservice_setup (fixture->cell, fixture->committer, 1);
   fixture->answers = g_array_new (FALSE, FALSE, sizeof (VpJobServiceAnswer));
 }
@@ -310,6 +315,177 @@
   _teardown (&fixture);
 }
 
+/* Makes commits from @from_ms on, each of which removes ends that have expired, until @until_ms. */
+static void
+_commit_until (Fixture *fixture, int64_t from_ms, int64_t until_ms)
+{
+  for (int64_t now_ms = from_ms; now_ms <= until_ms; now_ms += 1000)
+    _commit (fixture, now_ms);
+}
+
+/* Guards against a job that starts although its cancellation was answered: the cancellation is
+ * repeated as the end that it was answered with is about to be removed. Each answer holds for a
+ * full retention period, also at the next leader. */
+static void
+test_repeated_cancel_is_kept (void)
+{
+  Fixture fixture;
+  int64_t again_ms = NOW_MS + 10 + KEPT_MS - 100;
+
+  _setup (&fixture);
+  _request (&fixture, VP_NODEMSG_CANCEL, JOB, 1, NOW_MS + 10);
+  _commit (&fixture, NOW_MS + 20);
+  g_assert_cmpuint (fixture.answers->len, ==, 1);
+  _request (&fixture, VP_NODEMSG_CANCEL, JOB, 2, again_ms);
+  _commit (&fixture, again_ms + 20);
+  g_assert_cmpuint (fixture.answers->len, ==, 2);
+  g_assert_cmpint (_answer_kind (&fixture, 1), ==, VP_ANSWER_NO_SUCH_JOB);
+  _commit_until (&fixture, again_ms + 100, again_ms + RETENTION_MS);
+  _submit (&fixture, 3, again_ms + RETENTION_MS);
+  _commit (&fixture, again_ms + RETENTION_MS + 30);
+  _request (&fixture, VP_NODEMSG_QUERY, JOB, 4, again_ms + RETENTION_MS + 40);
+  g_assert_cmpuint (fixture.answers->len, ==, 4);
+  g_assert_cmpint (g_array_index (fixture.answers, VpJobServiceAnswer, 3).message.state, ==,
+                   VP_JOB_CANCELLED);
+  _teardown (&fixture);
+}
+
+/* The same for a job that was submitted, and ended as cancelled. Its state is shown meanwhile. */
+static void
+test_repeated_cancel_of_submitted_job (void)
+{
+  Fixture fixture;
+  int64_t again_ms = NOW_MS + 20 + KEPT_MS - 100;
+
+  _setup (&fixture);
+  _submit (&fixture, 1, NOW_MS + 10);
+  _commit (&fixture, NOW_MS + 15);
+  _request (&fixture, VP_NODEMSG_CANCEL, JOB, 2, NOW_MS + 20);
+  _commit (&fixture, NOW_MS + 50);
+  g_assert_cmpuint (fixture.answers->len, ==, 2);
+  _request (&fixture, VP_NODEMSG_CANCEL, JOB, 3, again_ms);
+  _request (&fixture, VP_NODEMSG_QUERY, JOB, 4, again_ms + 5);
+  g_assert_cmpuint (fixture.answers->len, ==, 3);
+  g_assert_cmpint (g_array_index (fixture.answers, VpJobServiceAnswer, 2).message.state, ==,
+                   VP_JOB_CANCELLED);
+  _commit (&fixture, again_ms + 20);
+  g_assert_cmpuint (fixture.answers->len, ==, 4);
+  g_assert_cmpint (_answer_kind (&fixture, 3), ==, VP_ANSWER_ACCEPTED);
+  _commit_until (&fixture, again_ms + 100, again_ms + RETENTION_MS);
+  g_assert_nonnull (vp_joblist_find (vp_cell_jobs (fixture.cell), JOB));
+  _teardown (&fixture);
+}
+
+/* Guards against a write to the store for each repeated cancellation: one that is repeated soon is
+ * answered at once, as its end is kept long enough. */
+static void
+test_repeated_cancel_without_write (void)
+{
+  Fixture fixture;
+
+  _setup (&fixture);
+  _request (&fixture, VP_NODEMSG_CANCEL, JOB, 1, NOW_MS + 10);
+  _commit (&fixture, NOW_MS + 20);
+  for (uint64_t i = 0; i < 20; i++)
+    _request (&fixture, VP_NODEMSG_CANCEL, JOB, 2 + i, NOW_MS + 1000);
+  g_assert_cmpuint (fixture.answers->len, ==, 21);
+  g_assert_false (vp_joblist_has_urgent (vp_cell_jobs (fixture.cell)));
+  _teardown (&fixture);
+}
+
+/* Guards against cancellations that get no answer while the store fails, and of which each is kept
+ * until it answers. Whether the first one is stored isn't known, so the outcome of all is unknown.
+ */
+static void
+test_cancels_in_outage (void)
+{
+  Fixture fixture;
+  g_autoptr (GArray) durable = g_array_new (FALSE, FALSE, sizeof (uint64_t));
+  VpStoreWriteResult written = { .outcome = VP_WRITE_OK, .revision = 2 };
+
+  _setup (&fixture);
+  _request (&fixture, VP_NODEMSG_CANCEL, JOB, 1, NOW_MS + 10);
+  written.serial = _commit_unknown (&fixture, NOW_MS + 20);
+  vp_jobservice_tick (fixture.service, NOW_MS + 1100, fixture.answers);
+  g_assert_cmpuint (fixture.answers->len, ==, 1);
+  g_assert_cmpint (_answer_kind (&fixture, 0), ==, VP_ANSWER_OUTCOME_UNKNOWN);
+  for (uint64_t i = 0; i < 48; i++)
+    _request (&fixture, VP_NODEMSG_CANCEL, JOB, 2 + i, NOW_MS + 4500);
+  vp_jobservice_tick (fixture.service, NOW_MS + 5600, fixture.answers);
+  g_assert_cmpuint (fixture.answers->len, ==, 49);
+  for (guint i = 0; i < fixture.answers->len; i++)
+    g_assert_cmpint (_answer_kind (&fixture, i), ==, VP_ANSWER_OUTCOME_UNKNOWN);
+  /* None of them waits any more when the store answers. */
+  vp_committer_step (fixture.committer, NOW_MS + 5700, &fixture.effects);
+  g_assert_true (
+      vp_committer_handle_write_result (fixture.committer, &written, durable, NOW_MS + 5710));
+  vp_jobservice_handle_durable (fixture.service, durable, NOW_MS + 5710, fixture.answers);
+  g_assert_cmpuint (fixture.answers->len, ==, 49);
+  _request (&fixture, VP_NODEMSG_CANCEL, JOB, 100, NOW_MS + 5720);
+  g_assert_cmpint (_answer_kind (&fixture, 49), ==, VP_ANSWER_NO_SUCH_JOB);
+  _teardown (&fixture);
+}
+
+/* Guards against cancellations of a running job that get no answer while the store fails. */
+static void
+test_cancel_of_running_job_in_outage (void)
+{
+  Fixture fixture;
+
+  _setup (&fixture);
+  _submit (&fixture, 1, NOW_MS + 10);
+  _commit (&fixture, NOW_MS + 20);
+  _request (&fixture, VP_NODEMSG_CANCEL, JOB, 2, NOW_MS + 30);
+  _commit_unknown (&fixture, NOW_MS + 50);
+  vp_jobservice_tick (fixture.service, NOW_MS + 1100, fixture.answers);
+  g_assert_cmpuint (fixture.answers->len, ==, 2);
+  g_assert_cmpint (_answer_kind (&fixture, 1), ==, VP_ANSWER_OUTCOME_UNKNOWN);
+  g_assert_true (vp_job_is_ended (vp_joblist_find (vp_cell_jobs (fixture.cell), JOB)));
+  _teardown (&fixture);
+}
+
+/* Guards against a cancellation without an answer, and against one that is rejected although it is
+ * stored later: it was never sent to the store, so it is withdrawn. */
+static void
+test_unsent_cancel_is_rejected (void)
+{
+  Fixture fixture;
+
+  _setup (&fixture);
+  _commit_unknown (&fixture, NOW_MS + 500);
+  _request (&fixture, VP_NODEMSG_CANCEL, JOB, 1, NOW_MS + 510);
+  vp_jobservice_tick (fixture.service, NOW_MS + 1200, fixture.answers);
+  g_assert_cmpuint (fixture.answers->len, ==, 1);
+  g_assert_cmpint (_answer_kind (&fixture, 0), ==, VP_ANSWER_REJECTED);
+  g_assert_null (vp_joblist_find (vp_cell_jobs (fixture.cell), JOB));
+  _teardown (&fixture);
+}
+
+/* Guards against an answer for which the end is not kept long enough: the store took its time. */
+static void
+test_cancel_answered_late (void)
+{
+  Fixture fixture;
+  g_autoptr (GArray) durable = g_array_new (FALSE, FALSE, sizeof (uint64_t));
+  VpStoreWriteResult written = { .outcome = VP_WRITE_OK, .revision = 2 };
+  int64_t stored_ms = NOW_MS + 40000;
+
+  _setup (&fixture);
+  _request (&fixture, VP_NODEMSG_CANCEL, JOB, 1, NOW_MS + 10);
+  vp_committer_step (fixture.committer, NOW_MS + 20, &fixture.effects);
+  written.serial = fixture.effects.items[fixture.effects.count - 1].write.serial;
+  g_assert_true (
+      vp_committer_handle_write_result (fixture.committer, &written, durable, stored_ms));
+  vp_jobservice_handle_durable (fixture.service, durable, stored_ms, fixture.answers);
+  g_assert_cmpuint (fixture.answers->len, ==, 0);
+  _commit (&fixture, stored_ms + 30);
+  g_assert_cmpuint (fixture.answers->len, ==, 1);
+  g_assert_cmpint (_answer_kind (&fixture, 0), ==, VP_ANSWER_NO_SUCH_JOB);
+  _commit_until (&fixture, stored_ms + 100, stored_ms + RETENTION_MS);
+  g_assert_nonnull (vp_joblist_find (vp_cell_jobs (fixture.cell), JOB));
+  _teardown (&fixture);
+}
+
 int
 main (int argc, char *argv[])
 {
@@ -323,5 +499,14 @@
   g_test_add_func ("/jobservice/submission-of-cancelled-job-is-stored",
                    test_submission_of_cancelled_job_is_stored);
   g_test_add_func ("/jobservice/repeated-requests-wait-once", test_repeated_requests_wait_once);
+  g_test_add_func ("/jobservice/repeated-cancel-is-kept", test_repeated_cancel_is_kept);
+  g_test_add_func ("/jobservice/repeated-cancel-of-submitted-job",
+                   test_repeated_cancel_of_submitted_job);
+  g_test_add_func ("/jobservice/repeated-cancel-without-write", test_repeated_cancel_without_write);
+  g_test_add_func ("/jobservice/cancels-in-outage", test_cancels_in_outage);
+  g_test_add_func ("/jobservice/cancel-of-running-job-in-outage",
+                   test_cancel_of_running_job_in_outage);
+  g_test_add_func ("/jobservice/unsent-cancel-is-rejected", test_unsent_cancel_is_rejected);
+  g_test_add_func ("/jobservice/cancel-answered-late", test_cancel_answered_late);
   return g_test_run ();
 }
