After a takeover tasks of an ended job count for their team until they can't run unlisted

Change: an inherited job that ends stays in a list of its own. Its waiting tasks count as they did before its end: with a stored worker until that worker is verified or all earlier leases have expired, without one until all runs of earlier schedulers are known. Then the job leaves the list; so does one that is removed. The condition is the one for starting an inherited task, now a function of its own.

--- a/src/vp-cell-private.h
+++ b/src/vp-cell-private.h
@@ -50,6 +50,12 @@
 /* Returns true if the scheduler knows everything that earlier schedulers have running on the
  * worker. */
 bool _vp_cell_is_verified_worker (const VpCellWorker *worker, int64_t now_ms);
+/* Returns true if a run of the waiting task that an earlier scheduler started may exist on a worker
+ * that hasn't listed its runs. */
+bool _vp_cell_may_run_unlisted (const VpCell *cell, const VpJobTask *task, int64_t now_ms);
+/* Adds the tasks of ended jobs that may run unlisted to the usage of their teams, and forgets the
+ * others. */
+void _vp_cell_count_ended_inherited (VpCell *cell, int64_t now_ms);
 /* Sets @cell->is_recovered once no run of an earlier scheduler can be unknown. */
 void _vp_cell_check_recovered (VpCell *cell, int64_t now_ms);
 /* Blocks new tasks on a worker that isn't active, and marks the list of workers as changed if the
--- a/src/vp-cell-recovery.c
+++ b/src/vp-cell-recovery.c
@@ -39,6 +39,66 @@
   return count;
 }
 
+bool
+_vp_cell_may_run_unlisted (const VpCell *cell, const VpJobTask *task, int64_t now_ms)
+{
+  const VpCellWorker *worker;
+
+  if (!task->step->occurrence->job->is_inherited)
+    return false;
+  if (task->inherited_worker[0] == '\0')
+    return !vp_cell_has_complete_state (cell);
+  worker = vp_workerlist_find (cell->worker_list, task->inherited_worker);
+  if (worker == NULL)
+    return now_ms <= cell->worker_list->inherited_until_ms;
+  return !vp_cell_has_complete_state (cell) || !_vp_cell_is_verified_worker (worker, now_ms);
+}
+
+/* Does this for the waiting tasks of one step. Returns true if any may run unlisted. */
+static bool
+_vp_cell_count_ended_step (VpCell *cell, VpJobStep *step, VpTeamUsage *usage, int64_t now_ms)
+{
+  bool may_run = false;
+
+  for (uint32_t i = 0; i < step->spec->task_count; i++) {
+    VpJobTask *task = &step->tasks[i];
+    if (task->phase != VP_PHASE_WAITING)
+      continue;
+    if (!_vp_cell_may_run_unlisted (cell, task, now_ms)) {
+      vp_jobtask_set_inherited_worker (cell->jobs, task, "");
+      continue;
+    }
+    may_run = true;
+    /* Tasks with a known worker are part of @usage->unobserved. */
+    if (task->inherited_worker[0] == '\0')
+      vp_resources_add (&usage->possibly_running, &step->spec->size);
+  }
+  return may_run;
+}
+
+void
+_vp_cell_count_ended_inherited (VpCell *cell, int64_t now_ms)
+{
+  GPtrArray *jobs = cell->jobs->ended_inherited_jobs;
+
+  for (guint i = 0; i < jobs->len;) {
+    VpJob *job = jobs->pdata[i];
+    VpTeamUsage *usage = vp_joblist_team (cell->jobs, job->spec->team);
+    bool may_run = false;
+    for (uint32_t k = 0; k < job->spec->occurrence_count; k++) {
+      for (uint32_t s = 0; job->occurrences[k].steps != NULL && s < job->spec->step_count; s++) {
+        VpJobStep *step = &job->occurrences[k].steps[s];
+        if (step->is_ready)
+          may_run |= _vp_cell_count_ended_step (cell, step, usage, now_ms);
+      }
+    }
+    if (may_run)
+      i++;
+    else
+      vp_joblist_forget_inherited (cell->jobs, job);
+  }
+}
+
 void
 _vp_cell_check_recovered (VpCell *cell, int64_t now_ms)
 {
--- a/src/vp-cell.c
+++ b/src/vp-cell.c
@@ -505,17 +505,12 @@
 {
   const VpCellWorker *worker;
 
-  if (vp_job_is_ended (task->step->occurrence->job))
+  if (vp_job_is_ended (task->step->occurrence->job)
+      || _vp_cell_may_run_unlisted (cell, task, now_ms))
     return false;
-  if (!task->step->occurrence->job->is_inherited)
-    return true;
   if (task->inherited_worker[0] == '\0')
-    return vp_cell_has_complete_state (cell);
+    return true;
   worker = vp_workerlist_find (cell->worker_list, task->inherited_worker);
-  if (worker == NULL
-          ? now_ms <= cell->worker_list->inherited_until_ms
-          : !vp_cell_has_complete_state (cell) || !_vp_cell_is_verified_worker (worker, now_ms))
-    return false;
   if (worker != NULL)
     vp_crash_blame_inherited (cell->jobs, task, worker, now_ms);
   vp_jobtask_set_inherited_worker (cell->jobs, task, "");
@@ -535,7 +530,7 @@
 /* Sums for each team the demand of the waiting tasks that the previous scheduler may have started
  * without storing that. */
 static void
-_vp_cell_count_possibly_running (VpCell *cell)
+_vp_cell_count_possibly_running (VpCell *cell, int64_t now_ms)
 {
   GHashTableIter iter;
   gpointer usage;
@@ -553,6 +548,7 @@
     vp_resources_add (
         &vp_joblist_team (cell->jobs, step->occurrence->job->spec->team)->possibly_running, &size);
   }
+  _vp_cell_count_ended_inherited (cell, now_ms);
 }
 
 /* Returns true if @count more tasks of the step are within the team's cap. */
@@ -725,7 +721,7 @@
   VpStepQueue step_queue;
   uint32_t step_count = 0, task_count = 0;
 
-  _vp_cell_count_possibly_running (cell);
+  _vp_cell_count_possibly_running (cell, now_ms);
   vp_stepqueue_setup (&step_queue, cell->worker_list, cell->jobs, cell->config, now_ms);
   for (guint i = 0; i < step_queue.items->len; i++) {
     const VpStepQueueItem *item = &g_array_index (step_queue.items, VpStepQueueItem, i);
--- a/src/vp-joblist.c
+++ b/src/vp-joblist.c
@@ -48,6 +48,7 @@
   list->jobs = g_hash_table_new_full (g_int64_hash, g_int64_equal, NULL, _vp_job_free);
   list->ready_steps = g_ptr_array_new ();
   list->scheduled_jobs = g_ptr_array_new ();
+  list->ended_inherited_jobs = g_ptr_array_new ();
   list->teams = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
   g_queue_init (&list->dirty);
   return list;
@@ -58,6 +59,7 @@
 {
   g_ptr_array_unref (list->ready_steps);
   g_ptr_array_unref (list->scheduled_jobs);
+  g_ptr_array_unref (list->ended_inherited_jobs);
   g_hash_table_unref (list->jobs);
   g_hash_table_unref (list->teams);
   g_queue_clear (&list->dirty);
@@ -362,11 +364,26 @@
   }
 }
 
+void
+vp_joblist_forget_inherited (VpJobList *list, VpJob *job)
+{
+  if (!g_ptr_array_remove_fast (list->ended_inherited_jobs, job))
+    return;
+  for (uint32_t k = 0; k < job->spec->occurrence_count; k++) {
+    for (uint32_t s = 0; job->occurrences[k].steps != NULL && s < job->spec->step_count; s++) {
+      VpJobStep *step = &job->occurrences[k].steps[s];
+      for (uint32_t i = 0; i < step->spec->task_count; i++)
+        vp_jobtask_set_inherited_worker (list, &step->tasks[i], "");
+    }
+  }
+}
+
 void
 vp_joblist_remove (VpJobList *list, VpJob *job)
 {
   if (job->dirty_link != NULL)
     _vp_joblist_unlink_dirty (list, job);
+  vp_joblist_forget_inherited (list, job);
   _vp_job_remove_ready_steps (list, job);
   g_ptr_array_remove_fast (list->scheduled_jobs, job);
   if (!vp_job_is_ended (job)) {
@@ -377,24 +394,13 @@
   g_hash_table_remove (list->jobs, &job->spec->id);
 }
 
-/* Forgets on which workers earlier schedulers may have tasks of an ended job running. Tasks that
- * still run are stopped once their worker lists them. */
-static void
-_vp_job_clear_inherited_workers (VpJobList *list, VpJob *job)
-{
-  for (uint32_t k = 0; k < job->spec->occurrence_count; k++) {
-    for (uint32_t s = 0; job->occurrences[k].steps != NULL && s < job->spec->step_count; s++) {
-      VpJobStep *step = &job->occurrences[k].steps[s];
-      for (uint32_t i = 0; i < step->spec->task_count; i++)
-        vp_jobtask_set_inherited_worker (list, &step->tasks[i], "");
-    }
-  }
-}
-
 static void
 _vp_job_end (VpJobList *list, VpJob *job, VpJobState state, int64_t now_ms)
 {
-  _vp_job_clear_inherited_workers (list, job);
+  /* Its tasks count for the team until none can run unknown. Those that still run are stopped once
+   * their worker lists them. */
+  if (job->is_inherited)
+    g_ptr_array_add (list->ended_inherited_jobs, job);
   job->state = state;
   job->ended_ms = now_ms;
   list->unfinished_count--;
--- a/src/vp-joblist.h
+++ b/src/vp-joblist.h
@@ -147,22 +147,25 @@
 
 typedef struct {
   VpResources possibly_running; /* demand of inherited tasks that may run, but aren't stored so */
-  VpResources unobserved;       /* demand of inherited tasks whose stored worker has no list yet */
-  VpResources used;             /* demand of all tasks that run or are being stopped */
-  uint32_t job_count;           /* number of jobs that haven't ended */
-  double job_tokens; /* token bucket: jobs that the team may submit now within its rate */
-  int64_t tokens_ms; /* time at which the bucket was last refilled; 0: never */
+  VpResources unobserved; /* demand of inherited tasks whose stored worker has no list yet, also
+                             of ended jobs */
+  VpResources used;       /* demand of all tasks that run or are being stopped */
+  uint32_t job_count;     /* number of jobs that haven't ended */
+  double job_tokens;      /* token bucket: jobs that the team may submit now within its rate */
+  int64_t tokens_ms;      /* time at which the bucket was last refilled; 0: never */
 } VpTeamUsage;
 
 typedef struct {
   GHashTable *jobs;          /* id -> VpJob */
   GPtrArray *ready_steps;    /* VpJobStep that are ready but not done, of jobs that haven't ended */
   GPtrArray *scheduled_jobs; /* VpJob with occurrences that aren't due yet */
-  GQueue dirty;              /* VpJob whose stored state is out of date: urgent jobs come first */
-  GList *last_urgent_link;   /* link in @dirty of the last urgent job; NULL: none */
-  uint64_t dirty_round;      /* see vp_joblist_begin_round() */
-  GHashTable *teams;         /* name -> VpTeamUsage */
-  uint32_t unfinished_count; /* number of jobs that haven't ended */
+  GPtrArray *ended_inherited_jobs; /* VpJob that ended here, of which an earlier scheduler's runs
+                                      may go on */
+  GQueue dirty;               /* VpJob whose stored state is out of date: urgent jobs come first */
+  GList *last_urgent_link;    /* link in @dirty of the last urgent job; NULL: none */
+  uint64_t dirty_round;       /* see vp_joblist_begin_round() */
+  GHashTable *teams;          /* name -> VpTeamUsage */
+  uint32_t unfinished_count;  /* number of jobs that haven't ended */
   uint32_t unsubmitted_count; /* number of jobs that were cancelled before they were submitted */
 } VpJobList;
 
@@ -215,6 +218,8 @@
 /* Ends the job as cancelled and returns true, or returns false if it has ended before. The caller
  * stops its running tasks. */
 bool vp_joblist_cancel (VpJobList *list, VpJob *job, int64_t now_ms);
+/* Notes that no run of an earlier scheduler can be unknown of a job in @ended_inherited_jobs. */
+void vp_joblist_forget_inherited (VpJobList *list, VpJob *job);
 /* Returns the number of jobs of a queue that haven't ended and of which no task was ever started.
  */
 uint32_t vp_joblist_unstarted_count (const VpJobList *list, const char *queue);
