Tests of evacuations: log lines and gauge, random faults with relays

Cause: no test read the log line and the gauge, and the random faults ran without relays.

Change: /node/evacuation/log and /node/evacuation/random-relays.

--- a/tests/test-node-evacuation.c
+++ b/tests/test-node-evacuation.c
@@ -1,6 +1,10 @@
 /* Evacuation of a DC in the simulated cell, which checks on its own that no node starts a task
  * there 5 s after the request. Without a disturbance it takes effect much sooner. */
+#include "log-capture.h"
 #include "simcell-fixture.h"
+#include "vp-metrics.h"
+
+#include <string.h>
 
 /* Round trip to the store and the way of a command that was sent before. */
 #define TAKES_EFFECT_MS 10
@@ -177,6 +181,37 @@
   simcell_free (sim);
 }
 
+/* Guards against a request that leaves no trace: each node logs it and its withdrawal once, and the
+ * gauge shows it. One for a DC without workers is kept, as they may be added. */
+static void
+test_log (void)
+{
+  LogCapture capture;
+  SimCell *sim;
+  g_autofree char *text = NULL;
+  g_autoptr (GString) metrics = NULL;
+  uint32_t count = 0;
+
+  log_capture_setup (&capture);
+  sim = _simcell_new (7);
+  simcell_evacuate_dc (sim, 1, true);
+  simcell_evacuate_dc (sim, 9, true);
+  simcell_run (sim, 1000);
+  metrics = vp_metrics_expose ();
+  simcell_evacuate_dc (sim, 1, false);
+  simcell_run (sim, 1000);
+  text = log_capture_read (&capture);
+  log_capture_teardown (&capture);
+  simcell_free (sim);
+  for (const char *at = text; (at = strstr (at, "event=evacuation ")) != NULL; at++)
+    count++;
+  g_assert_cmpuint (count, ==, 3 * 3);
+  g_assert_nonnull (strstr (text, "event=evacuation dc=dc-1 is_on=1 leading=1 workers=2\n"));
+  g_assert_nonnull (strstr (text, "event=evacuation dc=dc-9 is_on=1 leading=1 workers=0\n"));
+  g_assert_nonnull (strstr (text, "event=evacuation dc=dc-1 is_on=0 leading=1 workers=2\n"));
+  g_assert_nonnull (strstr (metrics->str, "verbenapulley_evacuated_dcs 2\n"));
+}
+
 /* One random fault. */
 static void
 _inject_fault (SimCell *sim)
@@ -216,12 +251,19 @@
 }
 
 /* Guards against violations of the rule, and of the checks of each start, under random faults
- * beside requests and withdrawals. */
+ * beside requests and withdrawals. With @cpu_milli the leader is so weak that relays carry its
+ * commands; 0: it isn't. */
 static void
-test_random (void)
+_run_random (uint32_t first_seed, uint32_t cpu_milli)
 {
-  for (uint32_t seed = 1; seed <= 40; seed++) {
-    SimCell *sim = _simcell_new (seed);
+  for (uint32_t seed = first_seed; seed < first_seed + 40; seed++) {
+    SimCell *sim = simcell_new (&(SimCellDesc){ .seed = seed,
+                                                .node_count = 3,
+                                                .worker_count = 6,
+                                                .dc_count = 3,
+                                                .cpu_milli = cpu_milli,
+                                                .has_evacuations = true });
+    simcell_run (sim, 2000);
     for (int i = 0; i < 40; i++) {
       if (g_rand_int_range (simcell_rand (sim), 0, 6) == 0)
         simcell_evacuate_dc (sim, (uint32_t)g_rand_int_range (simcell_rand (sim), 0, 3),
@@ -234,6 +276,18 @@
   }
 }
 
+static void
+test_random (void)
+{
+  _run_random (1, 0);
+}
+
+static void
+test_random_relays (void)
+{
+  _run_random (101, 8);
+}
+
 /* Runs 40 s of load with an evacuation of DC 1 from 10 s to 30 s, and returns the number of starts
  * there later than the bound of the rule. Nodes that aren't told of evacuations are the earlier
  * policy. */
@@ -287,6 +341,8 @@
   g_test_add_func ("/node/evacuation/store-outage", test_store_outage);
   g_test_add_func ("/node/evacuation/all-dcs", test_all_dcs);
   g_test_add_func ("/node/evacuation/random", test_random);
+  g_test_add_func ("/node/evacuation/random-relays", test_random_relays);
+  g_test_add_func ("/node/evacuation/log", test_log);
   g_test_add_func ("/node/evacuation/replay", test_replay);
   return g_test_run ();
 }
