--- a/src/vp-joblist.h
+++ b/src/vp-joblist.h
@@ -132,6 +132,7 @@
   bool is_inherited;       /* an earlier scheduler has accepted the job */
   bool is_durable;         /* the job is stored, so that its tasks may start */
   bool is_end_durable;     /* the end of the job is stored, so that callers may see it */
+  bool is_end_outdated;    /* it is stored with an earlier time than @ended_ms */
   bool is_started;         /* a task was started at least once */
   bool is_unsubmitted;     /* it was cancelled, but no submission of it has arrived yet */
   bool is_progress_stored; /* progress of the job is stored */
@@ -146,22 +147,25 @@
 
 typedef struct {
   VpResources possibly_running; /* demand of inherited tasks that may run, but aren't stored so */
-  VpResources unobserved;       /* demand of inherited tasks whose stored worker has no list yet */
-  VpResources used;             /* demand of all tasks that run or are being stopped */
-  uint32_t job_count;           /* number of jobs that haven't ended */
-  double job_tokens; /* token bucket: jobs that the team may submit now within its rate */
-  int64_t tokens_ms; /* time at which the bucket was last refilled; 0: never */
+  VpResources unobserved; /* demand of inherited tasks whose stored worker has no list yet, also
+                             of ended jobs */
+  VpResources used;       /* demand of all tasks that run or are being stopped */
+  uint32_t job_count;     /* number of jobs that haven't ended */
+  double job_tokens;      /* token bucket: jobs that the team may submit now within its rate */
+  int64_t tokens_ms;      /* time at which the bucket was last refilled; 0: never */
 } VpTeamUsage;
 
 typedef struct {
   GHashTable *jobs;          /* id -> VpJob */
   GPtrArray *ready_steps;    /* VpJobStep that are ready but not done, of jobs that haven't ended */
   GPtrArray *scheduled_jobs; /* VpJob with occurrences that aren't due yet */
-  GQueue dirty;              /* VpJob whose stored state is out of date: urgent jobs come first */
-  GList *last_urgent_link;   /* link in @dirty of the last urgent job; NULL: none */
-  uint64_t dirty_round;      /* see vp_joblist_begin_round() */
-  GHashTable *teams;         /* name -> VpTeamUsage */
-  uint32_t unfinished_count; /* number of jobs that haven't ended */
+  GPtrArray *ended_inherited_jobs; /* VpJob that ended here, of which an earlier scheduler's runs
+                                      may go on */
+  GQueue dirty;               /* VpJob whose stored state is out of date: urgent jobs come first */
+  GList *last_urgent_link;    /* link in @dirty of the last urgent job; NULL: none */
+  uint64_t dirty_round;       /* see vp_joblist_begin_round() */
+  GHashTable *teams;          /* name -> VpTeamUsage */
+  uint32_t unfinished_count;  /* number of jobs that haven't ended */
   uint32_t unsubmitted_count; /* number of jobs that were cancelled before they were submitted */
 } VpJobList;
 
@@ -174,6 +178,8 @@
 VpJob *vp_joblist_add_unsubmitted (VpJobList *list, uint64_t id, int64_t now_ms);
 /* Notes that a submission of the cancelled job to @queue has arrived, which has to be stored. */
 void vp_joblist_note_submission (VpJobList *list, VpJob *job, const char *queue);
+/* Lets the stored end of the job count as of now, so that it is kept longer. */
+void vp_joblist_renew_end (VpJobList *list, VpJob *job, int64_t now_ms);
 /* Adds an ended job that was read from the store. Only its state and the time of its end are known.
  * An empty @queue: the job was cancelled before it was submitted. */
 VpJob *vp_joblist_add_ended (VpJobList *list,
@@ -212,6 +218,8 @@
 /* Ends the job as cancelled and returns true, or returns false if it has ended before. The caller
  * stops its running tasks. */
 bool vp_joblist_cancel (VpJobList *list, VpJob *job, int64_t now_ms);
+/* Notes that no run of an earlier scheduler can be unknown of a job in @ended_inherited_jobs. */
+void vp_joblist_forget_inherited (VpJobList *list, VpJob *job);
 /* Returns the number of jobs of a queue that haven't ended and of which no task was ever started.
  */
 uint32_t vp_joblist_unstarted_count (const VpJobList *list, const char *queue);
