Slowness of workers: learned from whole steps, by kind, on a scale of the cell

The slowness of a worker compared its runs with the siblings that had ended before them, of which the fastest workers and the shortest tasks come first, and drifted to that of its siblings where most tasks run on fast workers. A step whose tasks all run on one worker showed nothing.

A step is evaluated when its last task has ended: each of its workers is compared with the tasks on other workers, less what is known of those, and with the caller's estimate, weighted by the variance that the queue's estimates have shown. The mean of the worker's kind is the prior, and values are centred for each service. Ends whose time isn't known, since a late list reported them, don't count.

--- a/src/vp-cell-hold.c
+++ b/src/vp-cell-hold.c
@@ -145,12 +145,14 @@
 
   /* The time of the next HOLD depends on the answer to the one that was sent since. */
   if (result->is_late) {
+    worker->is_end_time_unknown = true;
     if (result->outcome == VP_COMMAND_OK)
       vp_reconcile_handle_list (&cell->reconcile, worker, result, now_ms);
     return;
   }
   hold = _vp_cell_take_hold (cell, worker, result);
   is_last = hold.number == worker->last_hold.number;
+  worker->is_end_time_unknown = hold.is_probe || now_ms > hold.due_ms;
   _vp_cell_count_hold (cell, &hold, now_ms > hold.due_ms || result->outcome == VP_COMMAND_UNCERTAIN,
                        now_ms);
   switch (result->outcome) {
--- a/src/vp-cell-scan.c
+++ b/src/vp-cell-scan.c
@@ -220,6 +220,7 @@
   cell->scan_next_ms = now_ms + VP_CELL_SCAN_MS;
   cell->scan_earliest_ms = now_ms + _vp_cell_interval_ms (cell);
   vp_advise_expire (cell->advise, cell->jobs, now_ms);
+  vp_workerlist_centre_speeds (cell->worker_list, now_ms);
   for (guint i = 0; i < cell->worker_list->workers->len;) {
     VpCellWorker *worker = cell->worker_list->workers->pdata[i];
     _vp_cell_scan_worker (cell, worker, now_ms, effects);
--- a/src/vp-joblist.c
+++ b/src/vp-joblist.c
@@ -1,15 +1,12 @@
 #include "vp-joblist.h"
 
+#include <math.h>
 #include <string.h>
 
 /* Delay before a failed task is started again. It doubles with each failure, so that a short fault
  * doesn't use up all attempts. */
 #define VP_JOB_RETRY_MS 50
 
-/* Minimum number of durations for a mean that is representative of the step, whose tasks take about
- * the same time. */
-#define VP_STEP_SAMPLES_MIN 2
-
 /* Encoding of a task's progress in 16 bits: a flag for done tasks, the number of failures and the
  * number of the last run. */
 #define VP_PACKED_DONE           0x8000U
@@ -31,6 +28,7 @@
     VpJobStep *steps = job->occurrences[k].steps;
     for (uint32_t s = 0; steps != NULL && s < job->spec->step_count; s++) {
       g_clear_pointer (&steps[s].advice, g_hash_table_unref);
+      g_clear_pointer (&steps[s].durations, g_array_unref);
       g_free (steps[s].tasks);
     }
     g_free (steps);
@@ -660,16 +658,15 @@
   vp_joblist_mark_dirty (list, step->occurrence->job);
 }
 
-int64_t
-vp_jobstep_record_duration (VpJobStep *step, int64_t duration_ms)
+void
+vp_jobstep_record_duration (VpJobStep *step, const VpCellWorker *worker, int64_t duration_ms)
 {
-  int64_t mean_ms = step->duration_count < VP_STEP_SAMPLES_MIN
-                        ? 0
-                        : step->duration_sum_ms / step->duration_count;
+  VpRunDuration duration = { .log_ms = log ((double)MAX (duration_ms, 1)) };
 
-  step->duration_sum_ms += duration_ms;
-  step->duration_count++;
-  return mean_ms;
+  if (step->durations == NULL)
+    step->durations = g_array_new (FALSE, FALSE, sizeof (VpRunDuration));
+  g_strlcpy (duration.worker, worker->entry.id, sizeof duration.worker);
+  g_array_append_val (step->durations, duration);
 }
 
 GVariant *
--- a/src/vp-joblist.h
+++ b/src/vp-joblist.h
@@ -92,6 +92,12 @@
   int64_t valid_until_ms;     /* expiry time of the ticket */
 } VpAdviceRow;
 
+/* Duration of a successful run. */
+typedef struct {
+  char worker[VP_NAME_MAX];
+  double log_ms; /* logarithm of the duration in ms */
+} VpRunDuration;
+
 struct _VpJobStep {
   VpJobOccurrence *occurrence;
   const VpStepSpec *spec;
@@ -108,8 +114,7 @@
   uint64_t advice_serial; /* serial of the pending advice request; 0: none */
   int64_t advice_retry_ms;   /* no advice is requested before this time */
   int64_t tickets_expire_ms; /* expiry time of the last ticket in @advice */
-  int64_t duration_sum_ms;   /* total duration of its successful runs */
-  uint32_t duration_count;   /* number of durations in @duration_sum_ms */
+  GArray *durations;         /* VpRunDuration of its successful runs; NULL: none, or all are done */
   int64_t gang_retry_ms;     /* placement of a gang isn't tried before this time */
 };
 
@@ -253,9 +258,8 @@
                              int64_t now_ms);
 /* Marks the task as done. Its run may have been on any worker. */
 void vp_jobtask_complete (VpJobList *list, VpJobTask *task, int64_t now_ms);
-/* Adds the duration @duration_ms of a successful run. Returns the mean of the earlier ones, or 0 if
- * there are too few. */
-int64_t vp_jobstep_record_duration (VpJobStep *step, int64_t duration_ms);
+/* Adds the duration @duration_ms of a successful run of the step on the worker. */
+void vp_jobstep_record_duration (VpJobStep *step, const VpCellWorker *worker, int64_t duration_ms);
 bool vp_job_is_ended (const VpJob *job);
 const char *vp_job_state_token (VpJobState state);
 
--- a/src/vp-reconcile.c
+++ b/src/vp-reconcile.c
@@ -22,6 +22,7 @@
   reconcile->jobs = jobs;
   reconcile->fence = fence;
   reconcile->durations = vp_durations_setup ();
+  reconcile->slowness = vp_slowness_setup ();
   reconcile->orphan_stops = g_array_new (FALSE, FALSE, sizeof (VpCommand));
   vp_runlog_setup (&reconcile->log, &(VpRunlogDesc){ 0 });
   vp_runlog_setup (&reconcile->done_log, &(VpRunlogDesc){ .wait_ms = VP_RECONCILE_DONE_LOG_MS });
@@ -34,6 +35,7 @@
   vp_runlog_shutdown (&reconcile->log);
   g_array_unref (reconcile->orphan_stops);
   vp_durations_shutdown (reconcile->durations);
+  vp_slowness_shutdown (reconcile->slowness);
 }
 
 void
@@ -109,9 +111,9 @@
     vp_workerlist_record_success (worker);
     if (!task->step->spec->is_best_effort && task->checkpoint[0] == '\0') {
       vp_durations_record (reconcile->durations, job->spec->queue, now_ms - task->started_ms);
-      vp_workerlist_record_duration (
-          worker, now_ms - task->started_ms,
-          vp_jobstep_record_duration (task->step, now_ms - task->started_ms));
+      /* The time at which a late list arrives says little of how long its runs took. */
+      if (!worker->is_end_time_unknown)
+        vp_jobstep_record_duration (task->step, worker, now_ms - task->started_ms);
     }
   } else if (end == VP_RUN_FAILED && vp_workerlist_record_failure (worker, job->spec->id, now_ms)) {
     vp_log (now_ms, "worker-quarantined", "worker=%s failed_jobs=%u until_ms=%" G_GINT64_FORMAT,
@@ -166,6 +168,8 @@
   vp_runlog_add (entry->end == VP_RUN_DONE ? &reconcile->done_log : &reconcile->log, "end",
                  vp_run_end_token (entry->end), task, now_ms);
   _vp_reconcile_record_end (reconcile, worker, task, entry->end, now_ms);
+  if (entry->end == VP_RUN_DONE && task->step->done_count + 1 >= task->step->spec->task_count)
+    vp_slowness_learn (reconcile->slowness, reconcile->worker_list, task->step);
   if (entry->checkpoint[0] != '\0')
     g_strlcpy (task->checkpoint, entry->checkpoint, sizeof task->checkpoint);
   vp_jobtask_end (reconcile->jobs, task, entry->end,
--- a/src/vp-reconcile.h
+++ b/src/vp-reconcile.h
@@ -17,12 +17,14 @@
 #include "vp-crash.h"
 #include "vp-durations.h"
 #include "vp-runlog.h"
+#include "vp-slowness.h"
 
 typedef struct {
   VpWorkerList *worker_list;  /* borrowed */
   VpJobList *jobs;            /* borrowed */
   const VpCellConfig *config; /* borrowed; NULL: none yet */
   VpDurations *durations;
+  VpSlowness *slowness;
   uint64_t fence;
   GArray *orphan_stops;   /* VpCommand: stops to send for listed runs that belong to no task */
   bool has_unstaged_ends; /* ends were processed since the caller last cleared this flag */
--- a/src/vp-workerlist.c
+++ b/src/vp-workerlist.c
@@ -1,5 +1,6 @@
 #include "vp-workerlist.h"
 
+#include <math.h>
 #include <string.h>
 
 /* A worker is quarantined after failed runs of this many different jobs without a success in
@@ -14,11 +15,8 @@
 #define VP_WORKERLIST_QUARANTINE_MS 2000
 /* Maximum number of times that the duration of a quarantine is doubled. */
 #define VP_WORKERLIST_QUARANTINE_STEPS 3
-/* Weight of one task in the moving average of its worker's slowness. */
-#define VP_WORKERLIST_SLOWNESS_WEIGHT 0.15
-/* Limits of the value that one task contributes to that average. */
-#define VP_WORKERLIST_SLOWNESS_MIN 0.3
-#define VP_WORKERLIST_SLOWNESS_MAX 5.0
+/* Interval at which the slowness of all workers is centred. */
+#define VP_WORKERLIST_CENTRE_MS 1000
 
 /* Time that answers of workers may take on their way through slow relays. In trials with a leader
  * on a full core they took 4 s and more. */
@@ -53,6 +51,7 @@
   worker_list->by_id = g_hash_table_new (g_str_hash, g_str_equal);
   worker_list->workers = g_ptr_array_new_with_free_func (_vp_workerlist_worker_free);
   worker_list->racks = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
+  worker_list->kinds = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
   worker_list->hold_max_ms = hold_max_ms;
   worker_list->inherited_until_ms = _vp_workerlist_leases_until_ms (hold_max_ms, now_ms);
   return worker_list;
@@ -64,6 +63,7 @@
   g_hash_table_unref (worker_list->by_id);
   g_ptr_array_unref (worker_list->workers);
   g_hash_table_unref (worker_list->racks);
+  g_hash_table_unref (worker_list->kinds);
   g_free (worker_list);
 }
 
@@ -80,6 +80,22 @@
   return index - 1;
 }
 
+/* Makes the worker one of its kind among the workers of its service. */
+static void
+_vp_workerlist_set_kind (VpWorkerList *worker_list, VpCellWorker *worker)
+{
+  g_autofree char *name = g_strdup_printf ("%s/%s", worker->entry.service, worker->entry.kind);
+  VpKindSpeed *kind = g_hash_table_lookup (worker_list->kinds, name);
+
+  if (kind == NULL) {
+    kind = g_new0 (VpKindSpeed, 1);
+    g_strlcpy (kind->service, worker->entry.service, sizeof kind->service);
+    g_hash_table_insert (worker_list->kinds, g_steal_pointer (&name), kind);
+  }
+  vp_workerspeed_set_kind (&worker->speed, kind);
+  worker->slowness = vp_workerspeed_slowness (&worker->speed);
+}
+
 VpCellWorker *
 vp_workerlist_add (VpWorkerList *worker_list, const VpWorkerEntry *entry)
 {
@@ -108,6 +124,7 @@
   worker->entry = *entry;
   worker->rack_index = _vp_workerlist_rack_index (worker_list, entry);
   worker->is_listed = worker->was_listed = true;
+  _vp_workerlist_set_kind (worker_list, worker);
   return worker;
 }
 
@@ -121,6 +138,7 @@
 vp_workerlist_remove (VpWorkerList *worker_list, VpCellWorker *worker)
 {
   worker_list->is_changed = true;
+  vp_workerspeed_clear (&worker->speed);
   g_hash_table_remove (worker_list->by_id, worker->entry.id);
   g_ptr_array_remove (worker_list->workers, worker);
 }
@@ -192,6 +210,7 @@
   worker->last_end_seen = worker->last_end_staged = worker->last_end_durable = 0;
   worker->failed_jobs = worker->failed_runs = worker->quarantine_level = 0;
   worker->avoid_until_ms = 0;
+  vp_workerspeed_weaken (&worker->speed);
 }
 
 int64_t
@@ -298,14 +317,66 @@
   worker->quarantine_level = 0;
 }
 
+void
+vp_workerlist_record_speed (VpCellWorker *worker, double log_ratio, double weight)
+{
+  vp_workerspeed_record (&worker->speed, log_ratio, weight);
+  worker->slowness = vp_workerspeed_slowness (&worker->speed);
+}
+
 void
 vp_workerlist_record_duration (VpCellWorker *worker, int64_t duration_ms, int64_t mean_ms)
 {
-  double ratio;
+  if (mean_ms > 0 && duration_ms > 0)
+    vp_workerlist_record_speed (worker, log ((double)duration_ms / (double)mean_ms), 1);
+}
+
+/* The workers of a service. */
+typedef struct {
+  double log_sum; /* of the slowness of each */
+  uint32_t count;
+} VpServiceSpeed;
+
+static double
+_vp_workerlist_log_shift (GHashTable *services, const char *service)
+{
+  const VpServiceSpeed *speed = g_hash_table_lookup (services, service);
+
+  return speed == NULL ? 0 : -speed->log_sum / speed->count;
+}
+
+void
+vp_workerlist_centre_speeds (VpWorkerList *worker_list, int64_t now_ms)
+{
+  g_autoptr (GHashTable) services = NULL;
+  GHashTableIter iter;
+  gpointer value;
 
-  if (mean_ms <= 0)
+  if (now_ms < worker_list->centred_ms + VP_WORKERLIST_CENTRE_MS)
     return;
-  ratio = CLAMP ((double)duration_ms / (double)mean_ms, VP_WORKERLIST_SLOWNESS_MIN,
-                 VP_WORKERLIST_SLOWNESS_MAX);
-  worker->slowness += VP_WORKERLIST_SLOWNESS_WEIGHT * (ratio - worker->slowness);
+  worker_list->centred_ms = now_ms;
+  services = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, g_free);
+  for (guint i = 0; i < worker_list->workers->len; i++) {
+    const VpCellWorker *worker = worker_list->workers->pdata[i];
+    VpServiceSpeed *speed = g_hash_table_lookup (services, worker->entry.service);
+    if (!worker->is_listed)
+      continue;
+    if (speed == NULL) {
+      speed = g_new0 (VpServiceSpeed, 1);
+      g_hash_table_insert (services, (gpointer)worker->entry.service, speed);
+    }
+    speed->log_sum += vp_workerspeed_log (&worker->speed);
+    speed->count++;
+  }
+  g_hash_table_iter_init (&iter, worker_list->kinds);
+  while (g_hash_table_iter_next (&iter, NULL, &value)) {
+    VpKindSpeed *kind = value;
+    vp_kindspeed_shift (kind, _vp_workerlist_log_shift (services, kind->service));
+  }
+  for (guint i = 0; i < worker_list->workers->len; i++) {
+    VpCellWorker *worker = worker_list->workers->pdata[i];
+    vp_workerspeed_shift (&worker->speed,
+                          _vp_workerlist_log_shift (services, worker->entry.service));
+    worker->slowness = vp_workerspeed_slowness (&worker->speed);
+  }
 }
--- a/src/vp-workerlist.h
+++ b/src/vp-workerlist.h
@@ -14,6 +14,7 @@
 
 #include "vp-command.h"
 #include "vp-jobspec.h"
+#include "vp-workerspeed.h"
 
 /* Maximum share, in thousandths, by which a worker's clock runs slower than the scheduler's
  * (guaranteed by the platform). */
@@ -73,11 +74,12 @@
   bool is_relay_silent; /* the last HOLD was given up as its relay was silent; the worker may
                            have answered it */
   bool is_dc_unreachable;     /* no worker of its DC answers */
+  bool is_hold_pending;       /* the last HOLD is waiting for its answer */
+  bool is_end_time_unknown;   /* the ends in its present list may be much older than the list */
   int64_t booted_ms;          /* boot time in the last answer; 0: none */
   int64_t clock_ms;           /* the worker's clock in its last answer */
   int64_t clock_at_ms;        /* local time of that answer; 0: never answered */
   int64_t lease_end_ms;       /* end of the latest lease granted to it, on the worker's clock */
-  bool is_hold_pending;       /* the last HOLD is waiting for its answer */
   VpPendingHold last_hold;    /* the last HOLD that was sent */
   VpPendingHold overdue_hold; /* an earlier one whose answer was overdue when the last one was sent
                                  and still is */
@@ -96,7 +98,9 @@
   uint64_t last_end_seen;   /* highest number of an end that was processed */
   uint64_t last_end_staged; /* highest end that the current commit covers */
   uint64_t last_end_durable; /* highest end that is durable, so that the worker may drop it */
-  double slowness; /* duration of its tasks relative to tasks of the same steps elsewhere */
+  VpWorkerSpeed speed;       /* what its runs show of its slowness */
+  double slowness;           /* duration of its tasks relative to a worker of speed 1, which is the
+                                geometric mean of the service's workers */
   uint64_t last_failed_job;  /* job of the last failure */
   uint32_t failed_jobs;      /* failures of different jobs since the last success */
   uint32_t failed_runs;      /* failed runs since the last success */
@@ -114,6 +118,8 @@
   GHashTable *by_id;          /* id -> VpCellWorker */
   GPtrArray *workers;         /* VpCellWorker, in the order in which they were added */
   GHashTable *racks;          /* "dc/rack" -> index + 1 */
+  GHashTable *kinds;          /* "service/kind" -> VpKindSpeed */
+  int64_t centred_ms;         /* time at which the slowness of all workers was last centred */
   int64_t hold_max_ms;        /* longest lease that a worker accepts */
   int64_t inherited_until_ms; /* leases of earlier schedulers have expired after this time */
   bool is_changed;            /* the list differs from the one in the last commit */
@@ -180,6 +186,12 @@
 bool vp_workerlist_record_failure (VpCellWorker *worker, uint64_t job, int64_t now_ms);
 /* Records a successful run, which resets the counts of failures. */
 void vp_workerlist_record_success (VpCellWorker *worker);
+/* Records a run that took exp(@log_ratio) times as long as on a worker of speed 1, see
+ * vp-workerspeed.h. */
+void vp_workerlist_record_speed (VpCellWorker *worker, double log_ratio, double weight);
 /* Records the duration @duration_ms of a run on the worker. @mean_ms is the mean duration of other
- * tasks of the same step, or 0 if it isn't known. */
+ * tasks of the same step on a worker of speed 1, or 0 if it isn't known. */
 void vp_workerlist_record_duration (VpCellWorker *worker, int64_t duration_ms, int64_t mean_ms);
+/* Centres the slowness of the workers of each service on a mean of 1, at most once a second.
+ */
+void vp_workerlist_centre_speeds (VpWorkerList *worker_list, int64_t now_ms);
