Advice requests of urgent queues name fast workers, others leave them

Requests of queues of priority 0 name fast workers first. Other queues that share workers with such a queue count capacity on fast workers for 0.4 of itself and prefer others among those with tickets, unless their job would be late. No capacity is kept idle. Metrics urgent_starts and urgent_starts_slow.

--- a/src/vp-cell.c
+++ b/src/vp-cell.c
@@ -490,6 +490,14 @@
          && (team->cap.accel_count == 0 || used.accel_count <= team->cap.accel_count);
 }
 
+static bool
+_vp_cell_is_urgent (const VpCell *cell, const VpJob *job)
+{
+  const VpQueueConfig *queue = vp_cellconfig_queue (cell->config, job->spec->queue);
+
+  return queue != NULL && queue->priority == 0;
+}
+
 /* Assigns the task to the worker of the slot and sends the start. */
 static void
 _vp_cell_start_task (VpCell *cell,
@@ -508,6 +516,10 @@
   if (!job->is_started)
     vp_metrics_observe (VP_HIST_WAIT_MS, now_ms - job->arrived_ms);
   vp_metrics_add (VP_COUNTER_INHERITED_STARTS, may_be_running ? 1 : 0);
+  if (_vp_cell_is_urgent (cell, job)) {
+    vp_metrics_add (VP_COUNTER_URGENT_STARTS, 1);
+    vp_metrics_add (VP_COUNTER_URGENT_STARTS_SLOW, vp_place_is_slow (worker) ? 1 : 0);
+  }
   vp_jobtask_assign (cell->jobs, task, worker, run, now_ms);
   task->is_own_run = true;
   vp_place_slot_update (pool, slot);
--- a/src/vp-cellconfig.c
+++ b/src/vp-cellconfig.c
@@ -43,11 +43,25 @@
   g_hash_table_replace (config->team_by_key, g_strdup (key), GUINT_TO_POINTER (team_index + 1));
 }
 
+/* Returns true if a queue of priority 0 uses the workers of the service. */
+static bool
+_vp_cellconfig_has_urgent_queue (const VpCellConfig *config, const char *service)
+{
+  for (guint i = 0; i < config->queues->len; i++) {
+    const VpQueueConfig *queue = &g_array_index (config->queues, VpQueueConfig, i);
+    if (queue->priority == 0 && strcmp (queue->service, service) == 0)
+      return true;
+  }
+  return false;
+}
+
 void
 vp_cellconfig_seal (VpCellConfig *config)
 {
   for (guint i = 0; i < config->queues->len; i++) {
     VpQueueConfig *queue = &g_array_index (config->queues, VpQueueConfig, i);
+    queue->yields_fast_workers
+        = queue->priority != 0 && _vp_cellconfig_has_urgent_queue (config, queue->service);
     g_hash_table_replace (config->queue_index, queue->name, queue);
   }
   for (guint i = 0; i < config->teams->len; i++) {
--- a/src/vp-cellconfig.h
+++ b/src/vp-cellconfig.h
@@ -29,6 +29,10 @@
   double advice_decide_ms;   /* time that a call to the advice service takes */
   double advice_worker_ms;   /* additional time of a call for each worker in it */
   int64_t advice_valid_ms;   /* validity of a ticket from the advice service */
+  bool yields_fast_workers; /* set by vp_cellconfig_seal(): it isn't urgent, and a queue of priority
+                               0 uses the same workers */
+  bool ignores_speed;       /* workers are chosen as if all were alike in advice requests, for
+                               comparisons */
 } VpQueueConfig;
 
 typedef struct {
--- a/src/vp-metrics.c
+++ b/src/vp-metrics.c
@@ -70,6 +70,9 @@
   [VP_COUNTER_HOLDS] = { "holds", "HOLD commands sent to workers" },
   [VP_COUNTER_HOLDS_EXTRA]
   = { "holds_extra", "HOLD commands sent while an earlier one to the worker was not answered" },
+  [VP_COUNTER_URGENT_STARTS] = { "urgent_starts", "Runs of urgent tasks started" },
+  [VP_COUNTER_URGENT_STARTS_SLOW]
+  = { "urgent_starts_slow", "Runs of urgent tasks started on slow workers" },
   [VP_COUNTER_HOLDS_UNANSWERED]
   = { "holds_unanswered", "HOLD commands that a worker did not answer in time" },
 };
--- a/src/vp-place.c
+++ b/src/vp-place.c
@@ -18,6 +18,19 @@
 #define VP_PLACE_SLOWNESS_WEIGHT_URGENT 2.0
 /* Cost of a worker that takes twice the time, for tasks of other queues. */
 #define VP_PLACE_SLOWNESS_WEIGHT_NORMAL 0.3
+/* A worker of less slowness than this is fast, and one of more slowness than that is slow. The
+ * figures learned of workers that are alike differ by less. */
+#define VP_PLACE_FAST_SLOWNESS 0.85
+#define VP_PLACE_SLOW_SLOWNESS 1.2
+/* Cost, for a task that leaves fast workers to urgent tasks, of one that takes half the time of
+ * VP_PLACE_FAST_SLOWNESS. It outweighs most differences in free capacity. */
+#define VP_PLACE_FAST_WEIGHT 4.0
+/* Value of free capacity on a fast worker, relative to that on others, for an advice request of a
+ * step that leaves fast workers to urgent ones. */
+#define VP_PLACE_FAST_CAPACITY_SHARE 0.4
+/* A step that can wait for less than this many times the rest of its job doesn't leave fast workers
+ * to others: that long it may take on slow ones. */
+#define VP_PLACE_YIELD_SLACK 2.0
 /* A failed task isn't placed on the same worker for this long after it may start again. */
 #define VP_PLACE_AVOID_FAILED_MS 500
 /* Maximum number of workers in one advice request, a limit of the platform. */
@@ -139,13 +152,51 @@
   return spec->rack[0] != '\0' && strcmp (spec->rack, worker->entry.rack) != 0;
 }
 
+bool
+vp_place_is_slow (const VpCellWorker *worker)
+{
+  return worker->slowness > VP_PLACE_SLOW_SLOWNESS;
+}
+
+/* Returns true if the step leaves fast workers to urgent ones. One whose job would end after its
+ * objective on slow workers doesn't, unless the objective has passed. */
+static bool
+_vp_place_is_yielding (const VpJobStep *step, const VpQueueConfig *queue, int64_t now_ms)
+{
+  const VpJobOccurrence *occurrence = step->occurrence;
+  const VpJob *job = occurrence->job;
+  int64_t began_ms = occurrence->due_ms != 0 ? occurrence->due_ms : job->arrived_ms;
+  int64_t left_ms = began_ms + job->objective_ms - now_ms;
+
+  if (!queue->yields_fast_workers || queue->ignores_speed)
+    return false;
+  return job->objective_ms == 0 || left_ms < 0
+         || (double)left_ms >= VP_PLACE_YIELD_SLACK * (double)step->critical_path_ms;
+}
+
+/* Returns the cost of the worker's slowness for a task of the step. */
+static double
+_vp_place_slowness_cost (const VpJobStep *step,
+                         const VpQueueConfig *queue,
+                         const VpCellWorker *worker,
+                         int64_t now_ms)
+{
+  if (queue->priority == 0)
+    return VP_PLACE_SLOWNESS_WEIGHT_URGENT * (worker->slowness - 1);
+  if (!_vp_place_is_yielding (step, queue, now_ms))
+    return VP_PLACE_SLOWNESS_WEIGHT_NORMAL * (worker->slowness - 1);
+  return VP_PLACE_SLOWNESS_WEIGHT_NORMAL * (MAX (worker->slowness, 1) - 1)
+         + VP_PLACE_FAST_WEIGHT * MAX (VP_PLACE_FAST_SLOWNESS - worker->slowness, 0);
+}
+
 /* Returns the cost of placing a task of the step on the worker. The worker with the lowest cost is
  * chosen. */
 static double
 _vp_place_cost (const VpJobStep *step,
-                bool is_urgent,
+                const VpQueueConfig *queue,
                 const VpCellWorker *worker,
-                const VpResources *free)
+                const VpResources *free,
+                int64_t now_ms)
 {
   const VpStepSpec *spec = step->spec;
   VpResources left = *free;
@@ -167,10 +218,9 @@
   cost += vp_resources_dominant_share (&left, &worker->entry.capacity);
   if (spec->size.accel_count == 0 && free->accel_count > 0)
     cost += 1;
-  /* Urgent tasks use the fast workers and leave the slow ones to other tasks. */
-  cost += (is_urgent ? VP_PLACE_SLOWNESS_WEIGHT_URGENT : VP_PLACE_SLOWNESS_WEIGHT_NORMAL)
-          * (worker->slowness - 1);
-  return cost;
+  /* Urgent tasks use the fast workers and leave the slow ones to other tasks, and the other way
+   * round. */
+  return cost + _vp_place_slowness_cost (step, queue, worker, now_ms);
 }
 
 /* Returns true if a task of the step should rather wait a little for another worker: one near its
@@ -270,7 +320,7 @@
     return;
   cost = is_isolated
              ? vp_resources_dominant_share (&slot->worker->used, &slot->worker->entry.capacity)
-             : _vp_place_cost (step, queue->priority == 0, slot->worker, &slot->free);
+             : _vp_place_cost (step, queue, slot->worker, &slot->free, now_ms);
   if (best->slot == NULL || cost < best->cost || (cost == best->cost && slot < best->slot))
     *best = (VpPlaceChoice){ .slot = slot, .cost = cost };
 }
@@ -442,29 +492,52 @@
 
 typedef struct {
   VpPlaceCandidate candidate;
-  bool is_reserved; /* pending requests are meant to fill all of its free capacity */
-  bool is_allowed;  /* the worker was allowed before and only its ticket has expired */
-  bool is_remote;   /* the step's data is on another rack */
-  bool is_busy;     /* it has no free capacity, and whether it is allowed isn't known */
+  bool is_reserved;    /* pending requests are meant to fill all of its free capacity */
+  bool is_allowed;     /* the worker was allowed before and only its ticket has expired */
+  bool is_remote;      /* the step's data is on another rack */
+  bool is_busy;        /* it has no free capacity, and whether it is allowed isn't known */
+  int32_t speed_class; /* negative for a fast worker, positive for a slow one; 0 if it doesn't
+                          matter */
+  double value;        /* of its free capacity, in tasks */
 } VpPlaceOption;
 
+/* Sets how good the worker's speed and capacity are for the step. Tasks on free workers start at
+ * the same time, so an urgent one ends the sooner the faster its worker is. */
+static void
+_vp_place_rate_option (const VpJobStep *step,
+                       const VpQueueConfig *queue,
+                       int64_t now_ms,
+                       VpPlaceOption *option)
+{
+  double slowness = option->candidate.worker->slowness;
+  bool is_fast = slowness < VP_PLACE_FAST_SLOWNESS;
+
+  option->value = option->candidate.capacity;
+  if (queue->ignores_speed)
+    return;
+  if (queue->priority == 0)
+    option->speed_class = is_fast ? -1 : vp_place_is_slow (option->candidate.worker) ? 1 : 0;
+  else if (is_fast && _vp_place_is_yielding (step, queue, now_ms))
+    option->value *= VP_PLACE_FAST_CAPACITY_SHARE;
+}
+
 static gint
 _vp_place_compare_options (gconstpointer a, gconstpointer b)
 {
   const VpPlaceOption *one = a;
   const VpPlaceOption *two = b;
-  uint32_t one_capacity = one->candidate.capacity;
-  uint32_t two_capacity = two->candidate.capacity;
 
   if (one->is_busy != two->is_busy)
     return one->is_busy ? 1 : -1;
   if (one->is_reserved != two->is_reserved)
     return one->is_reserved ? 1 : -1;
+  if (one->speed_class != two->speed_class)
+    return one->speed_class < two->speed_class ? -1 : 1;
   if (one->is_allowed != two->is_allowed)
     return one->is_allowed ? -1 : 1;
   if (one->is_remote != two->is_remote)
     return one->is_remote ? 1 : -1;
-  return one_capacity == two_capacity ? 0 : one_capacity > two_capacity ? -1 : 1;
+  return one->value == two->value ? 0 : one->value > two->value ? -1 : 1;
 }
 
 /* Subtracts the capacity that other requests are meant to fill from that of the option, unless no
@@ -544,6 +617,7 @@
     if (reserved != NULL && !option.is_busy)
       _vp_place_subtract_reservation (step, slot, reserved, &option);
     option.is_remote = _vp_place_is_remote (step->spec, slot->worker);
+    _vp_place_rate_option (step, queue, now_ms, &option);
     g_array_append_val (options, option);
   }
   g_array_sort (options, _vp_place_compare_options);
--- a/src/vp-place.h
+++ b/src/vp-place.h
@@ -88,6 +88,8 @@
                           GHashTable *reservations,
                           int64_t now_ms,
                           GArray *out);
+/* Returns true if the worker takes clearly longer than others of its service. */
+bool vp_place_is_slow (const VpCellWorker *worker);
 /* Returns the step's valid ticket for the worker, or NULL if there is none. */
 const char *
 vp_place_find_ticket (const VpJobStep *step, const VpCellWorker *worker, int64_t now_ms);
--- /dev/null
+++ b/tests/test-place-speed.c
@@ -0,0 +1,513 @@
+/* Placement on workers of different speed, and what is learned of their speed.
+ *
+ * The load: two thirds of the workers have 0.7 times the usual speed and the others 1.7 times,
+ * sizes are half to double the usual one, and estimates are wrong by a factor of about 2.5. */
+#include "cell-fixture.h"
+
+#include <math.h>
+
+#define WORKERS    30
+#define RUN_MS     40000
+#define WARM_UP_MS 10000 /* jobs that arrive before this aren't counted */
+#define LIST_MS    1000
+#define COMMIT_MS  60
+
+typedef struct {
+  VpTaskName task;
+  uint32_t run;
+  int64_t started_ms;
+  int64_t ends_ms;
+} LoadRun;
+
+typedef struct {
+  double speed;
+  VpWorkerEntry entry;
+  GArray *runs; /* LoadRun */
+  uint64_t last_end;
+  int64_t listed_ms;
+  double earlier_slowness; /* by the earlier rule, see _load_learn_as_before() */
+} LoadWorker;
+
+/* Durations of ended tasks of a step. */
+typedef struct {
+  int64_t sum_ms;
+  uint32_t count;
+} LoadStep;
+
+typedef struct {
+  uint64_t id;
+  bool is_urgent;
+  int64_t arrived_ms;
+  int64_t chain_ms; /* sum of the longest tasks of its steps on a worker of speed 1 */
+} LoadJob;
+
+typedef struct {
+  int64_t due_ms;
+  uint64_t serial;
+  GArray *rows; /* VpAdviceRow */
+} LoadAdvice;
+
+typedef struct {
+  Fixture fixture;
+  GRand *rand;
+  bool is_as_before; /* speed is learned and used by the earlier rules */
+  LoadWorker workers[WORKERS];
+  GHashTable *steps;              /* job and step -> LoadStep */
+  GArray *jobs;                   /* LoadJob */
+  GArray *advices;                /* LoadAdvice */
+  double urgent_rate, batch_rate; /* jobs a second */
+  int64_t began_ms;
+  int64_t commit_ms;
+  uint32_t advice_count, advised_count;
+  uint32_t urgent_starts, slow_starts; /* starts of urgent tasks; those on a slow worker although a
+                                          fast one had room */
+  double done_work;                    /* in seconds of a core of speed 1 */
+  double idle_share_sum;
+  uint32_t idle_samples;
+} Load;
+
+typedef struct {
+  double slow_share; /* urgent tasks on slow workers although a fast one had room */
+  double late_share; /* urgent jobs */
+  double batch_late_share;
+  double urgent_mean_ms;
+  double done_work;
+  double idle_share; /* of the capacity */
+} LoadFigures;
+
+static double
+_normal (GRand *rand)
+{
+  return sqrt (-2 * log (1 - g_rand_double (rand))) * cos (2 * G_PI * g_rand_double (rand));
+}
+
+/* Returns the duration of a task on a worker of speed 1. */
+static int64_t
+_work_ms (const VpTaskName *task, bool is_urgent)
+{
+  g_autoptr (GRand) step_rand = g_rand_new_with_seed ((guint32)(task->job * 10 + task->step));
+  g_autoptr (GRand) rand
+      = g_rand_new_with_seed ((guint32)(task->job * 1000 + task->step * 100 + task->index + 7));
+  double work = (is_urgent ? 500 : 1500) * exp (0.4 * _normal (step_rand) + 0.3 * _normal (rand));
+
+  return (int64_t)(g_rand_int_range (rand, 0, 100) < 3 ? 7 * work : work);
+}
+
+static void
+_add_queue (VpCellConfig *config, const char *name, int32_t priority, bool ignores_speed)
+{
+  bool is_urgent = priority == 0;
+  VpQueueConfig queue = { .service = "service",
+                          .priority = priority,
+                          .attempts_max = 2,
+                          .stretch = is_urgent ? 1.5 : 2.2,
+                          .latency_target_ms = is_urgent ? 250 : 1200,
+                          .has_advice = true,
+                          .advice_decide_ms = 20,
+                          .advice_worker_ms = is_urgent ? 0.3 : 6,
+                          .advice_valid_ms = 2000,
+                          .ignores_speed = ignores_speed };
+
+  g_strlcpy (queue.name, name, sizeof queue.name);
+  g_array_append_val (config->queues, queue);
+}
+
+static void
+_load_setup (Load *load, const double speeds[3], bool has_kinds)
+{
+  VpTeamConfig team = { .name = "team", .cap = { .cpu_milli = 1000000000 } };
+  VpCellConfig *config = vp_cellconfig_new (2);
+
+  _setup (&load->fixture, 0, true);
+  _add_queue (config, "urgent", 0, load->is_as_before);
+  _add_queue (config, "batch", 1, load->is_as_before);
+  g_array_append_val (config->teams, team);
+  vp_cellconfig_seal (config);
+  vp_cell_set_config (load->fixture.cell, config);
+  vp_cellconfig_unref (config);
+  vp_cell_set_advice_client_count (load->fixture.cell, 12);
+  load->rand = g_rand_new_with_seed (5);
+  load->steps = g_hash_table_new_full (NULL, NULL, NULL, g_free);
+  load->jobs = g_array_new (FALSE, TRUE, sizeof (LoadJob));
+  load->advices = g_array_new (FALSE, TRUE, sizeof (LoadAdvice));
+  load->began_ms = load->fixture.now_ms;
+  for (uint32_t i = 0; i < WORKERS; i++) {
+    LoadWorker *worker = &load->workers[i];
+    worker->entry = _worker_entry (i);
+    worker->speed = speeds[i % 3];
+    worker->entry.capacity.cpu_milli = 2000 << (i / 3 % 3);
+    worker->entry.capacity.mem_mib = 1 << 20;
+    g_snprintf (worker->entry.kind, sizeof worker->entry.kind, "kind-%u", has_kinds ? i % 3 : 0);
+    worker->runs = g_array_new (FALSE, TRUE, sizeof (LoadRun));
+    worker->earlier_slowness = 1;
+    vp_cell_worker_listed (load->fixture.cell, &worker->entry, load->fixture.now_ms);
+  }
+  _sync (&load->fixture);
+}
+
+static void
+_load_teardown (Load *load)
+{
+  for (guint i = 0; i < WORKERS; i++)
+    g_array_unref (load->workers[i].runs);
+  for (guint i = 0; i < load->advices->len; i++)
+    g_array_unref (g_array_index (load->advices, LoadAdvice, i).rows);
+  g_array_unref (load->advices);
+  g_array_unref (load->jobs);
+  g_hash_table_unref (load->steps);
+  g_rand_free (load->rand);
+  _teardown (&load->fixture);
+}
+
+static void
+_load_submit (Load *load, bool is_urgent)
+{
+  Fixture *fixture = &load->fixture;
+  uint32_t step_count = (uint32_t)g_rand_int_range (load->rand, 1, 3);
+  g_autoptr (VpJobSpec) spec = vp_jobspec_new (step_count);
+  LoadJob job
+      = { .id = ++fixture->last_job, .is_urgent = is_urgent, .arrived_ms = fixture->now_ms };
+
+  spec->id = job.id;
+  spec->text = g_strdup ("text");
+  g_strlcpy (spec->queue, is_urgent ? "urgent" : "batch", sizeof spec->queue);
+  g_strlcpy (spec->team, "team", sizeof spec->team);
+  for (uint32_t i = 0; i < step_count; i++) {
+    VpStepSpec *step = &spec->steps[i];
+    int64_t longest_ms = 0;
+    uint32_t before = 0;
+    step->task_count = (uint32_t)g_rand_int_range (load->rand, 1, 5);
+    step->size = (VpResources){ .cpu_milli = is_urgent ? 500 : 1000, .mem_mib = 10 };
+    for (uint32_t t = 0; t < step->task_count; t++)
+      longest_ms = MAX (longest_ms, _work_ms (&(VpTaskName){ job.id, 0, i, t }, is_urgent));
+    job.chain_ms += longest_ms;
+    step->estimate_ms = (int64_t)((double)longest_ms * exp (0.9 * _normal (load->rand))) + 1;
+    if (i == 0)
+      continue;
+    step->after = g_array_new (FALSE, FALSE, sizeof (uint32_t));
+    g_array_append_val (step->after, before);
+  }
+  vp_joblist_add (vp_cell_jobs (fixture->cell), spec, fixture->now_ms, fixture->now_ms)->is_durable
+      = true;
+  g_array_append_val (load->jobs, job);
+}
+
+static const LoadJob *
+_load_job (const Load *load, uint64_t id)
+{
+  return &g_array_index (load->jobs, LoadJob, id - 1);
+}
+
+/* The advice service allows half of the workers for a job. */
+static bool
+_is_allowed (uint64_t job, const char *worker)
+{
+  g_autofree char *key = g_strdup_printf ("%u %s", (unsigned)job * 7919U, worker);
+
+  return (g_str_hash (key) * 2654435761U) >> 31 == 0;
+}
+
+/* Returns true if a fast worker on which the job may run has room for @cpu_milli. */
+static bool
+_load_has_fast_room (const Load *load, uint64_t job, int64_t cpu_milli)
+{
+  const VpWorkerList *worker_list = vp_cell_workers (load->fixture.cell);
+
+  for (guint i = 0; i < WORKERS; i++) {
+    const VpCellWorker *worker = worker_list->workers->pdata[i];
+    if (load->workers[i].speed >= 1 && _is_allowed (job, worker->entry.id)
+        && vp_workerlist_free_capacity (worker).cpu_milli >= cpu_milli)
+      return true;
+  }
+  return false;
+}
+
+static void
+_load_start (Load *load, const VpCommand *command)
+{
+  LoadWorker *worker = &load->workers[atoi (command->worker + 1)];
+  bool is_urgent = _load_job (load, command->task.job)->is_urgent;
+  double work_ms = (double)_work_ms (&command->task, is_urgent);
+  LoadRun run = { .task = command->task, .run = command->run, .started_ms = load->fixture.now_ms };
+
+  run.ends_ms = load->fixture.now_ms + (int64_t)(work_ms / worker->speed) + 1;
+  g_array_append_val (worker->runs, run);
+  if (is_urgent && load->fixture.now_ms >= load->began_ms + WARM_UP_MS) {
+    load->urgent_starts++;
+    load->slow_starts
+        += worker->speed < 1 && _load_has_fast_room (load, command->task.job, 500) ? 1 : 0;
+  }
+  _answer (&load->fixture, command, VP_COMMAND_OK);
+}
+
+static void
+_load_advise (Load *load, const VpAdviceRequest *advice_request)
+{
+  LoadAdvice advice = { .due_ms = load->fixture.now_ms + advice_request->expected_ms,
+                        .serial = advice_request->serial,
+                        .rows = g_array_new (FALSE, TRUE, sizeof (VpAdviceRow)) };
+
+  load->advice_count++;
+  load->advised_count += advice_request->workers->len;
+  for (guint i = 0; i < advice_request->workers->len; i++) {
+    VpAdviceRow row = { .ticket = "ticket", .valid_until_ms = advice.due_ms + 2000 };
+    g_strlcpy (row.worker, advice_request->workers->pdata[i], sizeof row.worker);
+    if (_is_allowed (advice_request->step.job, row.worker))
+      g_array_append_val (advice.rows, row);
+  }
+  g_array_append_val (load->advices, advice);
+}
+
+static void
+_load_decide (Load *load)
+{
+  Fixture *fixture = &load->fixture;
+
+  for (guint i = 0; load->is_as_before && i < WORKERS; i++)
+    ((VpCellWorker *)vp_cell_workers (fixture->cell)->workers->pdata[i])->slowness
+        = load->workers[i].earlier_slowness;
+  _decide (fixture);
+  for (guint i = 0; i < fixture->effects->len; i++) {
+    const VpCellEffect *effect = &g_array_index (fixture->effects, VpCellEffect, i);
+    if (effect->kind == VP_CELL_ADVICE_REQUEST)
+      _load_advise (load, &effect->advice_request);
+    else if (effect->command.kind == VP_COMMAND_START)
+      _load_start (load, &effect->command);
+  }
+}
+
+/* The earlier rule: the slowness is a moving average of durations relative to the mean of the tasks
+ * of the same step that ended before, from the third one on. */
+static void
+_load_learn_as_before (Load *load, LoadWorker *worker, const LoadRun *run)
+{
+  int64_t duration_ms = load->fixture.now_ms - run->started_ms;
+  gpointer key = GUINT_TO_POINTER ((guint)(run->task.job * 10 + run->task.step));
+  LoadStep *step = g_hash_table_lookup (load->steps, key);
+
+  if (step == NULL) {
+    step = g_new0 (LoadStep, 1);
+    g_hash_table_insert (load->steps, key, step);
+  }
+  if (step->count >= 2) {
+    double ratio = (double)duration_ms * step->count / (double)step->sum_ms;
+    worker->earlier_slowness += 0.15 * (CLAMP (ratio, 0.3, 5) - worker->earlier_slowness);
+  }
+  step->sum_ms += duration_ms;
+  step->count++;
+}
+
+/* Lets the worker report its ends if there are any, and its list once in a second. */
+static void
+_load_list (Load *load, LoadWorker *worker)
+{
+  Fixture *fixture = &load->fixture;
+  VpCommandResult result = _hold_result (fixture, worker->entry.id);
+
+  for (guint i = 0; i < worker->runs->len;) {
+    const LoadRun *run = &g_array_index (worker->runs, LoadRun, i);
+    VpRunningEntry running = { .task = run->task, .is_task = true, .run = run->run };
+    VpEndedEntry ended = { .task = run->task, .is_task = true, .run = run->run };
+    if (run->ends_ms > fixture->now_ms) {
+      g_array_append_val (result.running, running);
+      i++;
+      continue;
+    }
+    ended.number = ++worker->last_end;
+    _load_learn_as_before (load, worker, run);
+    g_array_append_val (result.ended, ended);
+    load->done_work += (double)_work_ms (&run->task, _load_job (load, run->task.job)->is_urgent)
+                       / 1000 * (_load_job (load, run->task.job)->is_urgent ? 0.5 : 1);
+    g_array_remove_index (worker->runs, i);
+  }
+  if (result.ended->len == 0 && fixture->now_ms < worker->listed_ms + LIST_MS) {
+    vp_command_result_clear (&result);
+    return;
+  }
+  worker->listed_ms = fixture->now_ms;
+  _apply (fixture, &result);
+}
+
+static void
+_load_advance (Load *load)
+{
+  Fixture *fixture = &load->fixture;
+
+  fixture->now_ms++;
+  for (guint i = 0; i < WORKERS; i++)
+    _load_list (load, &load->workers[i]);
+  for (guint i = 0; i < load->advices->len;) {
+    LoadAdvice advice = g_array_index (load->advices, LoadAdvice, i);
+    if (advice.due_ms > fixture->now_ms) {
+      i++;
+      continue;
+    }
+    g_array_remove_index (load->advices, i);
+    vp_cell_advice_result (fixture->cell, advice.serial, advice.rows, fixture->now_ms);
+    g_array_unref (advice.rows);
+  }
+  if (fixture->now_ms >= load->commit_ms) {
+    vp_cell_ends_durable (fixture->cell, fixture->now_ms);
+    vp_cell_stage_ends (fixture->cell);
+    load->commit_ms = fixture->now_ms + COMMIT_MS;
+  }
+}
+
+/* Notes which share of the capacity is idle. */
+static void
+_load_sample_idle (Load *load)
+{
+  const VpWorkerList *worker_list = vp_cell_workers (load->fixture.cell);
+  int64_t used = 0, capacity = 0;
+
+  for (guint i = 0; i < WORKERS; i++) {
+    const VpCellWorker *worker = worker_list->workers->pdata[i];
+    used += worker->used.cpu_milli;
+    capacity += worker->entry.capacity.cpu_milli;
+  }
+  load->idle_share_sum += 1 - (double)used / (double)capacity;
+  load->idle_samples++;
+}
+
+static LoadFigures
+_load_figures (const Load *load)
+{
+  LoadFigures figures = { .slow_share = (double)load->slow_starts / MAX (load->urgent_starts, 1),
+                          .done_work = load->done_work,
+                          .idle_share = load->idle_share_sum / load->idle_samples };
+  uint32_t counts[2] = { 0 }, late[2] = { 0 };
+
+  for (guint i = 0; i < load->jobs->len; i++) {
+    const LoadJob *job = &g_array_index (load->jobs, LoadJob, i);
+    const VpJob *known = vp_joblist_find (vp_cell_jobs (load->fixture.cell), job->id);
+    bool is_ended = known->state == VP_JOB_COMPLETED;
+    int64_t took_ms = (is_ended ? known->ended_ms : load->fixture.now_ms) - job->arrived_ms;
+    double objective_ms
+        = job->is_urgent ? 1.5 * (double)job->chain_ms + 250 : 2.2 * (double)job->chain_ms + 1200;
+    bool is_late = (double)took_ms > objective_ms;
+    if (job->arrived_ms < load->began_ms + WARM_UP_MS || (!is_ended && !is_late))
+      continue;
+    counts[job->is_urgent]++;
+    late[job->is_urgent] += is_late ? 1 : 0;
+    figures.urgent_mean_ms += job->is_urgent ? (double)took_ms : 0;
+  }
+  figures.urgent_mean_ms /= MAX (counts[1], 1);
+  figures.late_share = (double)late[1] / MAX (counts[1], 1);
+  figures.batch_late_share = (double)late[0] / MAX (counts[0], 1);
+  return figures;
+}
+
+static void
+_load_play (Load *load)
+{
+  while (load->fixture.now_ms < load->began_ms + RUN_MS) {
+    if (g_rand_double (load->rand) * 1000 < load->urgent_rate)
+      _load_submit (load, true);
+    if (g_rand_double (load->rand) * 1000 < load->batch_rate)
+      _load_submit (load, false);
+    _load_advance (load);
+    _load_decide (load);
+    if (load->fixture.now_ms % 50 == 0 && load->fixture.now_ms >= load->began_ms + WARM_UP_MS)
+      _load_sample_idle (load);
+  }
+}
+
+/* Plays a load and reports its figures. */
+static LoadFigures
+_play (const double speeds[3],
+       bool has_kinds,
+       bool is_as_before,
+       double urgent_rate,
+       double batch_rate)
+{
+  Load load
+      = { .is_as_before = is_as_before, .urgent_rate = urgent_rate, .batch_rate = batch_rate };
+  LoadFigures figures;
+
+  _load_setup (&load, speeds, has_kinds);
+  _load_play (&load);
+  figures = _load_figures (&load);
+  g_test_message ("%s, %.0f urgent and %.0f batch jobs a second: urgent on slow workers %.1f %%, "
+                  "late %.1f %%, mean %.0f ms; batch late %.1f %%; done %.0f core-s, idle %.1f %%; "
+                  "%u requests, %.1f workers each",
+                  is_as_before ? "before" : "now", urgent_rate, batch_rate,
+                  100 * figures.slow_share, 100 * figures.late_share, figures.urgent_mean_ms,
+                  100 * figures.batch_late_share, figures.done_work, 100 * figures.idle_share,
+                  load.advice_count, (double)load.advised_count / MAX (load.advice_count, 1));
+  _load_teardown (&load);
+  return figures;
+}
+
+/* Slowness of 0.7, 0.7 and 1.7. */
+static const double mostly_fast[3] = { 1 / 0.7, 1 / 0.7, 1 / 1.7 };
+/* Speeds of 0.7, 0.7 and 1.7. */
+static const double mostly_slow[3] = { 0.7, 0.7, 1.7 };
+static const double equal[3] = { 1, 1, 1 };
+
+static void
+_check_quiet (const double speeds[3], bool has_kinds)
+{
+  LoadFigures before = _play (speeds, has_kinds, true, 10, 5);
+  LoadFigures now = _play (speeds, has_kinds, false, 10, 5);
+
+  g_assert_cmpfloat (now.slow_share, <, before.slow_share / 4);
+  g_assert_cmpfloat (now.late_share, <=, before.late_share / 2);
+  g_assert_cmpfloat (now.urgent_mean_ms, <, before.urgent_mean_ms);
+  g_assert_cmpfloat (now.batch_late_share, <=, before.batch_late_share + 0.01);
+}
+
+/* Guards against urgent tasks on slow workers although fast ones have capacity, which makes their
+ * jobs late on a quiet day. */
+static void
+test_mostly_fast (void)
+{
+  _check_quiet (mostly_fast, true);
+}
+
+static void
+test_mostly_slow (void)
+{
+  _check_quiet (mostly_slow, true);
+}
+
+/* The same if the kinds of workers don't tell their speed. */
+static void
+test_one_kind (void)
+{
+  _check_quiet (mostly_fast, false);
+}
+
+/* Guards against capacity that is kept idle for urgent work although other work waits. */
+static void
+test_heavy (void)
+{
+  LoadFigures before = _play (mostly_fast, true, true, 30, 60);
+  LoadFigures now = _play (mostly_fast, true, false, 30, 60);
+
+  g_assert_cmpfloat (now.idle_share, <=, before.idle_share + 0.01);
+  g_assert_cmpfloat (now.done_work, >=, before.done_work * 0.98);
+  g_assert_cmpfloat (now.late_share, <, before.late_share);
+}
+
+/* Guards against other decisions where all workers are alike. */
+static void
+test_equal (void)
+{
+  LoadFigures before = _play (equal, true, true, 10, 5);
+  LoadFigures now = _play (equal, true, false, 10, 5);
+
+  g_assert_cmpfloat (now.late_share, <=, before.late_share + 0.01);
+  g_assert_cmpfloat (now.batch_late_share, <=, before.batch_late_share + 0.01);
+}
+
+int
+main (int argc, char *argv[])
+{
+  g_test_init (&argc, &argv, NULL);
+  g_test_add_func ("/place-speed/mostly-fast", test_mostly_fast);
+  g_test_add_func ("/place-speed/mostly-slow", test_mostly_slow);
+  g_test_add_func ("/place-speed/one-kind", test_one_kind);
+  g_test_add_func ("/place-speed/heavy", test_heavy);
+  g_test_add_func ("/place-speed/equal", test_equal);
+  return g_test_run ();
+}
