--- a/src/vp-cell-hold.c
+++ b/src/vp-cell-hold.c
@@ -90,7 +90,8 @@
     return;
   hold->is_counted = true;
   vp_holdloss_record (&cell->hold_loss, is_unanswered, now_ms);
-  vp_metrics_add (VP_COUNTER_HOLDS_UNANSWERED, is_unanswered ? 1 : 0);
+  if (is_unanswered)
+    vp_metrics_add (VP_COUNTER_HOLDS_UNANSWERED, 1);
 }
 
 /* Takes the HOLD of the result out of the worker's pending ones. */
@@ -240,7 +241,8 @@
       && _vp_cell_hold_grace_ms (cell) < INT64_MAX)
     worker->last_hold.due_ms = now_ms + command->wait_ms + _vp_cell_hold_grace_ms (cell);
   vp_metrics_add (VP_COUNTER_HOLDS, 1);
-  vp_metrics_add (VP_COUNTER_HOLDS_EXTRA, worker->last_hold.is_extra ? 1 : 0);
+  if (worker->last_hold.is_extra)
+    vp_metrics_add (VP_COUNTER_HOLDS_EXTRA, 1);
 }
 
 /* Returns the time from which another HOLD is sent although the last one isn't answered. While
@@ -288,10 +290,11 @@
   cell->holds_checked_ms = now_ms;
   for (guint i = 0; i < cell->worker_list->workers->len; i++) {
     VpCellWorker *worker = cell->worker_list->workers->pdata[i];
-    if (worker->is_hold_pending)
-      _vp_cell_send_probe (cell, worker, now_ms, effects);
-    else if (now_ms >= worker->hold_next_ms)
+    if (!worker->is_hold_pending && now_ms >= worker->hold_next_ms)
       _vp_cell_send_hold (cell, worker, now_ms, effects);
+    else if (worker->is_hold_pending
+             && (cell->hold_loss.is_lossy || now_ms > worker->last_hold.due_ms))
+      _vp_cell_send_probe (cell, worker, now_ms, effects);
   }
 }
 
--- a/src/vp-cell.c
+++ b/src/vp-cell.c
@@ -518,7 +518,8 @@
   vp_metrics_add (VP_COUNTER_INHERITED_STARTS, may_be_running ? 1 : 0);
   if (_vp_cell_is_urgent (cell, job)) {
     vp_metrics_add (VP_COUNTER_URGENT_STARTS, 1);
-    vp_metrics_add (VP_COUNTER_URGENT_STARTS_SLOW, vp_place_is_slow (worker) ? 1 : 0);
+    if (vp_place_is_slow (worker))
+      vp_metrics_add (VP_COUNTER_URGENT_STARTS_SLOW, 1);
   }
   vp_jobtask_assign (cell->jobs, task, worker, run, now_ms);
   task->is_own_run = true;
--- a/src/vp-place.c
+++ b/src/vp-place.c
@@ -492,33 +492,39 @@
 
 typedef struct {
   VpPlaceCandidate candidate;
-  bool is_reserved;    /* pending requests are meant to fill all of its free capacity */
-  bool is_allowed;     /* the worker was allowed before and only its ticket has expired */
-  bool is_remote;      /* the step's data is on another rack */
-  bool is_busy;        /* it has no free capacity, and whether it is allowed isn't known */
-  int32_t speed_class; /* negative for a fast worker, positive for a slow one; 0 if it doesn't
-                          matter */
-  double value;        /* of its free capacity, in tasks */
+  bool is_reserved; /* pending requests are meant to fill all of its free capacity */
+  bool is_allowed;  /* the worker was allowed before and only its ticket has expired */
+  bool is_remote;   /* the step's data is on another rack */
+  bool is_busy;     /* it has no free capacity, and whether it is allowed isn't known */
+  uint64_t rank;    /* options with a lower one come first */
 } VpPlaceOption;
 
-/* Sets how good the worker's speed and capacity are for the step. Tasks on free workers start at
- * the same time, so an urgent one ends the sooner the faster its worker is. */
+/* Returns how fast the worker is for an urgent step, best first. Tasks on free workers start at the
+ * same time, so one ends the sooner the faster its worker is. */
+static uint64_t
+_vp_place_speed_class (const VpQueueConfig *queue, const VpCellWorker *worker)
+{
+  if (queue->priority != 0 || queue->ignores_speed)
+    return 0;
+  return worker->slowness < VP_PLACE_FAST_SLOWNESS ? 0 : vp_place_is_slow (worker) ? 2 : 1;
+}
+
+/* Sets the rank of the option from its other fields: the criteria are bits, the first of them the
+ * highest, above the capacity. @is_yielding: the step leaves fast workers to urgent ones. */
 static void
-_vp_place_rate_option (const VpJobStep *step,
-                       const VpQueueConfig *queue,
-                       int64_t now_ms,
-                       VpPlaceOption *option)
+_vp_place_rank_option (const VpQueueConfig *queue, bool is_yielding, VpPlaceOption *option)
 {
-  double slowness = option->candidate.worker->slowness;
-  bool is_fast = slowness < VP_PLACE_FAST_SLOWNESS;
+  const VpCellWorker *worker = option->candidate.worker;
+  bool is_left = is_yielding && worker->slowness < VP_PLACE_FAST_SLOWNESS;
+  uint64_t value = (uint64_t)option->candidate.capacity * 1000;
 
-  option->value = option->candidate.capacity;
-  if (queue->ignores_speed)
-    return;
-  if (queue->priority == 0)
-    option->speed_class = is_fast ? -1 : vp_place_is_slow (option->candidate.worker) ? 1 : 0;
-  else if (is_fast && _vp_place_is_yielding (step, queue, now_ms))
-    option->value *= VP_PLACE_FAST_CAPACITY_SHARE;
+  if (is_left)
+    value = (uint64_t)((double)value * VP_PLACE_FAST_CAPACITY_SHARE);
+  option->rank = ((uint64_t)option->is_busy << 5 | (uint64_t)option->is_reserved << 4
+                  | _vp_place_speed_class (queue, worker) << 2 | (uint64_t)!option->is_allowed << 1
+                  | (uint64_t)option->is_remote)
+                 << 48;
+  option->rank += (UINT64_C (1) << 48) - 1 - value;
 }
 
 static gint
@@ -527,17 +533,7 @@
   const VpPlaceOption *one = a;
   const VpPlaceOption *two = b;
 
-  if (one->is_busy != two->is_busy)
-    return one->is_busy ? 1 : -1;
-  if (one->is_reserved != two->is_reserved)
-    return one->is_reserved ? 1 : -1;
-  if (one->speed_class != two->speed_class)
-    return one->speed_class < two->speed_class ? -1 : 1;
-  if (one->is_allowed != two->is_allowed)
-    return one->is_allowed ? -1 : 1;
-  if (one->is_remote != two->is_remote)
-    return one->is_remote ? 1 : -1;
-  return one->value == two->value ? 0 : one->value > two->value ? -1 : 1;
+  return one->rank == two->rank ? 0 : one->rank < two->rank ? -1 : 1;
 }
 
 /* Subtracts the capacity that other requests are meant to fill from that of the option, unless no
@@ -596,6 +592,7 @@
   GArray *options = g_array_new (FALSE, FALSE, sizeof (VpPlaceOption));
   VpResources demand = _vp_place_demand (step);
   bool is_wide = vp_reservation_is_wide (&demand, &pool->capacity_max);
+  bool is_yielding = _vp_place_is_yielding (step, queue, now_ms);
 
   for (guint i = 0; i < pool->slots->len; i++) {
     const VpPlaceSlot *slot = &g_array_index (pool->slots, VpPlaceSlot, i);
@@ -617,7 +614,7 @@
     if (reserved != NULL && !option.is_busy)
       _vp_place_subtract_reservation (step, slot, reserved, &option);
     option.is_remote = _vp_place_is_remote (step->spec, slot->worker);
-    _vp_place_rate_option (step, queue, now_ms, &option);
+    _vp_place_rank_option (queue, is_yielding, &option);
     g_array_append_val (options, option);
   }
   g_array_sort (options, _vp_place_compare_options);
--- a/src/vp-workerlist.h
+++ b/src/vp-workerlist.h
@@ -76,14 +76,14 @@
   bool is_dc_unreachable;     /* no worker of its DC answers */
   bool is_hold_pending;       /* the last HOLD is waiting for its answer */
   bool is_end_time_unknown;   /* the ends in its present list may be much older than the list */
+  int64_t hold_next_ms;       /* earliest time of the next HOLD */
+  VpPendingHold last_hold;    /* the last HOLD that was sent */
   int64_t booted_ms;          /* boot time in the last answer; 0: none */
   int64_t clock_ms;           /* the worker's clock in its last answer */
   int64_t clock_at_ms;        /* local time of that answer; 0: never answered */
   int64_t lease_end_ms;       /* end of the latest lease granted to it, on the worker's clock */
-  VpPendingHold last_hold;    /* the last HOLD that was sent */
   VpPendingHold overdue_hold; /* an earlier one whose answer was overdue when the last one was sent
                                  and still is */
-  int64_t hold_next_ms;       /* earliest time of the next HOLD */
   int64_t list_sent_ms;       /* sending time of the latest HOLD whose list of runs was handled */
   int64_t last_answer_ms;     /* time of the last answer */
   int64_t alive_ms;           /* its process hadn't crashed before this time */
