An urgent task waits for a fast worker if its job is late on the slow one

Urgent tasks started on slow workers when all fast ones were busy, also if one of these was about to be free and the job was late only because of the slow one.

Such a task waits if it is expected to end sooner on a busy fast worker with a ticket and its job is in time there, at most for what it can gain. It reserves the capacity there for the rest of the decision; the slow worker is open to others. What depends on the speed of workers is now in vp-place-speed.c. Metric fast_waits.

--- a/src/vp-cell.c
+++ b/src/vp-cell.c
@@ -590,6 +590,10 @@
     if (!_vp_cell_is_below_cap (cell, step, 1))
       return true;
     slot = vp_place_pick (pool, task, queue, now_ms);
+    if (slot != NULL && vp_place_waits_for_fast (pool, task, queue, slot, now_ms)) {
+      vp_metrics_add (VP_COUNTER_FAST_WAITS, 1);
+      return false;
+    }
     if (slot != NULL) {
       _vp_cell_start_task (cell, pool, task, slot, _vp_cell_next_run (cell, task), now_ms, effects);
       continue;
--- a/src/vp-metrics.c
+++ b/src/vp-metrics.c
@@ -73,6 +73,8 @@
   [VP_COUNTER_URGENT_STARTS] = { "urgent_starts", "Runs of urgent tasks started" },
   [VP_COUNTER_URGENT_STARTS_SLOW]
   = { "urgent_starts_slow", "Runs of urgent tasks started on slow workers" },
+  [VP_COUNTER_FAST_WAITS]
+  = { "fast_waits", "Decisions in which an urgent task waited for a fast worker" },
   [VP_COUNTER_HOLDS_UNANSWERED]
   = { "holds_unanswered", "HOLD commands that a worker did not answer in time" },
 };
--- a/src/vp-metrics.h
+++ b/src/vp-metrics.h
@@ -51,6 +51,7 @@
   VP_COUNTER_HOLDS_EXTRA,        /* sent while an earlier one to the worker wasn't answered */
   VP_COUNTER_URGENT_STARTS,      /* of tasks of queues of priority 0, first starts of each run */
   VP_COUNTER_URGENT_STARTS_SLOW, /* those on workers that are known to be slow */
+  VP_COUNTER_FAST_WAITS,         /* decisions in which an urgent task waited for a fast worker */
   VP_COUNTER_HOLDS_UNANSWERED,   /* not answered within their wait and a grace time */
   VP_COUNTER_LAST,
 } VpCounter;
--- a/src/vp-place-private.h
+++ b/src/vp-place-private.h
@@ -1,5 +1,6 @@
 /* Private helpers of the choice of workers. They are in vp-place.c; vp-place-reserve.c has the
- * reservations of steps that can't start now. */
+ * reservations of steps that can't start now, and vp-place-speed.c what depends on the speed of
+ * workers. */
 #pragma once
 
 #include "vp-place.h"
@@ -31,3 +32,20 @@
 bool _vp_place_is_below_spread_max (const VpJobStep *step,
                                     const VpCellWorker *worker,
                                     uint32_t taken_count);
+/* Returns true if the row has a ticket that will still be valid when a start arrives at the worker.
+ */
+bool _vp_place_is_ticket_valid (const VpAdviceRow *row, int64_t now_ms);
+/* Returns true if the worker takes clearly less time than others of its service. */
+bool _vp_place_is_fast (const VpCellWorker *worker);
+/* Returns true if the step leaves fast workers to urgent ones. One whose job would end after its
+ * objective on slow workers doesn't, unless the objective has passed. */
+bool _vp_place_is_yielding (const VpJobStep *step, const VpQueueConfig *queue, int64_t now_ms);
+/* Returns the cost of the worker's slowness for a task of the step. A cost of 1 equals that of free
+ * capacity of the size of a whole worker. */
+double _vp_place_slowness_cost (const VpJobStep *step,
+                                const VpQueueConfig *queue,
+                                const VpCellWorker *worker,
+                                int64_t now_ms);
+/* Returns how fast the worker is for an urgent step: 0 to 2, best first. Tasks on free workers
+ * start at the same time, so one ends the sooner the faster its worker is. */
+uint64_t _vp_place_speed_class (const VpQueueConfig *queue, const VpCellWorker *worker);
--- a/src/vp-place.c
+++ b/src/vp-place.c
@@ -13,24 +13,9 @@
 #define VP_PLACE_RACK_WAIT_MS 2000
 /* Best-effort tasks use a worker with little idle CPU after waiting this long. */
 #define VP_PLACE_BEST_EFFORT_WAIT_MS 2000
-/* Cost of a worker that takes twice the time, for tasks of queues of priority 0. A cost of 1 equals
- * that of free capacity of the size of a whole worker. */
-#define VP_PLACE_SLOWNESS_WEIGHT_URGENT 2.0
-/* Cost of a worker that takes twice the time, for tasks of other queues. */
-#define VP_PLACE_SLOWNESS_WEIGHT_NORMAL 0.3
-/* A worker of less slowness than this is fast, and one of more slowness than that is slow. The
- * figures learned of workers that are alike differ by less. */
-#define VP_PLACE_FAST_SLOWNESS 0.85
-#define VP_PLACE_SLOW_SLOWNESS 1.2
-/* Cost, for a task that leaves fast workers to urgent tasks, of one that takes half the time of
- * VP_PLACE_FAST_SLOWNESS. It outweighs most differences in free capacity. */
-#define VP_PLACE_FAST_WEIGHT 4.0
 /* Value of free capacity on a fast worker, relative to that on others, for an advice request of a
  * step that leaves fast workers to urgent ones. */
 #define VP_PLACE_FAST_CAPACITY_SHARE 0.4
-/* A step that can wait for less than this many times the rest of its job doesn't leave fast workers
- * to others: that long it may take on slow ones. */
-#define VP_PLACE_YIELD_SLACK 2.0
 /* A failed task isn't placed on the same worker for this long after it may start again. */
 #define VP_PLACE_AVOID_FAILED_MS 500
 /* Maximum number of workers in one advice request, a limit of the platform. */
@@ -86,9 +71,7 @@
   vp_resources_add (&pool->free, &slot->free);
 }
 
-/* Returns true if the row has a ticket that will still be valid when a start arrives at the worker.
- */
-static bool
+bool
 _vp_place_is_ticket_valid (const VpAdviceRow *row, int64_t now_ms)
 {
   return row->ticket[0] != '\0' && now_ms + VP_PLACE_TICKET_MARGIN_MS <= row->valid_until_ms;
@@ -152,43 +135,6 @@
   return spec->rack[0] != '\0' && strcmp (spec->rack, worker->entry.rack) != 0;
 }
 
-bool
-vp_place_is_slow (const VpCellWorker *worker)
-{
-  return worker->slowness > VP_PLACE_SLOW_SLOWNESS;
-}
-
-/* Returns true if the step leaves fast workers to urgent ones. One whose job would end after its
- * objective on slow workers doesn't, unless the objective has passed. */
-static bool
-_vp_place_is_yielding (const VpJobStep *step, const VpQueueConfig *queue, int64_t now_ms)
-{
-  const VpJobOccurrence *occurrence = step->occurrence;
-  const VpJob *job = occurrence->job;
-  int64_t began_ms = occurrence->due_ms != 0 ? occurrence->due_ms : job->arrived_ms;
-  int64_t left_ms = began_ms + job->objective_ms - now_ms;
-
-  if (!queue->yields_fast_workers || queue->ignores_speed)
-    return false;
-  return job->objective_ms == 0 || left_ms < 0
-         || (double)left_ms >= VP_PLACE_YIELD_SLACK * (double)step->critical_path_ms;
-}
-
-/* Returns the cost of the worker's slowness for a task of the step. */
-static double
-_vp_place_slowness_cost (const VpJobStep *step,
-                         const VpQueueConfig *queue,
-                         const VpCellWorker *worker,
-                         int64_t now_ms)
-{
-  if (queue->priority == 0)
-    return VP_PLACE_SLOWNESS_WEIGHT_URGENT * (worker->slowness - 1);
-  if (!_vp_place_is_yielding (step, queue, now_ms))
-    return VP_PLACE_SLOWNESS_WEIGHT_NORMAL * (worker->slowness - 1);
-  return VP_PLACE_SLOWNESS_WEIGHT_NORMAL * (MAX (worker->slowness, 1) - 1)
-         + VP_PLACE_FAST_WEIGHT * MAX (VP_PLACE_FAST_SLOWNESS - worker->slowness, 0);
-}
-
 /* Returns the cost of placing a task of the step on the worker. The worker with the lowest cost is
  * chosen. */
 static double
@@ -499,23 +445,13 @@
   uint64_t rank;    /* options with a lower one come first */
 } VpPlaceOption;
 
-/* Returns how fast the worker is for an urgent step, best first. Tasks on free workers start at the
- * same time, so one ends the sooner the faster its worker is. */
-static uint64_t
-_vp_place_speed_class (const VpQueueConfig *queue, const VpCellWorker *worker)
-{
-  if (queue->priority != 0 || queue->ignores_speed)
-    return 0;
-  return worker->slowness < VP_PLACE_FAST_SLOWNESS ? 0 : vp_place_is_slow (worker) ? 2 : 1;
-}
-
 /* Sets the rank of the option from its other fields: the criteria are bits, the first of them the
  * highest, above the capacity. @is_yielding: the step leaves fast workers to urgent ones. */
 static void
 _vp_place_rank_option (const VpQueueConfig *queue, bool is_yielding, VpPlaceOption *option)
 {
   const VpCellWorker *worker = option->candidate.worker;
-  bool is_left = is_yielding && worker->slowness < VP_PLACE_FAST_SLOWNESS;
+  bool is_left = is_yielding && _vp_place_is_fast (worker);
   uint64_t value = (uint64_t)option->candidate.capacity * 1000;
 
   if (is_left)
--- a/src/vp-place.h
+++ b/src/vp-place.h
@@ -33,6 +33,7 @@
   VpResources largest;             /* at least what any one worker has free and not reserved */
   VpResources capacity_max;        /* the largest capacity of any worker */
   uint32_t busy_reservation_count; /* wide tasks that wait for a busy worker */
+  uint32_t fast_wait_count;        /* urgent tasks that wait for a busy fast worker */
 } VpPlacePool;
 
 typedef struct {
@@ -65,6 +66,14 @@
                             const VpJobTask *task,
                             const VpQueueConfig *queue,
                             int64_t now_ms);
+/* Returns true if an urgent task that could start on the worker of @slow, which is slow and makes
+ * its job late, is expected to end sooner on a fast worker that is busy now. The capacity there is
+ * then reserved for it for the rest of this decision. */
+bool vp_place_waits_for_fast (VpPlacePool *pool,
+                              const VpJobTask *task,
+                              const VpQueueConfig *queue,
+                              const VpPlaceSlot *slow,
+                              int64_t now_ms);
 /* Chooses a worker for every task of the step at the same time and writes them to @out. Returns
  * false if they don't all fit. */
 bool vp_place_gang (const VpPlacePool *pool,
--- a/tests/test-place-speed.c
+++ b/tests/test-place-speed.c
@@ -489,6 +489,141 @@
   g_assert_cmpfloat (now.late_share, <, before.late_share);
 }
 
+/* The same if all work is urgent, and the slow workers are needed for it. */
+static void
+test_heavy_urgent (void)
+{
+  LoadFigures before = _play (mostly_fast, true, true, 120, 0);
+  LoadFigures now = _play (mostly_fast, true, false, 120, 0);
+
+  g_assert_cmpfloat (now.idle_share, <=, before.idle_share + 0.01);
+  g_assert_cmpfloat (now.done_work, >=, before.done_work * 0.98);
+  g_assert_cmpfloat (now.late_share, <=, before.late_share + 0.01);
+}
+
+/* An urgent task with tickets for a slow worker, which is free, and a fast one, which another task
+ * occupies. */
+typedef struct {
+  VpWorkerList *worker_list;
+  VpJobList *jobs;
+  VpJobTask *task, *other;
+  VpPlacePool *pool;
+  VpQueueConfig queue;
+} WaitFixture;
+
+static VpJobStep *
+_wait_add_job (WaitFixture *fixture, uint64_t id, int64_t estimate_ms)
+{
+  g_autoptr (VpJobSpec) spec = vp_jobspec_new (1);
+  VpJob *job;
+
+  spec->id = id;
+  spec->text = g_strdup ("text");
+  spec->steps[0] = (VpStepSpec){ .task_count = 1,
+                                 .size = { .cpu_milli = 1000, .mem_mib = 100 },
+                                 .estimate_ms = estimate_ms };
+  job = vp_joblist_add (fixture->jobs, spec, 0, 0);
+  job->objective_ms = estimate_ms * 3 / 2 + 250;
+  return &job->occurrences[0].steps[0];
+}
+
+/* The time is 0, and the other task is expected to end at @busy_ms. */
+static void
+_wait_setup (WaitFixture *fixture, int64_t busy_ms)
+{
+  VpJobStep *step;
+
+  *fixture = (WaitFixture){ .queue = { .name = "urgent", .has_advice = true } };
+  fixture->worker_list = vp_workerlist_setup (6000, 0);
+  fixture->jobs = vp_joblist_setup ();
+  step = _wait_add_job (fixture, 1, 1000);
+  fixture->task = &step->tasks[0];
+  fixture->other = &_wait_add_job (fixture, 2, busy_ms * 2)->tasks[0];
+  step->advice = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, g_free);
+  step->tickets_expire_ms = 2000;
+  for (uint32_t i = 0; i < 2; i++) {
+    VpWorkerEntry entry = _worker_entry (i);
+    VpAdviceRow *row = g_new0 (VpAdviceRow, 1);
+    VpCellWorker *worker = vp_workerlist_update (fixture->worker_list, &entry);
+    worker->is_synced = worker->is_reachable = true;
+    worker->slowness = i == 0 ? 2 : 0.5;
+    if (i == 1)
+      vp_jobtask_assign (fixture->jobs, fixture->other, worker, 1, 0);
+    g_strlcpy (row->worker, entry.id, sizeof row->worker);
+    g_strlcpy (row->ticket, "ticket", sizeof row->ticket);
+    row->valid_until_ms = 2000;
+    g_hash_table_replace (step->advice, row->worker, row);
+  }
+  /* The other task fills its worker. */
+  ((VpCellWorker *)fixture->worker_list->workers->pdata[1])->entry.capacity.cpu_milli = 1000;
+  fixture->pool = vp_place_pool_new (fixture->worker_list, "service", 0);
+}
+
+static void
+_wait_teardown (WaitFixture *fixture)
+{
+  vp_place_pool_free (fixture->pool);
+  vp_joblist_shutdown (fixture->jobs);
+  vp_workerlist_shutdown (fixture->worker_list);
+}
+
+static bool
+_waits (WaitFixture *fixture, int64_t now_ms)
+{
+  VpPlaceSlot *slot = vp_place_pick (fixture->pool, fixture->task, &fixture->queue, now_ms);
+
+  g_assert_cmpstr (slot->worker->entry.id, ==, "w0");
+  return vp_place_waits_for_fast (fixture->pool, fixture->task, &fixture->queue, slot, now_ms);
+}
+
+/* Guards against urgent tasks that wait for a fast worker without ending sooner there, or without a
+ * job that is in time, and against several that wait for the same capacity. The task takes 2,000 ms
+ * on the slow worker and 500 ms on the fast one, and its job has 1,750 ms. */
+static void
+test_wait (void)
+{
+  static const struct {
+    int64_t busy_ms;
+    int64_t now_ms;
+    int64_t objective_ms; /* 0: unchanged */
+    bool waits;
+  } rows[] = {
+    { 800, 0, 0, true },
+    { 800, 300, 0, true },
+    /* The fast worker is free too late. */
+    { 1300, 0, 0, false },
+    { 1600, 0, 1990, false },
+    /* The job is in time on the slow worker, or on neither. */
+    { 800, 0, 2100, false },
+    { 800, 0, 1200, false },
+    /* It has waited for as long as the fast worker could gain. */
+    { 1700, 1200, 2600, false },
+  };
+
+  for (guint i = 0; i < G_N_ELEMENTS (rows); i++) {
+    WaitFixture fixture;
+    _wait_setup (&fixture, rows[i].busy_ms);
+    if (rows[i].objective_ms != 0)
+      fixture.task->step->occurrence->job->objective_ms = rows[i].objective_ms;
+    g_assert_true (_waits (&fixture, rows[i].now_ms) == rows[i].waits);
+    /* The capacity there is reserved for the rest of the decision. */
+    g_assert_false (_waits (&fixture, rows[i].now_ms));
+    _wait_teardown (&fixture);
+  }
+}
+
+/* Guards against batch tasks that wait for fast workers. */
+static void
+test_batch_does_not_wait (void)
+{
+  WaitFixture fixture;
+
+  _wait_setup (&fixture, 800);
+  fixture.queue.priority = 1;
+  g_assert_false (_waits (&fixture, 0));
+  _wait_teardown (&fixture);
+}
+
 /* Guards against other decisions where all workers are alike. */
 static void
 test_equal (void)
@@ -508,6 +643,9 @@
   g_test_add_func ("/place-speed/mostly-slow", test_mostly_slow);
   g_test_add_func ("/place-speed/one-kind", test_one_kind);
   g_test_add_func ("/place-speed/heavy", test_heavy);
+  g_test_add_func ("/place-speed/heavy-urgent", test_heavy_urgent);
+  g_test_add_func ("/place-speed/wait", test_wait);
+  g_test_add_func ("/place-speed/batch-does-not-wait", test_batch_does_not_wait);
   g_test_add_func ("/place-speed/equal", test_equal);
   return g_test_run ();
 }
