--- a/src/vp-place.c
+++ b/src/vp-place.c
@@ -13,11 +13,9 @@
 #define VP_PLACE_RACK_WAIT_MS 2000
 /* Best-effort tasks use a worker with little idle CPU after waiting this long. */
 #define VP_PLACE_BEST_EFFORT_WAIT_MS 2000
-/* Cost of a worker that takes twice the time, for tasks of queues of priority 0. A cost of 1 equals
- * that of free capacity of the size of a whole worker. */
-#define VP_PLACE_SLOWNESS_WEIGHT_URGENT 2.0
-/* Cost of a worker that takes twice the time, for tasks of other queues. */
-#define VP_PLACE_SLOWNESS_WEIGHT_NORMAL 0.3
+/* Value of free capacity on a fast worker, relative to that on others, for an advice request of a
+ * step that leaves fast workers to urgent ones. */
+#define VP_PLACE_FAST_CAPACITY_SHARE 0.4
 /* A failed task isn't placed on the same worker for this long after it may start again. */
 #define VP_PLACE_AVOID_FAILED_MS 500
 /* Maximum number of workers in one advice request, a limit of the platform. */
@@ -75,9 +73,7 @@
   vp_resources_add (&pool->free, &slot->free);
 }
 
-/* Returns true if the row has a ticket that will still be valid when a start arrives at the worker.
- */
-static bool
+bool
 _vp_place_is_ticket_valid (const VpAdviceRow *row, int64_t now_ms)
 {
   return row->ticket[0] != '\0' && now_ms + VP_PLACE_TICKET_MARGIN_MS <= row->valid_until_ms;
@@ -145,9 +141,10 @@
  * chosen. */
 static double
 _vp_place_cost (const VpJobStep *step,
-                bool is_urgent,
+                const VpQueueConfig *queue,
                 const VpCellWorker *worker,
-                const VpResources *free)
+                const VpResources *free,
+                int64_t now_ms)
 {
   const VpStepSpec *spec = step->spec;
   VpResources left = *free;
@@ -169,10 +166,9 @@
   cost += vp_resources_dominant_share (&left, &worker->entry.capacity);
   if (spec->size.accel_count == 0 && free->accel_count > 0)
     cost += 1;
-  /* Urgent tasks use the fast workers and leave the slow ones to other tasks. */
-  cost += (is_urgent ? VP_PLACE_SLOWNESS_WEIGHT_URGENT : VP_PLACE_SLOWNESS_WEIGHT_NORMAL)
-          * (worker->slowness - 1);
-  return cost;
+  /* Urgent tasks use the fast workers and leave the slow ones to other tasks, and the other way
+   * round. */
+  return cost + _vp_place_slowness_cost (step, queue, worker, now_ms);
 }
 
 /* Returns true if a task of the step should rather wait a little for another worker: one near its
@@ -272,7 +268,7 @@
     return;
   cost = is_isolated
              ? vp_resources_dominant_share (&slot->worker->used, &slot->worker->entry.capacity)
-             : _vp_place_cost (step, queue->priority == 0, slot->worker, &slot->free);
+             : _vp_place_cost (step, queue, slot->worker, &slot->free, now_ms);
   if (best->slot == NULL || cost < best->cost || (cost == best->cost && slot < best->slot))
     *best = (VpPlaceChoice){ .slot = slot, .cost = cost };
 }
@@ -448,25 +444,34 @@
   bool is_allowed;  /* the worker was allowed before and only its ticket has expired */
   bool is_remote;   /* the step's data is on another rack */
   bool is_busy;     /* it has no free capacity, and whether it is allowed isn't known */
+  uint64_t rank;    /* options with a lower one come first */
 } VpPlaceOption;
 
+/* Sets the rank of the option from its other fields: the criteria are bits, the first of them the
+ * highest, above the capacity. @is_yielding: the step leaves fast workers to urgent ones. */
+static void
+_vp_place_rank_option (const VpQueueConfig *queue, bool is_yielding, VpPlaceOption *option)
+{
+  const VpCellWorker *worker = option->candidate.worker;
+  bool is_left = is_yielding && _vp_place_is_fast (worker);
+  uint64_t value = (uint64_t)option->candidate.capacity * 1000;
+
+  if (is_left)
+    value = (uint64_t)((double)value * VP_PLACE_FAST_CAPACITY_SHARE);
+  option->rank = ((uint64_t)option->is_busy << 5 | (uint64_t)option->is_reserved << 4
+                  | _vp_place_speed_class (queue, worker) << 2 | (uint64_t)!option->is_allowed << 1
+                  | (uint64_t)option->is_remote)
+                 << 48;
+  option->rank += (UINT64_C (1) << 48) - 1 - value;
+}
+
 static gint
 _vp_place_compare_options (gconstpointer a, gconstpointer b)
 {
   const VpPlaceOption *one = a;
   const VpPlaceOption *two = b;
-  uint32_t one_capacity = one->candidate.capacity;
-  uint32_t two_capacity = two->candidate.capacity;
 
-  if (one->is_busy != two->is_busy)
-    return one->is_busy ? 1 : -1;
-  if (one->is_reserved != two->is_reserved)
-    return one->is_reserved ? 1 : -1;
-  if (one->is_allowed != two->is_allowed)
-    return one->is_allowed ? -1 : 1;
-  if (one->is_remote != two->is_remote)
-    return one->is_remote ? 1 : -1;
-  return one_capacity == two_capacity ? 0 : one_capacity > two_capacity ? -1 : 1;
+  return one->rank == two->rank ? 0 : one->rank < two->rank ? -1 : 1;
 }
 
 /* Subtracts the capacity that other requests are meant to fill from that of the option, unless no
@@ -525,6 +530,7 @@
   GArray *options = g_array_new (FALSE, FALSE, sizeof (VpPlaceOption));
   VpResources demand = _vp_place_demand (step);
   bool is_wide = vp_reservation_is_wide (&demand, &pool->capacity_max);
+  bool is_yielding = _vp_place_is_yielding (step, queue, now_ms);
 
   for (guint i = 0; i < pool->slots->len; i++) {
     const VpPlaceSlot *slot = &g_array_index (pool->slots, VpPlaceSlot, i);
@@ -546,6 +552,7 @@
     if (reserved != NULL && !option.is_busy)
       _vp_place_subtract_reservation (step, slot, reserved, &option);
     option.is_remote = _vp_place_is_remote (step->spec, slot->worker);
+    _vp_place_rank_option (queue, is_yielding, &option);
     g_array_append_val (options, option);
   }
   g_array_sort (options, _vp_place_compare_options);
--- a/src/vp-place.h
+++ b/src/vp-place.h
@@ -34,6 +34,7 @@
   VpResources capacity_max;        /* the largest capacity of any worker */
   uint32_t busy_reservation_count; /* wide tasks that wait for a busy worker */
   uint32_t evacuated_count;        /* workers of the service in DCs under evacuation */
+  uint32_t fast_wait_count;        /* urgent tasks that wait for a busy fast worker */
 } VpPlacePool;
 
 typedef struct {
@@ -66,6 +67,14 @@
                             const VpJobTask *task,
                             const VpQueueConfig *queue,
                             int64_t now_ms);
+/* Returns true if an urgent task that could start on the worker of @slow, which is slow and makes
+ * its job late, is expected to end sooner on a fast worker that is busy now. The capacity there is
+ * then reserved for it for the rest of this decision. */
+bool vp_place_waits_for_fast (VpPlacePool *pool,
+                              const VpJobTask *task,
+                              const VpQueueConfig *queue,
+                              const VpPlaceSlot *slow,
+                              int64_t now_ms);
 /* Chooses a worker for every task of the step at the same time and writes them to @out. Returns
  * false if they don't all fit. */
 bool vp_place_gang (const VpPlacePool *pool,
@@ -89,6 +98,8 @@
                           GHashTable *reservations,
                           int64_t now_ms,
                           GArray *out);
+/* Returns true if the worker takes clearly longer than others of its service. */
+bool vp_place_is_slow (const VpCellWorker *worker);
 /* Returns the step's valid ticket for the worker, or NULL if there is none. */
 const char *
 vp_place_find_ticket (const VpJobStep *step, const VpCellWorker *worker, int64_t now_ms);
