Forecasts in placement, reservations and detection of stalled tasks

Cause: vp-durations had one figure per queue, and expected ends used the caller's estimate as it is. Change: VpCell owns one VpForecast. vp-reconcile records successful runs there, except those that don't tell how long the task takes: runs of an earlier leader, from a checkpoint, far from their data, best-effort or long-running. The step queue, the pools of workers and the reservations get it as a const pointer; NULL means the caller's estimate, as before. Four counters show how runs compare with the p50 and p90 stated at their start.

--- a/src/vp-cell-private.h
+++ b/src/vp-cell-private.h
@@ -17,6 +17,7 @@
   VpCellConfig *config;
   VpWorkerList *worker_list;
   VpJobList *jobs;
+  VpForecast *forecast;
   VpReconcile reconcile;
   VpAdvise *advise;
   int64_t started_ms;
--- a/src/vp-cell-scan.c
+++ b/src/vp-cell-scan.c
@@ -27,7 +27,7 @@
 _vp_cell_stall_limit_ms (const VpCell *cell, const VpJobTask *task)
 {
   int64_t limit_ms
-      = vp_durations_limit_ms (cell->reconcile.durations, task->step->occurrence->job->spec->queue);
+      = vp_forecast_limit_ms (cell->forecast, task->step->occurrence->job->spec->queue);
   uint32_t doublings = MIN (task->stall_count, VP_CELL_STALL_DOUBLINGS);
 
   return limit_ms > INT64_MAX >> doublings ? INT64_MAX : limit_ms << doublings;
--- a/src/vp-cell.c
+++ b/src/vp-cell.c
@@ -50,7 +50,8 @@
   cell->desc = *desc;
   cell->worker_list = vp_workerlist_setup (desc->hold_max_ms, now_ms);
   cell->jobs = vp_joblist_setup ();
-  vp_reconcile_setup (&cell->reconcile, cell->worker_list, cell->jobs, desc->fence);
+  cell->forecast = vp_forecast_setup (NULL);
+  vp_reconcile_setup (&cell->reconcile, cell->worker_list, cell->jobs, cell->forecast, desc->fence);
   /* Makes the serials of advice requests unique within the process, so that a late result for an
    * earlier scheduler isn't taken for one of this scheduler's. */
   cell->advise = vp_advise_setup (desc->fence << 24);
@@ -67,6 +68,7 @@
   vp_joblist_shutdown (cell->jobs);
   vp_workerlist_shutdown (cell->worker_list);
   vp_reconcile_shutdown (&cell->reconcile);
+  vp_forecast_shutdown (cell->forecast);
   vp_advise_shutdown (cell->advise);
   g_clear_pointer (&cell->config, vp_cellconfig_unref);
   g_free (cell);
@@ -576,6 +578,23 @@
          && (team->cap.accel_count == 0 || used.accel_count <= team->cap.accel_count);
 }
 
+/* Notes how long the run of the task that was just assigned is expected to take. */
+static void
+_vp_cell_note_forecast (const VpCell *cell, VpJobTask *task)
+{
+  VpForecastKey key;
+  VpForecastRange range;
+
+  if (task->step->spec->is_long_running)
+    return;
+  vp_jobstep_forecast_key (task->step, &key);
+  vp_forecast_task (cell->forecast, &key, &range);
+  task->forecast_p50_ms = (int64_t)((double)range.p50_ms * task->worker->slowness);
+  task->forecast_p90_ms = (int64_t)((double)range.p90_ms * task->worker->slowness);
+  task->expected_end_ms = task->started_ms + task->forecast_p50_ms;
+  vp_metrics_add (VP_COUNTER_FORECASTS, 1);
+}
+
 /* Assigns the task to the worker of the slot and sends the start. */
 static void
 _vp_cell_start_task (VpCell *cell,
@@ -596,6 +615,7 @@
   vp_metrics_add (VP_COUNTER_INHERITED_STARTS, may_be_running ? 1 : 0);
   vp_jobtask_assign (cell->jobs, task, worker, run, now_ms);
   task->is_own_run = true;
+  _vp_cell_note_forecast (cell, task);
   vp_place_slot_update (pool, slot);
   if (vp_crash_is_suspect (task) && vp_crash_is_quiet (worker, task, now_ms))
     vp_crash_isolate (worker, task, now_ms);
@@ -723,7 +743,8 @@
   VpStepQueue step_queue;
 
   _vp_cell_count_possibly_running (cell);
-  vp_stepqueue_setup (&step_queue, cell->worker_list, cell->jobs, cell->config, now_ms);
+  vp_stepqueue_setup (&step_queue, cell->worker_list, cell->jobs, cell->config, cell->forecast,
+                      now_ms);
   for (guint i = 0; i < step_queue.items->len; i++)
     _vp_cell_place_item (cell, &step_queue, &g_array_index (step_queue.items, VpStepQueueItem, i),
                          now_ms, effects);
--- a/src/vp-forecast.h
+++ b/src/vp-forecast.h
@@ -25,6 +25,7 @@
   uint32_t task_count; /* number of tasks of its step */
   VpResources size;    /* size of one task */
   int64_t estimate_ms; /* the caller's estimate for one task */
+  uint64_t step;       /* identity of the step: runs of one step are alike; 0: unknown */
 } VpForecastKey;
 
 typedef struct {
--- a/src/vp-joblist.c
+++ b/src/vp-joblist.c
@@ -487,6 +487,8 @@
   task->confirmed_ms = task->stop_sent_ms = 0;
   task->percent = task->percent_sent = 100;
   task->gauge = 0;
+  task->is_resumed = task->checkpoint[0] != '\0';
+  task->forecast_p50_ms = task->forecast_p90_ms = task->expected_end_ms = 0;
   vp_jobtask_set_inherited_worker (list, task, "");
   step->waiting_count--;
   step->assigned_count++;
@@ -672,6 +674,31 @@
   return mean_ms;
 }
 
+/* Returns a value that is different for all steps of all jobs, except with negligible probability,
+ * and never 0. */
+static uint64_t
+_vp_jobstep_identity (const VpJobStep *step)
+{
+  const VpJobOccurrence *occurrence = step->occurrence;
+  uint64_t place = ((uint64_t)occurrence->number << 32) | (step->index + 1);
+
+  return (occurrence->job->spec->id ^ place * UINT64_C (0x9e3779b97f4a7c15)) | 1;
+}
+
+void
+vp_jobstep_forecast_key (const VpJobStep *step, VpForecastKey *out)
+{
+  const VpJobSpec *job = step->occurrence->job->spec;
+
+  *out = (VpForecastKey){ .queue = job->queue,
+                          .team = job->team,
+                          .image = step->spec->image,
+                          .task_count = step->spec->task_count,
+                          .size = step->spec->size,
+                          .estimate_ms = step->spec->estimate_ms,
+                          .step = _vp_jobstep_identity (step) };
+}
+
 GVariant *
 vp_job_encode (const VpJob *job)
 {
--- a/src/vp-joblist.h
+++ b/src/vp-joblist.h
@@ -18,6 +18,7 @@
  */
 #pragma once
 
+#include "vp-forecast.h"
 #include "vp-workerlist.h"
 
 /* GVariant types of the stored values: a job, its progress and its end. The last array of a step in
@@ -81,6 +82,10 @@
   uint32_t percent_sent;  /* share of the CPU in the last throttle command */
   int64_t gauge; /* tail latency in ms of a task with a latency target, else CPU in use (milli) */
   char inherited_worker[VP_NAME_MAX]; /* an earlier scheduler had the task there; empty: none */
+  bool is_resumed;                    /* the current run began from a checkpoint */
+  int64_t forecast_p50_ms; /* duration expected when the current run was assigned; 0: none */
+  int64_t forecast_p90_ms;
+  int64_t expected_end_ms; /* see vp-reservation.h; 0: not computed for the current run */
 };
 
 /* Advice about one worker for a step. A permission stays valid for the worker, but its ticket
@@ -256,6 +261,9 @@
 /* Adds the duration @duration_ms of a successful run. Returns the mean of the earlier ones, or 0 if
  * there are too few. */
 int64_t vp_jobstep_record_duration (VpJobStep *step, int64_t duration_ms);
+/* Sets @out to what is known of the step's tasks before they run. The strings belong to the step.
+ */
+void vp_jobstep_forecast_key (const VpJobStep *step, VpForecastKey *out);
 bool vp_job_is_ended (const VpJob *job);
 const char *vp_job_state_token (VpJobState state);
 
--- a/src/vp-metrics.c
+++ b/src/vp-metrics.c
@@ -67,6 +67,13 @@
   = { "tasks_given_up", "Tasks given up since workers crashed under them" },
   [VP_COUNTER_INHERITED_STARTS]
   = { "inherited_starts", "Starts of tasks that an earlier leader may have started" },
+  [VP_COUNTER_FORECASTS] = { "forecasts", "Runs started with an expected duration" },
+  [VP_COUNTER_FORECASTS_ENDED]
+  = { "forecasts_ended", "Runs with an expected duration whose duration was recorded" },
+  [VP_COUNTER_FORECASTS_IN_P50]
+  = { "forecasts_in_p50", "Recorded runs that ended within the stated p50" },
+  [VP_COUNTER_FORECASTS_IN_P90]
+  = { "forecasts_in_p90", "Recorded runs that ended within the stated p90" },
 };
 
 static const VpMetricText vp_gauge_texts[VP_GAUGE_LAST] = {
--- a/src/vp-metrics.h
+++ b/src/vp-metrics.h
@@ -47,6 +47,10 @@
   VP_COUNTER_WORKERS_GIVEN_UP,
   VP_COUNTER_TASKS_GIVEN_UP,
   VP_COUNTER_INHERITED_STARTS,
+  VP_COUNTER_FORECASTS,        /* runs started with an expected duration */
+  VP_COUNTER_FORECASTS_ENDED,  /* those whose duration was recorded */
+  VP_COUNTER_FORECASTS_IN_P50, /* those that ended within the p50 stated at the start */
+  VP_COUNTER_FORECASTS_IN_P90,
   VP_COUNTER_LAST,
 } VpCounter;
 
--- a/src/vp-place-private.h
+++ b/src/vp-place-private.h
@@ -25,7 +25,10 @@
 VpPlaceSlot *_vp_place_find_slot (const VpPlacePool *pool, const VpAdviceRow *row);
 /* Returns the time at which a task of the step is expected to find capacity on the worker, or
  * INT64_MAX if earlier steps wait for the worker. */
-int64_t _vp_place_available_ms (const VpJobStep *step, const VpPlaceSlot *slot, int64_t now_ms);
+int64_t _vp_place_available_ms (const VpPlacePool *pool,
+                                const VpJobStep *step,
+                                const VpPlaceSlot *slot,
+                                int64_t now_ms);
 /* Returns true if the worker can get another task under the step's limit per worker. @taken_count
  * tasks have been chosen for the worker already, but aren't assigned yet. */
 bool _vp_place_is_below_spread_max (const VpJobStep *step,
--- a/src/vp-place-reserve.c
+++ b/src/vp-place-reserve.c
@@ -48,7 +48,7 @@
     if (slot == NULL || !_vp_place_is_eligible (step, slot->worker)
         || !_vp_place_is_below_spread_max (step, slot->worker, 0))
       continue;
-    available_ms = _vp_place_available_ms (step, slot, now_ms);
+    available_ms = _vp_place_available_ms (pool, step, slot, now_ms);
     if (available_ms < best_ms || (available_ms == best_ms && best != NULL && slot < best)) {
       best = slot;
       best_ms = available_ms;
--- a/src/vp-place.c
+++ b/src/vp-place.c
@@ -36,11 +36,15 @@
 #define VP_PLACE_ISOLATED_SHARE 0.25
 
 VpPlacePool *
-vp_place_pool_new (const VpWorkerList *worker_list, const char *service, int64_t now_ms)
+vp_place_pool_new (const VpWorkerList *worker_list,
+                   const VpForecast *forecast,
+                   const char *service,
+                   int64_t now_ms)
 {
   VpPlacePool *pool = g_new0 (VpPlacePool, 1);
 
   pool->worker_list = worker_list;
+  pool->forecast = forecast;
   g_strlcpy (pool->service, service, sizeof pool->service);
   pool->slots = g_array_sized_new (FALSE, FALSE, sizeof (VpPlaceSlot), worker_list->workers->len);
   for (guint i = 0; i < worker_list->workers->len; i++) {
@@ -173,19 +177,28 @@
   return cost;
 }
 
+/* A search for the best worker for a task. */
+typedef struct {
+  const VpJobTask *task;
+  const VpQueueConfig *queue;
+  bool is_isolated;         /* see vp-crash.h */
+  VpForecastRange expected; /* duration of the task on a worker of speed 1 */
+  int64_t now_ms;
+} VpPlaceSearch;
+
 /* Returns true if a task of the step should rather wait a little for another worker: one near its
  * data, or one with more idle CPU for a best-effort task. */
 static bool
-_vp_place_should_wait (const VpJobStep *step,
-                       const VpCellWorker *worker,
-                       const VpResources *free,
-                       int64_t now_ms)
+_vp_place_should_wait (const VpPlaceSearch *search, const VpPlaceSlot *slot)
 {
+  const VpJobStep *step = search->task->step;
   const VpStepSpec *spec = step->spec;
-  int64_t waited_ms = now_ms - step->ready_ms;
+  const VpCellWorker *worker = slot->worker;
+  const VpResources *free = &slot->free;
+  int64_t waited_ms = search->now_ms - step->ready_ms;
 
   if (_vp_place_is_remote (spec, worker)
-      && waited_ms < (int64_t)((double)spec->estimate_ms * VP_PLACE_REMOTE_WAIT_SHARE))
+      && waited_ms < (int64_t)((double)search->expected.p50_ms * VP_PLACE_REMOTE_WAIT_SHARE))
     return true;
   return spec->is_best_effort && waited_ms < VP_PLACE_BEST_EFFORT_WAIT_MS
          && free->cpu_milli - worker->best_effort_cpu_milli < spec->size.cpu_milli / 2;
@@ -231,14 +244,16 @@
 
 /* Returns true if the worker has capacity for a task of the step that no earlier step needs. */
 static bool
-_vp_place_has_capacity (const VpJobStep *step, const VpPlaceSlot *slot, int64_t now_ms)
+_vp_place_has_capacity (const VpPlaceSearch *search, const VpPlaceSlot *slot)
 {
+  const VpJobStep *step = search->task->step;
   VpResources demand = _vp_place_demand (step);
   int64_t duration_ms = step->spec->is_long_running
-                            ? INT64_MAX - now_ms
-                            : (int64_t)((double)step->spec->estimate_ms * slot->worker->slowness);
+                            ? INT64_MAX - search->now_ms
+                            : (int64_t)((double)search->expected.p50_ms * slot->worker->slowness);
 
-  return vp_reservation_admits (&slot->reservation, &slot->free, &demand, duration_ms, now_ms);
+  return vp_reservation_admits (&slot->reservation, &slot->free, &demand, duration_ms,
+                                search->now_ms);
 }
 
 typedef struct {
@@ -250,31 +265,40 @@
  * An isolated start needs a worker without other recent starts, and takes the one with the least
  * work that a crash would destroy. */
 static void
-_vp_place_evaluate (const VpJobTask *task,
-                    const VpQueueConfig *queue,
-                    VpPlaceSlot *slot,
-                    bool is_isolated,
-                    int64_t now_ms,
-                    VpPlaceChoice *best)
+_vp_place_evaluate (const VpPlaceSearch *search, VpPlaceSlot *slot, VpPlaceChoice *best)
 {
+  const VpJobTask *task = search->task;
   const VpJobStep *step = task->step;
+  int64_t now_ms = search->now_ms;
   double cost;
 
   /* In a full cell most workers lack the capacity, so that is checked first. */
-  if (!_vp_place_has_capacity (step, slot, now_ms) || !_vp_place_is_eligible (step, slot->worker)
+  if (!_vp_place_has_capacity (search, slot) || !_vp_place_is_eligible (step, slot->worker)
       || !_vp_place_is_below_spread_max (step, slot->worker, 0)
       || _vp_place_has_failed_on (task, slot->worker, now_ms)
-      || _vp_place_should_wait (step, slot->worker, &slot->free, now_ms)
-      || vp_crash_is_kept (slot->worker, task, now_ms)
-      || (is_isolated && !vp_crash_is_quiet (slot->worker, task, now_ms)))
+      || _vp_place_should_wait (search, slot) || vp_crash_is_kept (slot->worker, task, now_ms)
+      || (search->is_isolated && !vp_crash_is_quiet (slot->worker, task, now_ms)))
     return;
-  cost = is_isolated
+  cost = search->is_isolated
              ? vp_resources_dominant_share (&slot->worker->used, &slot->worker->entry.capacity)
-             : _vp_place_cost (step, queue->priority == 0, slot->worker, &slot->free);
+             : _vp_place_cost (step, search->queue->priority == 0, slot->worker, &slot->free);
   if (best->slot == NULL || cost < best->cost || (cost == best->cost && slot < best->slot))
     *best = (VpPlaceChoice){ .slot = slot, .cost = cost };
 }
 
+/* Sets @out to the expected duration of a task of the step. */
+static void
+_vp_place_expected (const VpPlacePool *pool, const VpJobStep *step, VpForecastRange *out)
+{
+  VpForecastKey key;
+
+  *out = (VpForecastRange){ .p50_ms = step->spec->estimate_ms, .p90_ms = step->spec->estimate_ms };
+  if (pool->forecast == NULL || step->spec->is_long_running)
+    return;
+  vp_jobstep_forecast_key (step, &key);
+  vp_forecast_task (pool->forecast, &key, out);
+}
+
 VpPlaceSlot *
 _vp_place_find_slot (const VpPlacePool *pool, const VpAdviceRow *row)
 {
@@ -296,18 +320,20 @@
                      int64_t now_ms)
 {
   const VpJobStep *step = task->step;
+  VpPlaceSearch search
+      = { .task = task, .queue = queue, .is_isolated = is_isolated, .now_ms = now_ms };
   VpPlaceChoice best = { 0 };
   GHashTableIter iter;
   gpointer value;
 
+  if (queue->has_advice && (step->advice == NULL || _vp_place_lacks_tickets (step, queue, now_ms)))
+    return NULL;
+  _vp_place_expected (pool, step, &search.expected);
   if (!queue->has_advice) {
     for (guint i = 0; i < pool->slots->len; i++)
-      _vp_place_evaluate (task, queue, &g_array_index (pool->slots, VpPlaceSlot, i), is_isolated,
-                          now_ms, &best);
+      _vp_place_evaluate (&search, &g_array_index (pool->slots, VpPlaceSlot, i), &best);
     return best.slot;
   }
-  if (step->advice == NULL || _vp_place_lacks_tickets (step, queue, now_ms))
-    return NULL;
   /* A step has few tickets, while many workers may have free capacity. */
   g_hash_table_iter_init (&iter, step->advice);
   while (g_hash_table_iter_next (&iter, NULL, &value)) {
@@ -317,7 +343,7 @@
       continue;
     slot = _vp_place_find_slot (pool, row);
     if (slot != NULL)
-      _vp_place_evaluate (task, queue, slot, is_isolated, now_ms, &best);
+      _vp_place_evaluate (&search, slot, &best);
   }
   return best.slot;
 }
@@ -486,18 +512,22 @@
 }
 
 int64_t
-_vp_place_available_ms (const VpJobStep *step, const VpPlaceSlot *slot, int64_t now_ms)
+_vp_place_available_ms (const VpPlacePool *pool,
+                        const VpJobStep *step,
+                        const VpPlaceSlot *slot,
+                        int64_t now_ms)
 {
   VpResources demand = _vp_place_demand (step);
 
   if (!vp_resources_is_zero (&slot->reservation.size))
     return INT64_MAX;
-  return vp_reservation_available_ms (slot->worker, &slot->free, &demand, now_ms);
+  return vp_reservation_available_ms (slot->worker, pool->forecast, &slot->free, &demand, now_ms);
 }
 
 /* Fills in an option for a worker without free capacity. Returns false if it is of no use. */
 static bool
-_vp_place_evaluate_busy (const VpJobStep *step,
+_vp_place_evaluate_busy (const VpPlacePool *pool,
+                         const VpJobStep *step,
                          const VpQueueConfig *queue,
                          const VpPlaceSlot *slot,
                          int64_t now_ms,
@@ -509,7 +539,8 @@
   if (option->is_busy)
     return vp_resources_fits (&demand, &slot->worker->entry.capacity);
   option->candidate.capacity = 1;
-  return _vp_place_available_ms (step, slot, now_ms) <= now_ms + (int64_t)queue->advice_decide_ms;
+  return _vp_place_available_ms (pool, step, slot, now_ms)
+         <= now_ms + (int64_t)queue->advice_decide_ms;
 }
 
 /* Returns the workers that an advice request for the step may name, best first. */
@@ -537,7 +568,7 @@
     option.is_allowed = permission == VP_PERMISSION_ALLOWED;
     if (permission == VP_PERMISSION_EXCLUDED
         || (option.candidate.capacity == 0
-            && !_vp_place_evaluate_busy (step, queue, slot, now_ms, &option))
+            && !_vp_place_evaluate_busy (pool, step, queue, slot, now_ms, &option))
         || vp_place_find_ticket (step, slot->worker, now_ms) != NULL)
       continue;
     reserved = g_hash_table_lookup (reservations, slot->worker->entry.id);
--- a/src/vp-place.h
+++ b/src/vp-place.h
@@ -1,6 +1,7 @@
 /* Choice of workers for the tasks of a step. No I/O.
  *
- *   VpPlacePool *pool = vp_place_pool_new (worker_list, "service", now_ms);   // for one decision
+ *   VpPlacePool *pool = vp_place_pool_new (worker_list, forecast, "service", now_ms);  // for one
+ *                                                                                      // decision
  *   VpPlaceSlot *slot = vp_place_pick (pool, task, queue, now_ms);            // NULL: none fits
  *   ... assign the task to slot->worker ...
  *   vp_place_slot_update (pool, slot);
@@ -25,6 +26,7 @@
  * in memory, as every waiting step scans all of them. */
 typedef struct {
   const VpWorkerList *worker_list;
+  const VpForecast *forecast; /* borrowed; NULL: callers' estimates are taken as durations */
   char service[VP_NAME_MAX];
   GArray *slots;                   /* VpPlaceSlot */
   VpResources free;                /* free capacity of all workers */
@@ -40,8 +42,11 @@
   uint32_t capacity; /* number of tasks of the step that fit on it */
 } VpPlaceCandidate;
 
-VpPlacePool *
-vp_place_pool_new (const VpWorkerList *worker_list, const char *service, int64_t now_ms);
+/* @forecast is borrowed; NULL: callers' estimates are taken as durations. */
+VpPlacePool *vp_place_pool_new (const VpWorkerList *worker_list,
+                                const VpForecast *forecast,
+                                const char *service,
+                                int64_t now_ms);
 void vp_place_pool_free (VpPlacePool *pool);
 /* Updates the free capacity of the slot after a task was assigned to its worker. */
 void vp_place_slot_update (VpPlacePool *pool, VpPlaceSlot *slot);
--- a/src/vp-reconcile.c
+++ b/src/vp-reconcile.c
@@ -15,13 +15,14 @@
 vp_reconcile_setup (VpReconcile *reconcile,
                     VpWorkerList *worker_list,
                     VpJobList *jobs,
+                    VpForecast *forecast,
                     uint64_t fence)
 {
   memset (reconcile, 0, sizeof *reconcile);
   reconcile->worker_list = worker_list;
   reconcile->jobs = jobs;
   reconcile->fence = fence;
-  reconcile->durations = vp_durations_setup ();
+  reconcile->forecast = forecast;
   reconcile->orphan_stops = g_array_new (FALSE, FALSE, sizeof (VpCommand));
   vp_runlog_setup (&reconcile->log, &(VpRunlogDesc){ 0 });
   vp_runlog_setup (&reconcile->done_log, &(VpRunlogDesc){ .wait_ms = VP_RECONCILE_DONE_LOG_MS });
@@ -33,7 +34,6 @@
   vp_runlog_shutdown (&reconcile->done_log);
   vp_runlog_shutdown (&reconcile->log);
   g_array_unref (reconcile->orphan_stops);
-  vp_durations_shutdown (reconcile->durations);
 }
 
 void
@@ -95,6 +95,31 @@
   vp_workerlist_note_restart (reconcile->worker_list, worker, booted_ms, now_ms);
 }
 
+/* Records the duration of the successful run, unless it doesn't tell how long the task takes: this
+ * scheduler hasn't seen the start, the run began from a checkpoint or far from its data, or its CPU
+ * was throttled. */
+static void
+_vp_reconcile_record_duration (VpReconcile *reconcile,
+                               const VpCellWorker *worker,
+                               const VpJobTask *task,
+                               int64_t now_ms)
+{
+  const VpStepSpec *spec = task->step->spec;
+  int64_t duration_ms = now_ms - task->started_ms;
+  VpForecastKey key;
+
+  if (task->start_tries == 0 || task->is_resumed || spec->is_best_effort || spec->is_long_running
+      || (spec->rack[0] != '\0' && strcmp (spec->rack, worker->entry.rack) != 0))
+    return;
+  if (task->forecast_p50_ms > 0) {
+    vp_metrics_add (VP_COUNTER_FORECASTS_ENDED, 1);
+    vp_metrics_add (VP_COUNTER_FORECASTS_IN_P50, duration_ms <= task->forecast_p50_ms ? 1 : 0);
+    vp_metrics_add (VP_COUNTER_FORECASTS_IN_P90, duration_ms <= task->forecast_p90_ms ? 1 : 0);
+  }
+  vp_jobstep_forecast_key (task->step, &key);
+  vp_forecast_record (reconcile->forecast, &key, duration_ms, worker->slowness, now_ms);
+}
+
 static void
 _vp_reconcile_record_end (VpReconcile *reconcile,
                           VpCellWorker *worker,
@@ -107,8 +132,8 @@
   vp_metrics_add (VP_COUNTER_ENDED, 1);
   if (end == VP_RUN_DONE) {
     vp_workerlist_record_success (worker);
+    _vp_reconcile_record_duration (reconcile, worker, task, now_ms);
     if (!task->step->spec->is_best_effort && task->checkpoint[0] == '\0') {
-      vp_durations_record (reconcile->durations, job->spec->queue, now_ms - task->started_ms);
       vp_workerlist_record_duration (
           worker, now_ms - task->started_ms,
           vp_jobstep_record_duration (task->step, now_ms - task->started_ms));
--- a/src/vp-reconcile.h
+++ b/src/vp-reconcile.h
@@ -2,7 +2,7 @@
  * waiting tasks, stops other unknown runs and detects runs that no longer exist.
  *
  *   VpReconcile reconcile;
- *   vp_reconcile_setup (&reconcile, worker_list, jobs, fence);
+ *   vp_reconcile_setup (&reconcile, worker_list, jobs, forecast, fence);
  *   reconcile.config = config;
  *   vp_reconcile_handle_list (&reconcile, worker, &result, now_ms);
  *   ... send the commands in reconcile.orphan_stops ...
@@ -15,14 +15,13 @@
 
 #include "vp-cellconfig.h"
 #include "vp-crash.h"
-#include "vp-durations.h"
 #include "vp-runlog.h"
 
 typedef struct {
   VpWorkerList *worker_list;  /* borrowed */
   VpJobList *jobs;            /* borrowed */
   const VpCellConfig *config; /* borrowed; NULL: none yet */
-  VpDurations *durations;
+  VpForecast *forecast;       /* borrowed; ended runs are recorded there */
   uint64_t fence;
   GArray *orphan_stops;   /* VpCommand: stops to send for listed runs that belong to no task */
   bool has_unstaged_ends; /* ends were processed since the caller last cleared this flag */
@@ -34,6 +33,7 @@
 void vp_reconcile_setup (VpReconcile *reconcile,
                          VpWorkerList *worker_list,
                          VpJobList *jobs,
+                         VpForecast *forecast,
                          uint64_t fence);
 void vp_reconcile_shutdown (VpReconcile *reconcile);
 /* Handles the list of runs and ends in the answer to a HOLD. Returns true if nothing that the
--- a/src/vp-reservation.h
+++ b/src/vp-reservation.h
@@ -1,7 +1,7 @@
 /* Capacity of a worker that is kept for waiting steps which come first in the step queue.
  *
  *   VpReservation reservation = { 0 };
- *   int64_t from_ms = vp_reservation_available_ms (worker, &free, &demand, now_ms);
+ *   int64_t from_ms = vp_reservation_available_ms (worker, forecast, &free, &demand, now_ms);
  *   vp_reservation_add (&reservation, &demand, from_ms);
  *   if (vp_reservation_admits (&reservation, &free, &demand, duration_ms, now_ms))
  *     ... a task of a later step may start ...
@@ -37,10 +37,12 @@
 /* Returns true if the demand is so large a part of a worker's capacity that tasks of that size may
  * not find a worker although the sum of the free capacity would suffice. */
 bool vp_reservation_is_wide (const VpResources *demand, const VpResources *capacity);
-/* Returns the time at which the worker is expected to have @demand unassigned, from the estimated
- * times of its tasks. @free is its unassigned capacity now. INT64_MAX: not before tasks that don't
- * end by themselves are stopped. */
+/* Returns the time at which the worker is expected to have @demand unassigned, from the expected
+ * durations of its tasks. @free is its unassigned capacity now. INT64_MAX: not before tasks that
+ * don't end by themselves are stopped. @forecast NULL: callers' estimates are taken as durations.
+ */
 int64_t vp_reservation_available_ms (const VpCellWorker *worker,
+                                     const VpForecast *forecast,
                                      const VpResources *free,
                                      const VpResources *demand,
                                      int64_t now_ms);
--- a/src/vp-stepqueue.c
+++ b/src/vp-stepqueue.c
@@ -13,7 +13,8 @@
     if (strcmp (((VpPlacePool *)step_queue->pools->pdata[i])->service, service) == 0)
       return i;
   }
-  g_ptr_array_add (step_queue->pools, vp_place_pool_new (step_queue->worker_list, service, now_ms));
+  g_ptr_array_add (step_queue->pools, vp_place_pool_new (step_queue->worker_list,
+                                                         step_queue->forecast, service, now_ms));
   return step_queue->pools->len - 1;
 }
 
@@ -99,9 +100,11 @@
                     const VpWorkerList *worker_list,
                     const VpJobList *jobs,
                     const VpCellConfig *config,
+                    const VpForecast *forecast,
                     int64_t now_ms)
 {
   step_queue->worker_list = worker_list;
+  step_queue->forecast = forecast;
   step_queue->items = g_array_new (FALSE, FALSE, sizeof (VpStepQueueItem));
   step_queue->pools = g_ptr_array_new_with_free_func ((GDestroyNotify)vp_place_pool_free);
   for (guint i = 0; i < jobs->ready_steps->len; i++)
--- a/src/vp-stepqueue.h
+++ b/src/vp-stepqueue.h
@@ -10,7 +10,7 @@
  * be on time, would never start.
  *
  *   VpStepQueue step_queue;
- *   vp_stepqueue_setup (&step_queue, worker_list, jobs, config, now_ms);
+ *   vp_stepqueue_setup (&step_queue, worker_list, jobs, config, forecast, now_ms);
  *   for (guint i = 0; i < step_queue.items->len; i++)
  *     place (&g_array_index (step_queue.items, VpStepQueueItem, i));
  *   vp_stepqueue_shutdown (&step_queue);
@@ -36,14 +36,17 @@
 
 typedef struct {
   const VpWorkerList *worker_list;
-  GArray *items;    /* VpStepQueueItem in order of priority */
-  GPtrArray *pools; /* VpPlacePool, one for each service */
+  const VpForecast *forecast; /* borrowed; NULL: callers' estimates are taken as durations */
+  GArray *items;              /* VpStepQueueItem in order of priority */
+  GPtrArray *pools;           /* VpPlacePool, one for each service */
 } VpStepQueue;
 
+/* @forecast is borrowed; NULL: callers' estimates are taken as durations. */
 void vp_stepqueue_setup (VpStepQueue *step_queue,
                          const VpWorkerList *worker_list,
                          const VpJobList *jobs,
                          const VpCellConfig *config,
+                         const VpForecast *forecast,
                          int64_t now_ms);
 void vp_stepqueue_shutdown (VpStepQueue *step_queue);
 /* Returns the workers of the service that runs the item's step. */
--- a/tests/test-advise.c
+++ b/tests/test-advise.c
@@ -49,7 +49,7 @@
     worker = vp_workerlist_update (fixture->worker_list, &entry);
     worker->is_synced = worker->is_reachable = true;
   }
-  fixture->pool = vp_place_pool_new (fixture->worker_list, "service", NOW_MS);
+  fixture->pool = vp_place_pool_new (fixture->worker_list, NULL, "service", NOW_MS);
   fixture->urgent = _queue_config ("urgent", 0, 20);
   fixture->batch = _queue_config ("batch", 2, 400);
 }
--- a/tests/test-place.c
+++ b/tests/test-place.c
@@ -95,8 +95,8 @@
   step = &vp_joblist_add (jobs, spec, NOW_MS, NOW_MS)->occurrences[0].steps[0];
   _add_advice (step, rand);
   /* The slots of another service's pool must not be mixed up with those of @pool. */
-  pool = vp_place_pool_new (worker_list, "service", NOW_MS);
-  other_pool = vp_place_pool_new (worker_list, "other", NOW_MS);
+  pool = vp_place_pool_new (worker_list, NULL, "service", NOW_MS);
+  other_pool = vp_place_pool_new (worker_list, NULL, "other", NOW_MS);
   slot = vp_place_pick (pool, &step->tasks[0], &queue, NOW_MS);
   expected = _search (pool, step, queue);
   g_assert_true (slot == expected);
--- a/tests/test-reservation.c
+++ b/tests/test-reservation.c
@@ -188,9 +188,9 @@
     VpCellWorker *worker = _add_worker (worker_list, jobs, 5000, is_long_running == 1);
     VpResources free = vp_workerlist_free_capacity (worker);
     VpReservation reservation = { 0 };
-    int64_t from_ms = vp_reservation_available_ms (worker, &free, &wide, 2000);
+    int64_t from_ms = vp_reservation_available_ms (worker, NULL, &free, &wide, 2000);
 
-    g_assert_cmpint (vp_reservation_available_ms (worker, &free, &narrow, 2000), ==, 2000);
+    g_assert_cmpint (vp_reservation_available_ms (worker, NULL, &free, &narrow, 2000), ==, 2000);
     g_assert_cmpint (from_ms, ==, is_long_running == 1 ? INT64_MAX : 6000);
     vp_reservation_add (&reservation, &wide, 6000);
     g_assert_true (vp_reservation_admits (&reservation, &free, &narrow, 4000, 2000));
--- a/tests/test-stepqueue.c
+++ b/tests/test-stepqueue.c
@@ -73,7 +73,7 @@
 _assert_order (Fixture *fixture, const uint64_t *ids, guint count)
 {
   vp_stepqueue_setup (&fixture->step_queue, fixture->worker_list, fixture->jobs, fixture->config,
-                      NOW_MS);
+                      NULL, NOW_MS);
   g_assert_cmpuint (fixture->step_queue.items->len, ==, count);
   for (guint i = 0; i < count; i++)
     g_assert_cmpuint (g_array_index (fixture->step_queue.items, VpStepQueueItem, i)
