Order of waiting steps by the prospects of their jobs

Cause: under overload the order by least slack starts each job just before it becomes late, and what its estimate doesn't contain (advice, commit, delayed ends, the error itself) then makes it late. Change: vp-outlook forecasts the longest chain of a job with its range and overheads. Steps whose job is in time with a probability of 0.9 come before those whose job hardly is, and those before late ones. As the objective is a multiple of the chain, a long duration also means more time, so the unfavourable end of the range is the low one. Within these groups the rank is the latest start, moved by the job's work: small jobs first among those in time, large ones first among the others. The earlier order stays as vp_stepqueue_estimate_order, for comparisons.

--- a/src/vp-cell.c
+++ b/src/vp-cell.c
@@ -740,11 +740,14 @@
 static void
 _vp_cell_place_steps (VpCell *cell, int64_t now_ms, GArray *effects)
 {
+  VpStepQueueDesc desc = { .worker_list = cell->worker_list,
+                           .jobs = cell->jobs,
+                           .config = cell->config,
+                           .forecast = cell->forecast };
   VpStepQueue step_queue;
 
   _vp_cell_count_possibly_running (cell);
-  vp_stepqueue_setup (&step_queue, cell->worker_list, cell->jobs, cell->config, cell->forecast,
-                      now_ms);
+  vp_stepqueue_setup (&step_queue, &desc, now_ms);
   for (guint i = 0; i < step_queue.items->len; i++)
     _vp_cell_place_item (cell, &step_queue, &g_array_index (step_queue.items, VpStepQueueItem, i),
                          now_ms, effects);
--- a/src/vp-joblist.c
+++ b/src/vp-joblist.c
@@ -670,6 +670,7 @@
                         : step->duration_sum_ms / step->duration_count;
 
   step->duration_sum_ms += duration_ms;
+  step->duration_max_ms = MAX (step->duration_max_ms, duration_ms);
   step->duration_count++;
   return mean_ms;
 }
--- a/src/vp-joblist.h
+++ b/src/vp-joblist.h
@@ -97,6 +97,17 @@
   int64_t valid_until_ms;     /* expiry time of the ticket */
 } VpAdviceRow;
 
+/* Forecast of the work from a step to the end of its job, see vp-outlook.h. */
+typedef struct {
+  int64_t forecast_ms; /* time of the forecast; 0: none yet */
+  int64_t p50_ms;      /* longest chain of steps from this one on */
+  int64_t low_ms;      /* the same, with a probability of 0.1 that it is shorter */
+  int64_t high_ms;     /* the same, with a probability of 0.1 that it is longer */
+  int64_t done_ms;     /* measured longest chain of the ended steps before this one */
+  uint32_t step_count; /* steps in the chain */
+  double work;         /* of all waiting tasks of the job, in thousandths of a core times ms */
+} VpChainForecast;
+
 struct _VpJobStep {
   VpJobOccurrence *occurrence;
   const VpStepSpec *spec;
@@ -114,8 +125,10 @@
   int64_t advice_retry_ms;   /* no advice is requested before this time */
   int64_t tickets_expire_ms; /* expiry time of the last ticket in @advice */
   int64_t duration_sum_ms;   /* total duration of its successful runs */
+  int64_t duration_max_ms;   /* longest duration of a successful run; 0: not known */
   uint32_t duration_count;   /* number of durations in @duration_sum_ms */
   int64_t gang_retry_ms;     /* placement of a gang isn't tried before this time */
+  VpChainForecast chain;     /* for the order of waiting steps */
 };
 
 /* One repetition of a job; jobs that aren't repeated have one. */
--- /dev/null
+++ b/src/vp-outlook.h
@@ -0,0 +1,38 @@
+/* Prospects of a job with waiting steps, from the forecast durations of its tasks. No I/O.
+ *
+ *   VpOutlook outlook;
+ *   vp_outlook_update (&outlook, step, queue, forecast, now_ms);
+ *   if (now_ms - began_ms > outlook.slack_min_ms)
+ *     ... the job may miss its objective although the step starts at once ...
+ *
+ * The objective of a job is a multiple of its longest chain of work plus a constant, so a job that
+ * takes longer than expected has more time, too. With a multiple of 1.5, waiting and overheads may
+ * take half of the chain and the constant. The unknown duration therefore counts with 0.5 and its
+ * low end is the unfavourable one: taking a long duration against an objective from the expected
+ * one would count nearly every job as late from the beginning (docs/design/overload.md has the
+ * figures).
+ */
+#pragma once
+
+#include "vp-cellconfig.h"
+#include "vp-joblist.h"
+
+/* Times count from the beginning of the occurrence. A step that starts by @slack_min_ms meets the
+ * objective with a probability of about 0.9, by @slack_ms with 0.5, and by @slack_max_ms with 0.1.
+ */
+typedef struct {
+  int64_t slack_min_ms;
+  int64_t slack_ms;
+  int64_t slack_max_ms;
+  int64_t worthless_ms; /* after a later start the result has no value, with a probability of 0.9 */
+  int64_t objective_ms; /* expected objective */
+  double work;          /* of all waiting tasks of the job, in thousandths of a core times ms */
+} VpOutlook;
+
+/* Sets @out to the prospects of the job of a ready step. @forecast may be NULL: callers' estimates
+ * are taken as durations. The forecast of a step is reused for VP_OUTLOOK_REFRESH_MS. */
+void vp_outlook_update (VpOutlook *out,
+                        VpJobStep *step,
+                        const VpQueueConfig *queue,
+                        const VpForecast *forecast,
+                        int64_t now_ms);
--- a/src/vp-stepqueue.c
+++ b/src/vp-stepqueue.c
@@ -1,10 +1,18 @@
 #include "vp-stepqueue.h"
+#include "vp-outlook.h"
 
+#include <math.h>
 #include <string.h>
 
 /* A step counts as worthless once the occurrence of its job has taken more than this many times its
  * objective. */
 #define VP_STEPQUEUE_WORTHLESS_FACTOR 3
+/* Each doubling of the work of a job, relative to the mean of the waiting steps of its queue, moves
+ * its steps back by this share of the mean objective among those that are in time, so that more
+ * jobs are, and forward by as much among the others, so that large jobs aren't starved. In replays
+ * of urgent jobs at five times the capacity 0 gives a value of 0.35, 0.05 to 0.25 give 0.43 to
+ * 0.45, and above 0.1 the largest tenth is served less than half as often as the queue. */
+#define VP_STEPQUEUE_SIZE_SHARE 0.07
 
 static guint
 _vp_stepqueue_add_pool (VpStepQueue *step_queue, const char *service, int64_t now_ms)
@@ -13,8 +21,9 @@
     if (strcmp (((VpPlacePool *)step_queue->pools->pdata[i])->service, service) == 0)
       return i;
   }
-  g_ptr_array_add (step_queue->pools, vp_place_pool_new (step_queue->worker_list,
-                                                         step_queue->forecast, service, now_ms));
+  g_ptr_array_add (
+      step_queue->pools,
+      vp_place_pool_new (step_queue->desc.worker_list, step_queue->desc.forecast, service, now_ms));
   return step_queue->pools->len - 1;
 }
 
@@ -42,11 +51,19 @@
     return one->lateness < two->lateness ? -1 : 1;
   if (one->queue->priority != two->queue->priority)
     return one->queue->priority < two->queue->priority ? -1 : 1;
-  return one->latest_start_ms == two->latest_start_ms  ? 0
-         : one->latest_start_ms < two->latest_start_ms ? -1
-                                                       : 1;
+  if (one->has_begun != two->has_begun)
+    return one->has_begun ? -1 : 1;
+  return one->rank == two->rank ? 0 : one->rank < two->rank ? -1 : 1;
 }
 
+static int64_t
+_vp_stepqueue_began_ms (const VpJobOccurrence *occurrence)
+{
+  return occurrence->due_ms != 0 ? occurrence->due_ms : occurrence->job->arrived_ms;
+}
+
+/* Order by estimates. */
+
 /* Returns the target time from the beginning of an occurrence of the job to its completion. */
 static int64_t
 _vp_stepqueue_objective_ms (VpJob *job, const VpQueueConfig *queue)
@@ -61,54 +78,136 @@
   return job->objective_ms;
 }
 
-static VpLateness
-_vp_stepqueue_lateness (const VpStepQueueItem *item,
-                        int64_t began_ms,
-                        int64_t objective_ms,
-                        int64_t now_ms)
+static void
+_vp_stepqueue_rate_by_estimate (const VpStepQueue *step_queue,
+                                VpStepQueueItem *item,
+                                int64_t now_ms)
 {
+  VpJobOccurrence *occurrence = item->step->occurrence;
+  int64_t began_ms = _vp_stepqueue_began_ms (occurrence);
+  int64_t objective_ms = _vp_stepqueue_objective_ms (occurrence->job, item->queue);
+
+  (void)step_queue;
+  item->latest_start_ms = began_ms + objective_ms - item->step->critical_path_ms;
+  item->rank = (double)item->latest_start_ms;
   if (item->step->spec->is_long_running)
-    return VP_LATENESS_ON_TIME;
-  if (now_ms - began_ms > VP_STEPQUEUE_WORTHLESS_FACTOR * objective_ms)
+    item->lateness = VP_LATENESS_ON_TIME;
+  else if (now_ms - began_ms > VP_STEPQUEUE_WORTHLESS_FACTOR * objective_ms)
+    item->lateness = VP_LATENESS_WORTHLESS;
+  else
+    item->lateness = now_ms > item->latest_start_ms ? VP_LATENESS_LATE : VP_LATENESS_ON_TIME;
+}
+
+const VpStepQueueOrder vp_stepqueue_estimate_order = { .rate = _vp_stepqueue_rate_by_estimate };
+
+/* Order by forecasts. */
+
+static bool
+_vp_stepqueue_has_begun (const VpJobOccurrence *occurrence)
+{
+  for (uint32_t s = 0; s < occurrence->job->spec->step_count; s++) {
+    if (occurrence->steps[s].assigned_count > 0 || occurrence->steps[s].done_count > 0)
+      return true;
+  }
+  return false;
+}
+
+static VpLateness
+_vp_stepqueue_lateness (const VpOutlook *outlook, int64_t elapsed_ms)
+{
+  if (elapsed_ms > outlook->worthless_ms)
     return VP_LATENESS_WORTHLESS;
-  return now_ms > item->latest_start_ms ? VP_LATENESS_LATE : VP_LATENESS_ON_TIME;
+  if (elapsed_ms > outlook->slack_max_ms)
+    return VP_LATENESS_LATE;
+  return elapsed_ms > outlook->slack_min_ms ? VP_LATENESS_DOUBTFUL : VP_LATENESS_ON_TIME;
 }
 
 static void
-_vp_stepqueue_add_step (VpStepQueue *step_queue,
-                        VpJobStep *step,
-                        const VpCellConfig *config,
-                        int64_t now_ms)
+_vp_stepqueue_rate_by_forecast (const VpStepQueue *step_queue,
+                                VpStepQueueItem *item,
+                                int64_t now_ms)
+{
+  const VpJobOccurrence *occurrence = item->step->occurrence;
+  int64_t began_ms = _vp_stepqueue_began_ms (occurrence);
+  VpOutlook outlook;
+
+  vp_outlook_update (&outlook, item->step, item->queue, step_queue->desc.forecast, now_ms);
+  item->latest_start_ms = began_ms + outlook.slack_ms;
+  item->objective_ms = outlook.objective_ms;
+  item->work_log2 = log2 (outlook.work + 1);
+  item->lateness = item->step->spec->is_long_running
+                       ? VP_LATENESS_ON_TIME
+                       : _vp_stepqueue_lateness (&outlook, now_ms - began_ms);
+  /* Elsewhere the work that is left already counts in the rank. */
+  item->has_begun = item->lateness == VP_LATENESS_LATE && _vp_stepqueue_has_begun (occurrence);
+}
+
+/* Sums over the waiting steps of a queue. */
+typedef struct {
+  double work_log2;
+  double objective_ms;
+  uint32_t count;
+} VpStepQueueSums;
+
+static guint
+_vp_stepqueue_queue_index (const VpStepQueue *step_queue, const VpStepQueueItem *item)
+{
+  return (guint)(item->queue - (const VpQueueConfig *)step_queue->desc.config->queues->data);
+}
+
+static void
+_vp_stepqueue_rank_by_forecast (VpStepQueue *step_queue)
+{
+  VpStepQueueSums *sums = g_new0 (VpStepQueueSums, step_queue->desc.config->queues->len);
+
+  for (guint i = 0; i < step_queue->items->len; i++) {
+    const VpStepQueueItem *item = &g_array_index (step_queue->items, VpStepQueueItem, i);
+    VpStepQueueSums *of_queue = &sums[_vp_stepqueue_queue_index (step_queue, item)];
+    of_queue->work_log2 += item->work_log2;
+    of_queue->objective_ms += (double)item->objective_ms;
+    of_queue->count++;
+  }
+  for (guint i = 0; i < step_queue->items->len; i++) {
+    VpStepQueueItem *item = &g_array_index (step_queue->items, VpStepQueueItem, i);
+    const VpStepQueueSums *of_queue = &sums[_vp_stepqueue_queue_index (step_queue, item)];
+    double delay_ms = VP_STEPQUEUE_SIZE_SHARE * of_queue->objective_ms / of_queue->count
+                      * (item->work_log2 - of_queue->work_log2 / of_queue->count);
+    item->rank = (double)item->latest_start_ms
+                 + (item->lateness == VP_LATENESS_ON_TIME ? delay_ms : -delay_ms);
+  }
+  g_free (sums);
+}
+
+const VpStepQueueOrder vp_stepqueue_forecast_order
+    = { .rate = _vp_stepqueue_rate_by_forecast, .rank = _vp_stepqueue_rank_by_forecast };
+
+static void
+_vp_stepqueue_add_step (VpStepQueue *step_queue, VpJobStep *step, int64_t now_ms)
 {
-  VpJob *job = step->occurrence->job;
-  VpStepQueueItem item = { .step = step, .queue = vp_cellconfig_queue (config, job->spec->queue) };
-  int64_t began_ms = step->occurrence->due_ms != 0 ? step->occurrence->due_ms : job->arrived_ms;
-  int64_t objective_ms;
+  const VpJob *job = step->occurrence->job;
+  VpStepQueueItem item
+      = { .step = step, .queue = vp_cellconfig_queue (step_queue->desc.config, job->spec->queue) };
 
   if (item.queue == NULL || step->waiting_count == 0)
     return;
   item.pool = _vp_stepqueue_add_pool (step_queue, item.queue->service, now_ms);
   item.is_over_rate = job->is_over_rate;
-  objective_ms = _vp_stepqueue_objective_ms (job, item.queue);
-  item.latest_start_ms = began_ms + objective_ms - step->critical_path_ms;
-  item.lateness = _vp_stepqueue_lateness (&item, began_ms, objective_ms, now_ms);
+  step_queue->desc.order->rate (step_queue, &item, now_ms);
   g_array_append_val (step_queue->items, item);
 }
 
 void
-vp_stepqueue_setup (VpStepQueue *step_queue,
-                    const VpWorkerList *worker_list,
-                    const VpJobList *jobs,
-                    const VpCellConfig *config,
-                    const VpForecast *forecast,
-                    int64_t now_ms)
+vp_stepqueue_setup (VpStepQueue *step_queue, const VpStepQueueDesc *desc, int64_t now_ms)
 {
-  step_queue->worker_list = worker_list;
-  step_queue->forecast = forecast;
+  step_queue->desc = *desc;
+  if (step_queue->desc.order == NULL)
+    step_queue->desc.order = &vp_stepqueue_forecast_order;
   step_queue->items = g_array_new (FALSE, FALSE, sizeof (VpStepQueueItem));
   step_queue->pools = g_ptr_array_new_with_free_func ((GDestroyNotify)vp_place_pool_free);
-  for (guint i = 0; i < jobs->ready_steps->len; i++)
-    _vp_stepqueue_add_step (step_queue, jobs->ready_steps->pdata[i], config, now_ms);
+  for (guint i = 0; i < desc->jobs->ready_steps->len; i++)
+    _vp_stepqueue_add_step (step_queue, desc->jobs->ready_steps->pdata[i], now_ms);
+  if (step_queue->desc.order->rank != NULL)
+    step_queue->desc.order->rank (step_queue);
   g_array_sort (step_queue->items, _vp_stepqueue_compare_items);
 }
 
