--- a/src/vp-forecast-private.h
+++ b/src/vp-forecast-private.h
@@ -1,5 +1,5 @@
 /* Private parts of the forecasts. The policy `estimate` is in vp-forecast.c, the learned policy in
- * vp-forecast-learned.c, and its histogram in vp-forecast-histogram.c. */
+ * vp-forecast-learned.c and vp-forecast-record.c, and its histogram in vp-forecast-histogram.c. */
 #pragma once
 
 #include "vp-forecast.h"
--- a/tests/test-forecast.c
+++ b/tests/test-forecast.c
@@ -7,13 +7,13 @@
 #include <math.h>
 #include <string.h>
 
-#define SEED_COUNT 30
+#define SEED_COUNT 100
 /* Bounds of the share of runs that end within the stated quantile, as required. */
-#define P90_MIN 0.85
-#define P90_MAX 0.95
-#define P50_MIN 0.40
-#define P50_MAX 0.60
-#define TASKS_MAX 50
+#define P90_MIN    0.85
+#define P90_MAX    0.95
+#define P50_MIN    0.40
+#define P50_MAX    0.60
+#define TASKS_MAX  50
 #define TEAM_COUNT 3
 
 typedef enum { SHAPE_NORMAL, SHAPE_UNIFORM, SHAPE_EXPONENTIAL, SHAPE_TWO_PEAKS } Shape;
@@ -21,15 +21,15 @@
 /* How the runs of a queue are generated. Spreads are standard deviations of the logarithm. */
 typedef struct {
   const char *name;
-  Shape shape;          /* distribution of the logarithm of a step's duration */
-  double spread;        /* of the steps */
-  double within;        /* of the tasks of a step */
-  double tail_share;    /* share of tasks that take @tail_factor times as long */
+  Shape shape;       /* distribution of the logarithm of a step's duration */
+  double spread;     /* of the steps */
+  double within;     /* of the tasks of a step */
+  double tail_share; /* share of tasks that take @tail_factor times as long */
   double tail_factor;
   double estimate_bias; /* factor by which all estimates are wrong */
   double estimate_error;
-  uint32_t tasks_max;   /* steps have 1 to this many tasks */
-  double drift;         /* change of the logarithm of the duration with each run */
+  uint32_t tasks_max;       /* steps have 1 to this many tasks */
+  double drift;             /* change of the logarithm of the duration with each run */
   bool is_size_informative; /* large tasks take four times as long */
 } Load;
 
@@ -337,8 +337,7 @@
 {
   double x = log ((double)key->estimate_ms / REGRESSION_CENTER_MS);
 
-  return log (REGRESSION_CENTER_MS) + state->weights[quantile][0]
-         + state->weights[quantile][1] * x;
+  return log (REGRESSION_CENTER_MS) + state->weights[quantile][0] + state->weights[quantile][1] * x;
 }
 
 static void
@@ -397,8 +396,8 @@
                      uint32_t skipped,
                      uint32_t scored)
 {
-  const VpForecastPolicy *policies[] = { &vp_forecast_policy_estimate, &alternatives[0],
-                                         &alternatives[1], &alternatives[2] };
+  const VpForecastPolicy *policies[]
+      = { &vp_forecast_policy_estimate, &alternatives[0], &alternatives[1], &alternatives[2] };
 
   for (guint i = 0; g_test_verbose () && i < G_N_ELEMENTS (policies); i++) {
     Scores scores = { 0 };
@@ -421,7 +420,8 @@
     _print_score ("siblings", loads[i].name, "learned", &scores.siblings);
     _print_score ("running", loads[i].name, "learned", &scores.running);
     _print_score ("longest", loads[i].name, "learned", &scores.longest);
-    if (!g_getenv ("TRIAL")) _assert_calibrated (&scores.task);
+    if (!g_getenv ("TRIAL"))
+      _assert_calibrated (&scores.task);
   }
 }
 
@@ -439,7 +439,8 @@
                            100);
       _run_load (NULL, &loads[i], 400, factors[f], 40, 100, &scores);
       _print_score (factors[f] > 1 ? "doubled" : "halved", loads[i].name, "learned", &scores.task);
-      if (!g_getenv ("TRIAL")) _assert_calibrated (&scores.task);
+      if (!g_getenv ("TRIAL"))
+        _assert_calibrated (&scores.task);
     }
   }
 }
