--- a/src/vp-cell.c
+++ b/src/vp-cell.c
@@ -50,7 +50,7 @@
   cell->desc = *desc;
   cell->worker_list = vp_workerlist_setup (desc->hold_max_ms, now_ms);
   cell->jobs = vp_joblist_setup ();
-  cell->forecast = vp_forecast_setup (NULL);
+  cell->forecast = vp_forecast_setup (desc->forecast_policy);
   vp_reconcile_setup (&cell->reconcile, cell->worker_list, cell->jobs, cell->forecast, desc->fence);
   /* Makes the serials of advice requests unique within the process, so that a late result for an
    * earlier scheduler isn't taken for one of this scheduler's. */
--- a/src/vp-cell.h
+++ b/src/vp-cell.h
@@ -30,6 +30,7 @@
   int64_t relist_ms;
   bool stores_workers; /* tasks are placed only on workers in a stored list */
   bool is_clean;       /* the previous scheduler handed over with the state of all jobs stored */
+  const VpForecastPolicy *forecast_policy; /* see vp-forecast.h; NULL: the learned policy */
 } VpCellDesc;
 
 typedef enum { VP_CELL_COMMAND, VP_CELL_ADVICE_REQUEST } VpCellEffectKind;
--- a/tests/test-forecast.c
+++ b/tests/test-forecast.c
@@ -424,6 +424,26 @@
   }
 }
 
+/* Guards against a new leader whose forecasts are worse than the callers' estimates: it knows
+ * nothing, and learns from the first runs on. */
+static void
+test_new_leader (void)
+{
+  static const uint32_t skipped[] = { 0, 10, 20, 40, 80, 160, 1000 };
+
+  for (guint i = 0; i < G_N_ELEMENTS (skipped); i++) {
+    Scores learned = { 0 };
+    Scores estimate = { 0 };
+    _run_load (NULL, &loads[2], 0, 1, skipped[i], 20, &learned);
+    _run_load (&vp_forecast_policy_estimate, &loads[2], 0, 1, skipped[i], 20, &estimate);
+    g_test_message ("after %u runs:", skipped[i]);
+    _print_score ("new", loads[2].name, "learned", &learned.task);
+    _print_score ("new", loads[2].name, "estimate", &estimate.task);
+    g_assert_cmpfloat (learned.task.error / learned.task.count, <=,
+                       estimate.task.error / estimate.task.count);
+  }
+}
+
 /* Guards against forecasts that follow a change too slowly: 40 runs after all tasks of a queue take
  * twice or half as long, the stated quantiles hold again. Where steps are so wide that 40 runs are
  * one or two steps, a change can't be told from steps that differ, and 40 steps are counted. */
@@ -702,6 +722,7 @@
 {
   g_test_init (&argc, &argv, NULL);
   g_test_add_func ("/forecast/calibration", test_calibration);
+  g_test_add_func ("/forecast/new-leader", test_new_leader);
   g_test_add_func ("/forecast/change", test_change);
   g_test_add_func ("/forecast/isolation", test_isolation);
   g_test_add_func ("/forecast/memory", test_memory);
