Placement: expected durations only where a search needs them; tests of uses

Cause: each search for a worker looked a duration up, and the uses of forecasts had no tests. Change: the look-up is made at the first worker with a reservation or far from the data.

--- a/src/vp-place.c
+++ b/src/vp-place.c
@@ -181,15 +181,35 @@
 typedef struct {
   const VpJobTask *task;
   const VpQueueConfig *queue;
-  bool is_isolated;         /* see vp-crash.h */
-  VpForecastRange expected; /* duration of the task on a worker of speed 1 */
+  const VpForecast *forecast; /* see vp-place.h */
+  bool is_isolated;           /* see vp-crash.h */
+  int64_t expected_ms; /* duration of the task on a worker of speed 1; 0: not computed yet, as few
+                          searches need it */
   int64_t now_ms;
 } VpPlaceSearch;
 
+static int64_t
+_vp_place_expected_ms (VpPlaceSearch *search)
+{
+  const VpJobStep *step = search->task->step;
+  VpForecastKey key;
+  VpForecastRange range;
+
+  if (search->expected_ms != 0)
+    return search->expected_ms;
+  search->expected_ms = step->spec->estimate_ms;
+  if (search->forecast != NULL) {
+    vp_jobstep_forecast_key (step, &key);
+    vp_forecast_task (search->forecast, &key, &range);
+    search->expected_ms = MAX (range.p50_ms, 1);
+  }
+  return search->expected_ms;
+}
+
 /* Returns true if a task of the step should rather wait a little for another worker: one near its
  * data, or one with more idle CPU for a best-effort task. */
 static bool
-_vp_place_should_wait (const VpPlaceSearch *search, const VpPlaceSlot *slot)
+_vp_place_should_wait (VpPlaceSearch *search, const VpPlaceSlot *slot)
 {
   const VpJobStep *step = search->task->step;
   const VpStepSpec *spec = step->spec;
@@ -198,7 +218,7 @@
   int64_t waited_ms = search->now_ms - step->ready_ms;
 
   if (_vp_place_is_remote (spec, worker)
-      && waited_ms < (int64_t)((double)search->expected.p50_ms * VP_PLACE_REMOTE_WAIT_SHARE))
+      && waited_ms < (int64_t)((double)_vp_place_expected_ms (search) * VP_PLACE_REMOTE_WAIT_SHARE))
     return true;
   return spec->is_best_effort && waited_ms < VP_PLACE_BEST_EFFORT_WAIT_MS
          && free->cpu_milli - worker->best_effort_cpu_milli < spec->size.cpu_milli / 2;
@@ -244,14 +264,14 @@
 
 /* Returns true if the worker has capacity for a task of the step that no earlier step needs. */
 static bool
-_vp_place_has_capacity (const VpPlaceSearch *search, const VpPlaceSlot *slot)
+_vp_place_has_capacity (VpPlaceSearch *search, const VpPlaceSlot *slot)
 {
   const VpJobStep *step = search->task->step;
   VpResources demand = _vp_place_demand (step);
-  int64_t duration_ms = step->spec->is_long_running
-                            ? INT64_MAX - search->now_ms
-                            : (int64_t)((double)search->expected.p50_ms * slot->worker->slowness);
+  int64_t duration_ms = INT64_MAX - search->now_ms;
 
+  if (!vp_resources_is_zero (&slot->reservation.size) && !step->spec->is_long_running)
+    duration_ms = (int64_t)((double)_vp_place_expected_ms (search) * slot->worker->slowness);
   return vp_reservation_admits (&slot->reservation, &slot->free, &demand, duration_ms,
                                 search->now_ms);
 }
@@ -265,7 +285,7 @@
  * An isolated start needs a worker without other recent starts, and takes the one with the least
  * work that a crash would destroy. */
 static void
-_vp_place_evaluate (const VpPlaceSearch *search, VpPlaceSlot *slot, VpPlaceChoice *best)
+_vp_place_evaluate (VpPlaceSearch *search, VpPlaceSlot *slot, VpPlaceChoice *best)
 {
   const VpJobTask *task = search->task;
   const VpJobStep *step = task->step;
@@ -286,19 +306,6 @@
     *best = (VpPlaceChoice){ .slot = slot, .cost = cost };
 }
 
-/* Sets @out to the expected duration of a task of the step. */
-static void
-_vp_place_expected (const VpPlacePool *pool, const VpJobStep *step, VpForecastRange *out)
-{
-  VpForecastKey key;
-
-  *out = (VpForecastRange){ .p50_ms = step->spec->estimate_ms, .p90_ms = step->spec->estimate_ms };
-  if (pool->forecast == NULL || step->spec->is_long_running)
-    return;
-  vp_jobstep_forecast_key (step, &key);
-  vp_forecast_task (pool->forecast, &key, out);
-}
-
 VpPlaceSlot *
 _vp_place_find_slot (const VpPlacePool *pool, const VpAdviceRow *row)
 {
@@ -320,15 +327,17 @@
                      int64_t now_ms)
 {
   const VpJobStep *step = task->step;
-  VpPlaceSearch search
-      = { .task = task, .queue = queue, .is_isolated = is_isolated, .now_ms = now_ms };
+  VpPlaceSearch search = { .task = task,
+                           .queue = queue,
+                           .forecast = pool->forecast,
+                           .is_isolated = is_isolated,
+                           .now_ms = now_ms };
   VpPlaceChoice best = { 0 };
   GHashTableIter iter;
   gpointer value;
 
   if (queue->has_advice && (step->advice == NULL || _vp_place_lacks_tickets (step, queue, now_ms)))
     return NULL;
-  _vp_place_expected (pool, step, &search.expected);
   if (!queue->has_advice) {
     for (guint i = 0; i < pool->slots->len; i++)
       _vp_place_evaluate (&search, &g_array_index (pool->slots, VpPlaceSlot, i), &best);
--- a/tests/test-cell.c
+++ b/tests/test-cell.c
@@ -1,5 +1,6 @@
 /* Placement of tasks, commands to workers and failures of workers with one scheduler. */
 #include "cell-fixture.h"
+#include "vp-metrics.h"
 
 /* Guards against two runs of a task at the same time. The first start command gets no answer and
  * the second is rejected, so the first one may still have started the run. */
@@ -551,6 +552,69 @@
   _teardown (&fixture);
 }
 
+/* Guards against forecasts from runs that don't tell how long a task takes. */
+static void
+test_recorded_runs (void)
+{
+  static const struct {
+    const char *name;
+    bool is_best_effort;
+    bool is_long_running;
+    bool is_remote;
+    bool is_resumed;
+    bool is_adopted;  /* its start isn't known to this scheduler */
+    int64_t gap_ms;   /* time until a HOLD is sent that reports the end */
+    int64_t waits_ms; /* time that it then waits at the worker */
+    VpRunEnd end;
+    uint32_t count;
+  } rows[] = {
+    { .name = "done", .gap_ms = 400, .waits_ms = 1500, .count = 1 },
+    { .name = "best-effort", .is_best_effort = true, .waits_ms = 500 },
+    { .name = "long-running", .is_long_running = true, .waits_ms = 500 },
+    { .name = "remote", .is_remote = true, .waits_ms = 500 },
+    { .name = "resumed", .is_resumed = true, .waits_ms = 500 },
+    { .name = "adopted", .is_adopted = true, .waits_ms = 500 },
+    { .name = "end-reported-late", .gap_ms = 3150 },
+    { .name = "failed", .waits_ms = 500, .end = VP_RUN_FAILED },
+    { .name = "stopped", .waits_ms = 500, .end = VP_RUN_STOPPED },
+    { .name = "lapsed", .waits_ms = 500, .end = VP_RUN_LAPSED },
+  };
+
+  for (guint i = 0; i < G_N_ELEMENTS (rows); i++) {
+    VpEndedEntry ended = { .number = 1, .is_task = true, .run = 1, .end = rows[i].end };
+    uint64_t before = vp_metrics_get (VP_COUNTER_FORECASTS_ENDED);
+    Fixture fixture;
+    VpCommandResult result;
+    VpStepSpec *spec;
+    VpJobTask *task;
+    _setup (&fixture, 1, false);
+    _sync (&fixture);
+    task = &_submit (&fixture, 1, 1000)->occurrences[0].steps[0].tasks[0];
+    spec = &task->step->occurrence->job->spec->steps[0];
+    spec->is_best_effort = rows[i].is_best_effort;
+    spec->is_long_running = rows[i].is_long_running;
+    g_strlcpy (spec->rack, rows[i].is_remote ? "elsewhere" : "", sizeof spec->rack);
+    g_strlcpy (task->checkpoint, rows[i].is_resumed ? "checkpoint" : "", sizeof task->checkpoint);
+    /* A remote task first waits for a worker near its data. */
+    fixture.now_ms += rows[i].is_remote ? 1000 : 0;
+    _sync (&fixture);
+    _decide (&fixture);
+    _answer (&fixture, _find_command (&fixture, VP_COMMAND_START), VP_COMMAND_OK);
+    if (rows[i].is_adopted)
+      task->start_tries = 0;
+    fixture.now_ms += rows[i].gap_ms;
+    result = _hold_result (&fixture, "w0");
+    fixture.now_ms += rows[i].waits_ms;
+    result.received_ms = fixture.now_ms;
+    vp_jobtask_name (task, &ended.task);
+    g_array_append_val (result.ended, ended);
+    _apply (&fixture, &result);
+    g_test_message ("%s", rows[i].name);
+    g_assert_cmpuint (vp_metrics_get (VP_COUNTER_FORECASTS_ENDED) - before, ==, rows[i].count);
+    _teardown (&fixture);
+  }
+}
+
 int
 main (int argc, char *argv[])
 {
@@ -568,6 +632,7 @@
   g_test_add_func ("/cell/unlisted-without-answer", test_unlisted_without_answer);
   g_test_add_func ("/cell/fast-workers", test_fast_workers);
   g_test_add_func ("/cell/hold-interval", test_hold_interval);
+  g_test_add_func ("/cell/recorded-runs", test_recorded_runs);
   g_test_add_func ("/cell/start-retry", test_start_retry);
   g_test_add_func ("/cell/failing-worker", test_failing_worker);
   g_test_add_func ("/cell/reachable-before-expiry", test_reachable_before_expiry);
--- a/tests/test-place.c
+++ b/tests/test-place.c
@@ -1,6 +1,7 @@
 /* Choice of a worker, compared with a search through all workers. */
 #include "vp-place.h"
 
+#include <math.h>
 #include <string.h>
 
 #define NOW_MS       1000000
@@ -118,10 +119,89 @@
   g_assert_cmpuint (found_count, >, SEEDS / 2);
 }
 
+static double
+_normal (GRand *rand)
+{
+  return sqrt (-2 * log (1 - g_rand_double (rand))) * cos (2 * G_PI * g_rand_double (rand));
+}
+
+/* Returns how long a task whose data is on another rack waits before it uses the only worker. */
+static int64_t
+_remote_wait_ms (const VpForecast *forecast, int64_t estimate_ms)
+{
+  g_autoptr (VpJobSpec) spec = vp_jobspec_new (1);
+  VpQueueConfig queue = { .name = "q" };
+  VpWorkerEntry entry = { .id = "w0", .service = "service", .dc = "dc", .rack = "r0" };
+  VpWorkerList *worker_list = vp_workerlist_setup (6000, NOW_MS);
+  VpJobList *jobs = vp_joblist_setup ();
+  VpCellWorker *worker;
+  const VpJobStep *step;
+  int64_t shortest_ms = 0;
+  int64_t longest_ms = 1000000;
+
+  entry.capacity.cpu_milli = 1000;
+  worker = vp_workerlist_update (worker_list, &entry);
+  worker->is_synced = worker->is_reachable = true;
+  spec->id = 1;
+  spec->text = g_strdup ("text");
+  g_strlcpy (spec->queue, "q", sizeof spec->queue);
+  spec->steps[0] = (VpStepSpec){
+    .task_count = 1, .size = { .cpu_milli = 500 }, .rack = "r1", .estimate_ms = estimate_ms
+  };
+  step = &vp_joblist_add (jobs, spec, NOW_MS, NOW_MS)->occurrences[0].steps[0];
+  while (shortest_ms < longest_ms) {
+    int64_t middle_ms = (shortest_ms + longest_ms) / 2;
+    VpPlacePool *pool = vp_place_pool_new (worker_list, forecast, "service", NOW_MS);
+    if (vp_place_pick (pool, &step->tasks[0], &queue, NOW_MS + middle_ms) != NULL)
+      longest_ms = middle_ms;
+    else
+      shortest_ms = middle_ms + 1;
+    vp_place_pool_free (pool);
+  }
+  vp_joblist_shutdown (jobs);
+  vp_workerlist_shutdown (worker_list);
+  return shortest_ms;
+}
+
+/* Load pattern: tasks wait for half their duration for a worker near their data, and callers'
+ * estimates are wrong by 0.9 (standard deviation of the logarithm). Guards against waiting times
+ * that are as wrong as the estimates. */
+static void
+test_remote_wait (void)
+{
+  g_autoptr (GRand) rand = g_rand_new_with_seed (1);
+  VpForecast *forecast = vp_forecast_setup (NULL);
+  double errors[2] = { 0 };
+  uint32_t count = 0;
+
+  for (uint32_t i = 0; i < 500; i++) {
+    double duration_ms = 800 * exp (0.5 * _normal (rand));
+    int64_t estimate_ms = (int64_t)(duration_ms * exp (0.9 * _normal (rand))) + 1;
+    VpForecastKey key = { .queue = "q",
+                          .team = "",
+                          .image = "",
+                          .task_count = 1,
+                          .size = { .cpu_milli = 500 },
+                          .estimate_ms = estimate_ms,
+                          .step = i + 1 };
+    if (i >= 200) {
+      errors[0] += fabs (log ((double)_remote_wait_ms (NULL, estimate_ms) / (duration_ms / 2)));
+      errors[1] += fabs (log ((double)_remote_wait_ms (forecast, estimate_ms) / (duration_ms / 2)));
+      count++;
+    }
+    vp_forecast_record (forecast, &key, (int64_t)duration_ms, 1, NOW_MS);
+  }
+  g_test_message ("error of the logarithm of the wait: estimate %.3f, learned %.3f",
+                  errors[0] / count, errors[1] / count);
+  g_assert_cmpfloat (errors[1], <, errors[0]);
+  vp_forecast_shutdown (forecast);
+}
+
 int
 main (int argc, char *argv[])
 {
   g_test_init (&argc, &argv, NULL);
   g_test_add_func ("/place/pick", test_pick);
+  g_test_add_func ("/place/remote-wait", test_remote_wait);
   return g_test_run ();
 }
