--- a/src/vp-forecast.c
+++ b/src/vp-forecast.c
@@ -59,11 +59,11 @@
   g_hash_table_remove (forecast->limits, oldest);
 }
 
-static void
-_vp_forecast_record_limit (VpForecast *forecast,
-                           const char *queue,
-                           int64_t duration_ms,
-                           int64_t now_ms)
+void
+vp_forecast_record_limit (VpForecast *forecast,
+                          const char *queue,
+                          int64_t duration_ms,
+                          int64_t now_ms)
 {
   VpForecastLimit *limit = g_hash_table_lookup (forecast->limits, queue);
 
@@ -90,7 +90,7 @@
   double factor = slowness >= VP_FORECAST_SLOWNESS_MIN ? MIN (slowness, VP_FORECAST_SLOWNESS_MAX)
                                                        : VP_FORECAST_SLOWNESS_MIN;
 
-  _vp_forecast_record_limit (forecast, key->queue, lasted_ms, now_ms);
+  vp_forecast_record_limit (forecast, key->queue, lasted_ms, now_ms);
   forecast->policy->record (forecast, key, (double)lasted_ms / factor, now_ms);
 }
 
--- a/src/vp-forecast.h
+++ b/src/vp-forecast.h
@@ -53,6 +53,12 @@
                          int64_t duration_ms,
                          double slowness,
                          int64_t now_ms);
+/* Records a successful run that counts only for vp_forecast_limit_ms(), as other things than the
+ * task itself have prolonged or shortened it. */
+void vp_forecast_record_limit (VpForecast *forecast,
+                               const char *queue,
+                               int64_t duration_ms,
+                               int64_t now_ms);
 /* Duration of one task. */
 void vp_forecast_task (const VpForecast *forecast, const VpForecastKey *key, VpForecastRange *out);
 /* Duration of the longest of @key->task_count tasks that run at the same time. */
--- a/src/vp-reconcile.c
+++ b/src/vp-reconcile.c
@@ -110,9 +110,9 @@
   return result->is_late || result->sent_ms - seen_ms > VP_RECONCILE_GAP_MAX_MS;
 }
 
-/* Records the duration of the successful run, unless it doesn't tell how long the task takes: this
- * scheduler hasn't seen the start, the run began from a checkpoint or far from its data, or its CPU
- * was throttled. */
+/* Records the duration of the successful run. A run that doesn't tell how long the task takes
+ * counts only for the detection of stalled tasks: this scheduler hasn't seen the start, the run
+ * began from a checkpoint or far from its data, or its end was reported late. */
 static void
 _vp_reconcile_record_duration (VpReconcile *reconcile,
                                const VpCellWorker *worker,
@@ -124,10 +124,15 @@
   int64_t duration_ms = now_ms - task->started_ms;
   VpForecastKey key;
 
-  if (task->start_tries == 0 || task->is_resumed || spec->is_best_effort || spec->is_long_running
+  if (spec->is_best_effort || spec->is_long_running)
+    return;
+  if (task->start_tries == 0 || task->is_resumed
       || (spec->rack[0] != '\0' && strcmp (spec->rack, worker->entry.rack) != 0)
-      || _vp_reconcile_is_end_delayed (worker, task, result))
+      || _vp_reconcile_is_end_delayed (worker, task, result)) {
+    vp_forecast_record_limit (reconcile->forecast, task->step->occurrence->job->spec->queue,
+                              duration_ms, now_ms);
     return;
+  }
   if (task->forecast_p50_ms > 0) {
     vp_metrics_add (VP_COUNTER_FORECASTS_ENDED, 1);
     vp_metrics_add (VP_COUNTER_FORECASTS_IN_P50, duration_ms <= task->forecast_p50_ms ? 1 : 0);
