--- a/tests/test-forecast.c
+++ b/tests/test-forecast.c
@@ -444,6 +444,70 @@
   }
 }
 
+/* Number of steps that run at the same time. */
+#define CONCURRENT 100
+
+typedef struct {
+  Step step;
+  double began_ms;
+  uint32_t next; /* next task to end */
+} Running;
+
+/* Runs @total steps, CONCURRENT at a time, and scores those from the one with number @skipped on.
+ */
+static void
+_run_concurrently (GRand *rand, uint32_t skipped, uint32_t total, Score *score)
+{
+  VpForecast *forecast = vp_forecast_setup (NULL);
+  Running *running = g_new0 (Running, CONCURRENT);
+  double now_ms = 0;
+
+  for (uint32_t started = 0; started < total;) {
+    Running *first = &running[0];
+    VpForecastRange range;
+    for (uint32_t i = 0; i < CONCURRENT; i++) {
+      Running *each = &running[i];
+      if (each->next == each->step.key.task_count) {
+        _generate (rand, &loads[2], log (800), ++started, &each->step);
+        qsort (each->step.durations, each->step.key.task_count, sizeof *each->step.durations,
+               _compare_doubles);
+        vp_forecast_task (forecast, &each->step.key, &range);
+        for (uint32_t t = 0; started > skipped && t < each->step.key.task_count; t++)
+          _score (score, &range, each->step.durations[t]);
+        each->began_ms = now_ms;
+        each->next = 0;
+      }
+      if (each->began_ms + each->step.durations[each->next]
+          < first->began_ms + first->step.durations[first->next])
+        first = each;
+    }
+    now_ms = first->began_ms + first->step.durations[first->next];
+    vp_forecast_record (forecast, &first->step.key, (int64_t)first->step.durations[first->next], 1,
+                        (int64_t)now_ms);
+    first->next++;
+  }
+  g_free (running);
+  vp_forecast_shutdown (forecast);
+}
+
+/* Guards against a new leader that takes the tasks that end first, which are short ones, for all.
+ */
+static void
+test_first_ends (void)
+{
+  static const uint32_t skipped[] = { 0, 100, 150, 200, 300, 400, 800 };
+
+  for (guint i = 0; i < G_N_ELEMENTS (skipped); i++) {
+    GRand *rand = g_rand_new_with_seed (1);
+    Score score = { 0 };
+    for (uint32_t seed = 0; seed < SEED_COUNT; seed++)
+      _run_concurrently (rand, skipped[i], skipped[i] + 100, &score);
+    g_test_message ("from step %u on:", skipped[i]);
+    _print_score ("first-ends", loads[2].name, "learned", &score);
+    g_rand_free (rand);
+  }
+}
+
 /* Guards against forecasts that follow a change too slowly: 40 runs after all tasks of a queue take
  * twice or half as long, the stated quantiles hold again. Where steps are so wide that 40 runs are
  * one or two steps, a change can't be told from steps that differ, and 40 steps are counted. */
@@ -724,6 +788,7 @@
   g_test_init (&argc, &argv, NULL);
   g_test_add_func ("/forecast/calibration", test_calibration);
   g_test_add_func ("/forecast/new-leader", test_new_leader);
+  g_test_add_func ("/forecast/first-ends", test_first_ends);
   g_test_add_func ("/forecast/change", test_change);
   g_test_add_func ("/forecast/isolation", test_isolation);
   g_test_add_func ("/forecast/memory", test_memory);
