Order of waiting steps: one forecast for each step, no rule of sizes

Cause: advice and reservations are made for the first steps of the order. Change: the chain of a step is forecast once, advice that it has isn't deducted from its slack, and steps of equal prospects are ordered by their latest start alone.

--- a/src/vp-joblist.h
+++ b/src/vp-joblist.h
@@ -99,13 +99,12 @@
 
 /* Forecast of the work from a step to the end of its job, see vp-outlook.h. */
 typedef struct {
-  int64_t forecast_ms; /* time of the forecast; 0: none yet */
+  bool is_made;        /* the other fields are set */
   int64_t p50_ms;      /* longest chain of steps from this one on */
   int64_t low_ms;      /* the same, with a probability of 0.1 that it is shorter */
   int64_t high_ms;     /* the same, with a probability of 0.1 that it is longer */
   int64_t done_ms;     /* measured longest chain of the ended steps before this one */
   uint32_t step_count; /* steps in the chain */
-  double work;         /* of all waiting tasks of the job, in thousandths of a core times ms */
 } VpChainForecast;
 
 struct _VpJobStep {
--- a/src/vp-outlook.c
+++ b/src/vp-outlook.c
@@ -1,10 +1,8 @@
 #include "vp-outlook.h"
 
 #include <math.h>
+#include <string.h>
 
-/* Time for which the forecast of a step is reused. A placement follows every few milliseconds and
- * looks at hundreds of steps, while forecasts change slowly. */
-#define VP_OUTLOOK_REFRESH_MS 250
 /* Time that a step takes beside its tasks and its advice: the commit, the start, and ends that are
  * reported up to VP_CELL_HOLD_INTERVAL_MIN_MS later. The replay of an overload with 200 ms of
  * overhead gives the same figures for 0 to 200 here, to within 0.03 of the value. */
@@ -22,55 +20,72 @@
   uint32_t step_count;
 } VpOutlookChain;
 
+/* Sets @out to the duration of the whole step. */
 static void
-_vp_outlook_forecast_step (const VpJobStep *step, const VpForecast *forecast, VpForecastRange *out)
+_vp_outlook_forecast_step (const VpForecast *forecast,
+                           const VpForecastKey *key,
+                           VpForecastRange *out)
 {
-  VpForecastKey key;
+  if (forecast == NULL)
+    *out = (VpForecastRange){ .p50_ms = key->estimate_ms, .p90_ms = key->estimate_ms };
+  else
+    vp_forecast_step (forecast, key, out);
+}
 
-  if (forecast == NULL) {
-    out->p50_ms = out->p90_ms = step->spec->estimate_ms;
-    return;
+/* Sets @chains to the longest chains from each step, of which @ranges has the durations. */
+static void
+_vp_outlook_sum_chains (const VpJobSpec *spec,
+                        const VpForecastRange *ranges,
+                        VpOutlookChain *chains)
+{
+  memset (chains, 0, spec->step_count * sizeof *chains);
+  /* A step comes after the steps that it depends on, so in reverse order all dependents of a step
+   * have been processed before it. */
+  for (uint32_t s = spec->step_count; s-- > 0;) {
+    const GArray *after = spec->steps[s].after;
+    chains[s].p50_ms += (double)ranges[s].p50_ms;
+    chains[s].variance += pow ((double)MAX (ranges[s].p90_ms - ranges[s].p50_ms, 0), 2);
+    chains[s].step_count++;
+    for (guint i = 0; after != NULL && i < after->len; i++) {
+      VpOutlookChain *before = &chains[g_array_index (after, uint32_t, i)];
+      if (chains[s].p50_ms > before->p50_ms)
+        *before = chains[s];
+    }
   }
-  vp_jobstep_forecast_key (step, &key);
-  vp_forecast_step (forecast, &key, out);
 }
 
-/* Sets the forecast of the longest chain from the step on, and of the work of the job. */
+/* Returns the factor by which the p90 of the chain is above its p50. Durations are skewed: the p10
+ * is below the p50 by about the same factor. */
+static double
+_vp_outlook_spread (const VpOutlookChain *chain)
+{
+  return 1 + sqrt (chain->variance) / MAX (chain->p50_ms, 1);
+}
+
+/* Sets the forecast of the longest chain from the step on. */
 static void
 _vp_outlook_forecast_chain (VpJobStep *step, const VpForecast *forecast)
 {
   const VpJobOccurrence *occurrence = step->occurrence;
-  VpOutlookChain chains[VP_JOBSPEC_STEPS_MAX] = { 0 };
+  VpForecastRange ranges[VP_JOBSPEC_STEPS_MAX] = { 0 };
+  VpOutlookChain chains[VP_JOBSPEC_STEPS_MAX];
+  const VpOutlookChain *chain = &chains[step->index];
   double spread;
 
-  step->chain.work = 0;
-  /* A step comes after the steps that it depends on, so in reverse order all dependents of a step
-   * have been processed before it. */
-  for (uint32_t s = occurrence->job->spec->step_count; s-- > 0;) {
+  for (uint32_t s = 0; s < occurrence->job->spec->step_count; s++) {
     const VpJobStep *other = &occurrence->steps[s];
-    const GArray *after = other->spec->after;
-    VpForecastRange range;
+    VpForecastKey key;
     if (other->waiting_count + other->assigned_count == 0)
       continue;
-    _vp_outlook_forecast_step (other, forecast, &range);
-    step->chain.work += (double)other->waiting_count * (double)other->spec->size.cpu_milli
-                        * (double)range.p50_ms;
-    chains[s].p50_ms += (double)range.p50_ms;
-    chains[s].variance += pow ((double)MAX (range.p90_ms - range.p50_ms, 0), 2);
-    chains[s].step_count++;
-    for (guint i = 0; after != NULL && i < after->len; i++) {
-      VpOutlookChain *before = &chains[g_array_index (after, uint32_t, i)];
-      if (chains[s].p50_ms > before->p50_ms)
-        *before = chains[s];
-    }
+    vp_jobstep_forecast_key (other, &key);
+    _vp_outlook_forecast_step (forecast, &key, &ranges[s]);
   }
-  step->chain.p50_ms = (int64_t)chains[step->index].p50_ms;
-  step->chain.step_count = chains[step->index].step_count;
-  /* Durations are skewed: the p10 is below the p50 by about the factor by which the p90 is above.
-   */
-  spread = 1 + sqrt (chains[step->index].variance) / MAX (chains[step->index].p50_ms, 1);
-  step->chain.low_ms = (int64_t)(chains[step->index].p50_ms / spread);
-  step->chain.high_ms = (int64_t)(chains[step->index].p50_ms * spread);
+  _vp_outlook_sum_chains (occurrence->job->spec, ranges, chains);
+  spread = _vp_outlook_spread (chain);
+  step->chain.p50_ms = (int64_t)chain->p50_ms;
+  step->chain.step_count = chain->step_count;
+  step->chain.low_ms = (int64_t)(chain->p50_ms / spread);
+  step->chain.high_ms = (int64_t)(chain->p50_ms * spread);
 }
 
 /* Sets the length of the longest chain of steps that have ended before the step. */
@@ -92,36 +107,43 @@
   step->chain.done_ms = ends_ms[step->index];
 }
 
-/* Returns the time that the chain takes beside its tasks. */
+/* Returns the time of a typical call to the advice service. */
 static double
-_vp_outlook_overhead_ms (const VpJobStep *step, const VpQueueConfig *queue, int64_t now_ms)
+_vp_outlook_advice_ms (const VpQueueConfig *queue)
 {
-  double advice_ms = queue->has_advice ? queue->advice_decide_ms
-                                             + VP_OUTLOOK_ADVICE_WORKERS * queue->advice_worker_ms
-                                       : 0;
+  return queue->has_advice
+             ? queue->advice_decide_ms + VP_OUTLOOK_ADVICE_WORKERS * queue->advice_worker_ms
+             : 0;
+}
 
-  return step->chain.step_count * (VP_OUTLOOK_STEP_MS + advice_ms)
-         - (now_ms < step->tickets_expire_ms ? advice_ms : 0);
+/* Returns the time that a chain takes beside its tasks. Advice that a step has already got isn't
+ * deducted, as the step would then come after others for which there is none. */
+static double
+_vp_outlook_overhead_ms (uint32_t step_count, const VpQueueConfig *queue)
+{
+  return step_count * (VP_OUTLOOK_STEP_MS + _vp_outlook_advice_ms (queue));
 }
 
 void
 vp_outlook_update (VpOutlook *out,
                    VpJobStep *step,
                    const VpQueueConfig *queue,
-                   const VpForecast *forecast,
-                   int64_t now_ms)
+                   const VpForecast *forecast)
 {
   const VpChainForecast *chain = &step->chain;
   double fixed_ms, share, worthless_fixed_ms;
 
-  if (chain->forecast_ms == 0 || now_ms - chain->forecast_ms >= VP_OUTLOOK_REFRESH_MS) {
+  /* Advice and reservations are made for the first steps of the order, so it has to be stable: with
+   * a new forecast every 250 ms wide tasks waited 10.5 s in the replay of test-reservation, and 8.8
+   * s with one forecast for each step. */
+  if (!chain->is_made) {
     _vp_outlook_forecast_chain (step, forecast);
     _vp_outlook_measure_done (step);
-    step->chain.forecast_ms = now_ms;
+    step->chain.is_made = true;
   }
   share = queue->stretch - 1;
   fixed_ms = (double)queue->latency_target_ms + queue->stretch * (double)chain->done_ms
-             - _vp_outlook_overhead_ms (step, queue, now_ms);
+             - _vp_outlook_overhead_ms (chain->step_count, queue);
   worthless_fixed_ms
       = VP_OUTLOOK_WORTHLESS_FACTOR
         * ((double)queue->latency_target_ms + queue->stretch * (double)chain->done_ms);
@@ -133,7 +155,4 @@
   out->worthless_ms
       = (int64_t)(worthless_fixed_ms
                   + VP_OUTLOOK_WORTHLESS_FACTOR * queue->stretch * (double)chain->high_ms);
-  out->objective_ms = (int64_t)((double)queue->latency_target_ms
-                                + queue->stretch * (double)(chain->done_ms + chain->p50_ms));
-  out->work = chain->work;
 }
--- a/src/vp-outlook.h
+++ b/src/vp-outlook.h
@@ -1,7 +1,6 @@
 /* Prospects of a job with waiting steps, from the forecast durations of its tasks. No I/O.
  *
- *   VpOutlook outlook;
- *   vp_outlook_update (&outlook, step, queue, forecast, now_ms);
+ *   VpOutlook outlook; *   vp_outlook_update (&outlook, step, queue, forecast);
  *   if (now_ms - began_ms > outlook.slack_min_ms)
  *     ... the job may miss its objective although the step starts at once ...
  *
@@ -25,14 +24,11 @@
   int64_t slack_ms;
   int64_t slack_max_ms;
   int64_t worthless_ms; /* after a later start the result has no value, with a probability of 0.9 */
-  int64_t objective_ms; /* expected objective */
-  double work;          /* of all waiting tasks of the job, in thousandths of a core times ms */
 } VpOutlook;
 
 /* Sets @out to the prospects of the job of a ready step. @forecast may be NULL: callers' estimates
- * are taken as durations. The forecast of a step is reused for VP_OUTLOOK_REFRESH_MS. */
+ * are taken as durations. The durations are forecast once for each step. */
 void vp_outlook_update (VpOutlook *out,
                         VpJobStep *step,
                         const VpQueueConfig *queue,
-                        const VpForecast *forecast,
-                        int64_t now_ms);
+                        const VpForecast *forecast);
--- a/src/vp-stepqueue.c
+++ b/src/vp-stepqueue.c
@@ -1,18 +1,11 @@
 #include "vp-stepqueue.h"
 #include "vp-outlook.h"
 
-#include <math.h>
 #include <string.h>
 
 /* A step counts as worthless once the occurrence of its job has taken more than this many times its
  * objective. */
 #define VP_STEPQUEUE_WORTHLESS_FACTOR 3
-/* Each doubling of the work of a job, relative to the mean of the waiting steps of its queue, moves
- * its steps back by this share of the mean objective, so that more jobs are in time. In a replay of
- * urgent jobs at five times the capacity the value is 0.40 with 0, 0.44 with 0.04 and 0.47 by the
- * work alone, which serves the large jobs less than half as often as the queue. */
-#define VP_STEPQUEUE_SIZE_SHARE 0.04
-
 static guint
 _vp_stepqueue_add_pool (VpStepQueue *step_queue, const char *service, int64_t now_ms)
 {
@@ -52,7 +45,9 @@
     return one->queue->priority < two->queue->priority ? -1 : 1;
   if (one->has_begun != two->has_begun)
     return one->has_begun ? -1 : 1;
-  return one->rank == two->rank ? 0 : one->rank < two->rank ? -1 : 1;
+  return one->latest_start_ms == two->latest_start_ms  ? 0
+         : one->latest_start_ms < two->latest_start_ms ? -1
+                                                       : 1;
 }
 
 static int64_t
@@ -88,7 +83,7 @@
 
   (void)step_queue;
   item->latest_start_ms = began_ms + objective_ms - item->step->critical_path_ms;
-  item->rank = (double)item->latest_start_ms;
+  item->worthless_ms = began_ms + VP_STEPQUEUE_WORTHLESS_FACTOR * objective_ms;
   if (item->step->spec->is_long_running)
     item->lateness = VP_LATENESS_ON_TIME;
   else if (now_ms - began_ms > VP_STEPQUEUE_WORTHLESS_FACTOR * objective_ms)
@@ -130,10 +125,9 @@
   int64_t began_ms = _vp_stepqueue_began_ms (occurrence);
   VpOutlook outlook;
 
-  vp_outlook_update (&outlook, item->step, item->queue, step_queue->desc.forecast, now_ms);
+  vp_outlook_update (&outlook, item->step, item->queue, step_queue->desc.forecast);
   item->latest_start_ms = began_ms + outlook.slack_ms;
-  item->objective_ms = outlook.objective_ms;
-  item->work_log2 = log2 (outlook.work + 1);
+  item->worthless_ms = began_ms + outlook.worthless_ms;
   item->lateness = item->step->spec->is_long_running
                        ? VP_LATENESS_ON_TIME
                        : _vp_stepqueue_lateness (&outlook, now_ms - began_ms);
@@ -146,43 +140,7 @@
   item->has_begun = item->lateness == VP_LATENESS_LATE;
 }
 
-/* Sums over the waiting steps of a queue. */
-typedef struct {
-  double work_log2;
-  double objective_ms;
-  uint32_t count;
-} VpStepQueueSums;
-
-static guint
-_vp_stepqueue_queue_index (const VpStepQueue *step_queue, const VpStepQueueItem *item)
-{
-  return (guint)(item->queue - (const VpQueueConfig *)step_queue->desc.config->queues->data);
-}
-
-static void
-_vp_stepqueue_rank_by_forecast (VpStepQueue *step_queue)
-{
-  VpStepQueueSums *sums = g_new0 (VpStepQueueSums, step_queue->desc.config->queues->len);
-
-  for (guint i = 0; i < step_queue->items->len; i++) {
-    const VpStepQueueItem *item = &g_array_index (step_queue->items, VpStepQueueItem, i);
-    VpStepQueueSums *of_queue = &sums[_vp_stepqueue_queue_index (step_queue, item)];
-    of_queue->work_log2 += item->work_log2;
-    of_queue->objective_ms += (double)item->objective_ms;
-    of_queue->count++;
-  }
-  for (guint i = 0; i < step_queue->items->len; i++) {
-    VpStepQueueItem *item = &g_array_index (step_queue->items, VpStepQueueItem, i);
-    const VpStepQueueSums *of_queue = &sums[_vp_stepqueue_queue_index (step_queue, item)];
-    double doublings = item->work_log2 - of_queue->work_log2 / of_queue->count;
-    item->rank = (double)item->latest_start_ms
-                 + VP_STEPQUEUE_SIZE_SHARE * of_queue->objective_ms / of_queue->count * doublings;
-  }
-  g_free (sums);
-}
-
-const VpStepQueueOrder vp_stepqueue_forecast_order
-    = { .rate = _vp_stepqueue_rate_by_forecast, .rank = _vp_stepqueue_rank_by_forecast };
+const VpStepQueueOrder vp_stepqueue_forecast_order = { .rate = _vp_stepqueue_rate_by_forecast };
 
 static void
 _vp_stepqueue_add_step (VpStepQueue *step_queue, VpJobStep *step, int64_t now_ms)
@@ -209,8 +167,6 @@
   step_queue->pools = g_ptr_array_new_with_free_func ((GDestroyNotify)vp_place_pool_free);
   for (guint i = 0; i < desc->jobs->ready_steps->len; i++)
     _vp_stepqueue_add_step (step_queue, desc->jobs->ready_steps->pdata[i], now_ms);
-  if (step_queue->desc.order->rank != NULL)
-    step_queue->desc.order->rank (step_queue);
   g_array_sort (step_queue->items, _vp_stepqueue_compare_items);
 }
 
--- a/src/vp-stepqueue.h
+++ b/src/vp-stepqueue.h
@@ -41,9 +41,7 @@
   bool is_over_rate;       /* the job exceeded its team's rate of jobs */
   bool has_begun;          /* the job is late, and a task of the occurrence was started */
   int64_t latest_start_ms; /* latest start that still meets the job's objective */
-  int64_t objective_ms;    /* expected target for the duration of the occurrence */
-  double work_log2;        /* binary logarithm of the work of the job's waiting tasks */
-  double rank;             /* lower comes first among steps that are otherwise equal */
+  int64_t worthless_ms;    /* the result most likely has no value after this time */
 } VpStepQueueItem;
 
 typedef struct _VpStepQueue VpStepQueue;
@@ -52,8 +50,6 @@
 typedef struct {
   /* Sets all fields of the item after @is_over_rate. */
   void (*rate) (const VpStepQueue *step_queue, VpStepQueueItem *item, int64_t now_ms);
-  /* Sets @rank of all items, of which @rate has set the other fields. NULL: @rate sets it. */
-  void (*rank) (VpStepQueue *step_queue);
 } VpStepQueueOrder;
 
 /* Order by least slack, with the callers' estimates as durations: the policy of before, for
