--- a/src/vp-cell.h
+++ b/src/vp-cell.h
@@ -34,6 +34,7 @@
   bool is_clean; /* the previous scheduler handed over with the state of all jobs stored */
   /* No task is started before the first call of vp_cell_set_evacuated_dcs(). */
   bool awaits_evacuations;
+  const VpForecastPolicy *forecast_policy; /* see vp-forecast.h; NULL: the learned policy */
 } VpCellDesc;
 
 typedef enum { VP_CELL_COMMAND, VP_CELL_ADVICE_REQUEST } VpCellEffectKind;
--- a/src/vp-joblist.h
+++ b/src/vp-joblist.h
@@ -18,6 +18,7 @@
  */
 #pragma once
 
+#include "vp-forecast.h"
 #include "vp-workerlist.h"
 
 /* GVariant types of the stored values: a job, its progress and its end. The last array of a step in
@@ -81,6 +82,10 @@
   uint32_t percent_sent;  /* share of the CPU in the last throttle command */
   int64_t gauge; /* tail latency in ms of a task with a latency target, else CPU in use (milli) */
   char inherited_worker[VP_NAME_MAX]; /* an earlier scheduler had the task there; empty: none */
+  bool is_resumed;                    /* the current run began from a checkpoint */
+  int64_t forecast_p50_ms; /* duration expected when the current run was assigned; 0: none */
+  int64_t forecast_p90_ms;
+  int64_t expected_end_ms; /* see vp-reservation.h; 0: not computed for the current run */
 };
 
 /* Advice about one worker for a step. A permission stays valid for the worker, but its ticket
@@ -98,6 +103,16 @@
   double log_ms; /* logarithm of the duration in ms */
 } VpRunDuration;
 
+/* Forecast of the work from a step to the end of its job, see vp-outlook.h. */
+typedef struct {
+  bool is_made;        /* the other fields are set */
+  int64_t p50_ms;      /* longest chain of steps from this one on */
+  int64_t low_ms;      /* the same, with a probability of 0.1 that it is shorter */
+  int64_t high_ms;     /* the same, with a probability of 0.1 that it is longer */
+  int64_t done_ms;     /* measured longest chain of the ended steps before this one */
+  uint32_t step_count; /* steps in the chain */
+} VpChainForecast;
+
 struct _VpJobStep {
   VpJobOccurrence *occurrence;
   const VpStepSpec *spec;
@@ -115,7 +130,9 @@
   int64_t advice_retry_ms;   /* no advice is requested before this time */
   int64_t tickets_expire_ms; /* expiry time of the last ticket in @advice */
   GArray *durations;         /* VpRunDuration of its successful runs; NULL: none, or all are done */
+  int64_t duration_max_ms;   /* longest duration of a successful run; 0: not known */
   int64_t gang_retry_ms;     /* placement of a gang isn't tried before this time */
+  VpChainForecast chain;     /* for the order of waiting steps */
 };
 
 /* One repetition of a job; jobs that aren't repeated have one. */
@@ -268,6 +285,9 @@
 void vp_jobtask_complete (VpJobList *list, VpJobTask *task, int64_t now_ms);
 /* Adds the duration @duration_ms of a successful run of the step on the worker. */
 void vp_jobstep_record_duration (VpJobStep *step, const VpCellWorker *worker, int64_t duration_ms);
+/* Sets @out to what is known of the step's tasks before they run. The strings belong to the step.
+ */
+void vp_jobstep_forecast_key (const VpJobStep *step, VpForecastKey *out);
 bool vp_job_is_ended (const VpJob *job);
 const char *vp_job_state_token (VpJobState state);
 
--- a/src/vp-metrics.c
+++ b/src/vp-metrics.c
@@ -77,6 +77,13 @@
   = { "fast_waits", "Decisions in which an urgent task waited for a fast worker" },
   [VP_COUNTER_HOLDS_UNANSWERED]
   = { "holds_unanswered", "HOLD commands that a worker did not answer in time" },
+  [VP_COUNTER_FORECASTS] = { "forecasts", "Runs started with an expected duration" },
+  [VP_COUNTER_FORECASTS_ENDED]
+  = { "forecasts_ended", "Runs with an expected duration whose duration was recorded" },
+  [VP_COUNTER_FORECASTS_IN_P50]
+  = { "forecasts_in_p50", "Recorded runs that ended within the stated p50" },
+  [VP_COUNTER_FORECASTS_IN_P90]
+  = { "forecasts_in_p90", "Recorded runs that ended within the stated p90" },
 };
 
 static const VpMetricText vp_gauge_texts[VP_GAUGE_LAST] = {
--- a/src/vp-metrics.h
+++ b/src/vp-metrics.h
@@ -53,6 +53,10 @@
   VP_COUNTER_URGENT_STARTS_SLOW, /* those on workers that are known to be slow */
   VP_COUNTER_FAST_WAITS,         /* decisions in which an urgent task waited for a fast worker */
   VP_COUNTER_HOLDS_UNANSWERED,   /* not answered within their wait and a grace time */
+  VP_COUNTER_FORECASTS,          /* runs started with an expected duration */
+  VP_COUNTER_FORECASTS_ENDED,    /* those whose duration was recorded */
+  VP_COUNTER_FORECASTS_IN_P50,   /* those that ended within the p50 stated at the start */
+  VP_COUNTER_FORECASTS_IN_P90,
   VP_COUNTER_LAST,
 } VpCounter;
 
--- a/src/vp-place-speed.c
+++ b/src/vp-place-speed.c
@@ -29,6 +29,13 @@
   return began_ms + occurrence->job->objective_ms - now_ms;
 }
 
+/* Returns the expected time of the longest chain of steps from the step on. */
+static int64_t
+_vp_place_chain_ms (const VpJobStep *step)
+{
+  return step->chain.is_made ? step->chain.p50_ms : step->critical_path_ms;
+}
+
 bool
 _vp_place_is_fast (const VpCellWorker *worker)
 {
@@ -49,7 +56,7 @@
   if (!queue->yields_fast_workers || queue->ignores_speed)
     return false;
   return step->occurrence->job->objective_ms == 0 || left_ms < 0
-         || (double)left_ms >= VP_PLACE_YIELD_SLACK * (double)step->critical_path_ms;
+         || (double)left_ms >= VP_PLACE_YIELD_SLACK * (double)_vp_place_chain_ms (step);
 }
 
 double
@@ -74,11 +81,13 @@
   return _vp_place_is_fast (worker) ? 0 : vp_place_is_slow (worker) ? 2 : 1;
 }
 
-/* Returns the slot of a fast worker on which a task of the step is expected to end before @end_ms,
- * first of all, and the time at which it can start there; NULL: there is none. */
+/* Returns the slot of a fast worker on which a task of the step, which takes @expected_ms on a
+ * worker of speed 1, is expected to end before @end_ms, first of all, and the time at which it can
+ * start there; NULL: there is none. */
 static VpPlaceSlot *
 _vp_place_find_fast (const VpPlacePool *pool,
                      const VpJobStep *step,
+                     int64_t expected_ms,
                      int64_t end_ms,
                      int64_t now_ms,
                      int64_t *start_ms)
@@ -98,14 +107,14 @@
         || !_vp_place_is_eligible (step, slot->worker)
         || !_vp_place_is_below_spread_max (step, slot->worker, 0))
       continue;
-    available_ms = _vp_place_available_ms (step, slot, now_ms);
+    available_ms = _vp_place_available_ms (pool, step, slot, now_ms);
     /* One with capacity would have been chosen, unless something else speaks against it. */
     if (available_ms <= now_ms || available_ms >= end_ms
-        || (double)(available_ms - now_ms) + (double)step->critical_path_ms * slot->worker->slowness
+        || (double)(available_ms - now_ms)
+                   + (double)_vp_place_chain_ms (step) * slot->worker->slowness
                > (double)left_ms)
       continue;
-    fast_end_ms
-        = available_ms + (int64_t)((double)step->spec->estimate_ms * slot->worker->slowness);
+    fast_end_ms = available_ms + (int64_t)((double)expected_ms * slot->worker->slowness);
     if (fast_end_ms > end_ms || (fast_end_ms == end_ms && (best == NULL || slot > best)))
       continue;
     best = slot;
@@ -125,19 +134,23 @@
   const VpJobStep *step = task->step;
   VpResources demand = _vp_place_demand (step);
   double slowness = slow->worker->slowness;
-  double estimate_ms = (double)step->spec->estimate_ms;
+  int64_t expected_ms;
   VpPlaceSlot *fast;
   int64_t start_ms;
 
   if (queue->priority != 0 || queue->ignores_speed || !vp_place_is_slow (slow->worker)
       || step->advice == NULL || pool->fast_wait_count >= VP_PLACE_FAST_WAITS_MAX
       || vp_reservation_is_wide (&demand, &pool->capacity_max)
-      || _vp_place_left_ms (step, now_ms) >= (int64_t)((double)step->critical_path_ms * slowness)
-      /* Estimates may be wrong, so the wait is limited to what it can gain. */
-      || (double)(now_ms - step->ready_ms) > estimate_ms * (slowness - VP_PLACE_FAST_SLOWNESS))
+      || _vp_place_left_ms (step, now_ms)
+             >= (int64_t)((double)_vp_place_chain_ms (step) * slowness))
+    return false;
+  expected_ms = _vp_place_expected_ms (pool, step);
+  /* Expected durations may be wrong, so the wait is limited to what it can gain. */
+  if ((double)(now_ms - step->ready_ms) > (double)expected_ms * (slowness - VP_PLACE_FAST_SLOWNESS))
     return false;
-  fast = _vp_place_find_fast (pool, step, now_ms + (int64_t)(estimate_ms * slowness), now_ms,
-                              &start_ms);
+  fast
+      = _vp_place_find_fast (pool, step, expected_ms,
+                             now_ms + (int64_t)((double)expected_ms * slowness), now_ms, &start_ms);
   if (fast == NULL)
     return false;
   pool->fast_wait_count++;
--- a/src/vp-reconcile.c
+++ b/src/vp-reconcile.c
@@ -10,19 +10,24 @@
 /* Time for which successful ends are collected into common log lines. Some hundred runs end in a
  * second, and most of the ends are reported one by one. */
 #define VP_RECONCILE_DONE_LOG_MS 100
+/* Ends count in the forecasts only if a HOLD has waited for them all the time, but for a gap of
+ * this length. After an answer the next HOLD is sent within 400 ms; one without an answer leaves a
+ * gap of 3 s, after which runs of 0.4 s would count as runs of up to 3 s. */
+#define VP_RECONCILE_GAP_MAX_MS 1000
 
 void
 vp_reconcile_setup (VpReconcile *reconcile,
                     VpWorkerList *worker_list,
                     VpJobList *jobs,
+                    VpForecast *forecast,
                     uint64_t fence)
 {
   memset (reconcile, 0, sizeof *reconcile);
   reconcile->worker_list = worker_list;
   reconcile->jobs = jobs;
   reconcile->fence = fence;
-  reconcile->durations = vp_durations_setup ();
   reconcile->slowness = vp_slowness_setup ();
+  reconcile->forecast = forecast;
   reconcile->orphan_stops = g_array_new (FALSE, FALSE, sizeof (VpCommand));
   vp_runlog_setup (&reconcile->log, &(VpRunlogDesc){ 0 });
   vp_runlog_setup (&reconcile->done_log, &(VpRunlogDesc){ .wait_ms = VP_RECONCILE_DONE_LOG_MS });
@@ -34,7 +39,6 @@
   vp_runlog_shutdown (&reconcile->done_log);
   vp_runlog_shutdown (&reconcile->log);
   g_array_unref (reconcile->orphan_stops);
-  vp_durations_shutdown (reconcile->durations);
   vp_slowness_shutdown (reconcile->slowness);
 }
 
@@ -97,11 +101,55 @@
   vp_workerlist_note_restart (reconcile->worker_list, worker, booted_ms, now_ms);
 }
 
+/* Returns true if the end of the run that @result reports may have been some time ago. */
+static bool
+_vp_reconcile_is_end_delayed (const VpCellWorker *worker,
+                              const VpJobTask *task,
+                              const VpCommandResult *result)
+{
+  int64_t seen_ms = MAX (worker->list_received_ms, task->started_ms);
+
+  return result->is_late || result->sent_ms - seen_ms > VP_RECONCILE_GAP_MAX_MS;
+}
+
+/* Records the duration of the successful run. A run that doesn't tell how long the task takes
+ * counts only for the detection of stalled tasks: this scheduler hasn't seen the start, the run
+ * began from a checkpoint or far from its data, or its end was reported late. */
+static void
+_vp_reconcile_record_duration (VpReconcile *reconcile,
+                               const VpCellWorker *worker,
+                               const VpJobTask *task,
+                               const VpCommandResult *result,
+                               int64_t now_ms)
+{
+  const VpStepSpec *spec = task->step->spec;
+  int64_t duration_ms = now_ms - task->started_ms;
+  VpForecastKey key;
+
+  if (spec->is_best_effort || spec->is_long_running)
+    return;
+  if (task->start_tries == 0 || task->is_resumed
+      || (spec->rack[0] != '\0' && strcmp (spec->rack, worker->entry.rack) != 0)
+      || _vp_reconcile_is_end_delayed (worker, task, result)) {
+    vp_forecast_record_limit (reconcile->forecast, task->step->occurrence->job->spec->queue,
+                              duration_ms, now_ms);
+    return;
+  }
+  if (task->forecast_p50_ms > 0) {
+    vp_metrics_add (VP_COUNTER_FORECASTS_ENDED, 1);
+    vp_metrics_add (VP_COUNTER_FORECASTS_IN_P50, duration_ms <= task->forecast_p50_ms ? 1 : 0);
+    vp_metrics_add (VP_COUNTER_FORECASTS_IN_P90, duration_ms <= task->forecast_p90_ms ? 1 : 0);
+  }
+  vp_jobstep_forecast_key (task->step, &key);
+  vp_forecast_record (reconcile->forecast, &key, duration_ms, worker->slowness, now_ms);
+}
+
 static void
 _vp_reconcile_record_end (VpReconcile *reconcile,
                           VpCellWorker *worker,
                           VpJobTask *task,
                           VpRunEnd end,
+                          const VpCommandResult *result,
                           int64_t now_ms)
 {
   const VpJob *job = task->step->occurrence->job;
@@ -109,8 +157,8 @@
   vp_metrics_add (VP_COUNTER_ENDED, 1);
   if (end == VP_RUN_DONE) {
     vp_workerlist_record_success (worker);
+    _vp_reconcile_record_duration (reconcile, worker, task, result, now_ms);
     if (!task->step->spec->is_best_effort && task->checkpoint[0] == '\0') {
-      vp_durations_record (reconcile->durations, job->spec->queue, now_ms - task->started_ms);
       /* The time at which a late list arrives says little of how long its runs took. */
       if (!worker->is_end_time_unknown)
         vp_jobstep_record_duration (task->step, worker, now_ms - task->started_ms);
@@ -153,6 +201,7 @@
 _vp_reconcile_handle_end (VpReconcile *reconcile,
                           VpCellWorker *worker,
                           const VpEndedEntry *entry,
+                          const VpCommandResult *result,
                           int64_t now_ms)
 {
   VpJobTask *task = entry->is_task ? vp_joblist_task (reconcile->jobs, &entry->task) : NULL;
@@ -167,7 +216,7 @@
   }
   vp_runlog_add (entry->end == VP_RUN_DONE ? &reconcile->done_log : &reconcile->log, "end",
                  vp_run_end_token (entry->end), task, now_ms);
-  _vp_reconcile_record_end (reconcile, worker, task, entry->end, now_ms);
+  _vp_reconcile_record_end (reconcile, worker, task, entry->end, result, now_ms);
   if (entry->end == VP_RUN_DONE && task->step->done_count + 1 >= task->step->spec->task_count)
     vp_slowness_learn (reconcile->slowness, reconcile->worker_list, task->step);
   if (entry->checkpoint[0] != '\0')
@@ -179,16 +228,16 @@
 static void
 _vp_reconcile_handle_ends (VpReconcile *reconcile,
                            VpCellWorker *worker,
-                           const GArray *ended,
+                           const VpCommandResult *result,
                            int64_t now_ms)
 {
-  for (guint i = 0; ended != NULL && i < ended->len; i++) {
-    const VpEndedEntry *entry = &g_array_index (ended, VpEndedEntry, i);
+  for (guint i = 0; result->ended != NULL && i < result->ended->len; i++) {
+    const VpEndedEntry *entry = &g_array_index (result->ended, VpEndedEntry, i);
     if (entry->number <= worker->last_end_seen)
       continue;
     worker->last_end_seen = entry->number;
     reconcile->has_unstaged_ends = true;
-    _vp_reconcile_handle_end (reconcile, worker, entry, now_ms);
+    _vp_reconcile_handle_end (reconcile, worker, entry, result, now_ms);
   }
 }
 
@@ -321,11 +370,12 @@
     vp_workerlist_note_answer (reconcile->worker_list, worker, result->clock_ms,
                                result->received_ms);
   seen_before = worker->last_end_seen;
-  _vp_reconcile_handle_ends (reconcile, worker, result->ended, now_ms);
+  _vp_reconcile_handle_ends (reconcile, worker, result, now_ms);
   /* Of a list that was overtaken by a later one, only the ends, which are numbered, are new. */
   if (result->sent_ms < worker->list_sent_ms)
     return false;
   worker->list_sent_ms = result->sent_ms;
+  worker->list_received_ms = result->received_ms;
   _vp_reconcile_handle_running (reconcile, worker, result, listed, now_ms);
   if (result->ended == NULL || result->ended->len < VP_RECONCILE_ENDS_MAX)
     _vp_reconcile_end_missing_runs (reconcile, worker, result, listed, now_ms);
--- a/tests/test-place-speed.c
+++ b/tests/test-place-speed.c
@@ -556,7 +556,7 @@
   }
   /* The other task fills its worker. */
   ((VpCellWorker *)fixture->worker_list->workers->pdata[1])->entry.capacity.cpu_milli = 1000;
-  fixture->pool = vp_place_pool_new (fixture->worker_list, "service", 0);
+  fixture->pool = vp_place_pool_new (fixture->worker_list, NULL, "service", 0);
 }
 
 static void
--- a/tests/test-stepqueue.c
+++ b/tests/test-stepqueue.c
@@ -1,4 +1,5 @@
 /* Order of waiting steps under overload. */
+#include "vp-forecast-private.h"
 #include "vp-stepqueue.h"
 
 #include <string.h>
@@ -9,6 +10,7 @@
   VpWorkerList *worker_list;
   VpJobList *jobs;
   VpCellConfig *config;
+  VpForecast *forecast; /* NULL: callers' estimates are taken as durations */
   VpStepQueue step_queue;
 } Fixture;
 
@@ -25,6 +27,7 @@
 static void
 _setup (Fixture *fixture)
 {
+  fixture->forecast = NULL;
   fixture->worker_list = vp_workerlist_setup (6000, NOW_MS);
   fixture->jobs = vp_joblist_setup ();
   fixture->config = vp_cellconfig_new (1);
@@ -72,8 +75,12 @@
 static void
 _assert_order (Fixture *fixture, const uint64_t *ids, guint count)
 {
-  vp_stepqueue_setup (&fixture->step_queue, fixture->worker_list, fixture->jobs, fixture->config,
-                      NOW_MS);
+  VpStepQueueDesc desc = { .worker_list = fixture->worker_list,
+                           .jobs = fixture->jobs,
+                           .config = fixture->config,
+                           .forecast = fixture->forecast };
+
+  vp_stepqueue_setup (&fixture->step_queue, &desc, NOW_MS);
   g_assert_cmpuint (fixture->step_queue.items->len, ==, count);
   for (guint i = 0; i < count; i++)
     g_assert_cmpuint (g_array_index (fixture->step_queue.items, VpStepQueueItem, i)
@@ -163,6 +170,120 @@
   _teardown (&fixture);
 }
 
+/* A forecast with a wide range: the p90 is three times the caller's estimate. */
+static void
+_wide_step (const VpForecast *forecast G_GNUC_UNUSED,
+            const VpForecastKey *key,
+            VpForecastRange *out)
+{
+  *out = (VpForecastRange){ .p50_ms = key->estimate_ms, .p90_ms = 3 * key->estimate_ms };
+}
+
+static const VpForecastPolicy wide_policy = { .task = _wide_step, .step = _wide_step };
+
+/* Guards against an overload in which the capacity goes to jobs that are started at the last moment
+ * and become late by what was not foreseen: those that hardly are in time come after those that
+ * still have time to spare, and before late ones. */
+static void
+test_doubtful (void)
+{
+  static const uint64_t order[] = { 3, 2, 1 };
+  VpForecast forecast = { .policy = &wide_policy };
+  Fixture fixture;
+
+  _setup (&fixture);
+  fixture.forecast = &forecast;
+  /* The unknown duration leaves 317 to 1,650 ms, of which the step takes 100 itself. */
+  _add_job (&fixture, 1, "urgent", 1, 1000, NOW_MS - 1700);
+  _add_job (&fixture, 2, "urgent", 1, 1000, NOW_MS - 500);
+  _add_job (&fixture, 3, "urgent", 1, 1000, NOW_MS - 100);
+  _assert_order (&fixture, order, G_N_ELEMENTS (order));
+  _teardown (&fixture);
+}
+
+/* Guards against a long job that counts as late from the beginning because its duration may be
+ * long: its objective is longer by more. */
+static void
+test_long_has_more_time (void)
+{
+  Fixture fixture;
+  VpForecast forecast = { .policy = &wide_policy };
+  VpStepQueueDesc desc;
+
+  _setup (&fixture);
+  desc = (VpStepQueueDesc){ .worker_list = fixture.worker_list,
+                            .jobs = fixture.jobs,
+                            .config = fixture.config,
+                            .forecast = &forecast };
+  _add_job (&fixture, 1, "urgent", 1, 5000, NOW_MS);
+  vp_stepqueue_setup (&fixture.step_queue, &desc, NOW_MS);
+  g_assert_cmpint (g_array_index (fixture.step_queue.items, VpStepQueueItem, 0).lateness, ==,
+                   VP_LATENESS_ON_TIME);
+  vp_stepqueue_shutdown (&fixture.step_queue);
+  _teardown (&fixture);
+}
+
+/* Of late jobs those that have begun come first, so that their work isn't lost. */
+static void
+test_begun (void)
+{
+  static const uint64_t order[] = { 2, 1 };
+  VpWorkerEntry entry = { .id = "worker", .service = "service" };
+  Fixture fixture;
+  VpJob *job;
+
+  _setup (&fixture);
+  _add_job (&fixture, 1, "urgent", 1, 1000, NOW_MS - 2100);
+  job = _add_job (&fixture, 2, "urgent", 2, 500, NOW_MS - 2000);
+  vp_jobtask_assign (fixture.jobs, &job->occurrences[0].steps[0].tasks[0],
+                     vp_workerlist_update (fixture.worker_list, &entry), 1, NOW_MS - 500);
+  vp_jobtask_end (fixture.jobs, &job->occurrences[0].steps[0].tasks[0], VP_RUN_DONE, 3, NOW_MS);
+  _assert_order (&fixture, order, G_N_ELEMENTS (order));
+  _teardown (&fixture);
+}
+
+/* Guards against large jobs that are started in part and then come after all others, so that their
+ * started tasks have run for nothing: a job that has begun counts as in time while it can be. */
+static void
+test_begun_in_time (void)
+{
+  static const uint64_t order[] = { 1, 2 };
+  VpForecast forecast = { .policy = &wide_policy };
+  VpWorkerEntry entry = { .id = "worker", .service = "service" };
+  Fixture fixture;
+  VpJob *job;
+
+  _setup (&fixture);
+  fixture.forecast = &forecast;
+  job = _add_job (&fixture, 1, "urgent", 2, 1000, NOW_MS - 2000);
+  _add_job (&fixture, 2, "urgent", 1, 1000, NOW_MS);
+  vp_jobtask_assign (fixture.jobs, &job->occurrences[0].steps[0].tasks[0],
+                     vp_workerlist_update (fixture.worker_list, &entry), 1, NOW_MS - 1000);
+  vp_jobtask_end (fixture.jobs, &job->occurrences[0].steps[0].tasks[0], VP_RUN_DONE, 3, NOW_MS);
+  _assert_order (&fixture, order, G_N_ELEMENTS (order));
+  _teardown (&fixture);
+}
+
+/* Guards against an order that changes while steps wait: advice and reservations are made for the
+ * first ones, and would be lost. Advice for a step doesn't move it. */
+static void
+test_stable (void)
+{
+  static const uint64_t order[] = { 1, 2 };
+  Fixture fixture;
+  VpJob *job;
+
+  _setup (&fixture);
+  ((VpQueueConfig *)vp_cellconfig_queue (fixture.config, "urgent"))->has_advice = true;
+  ((VpQueueConfig *)vp_cellconfig_queue (fixture.config, "urgent"))->advice_decide_ms = 100;
+  job = _add_job (&fixture, 1, "urgent", 1, 1000, NOW_MS - 20);
+  _add_job (&fixture, 2, "urgent", 1, 1000, NOW_MS);
+  _assert_order (&fixture, order, G_N_ELEMENTS (order));
+  job->occurrences[0].steps[0].tickets_expire_ms = NOW_MS + 5000;
+  _assert_order (&fixture, order, G_N_ELEMENTS (order));
+  _teardown (&fixture);
+}
+
 /* Lateness of an occurrence of a repeated job is measured from its due time, not from the
  * submission of the job. */
 static void
@@ -206,6 +327,11 @@
   g_test_add_func ("/stepqueue/priority", test_priority);
   g_test_add_func ("/stepqueue/late-after-on-time", test_late_after_on_time);
   g_test_add_func ("/stepqueue/team-over-rate", test_team_over_rate);
+  g_test_add_func ("/stepqueue/doubtful", test_doubtful);
+  g_test_add_func ("/stepqueue/long-has-more-time", test_long_has_more_time);
+  g_test_add_func ("/stepqueue/begun", test_begun);
+  g_test_add_func ("/stepqueue/stable", test_stable);
+  g_test_add_func ("/stepqueue/begun-in-time", test_begun_in_time);
   g_test_add_func ("/stepqueue/occurrence", test_occurrence);
   g_test_add_func ("/stepqueue/rate", test_rate);
   return g_test_run ();
