--- a/tests/test-forecast.c
+++ b/tests/test-forecast.c
@@ -491,7 +491,7 @@
 }
 
 /* Guards against a new leader that takes the tasks that end first, which are short ones, for all.
- */
+ * 100 steps start at the same time, and each one that ends is followed by another. */
 static void
 test_first_ends (void)
 {
@@ -504,6 +504,12 @@
       _run_concurrently (rand, skipped[i], skipped[i] + 100, &score);
     g_test_message ("from step %u on:", skipped[i]);
     _print_score ("first-ends", loads[2].name, "learned", &score);
+    /* More than 200 runs have ended then. The p50 is too long there, see docs/design/forecast.md.
+     */
+    if (skipped[i] >= 150) {
+      g_assert_cmpfloat (score.in_p90 / score.count, >=, P90_MIN);
+      g_assert_cmpfloat (score.in_p90 / score.count, <=, P90_MAX);
+    }
     g_rand_free (rand);
   }
 }
