--- a/src/vp-forecast.c
+++ b/src/vp-forecast.c
@@ -9,6 +9,8 @@
  * workers differ in speed and some tasks run far from their data. */
 #define VP_FORECAST_LIMIT_FACTOR    2.0
 #define VP_FORECAST_LIMIT_MARGIN_MS 1000
+/* Longest duration from which a limit is derived: 30 days. */
+#define VP_FORECAST_LIMIT_DURATION_MAX_MS (INT64_C (30) * 86400 * 1000)
 /* Maximum number of queues with a limit, which bounds the memory. The one without a new run for
  * longest makes room for another. */
 #define VP_FORECAST_LIMITS_MAX 256
@@ -75,7 +77,9 @@
   }
   limit->count++;
   limit->recorded_ms = now_ms;
-  limit->longest_ms = MAX (limit->longest_ms * (1 - VP_FORECAST_LIMIT_DECAY), (double)duration_ms);
+  /* A longer duration isn't that of a task, and its limit might exceed the range. */
+  limit->longest_ms = MAX (limit->longest_ms * (1 - VP_FORECAST_LIMIT_DECAY),
+                           (double)MIN (duration_ms, VP_FORECAST_LIMIT_DURATION_MAX_MS));
 }
 
 void
