vp-cellconfig: clashes of keys, and the time of an advice request

Cause: a key that two teams have was lost when the second one was added, so that a check of a configuration could not find it. The time that an advice request takes was computed in vp-advise only.

Change: VpCellConfig lists keys that were added more than once, by digest. vp_cellconfig_advice_ms() computes the time, and vp-advise uses it.

--- a/src/vp-advise.c
+++ b/src/vp-advise.c
@@ -200,8 +200,7 @@
   memset (out, 0, sizeof *out);
   vp_jobtask_name (&step->tasks[0], &out->step);
   out->serial = step->advice_serial = ++advise->last_serial;
-  out->expected_ms
-      = (int64_t)(queue->advice_decide_ms + queue->advice_worker_ms * candidates->len) + 1;
+  out->expected_ms = vp_cellconfig_advice_ms (queue, candidates->len);
   out->workers = g_ptr_array_new_with_free_func (g_free);
   pending = g_new (VpAdvisePending, 1);
   *pending = (VpAdvisePending){ .step = out->step,
--- a/src/vp-cellconfig.c
+++ b/src/vp-cellconfig.c
@@ -1,5 +1,7 @@
 #include "vp-cellconfig.h"
 
+#include "vp-config.h"
+
 #include <string.h>
 
 VpCellConfig *
@@ -14,6 +16,7 @@
   config->queue_index = g_hash_table_new (g_str_hash, g_str_equal);
   config->team_index = g_hash_table_new (g_str_hash, g_str_equal);
   config->team_by_key = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
+  config->key_clashes = g_array_new (FALSE, FALSE, sizeof (VpKeyClash));
   return config;
 }
 
@@ -32,6 +35,7 @@
   g_hash_table_unref (config->queue_index);
   g_hash_table_unref (config->team_index);
   g_hash_table_unref (config->team_by_key);
+  g_array_unref (config->key_clashes);
   g_array_unref (config->queues);
   g_array_unref (config->teams);
   g_free (config);
@@ -40,6 +44,13 @@
 void
 vp_cellconfig_add_key (VpCellConfig *config, const char *key, uint32_t team_index)
 {
+  guint earlier = GPOINTER_TO_UINT (g_hash_table_lookup (config->team_by_key, key));
+
+  if (earlier != 0) {
+    VpKeyClash clash = { .team_index = team_index, .earlier_team_index = earlier - 1 };
+    vp_config_key_digest (key, clash.sha256);
+    g_array_append_val (config->key_clashes, clash);
+  }
   g_hash_table_replace (config->team_by_key, g_strdup (key), GUINT_TO_POINTER (team_index + 1));
 }
 
@@ -92,6 +103,12 @@
   return found == NULL || found->attempts_max == 0 ? 1 : found->attempts_max;
 }
 
+int64_t
+vp_cellconfig_advice_ms (const VpQueueConfig *queue, uint32_t worker_count)
+{
+  return (int64_t)(queue->advice_decide_ms + queue->advice_worker_ms * worker_count) + 1;
+}
+
 const VpTeamConfig *
 vp_cellconfig_team (const VpCellConfig *config, const char *name)
 {
--- a/src/vp-cellconfig.h
+++ b/src/vp-cellconfig.h
@@ -37,6 +37,13 @@
   VpResources cap; /* limit of the total size of running tasks; 0 in a field: no limit */
 } VpTeamConfig;
 
+/* A key that was added more than once. The team that added it last has it. */
+typedef struct {
+  char sha256[65]; /* lower-case hexadecimal digest of the key */
+  uint32_t team_index;
+  uint32_t earlier_team_index;
+} VpKeyClash;
+
 typedef struct {
   uint32_t refs; /* atomic */
   uint64_t version;
@@ -45,6 +52,7 @@
   GHashTable *queue_index; /* name -> VpQueueConfig */
   GHashTable *team_index;  /* name -> VpTeamConfig */
   GHashTable *team_by_key; /* API key -> index of the team in @teams, plus 1 */
+  GArray *key_clashes;     /* VpKeyClash */
   uint32_t body_max;       /* maximum size of a request body in bytes */
 } VpCellConfig;
 
@@ -67,6 +75,8 @@
 /* Returns the number of failed runs of one task after which its job fails; 1 for an unknown queue
  * or if @config is NULL. */
 uint32_t vp_cellconfig_attempts_max (const VpCellConfig *config, const char *queue);
+/* Returns the time that the advice service takes to answer a call for @worker_count workers. */
+int64_t vp_cellconfig_advice_ms (const VpQueueConfig *queue, uint32_t worker_count);
 /* Returns NULL if there is no team of that name. */
 const VpTeamConfig *vp_cellconfig_team (const VpCellConfig *config, const char *name);
 /* Returns the team with the API key, or NULL if the key is unknown. */
