--- a/src/vp-config-changes.c
+++ b/src/vp-config-changes.c
@@ -85,15 +85,6 @@
 static const VpFieldTable _vp_profile_table
     = { "profiles", _vp_profile_fields, G_N_ELEMENTS (_vp_profile_fields) };
 
-/* Appends a change and takes ownership of @path and @text. */
-static void
-_vp_config_changes_add (GArray *findings, const char *kind, char *path, char *text)
-{
-  VpFinding finding = { .severity = VP_FINDING_CHANGE, .kind = kind, .path = path, .text = text };
-
-  g_array_append_val (findings, finding);
-}
-
 static char *
 _vp_field_format (const VpField *field, const void *element)
 {
@@ -151,16 +142,15 @@
     if (_vp_field_table_find (array, element) != element)
       continue;
     if (found == NULL && kind != NULL)
-      _vp_config_changes_add (findings, kind, g_strdup_printf ("%s[%s]", table->name, element),
-                              g_strdup (kind));
+      vp_findings_add (findings, VP_FINDING_CHANGE, kind,
+                       g_strdup_printf ("%s[%s]", table->name, element), "%s", kind);
     for (guint j = 0; found != NULL && kind == NULL && j < table->field_count; j++) {
       g_autofree char *from = _vp_field_format (&table->fields[j], element);
       g_autofree char *to = _vp_field_format (&table->fields[j], found);
       if (strcmp (from, to) != 0)
-        _vp_config_changes_add (
-            findings, "changed",
-            g_strdup_printf ("%s[%s].%s", table->name, element, table->fields[j].name),
-            g_strdup_printf ("changed from %s to %s", from, to));
+        vp_findings_add (findings, VP_FINDING_CHANGE, "changed",
+                         g_strdup_printf ("%s[%s].%s", table->name, element, table->fields[j].name),
+                         "changed from %s to %s", from, to);
     }
   }
 }
@@ -207,13 +197,12 @@
       continue;
     path = g_strdup_printf ("keys[%.*s]", VP_CONFIG_CHANGES_DIGEST_DIGITS, sha256);
     if (before == NULL)
-      _vp_config_changes_add (findings, "added", path, g_strdup_printf ("added to %s", after));
+      vp_findings_add (findings, VP_FINDING_CHANGE, "added", path, "added to %s", after);
     else if (after == NULL)
-      _vp_config_changes_add (findings, "removed", path,
-                              g_strdup_printf ("removed from %s", before));
+      vp_findings_add (findings, VP_FINDING_CHANGE, "removed", path, "removed from %s", before);
     else
-      _vp_config_changes_add (findings, "changed", path,
-                              g_strdup_printf ("changed from %s to %s", before, after));
+      vp_findings_add (findings, VP_FINDING_CHANGE, "changed", path, "changed from %s to %s",
+                       before, after);
   }
 }
 
@@ -221,9 +210,8 @@
 _vp_config_changes_number (const char *path, int64_t from, int64_t to, GArray *findings)
 {
   if (from != to)
-    _vp_config_changes_add (
-        findings, "changed", g_strdup (path),
-        g_strdup_printf ("changed from %" G_GINT64_FORMAT " to %" G_GINT64_FORMAT, from, to));
+    vp_findings_add (findings, VP_FINDING_CHANGE, "changed", g_strdup (path),
+                     "changed from %" G_GINT64_FORMAT " to %" G_GINT64_FORMAT, from, to);
 }
 
 /* Returns a table of digest -> team and note. */
@@ -271,7 +259,8 @@
   for (guint i = 0; i < from->len; i++) {
     const char *name = g_ptr_array_index (from, i);
     if (!g_ptr_array_find_with_equal_func ((GPtrArray *)to, name, g_str_equal, NULL))
-      _vp_config_changes_add (findings, kind, g_strdup_printf ("dcs[%s]", name), g_strdup (kind));
+      vp_findings_add (findings, VP_FINDING_CHANGE, kind, g_strdup_printf ("dcs[%s]", name), "%s",
+                       kind);
   }
 }
 
@@ -302,13 +291,8 @@
   _vp_config_changes_keys (from_keys, to_keys, findings);
   _vp_config_changes_number ("body_max", from->body_max, to->body_max, findings);
   /* A process ignores a configuration that isn't newer than the one it has. */
-  if (findings->len > count && to->version <= from->version) {
-    VpFinding finding = { .severity = VP_FINDING_ERROR,
-                          .kind = "old-version",
-                          .path = g_strdup ("version"),
-                          .text = g_strdup_printf ("must be above %" G_GUINT64_FORMAT
-                                                   ", or the changes have no effect",
-                                                   from->version) };
-    g_array_append_val (findings, finding);
-  }
+  if (findings->len > count && to->version <= from->version)
+    vp_findings_add (findings, VP_FINDING_ERROR, "old-version", g_strdup ("version"),
+                     "must be above %" G_GUINT64_FORMAT ", or the changes have no effect",
+                     from->version);
 }
--- a/src/vp-config-check.c
+++ b/src/vp-config-check.c
@@ -45,20 +45,22 @@
   return tokens[severity];
 }
 
-/* Appends a finding and takes ownership of @path. */
-static void G_GNUC_PRINTF (5, 6) _vp_findings_add (GArray *findings,
-                                                   VpFindingSeverity severity,
-                                                   const char *kind,
-                                                   char *path,
-                                                   const char *format,
-                                                   ...)
+void
+vp_findings_add (GArray *findings,
+                 VpFindingSeverity severity,
+                 const char *kind,
+                 char *path,
+                 const char *format,
+                 ...)
 {
   VpFinding finding = { .severity = severity, .kind = kind, .path = path };
+  char *text;
   va_list args;
 
   va_start (args, format);
-  finding.text = g_strdup_vprintf (format, args);
+  text = g_strdup_vprintf (format, args);
   va_end (args);
+  finding.text = text;
   g_array_append_val (findings, finding);
 }
 
@@ -70,10 +72,10 @@
 
   /* A path has no spaces; other messages may contain a colon. */
   if (end == NULL || memchr (error->message, ' ', size) != NULL)
-    _vp_findings_add (findings, VP_FINDING_ERROR, "invalid", g_strdup (""), "%s", error->message);
+    vp_findings_add (findings, VP_FINDING_ERROR, "invalid", g_strdup (""), "%s", error->message);
   else
-    _vp_findings_add (findings, VP_FINDING_ERROR, "invalid", g_strndup (error->message, size), "%s",
-                      end + 2);
+    vp_findings_add (findings, VP_FINDING_ERROR, "invalid", g_strndup (error->message, size), "%s",
+                     end + 2);
 }
 
 /* The product's own form. */
@@ -108,29 +110,29 @@
   bool is_keyed = g_hash_table_size (config->keys) > 0;
 
   if (vp_resources_is_zero (&team->limit))
-    _vp_findings_add (findings, VP_FINDING_ERROR, "zero-limit",
-                      g_strdup_printf ("teams[%s].limit", team->name),
-                      "the limit is zero, so that the share of %" G_GINT64_FORMAT
-                      " has no effect and every task is refused",
-                      team->share);
+    vp_findings_add (findings, VP_FINDING_ERROR, "zero-limit",
+                     g_strdup_printf ("teams[%s].limit", team->name),
+                     "the limit is zero, so that the share of %" G_GINT64_FORMAT
+                     " has no effect and every task is refused",
+                     team->share);
   else if (team->limit.cpu_milli == 0 || team->limit.mem_mib == 0)
-    _vp_findings_add (findings, VP_FINDING_WARNING, "partial-limit",
-                      g_strdup_printf ("teams[%s].limit.%s", team->name,
-                                       team->limit.cpu_milli == 0 ? "cpu_milli" : "mem_mib"),
-                      "the limit is zero, so that every task that needs any of it is refused");
+    vp_findings_add (findings, VP_FINDING_WARNING, "partial-limit",
+                     g_strdup_printf ("teams[%s].limit.%s", team->name,
+                                      team->limit.cpu_milli == 0 ? "cpu_milli" : "mem_mib"),
+                     "the limit is zero, so that every task that needs any of it is refused");
   if (is_keyed && !_vp_config_check_has_key (config, team)
       && !_vp_config_check_has_open_profile (config))
-    _vp_findings_add (findings, VP_FINDING_WARNING, "no-keys",
-                      g_strdup_printf ("teams[%s]", team->name),
-                      "the team has no key and no profile is open, so that it can't submit work");
+    vp_findings_add (findings, VP_FINDING_WARNING, "no-keys",
+                     g_strdup_printf ("teams[%s]", team->name),
+                     "the team has no key and no profile is open, so that it can't submit work");
 }
 
 void
 vp_config_check (const VpConfig *config, GArray *findings)
 {
   if (config->dcs->len == 0)
-    _vp_findings_add (findings, VP_FINDING_WARNING, "no-dcs", g_strdup ("dcs"),
-                      "there are no DCs, so that no work is placed");
+    vp_findings_add (findings, VP_FINDING_WARNING, "no-dcs", g_strdup ("dcs"),
+                     "there are no DCs, so that no work is placed");
   for (guint i = 0; i < config->teams->len; i++)
     _vp_config_check_team (config, &g_array_index (config->teams, VpTeam, i), findings);
 }
@@ -157,22 +159,22 @@
   const char *rest;
 
   if (queue->host[0] == '\0')
-    _vp_findings_add (findings, VP_FINDING_WARNING, "no-host",
-                      _vp_config_check_queue_path (i, "host"),
-                      "only requests without a Host header match");
+    vp_findings_add (findings, VP_FINDING_WARNING, "no-host",
+                     _vp_config_check_queue_path (i, "host"),
+                     "only requests without a Host header match");
   else if (strchr (queue->host, ':') != NULL && queue->host[0] != '[')
-    _vp_findings_add (findings, VP_FINDING_ERROR, "no-match",
-                      _vp_config_check_queue_path (i, "host"),
-                      "the port of a request is removed before its host is compared");
+    vp_findings_add (findings, VP_FINDING_ERROR, "no-match",
+                     _vp_config_check_queue_path (i, "host"),
+                     "the port of a request is removed before its host is compared");
   if (queue->prefix[0] != '\0' && queue->prefix[0] != '/')
-    _vp_findings_add (findings, VP_FINDING_ERROR, "no-match",
-                      _vp_config_check_queue_path (i, "prefix"),
-                      "no path starts with '%s', as all start with '/'", queue->prefix);
+    vp_findings_add (findings, VP_FINDING_ERROR, "no-match",
+                     _vp_config_check_queue_path (i, "prefix"),
+                     "no path starts with '%s', as all start with '/'", queue->prefix);
   /* No longer prefix matches this path, so that another queue is found only if its prefix is equal.
    */
   found = vp_cellconfig_route (config, queue->host, queue->prefix, &rest);
   if (found != NULL && found != queue)
-    _vp_findings_add (
+    vp_findings_add (
         findings, VP_FINDING_ERROR, "hidden", _vp_config_check_queue_path (i, "prefix"),
         "the queue '%s' has the same host and prefix and gets all requests", found->name);
 }
@@ -183,20 +185,20 @@
   const VpQueueConfig *queue = &g_array_index (config->queues, VpQueueConfig, i);
 
   if (queue->name[0] == '\0')
-    _vp_findings_add (findings, VP_FINDING_ERROR, "no-name",
-                      _vp_config_check_queue_path (i, "name"), "the queue has no name");
+    vp_findings_add (findings, VP_FINDING_ERROR, "no-name", _vp_config_check_queue_path (i, "name"),
+                     "the queue has no name");
   else if (vp_cellconfig_queue (config, queue->name) != queue)
-    _vp_findings_add (
+    vp_findings_add (
         findings, VP_FINDING_ERROR, "same-name", _vp_config_check_queue_path (i, "name"),
         "a later queue has the name '%s' too, and its jobs are treated by that one", queue->name);
   if (queue->service[0] == '\0')
-    _vp_findings_add (findings, VP_FINDING_ERROR, "no-workers",
-                      _vp_config_check_queue_path (i, "service"),
-                      "no worker belongs to a service without a name");
+    vp_findings_add (findings, VP_FINDING_ERROR, "no-workers",
+                     _vp_config_check_queue_path (i, "service"),
+                     "no worker belongs to a service without a name");
   if (!queue->is_public && g_hash_table_size (config->team_by_key) == 0)
-    _vp_findings_add (findings, VP_FINDING_ERROR, "no-match",
-                      _vp_config_check_queue_path (i, "is_public"),
-                      "the queue needs a key, and no team has one");
+    vp_findings_add (findings, VP_FINDING_ERROR, "no-match",
+                     _vp_config_check_queue_path (i, "is_public"),
+                     "the queue needs a key, and no team has one");
 }
 
 /* Appends an error for each number of the queue that is out of range. Returns true if none is. */
@@ -218,9 +220,9 @@
         && numbers[j].value <= VP_CONFIG_CHECK_NUMBER_MAX)
       continue;
     is_ok = false;
-    _vp_findings_add (findings, VP_FINDING_ERROR, "out-of-range",
-                      _vp_config_check_queue_path (i, numbers[j].field),
-                      "must be from 0 to 1,000,000,000");
+    vp_findings_add (findings, VP_FINDING_ERROR, "out-of-range",
+                     _vp_config_check_queue_path (i, numbers[j].field),
+                     "must be from 0 to 1,000,000,000");
   }
   return is_ok;
 }
@@ -232,33 +234,32 @@
   int64_t advice_ms;
 
   if (queue->attempts_max == 0)
-    _vp_findings_add (findings, VP_FINDING_WARNING, "no-attempts",
-                      _vp_config_check_queue_path (i, "attempts_max"),
-                      "0 counts as %u: a job fails after its first failed run",
-                      vp_cellconfig_attempts_max (config, queue->name));
+    vp_findings_add (findings, VP_FINDING_WARNING, "no-attempts",
+                     _vp_config_check_queue_path (i, "attempts_max"),
+                     "0 counts as %u: a job fails after its first failed run",
+                     vp_cellconfig_attempts_max (config, queue->name));
   if (!_vp_config_check_queue_numbers (queue, i, findings))
     return;
   if (queue->stretch <= 0 && queue->latency_target_ms == 0)
-    _vp_findings_add (findings, VP_FINDING_WARNING, "no-objective",
-                      _vp_config_check_queue_path (i, "latency_target_ms"),
-                      "the objective is 0 ms, so that every job is late as soon as it arrives");
+    vp_findings_add (findings, VP_FINDING_WARNING, "no-objective",
+                     _vp_config_check_queue_path (i, "latency_target_ms"),
+                     "the objective is 0 ms, so that every job is late as soon as it arrives");
   if (!queue->has_advice)
     return;
   advice_ms = vp_cellconfig_advice_ms (queue, 1);
   if (advice_ms > queue->latency_target_ms)
-    _vp_findings_add (findings, VP_FINDING_WARNING, "slow-advice",
-                      _vp_config_check_queue_path (i, "advice_decide_ms"),
-                      "an advice request for one worker takes %" G_GINT64_FORMAT
-                      " ms, longer than the constant part of the objective, %" G_GINT64_FORMAT
-                      " ms",
-                      advice_ms, queue->latency_target_ms);
+    vp_findings_add (findings, VP_FINDING_WARNING, "slow-advice",
+                     _vp_config_check_queue_path (i, "advice_decide_ms"),
+                     "an advice request for one worker takes %" G_GINT64_FORMAT
+                     " ms, longer than the constant part of the objective, %" G_GINT64_FORMAT " ms",
+                     advice_ms, queue->latency_target_ms);
   if (queue->advice_valid_ms < advice_ms)
-    _vp_findings_add (findings, VP_FINDING_WARNING, "short-ticket",
-                      _vp_config_check_queue_path (i, "advice_valid_ms"),
-                      "a ticket is valid for %" G_GINT64_FORMAT
-                      " ms, less than the time of an advice request for one worker, "
-                      "%" G_GINT64_FORMAT " ms",
-                      queue->advice_valid_ms, advice_ms);
+    vp_findings_add (findings, VP_FINDING_WARNING, "short-ticket",
+                     _vp_config_check_queue_path (i, "advice_valid_ms"),
+                     "a ticket is valid for %" G_GINT64_FORMAT
+                     " ms, less than the time of an advice request for one worker, "
+                     "%" G_GINT64_FORMAT " ms",
+                     queue->advice_valid_ms, advice_ms);
 }
 
 static bool
@@ -300,26 +301,26 @@
   bool is_anonymous = team->name[0] == '\0' && _vp_config_check_has_public_queue (config);
 
   if (team->name[0] == '\0' && !is_anonymous)
-    _vp_findings_add (findings, VP_FINDING_ERROR, "no-name", _vp_config_check_team_path (i, "name"),
-                      "the team has no name");
+    vp_findings_add (findings, VP_FINDING_ERROR, "no-name", _vp_config_check_team_path (i, "name"),
+                     "the team has no name");
   else if (vp_cellconfig_team (config, team->name) != team)
-    _vp_findings_add (
+    vp_findings_add (
         findings, VP_FINDING_ERROR, "same-name", _vp_config_check_team_path (i, "name"),
         "a later team has the name '%s' too, and its weight and cap apply", team->name);
   if (!is_anonymous && !_vp_config_check_cell_has_key (config, i))
-    _vp_findings_add (findings, VP_FINDING_WARNING, "no-keys",
-                      _vp_config_check_team_path (i, "keys"),
-                      "no key leads to the team, so that no job belongs to it");
+    vp_findings_add (findings, VP_FINDING_WARNING, "no-keys",
+                     _vp_config_check_team_path (i, "keys"),
+                     "no key leads to the team, so that no job belongs to it");
   if (!isfinite (team->weight) || team->weight < 0)
-    _vp_findings_add (findings, VP_FINDING_ERROR, "out-of-range",
-                      _vp_config_check_team_path (i, "weight"), "must not be negative");
+    vp_findings_add (findings, VP_FINDING_ERROR, "out-of-range",
+                     _vp_config_check_team_path (i, "weight"), "must not be negative");
   else if (team->weight > 0 && vp_resources_is_zero (&team->cap)
            && _vp_config_check_has_cap (config))
-    _vp_findings_add (
-        findings, VP_FINDING_WARNING, "zero-cap", _vp_config_check_team_path (i, "cap"),
-        "0 means no limit, while other teams have a cap; a weight of %g jobs a second "
-        "limits only the rate",
-        team->weight);
+    vp_findings_add (findings, VP_FINDING_WARNING, "zero-cap",
+                     _vp_config_check_team_path (i, "cap"),
+                     "0 means no limit, while other teams have a cap; a weight of %g jobs a second "
+                     "limits only the rate",
+                     team->weight);
 }
 
 /* Appends an error for each key that no request can present. */
@@ -337,16 +338,16 @@
       continue;
     vp_config_key_digest (key, sha256);
     if (key[0] == '\0')
-      _vp_findings_add (findings, VP_FINDING_ERROR, "empty-key",
-                        _vp_config_check_team_path (i, "keys"),
-                        "a key is empty, so that requests without a key belong to the team");
+      vp_findings_add (findings, VP_FINDING_ERROR, "empty-key",
+                       _vp_config_check_team_path (i, "keys"),
+                       "a key is empty, so that requests without a key belong to the team");
     else if (strlen (key) >= VP_KEY_MAX || g_ascii_isspace (key[0])
              || g_ascii_isspace (key[strlen (key) - 1]))
-      _vp_findings_add (findings, VP_FINDING_ERROR, "no-match",
-                        _vp_config_check_team_path (i, "keys"),
-                        "no request can present the key %.*s, which is longer than %d bytes or has "
-                        "a space at its start or end",
-                        VP_CONFIG_CHECK_DIGEST_DIGITS, sha256, VP_KEY_MAX - 1);
+      vp_findings_add (findings, VP_FINDING_ERROR, "no-match",
+                       _vp_config_check_team_path (i, "keys"),
+                       "no request can present the key %.*s, which is longer than %d bytes or has "
+                       "a space at its start or end",
+                       VP_CONFIG_CHECK_DIGEST_DIGITS, sha256, VP_KEY_MAX - 1);
   }
 }
 
@@ -357,13 +358,13 @@
     const VpKeyClash *clash = &g_array_index (config->key_clashes, VpKeyClash, i);
     char *path = _vp_config_check_team_path (clash->team_index, "keys");
     if (clash->team_index == clash->earlier_team_index)
-      _vp_findings_add (findings, VP_FINDING_WARNING, "repeated-key", path,
-                        "the key %.*s is given twice", VP_CONFIG_CHECK_DIGEST_DIGITS,
-                        clash->sha256);
+      vp_findings_add (findings, VP_FINDING_WARNING, "repeated-key", path,
+                       "the key %.*s is given twice", VP_CONFIG_CHECK_DIGEST_DIGITS, clash->sha256);
     else
-      _vp_findings_add (findings, VP_FINDING_ERROR, "shared-key", path,
-                        "teams[%u] has the key %.*s too; only the last team gets its requests",
-                        clash->earlier_team_index, VP_CONFIG_CHECK_DIGEST_DIGITS, clash->sha256);
+      vp_findings_add (findings, VP_FINDING_ERROR, "shared-key", path,
+                       "the team '%s' has the key %.*s too; only the last team gets its requests",
+                       g_array_index (config->teams, VpTeamConfig, clash->earlier_team_index).name,
+                       VP_CONFIG_CHECK_DIGEST_DIGITS, clash->sha256);
   }
   for (guint i = 0; i < config->teams->len; i++)
     _vp_config_check_key_text (config, i, findings);
@@ -381,7 +382,7 @@
     _vp_config_check_cell_team (config, i, findings);
   _vp_config_check_cell_keys (config, findings);
   if (config->body_max > 0 && config->body_max < VP_CONFIG_CHECK_JOB_BYTES)
-    _vp_findings_add (findings, VP_FINDING_WARNING, "small-body", g_strdup ("body_max"),
-                      "%u bytes are less than the largest legal job, %d bytes", config->body_max,
-                      VP_CONFIG_CHECK_JOB_BYTES);
+    vp_findings_add (findings, VP_FINDING_WARNING, "small-body", g_strdup ("body_max"),
+                     "%u bytes are less than the largest legal job, %d bytes", config->body_max,
+                     VP_CONFIG_CHECK_JOB_BYTES);
 }
--- a/src/vp-config-check.h
+++ b/src/vp-config-check.h
@@ -38,6 +38,13 @@
 
 /* Returns an empty array of VpFinding that frees its elements. */
 GArray *vp_findings_new (void);
+/* Appends a finding. Takes ownership of @path; @kind must be static. */
+void vp_findings_add (GArray *findings,
+                      VpFindingSeverity severity,
+                      const char *kind,
+                      char *path,
+                      const char *format,
+                      ...) G_GNUC_PRINTF (5, 6);
 uint32_t vp_findings_count (const GArray *findings, VpFindingSeverity severity);
 const char *vp_finding_severity_token (VpFindingSeverity severity);
 
