verbenapulley config check: faults, and differences from a file or the revision in force

Cause: faults that config validate doesn't look for showed only in production, and a submission couldn't be compared with the configuration in force.

It links the platform library for the platform's form.

--- a/cli/cli.h
+++ b/cli/cli.h
@@ -33,6 +33,7 @@
   char **args; /* arguments of the command */
   int arg_count;
   const char *settings;
+  const char *against; /* file, revision or "current" */
   const char *team;
   const char *profile;
   const char *identity;
@@ -87,6 +88,9 @@
 int64_t cli_response_int (const CliResponse *response, const char *name);
 
 CliExitStatus cli_config_validate (const Cli *cli);
+CliExitStatus cli_config_check (const Cli *cli);
+/* Returns true if @against names a revision that the service has, and not a file. */
+bool cli_config_is_revision (const char *against);
 CliExitStatus cli_config_submit (const Cli *cli);
 CliExitStatus cli_config_get (const Cli *cli);
 CliExitStatus cli_config_watch (const Cli *cli);
--- a/cli/verbenapulley.c
+++ b/cli/verbenapulley.c
@@ -25,6 +25,7 @@
   CLI_FOR_SUBMIT = 1 << 7,
   CLI_FOR_GET = 1 << 8,
   CLI_FOR_CANCEL = 1 << 9,
+  CLI_FOR_CHECK = 1 << 10,
   CLI_FOR_RESOURCES = CLI_FOR_TEAM | CLI_FOR_SUBMIT,
 };
 
@@ -72,6 +73,13 @@
               CLI_TYPE_TEXT,
               CLI_FOR_VALIDATE,
               "Check this settings file of a daemon too"),
+  CLI_OPTION ("against",
+              "VERSION",
+              against,
+              CLI_TYPE_TEXT,
+              CLI_FOR_CHECK,
+              "Show the differences from a file, or from the revision N or \"current\" of the "
+              "service"),
   CLI_OPTION ("revision",
               "N",
               revision,
@@ -202,14 +210,16 @@
   const char *name;
   const char *args;
   const char *doc;
-  int sets; /* CLI_FOR_*: options that the command accepts in addition to the common ones */
-  bool is_offline;
+  int sets;        /* CLI_FOR_*: options that the command accepts in addition to the common ones */
+  bool is_offline; /* makes no request, unless --against names a revision */
   CliExitStatus (*run) (const Cli *cli);
 } CliCommand;
 
 static const CliCommand cli_commands[] = {
   { "config validate", "[FILE]", "Check a configuration and a settings file, offline",
     CLI_FOR_VALIDATE, true, cli_config_validate },
+  { "config check", "FILE", "Find faults of a configuration and differences from another",
+    CLI_FOR_CHECK, true, cli_config_check },
   { "config submit", "FILE", "Replace the configuration", CLI_FOR_PUT, false, cli_config_submit },
   { "config get", "", "Print the configuration", 0, false, cli_config_get },
   { "config watch", "", "Print each new revision", CLI_FOR_WATCH, false, cli_config_watch },
@@ -404,15 +414,18 @@
   CliArguments arguments = { .cli = cli, .args = g_ptr_array_new () };
   CliExitStatus code = CLI_USAGE;
   char *name = argv[0];
+  bool is_offline;
 
   argv[0] = g_strconcat ("verbenapulley ", command->name, NULL);
   _cli_parse_options (argc, argv, command->sets | CLI_FOR_ALL, command->args, command->doc,
                       &arguments);
   cli->arg_count = (int)arguments.args->len;
   cli->args = (char **)arguments.args->pdata;
-  if (!command->is_offline && !vp_json_is_address (cli->address))
+  is_offline
+      = command->is_offline && (cli->against == NULL || !cli_config_is_revision (cli->against));
+  if (!is_offline && !vp_json_is_address (cli->address))
     cli_print_error ("--address must be an IP address and a port, as " CLI_ADDRESS_DEFAULT);
-  else if (command->is_offline || _cli_read_key (cli))
+  else if (is_offline || _cli_read_key (cli))
     code = command->run (cli);
   g_ptr_array_unref (arguments.args);
   g_free (argv[0]);
--- a/tests/test-cli.c
+++ b/tests/test-cli.c
@@ -235,6 +235,11 @@
     { "submit --team t", 2, "needs --team, --profile" },
     { "config submit /nonexistent", 1, "nonexistent" },
     { "config validate", 2, "needs one FILE" },
+    { "config check", 2, "needs one FILE" },
+    { "config check a b", 2, "needs one FILE" },
+    { "config check /nonexistent", 1, "nonexistent" },
+    { "config check a --settings b", 2, "unrecognized option" },
+    { "config check a --against current --address localhost:1", 2, "must be an IP" },
     { "status --address localhost:1", 2, "must be an IP" },
     { "status --address 127.0.0.1:1", 3, "no response from 127.0.0.1:1" },
     { "--address=127.0.0.1:1 status", 3, "no response" },
@@ -356,6 +361,97 @@
   g_assert_cmpint (g_remove (path), ==, 0);
 }
 
+static char *
+_write_file (const char *text)
+{
+  char *path = NULL;
+
+  g_close (g_file_open_tmp ("vp-cli-XXXXXX", &path, NULL), NULL);
+  g_assert_true (g_file_set_contents (path, text, -1, NULL));
+  return path;
+}
+
+/* Guards against a check that a script takes for passed although there are errors, one that needs
+ * the service without --against, and a comparison with another revision than the one named. */
+static void
+test_config_check (void)
+{
+#define OWN_TEAM(share, cpu)                                                                       \
+  "{\"dcs\":[\"nadi\"],\"teams\":[{\"name\":\"t\",\"share\":" share                                \
+  ",\"limit\":{\"cpu_milli\":" cpu ",\"mem_mib\":" cpu "}}],\"profiles\":[]}"
+#define CELL_QUEUE(name)                                                                           \
+  "{\"name\":\"" name                                                                              \
+  "\",\"host\":\"h\",\"prefix\":\"/a/\",\"service\":\"desk\",\"max_attempts\":1,"                  \
+  "\"stretch\":1,\"public\":true}"
+  static const char *const texts[] = {
+    OWN_TEAM ("3", "2"),
+    OWN_TEAM ("3", "0"),
+    "{\"version\":1,\"routes\":[" CELL_QUEUE ("a") "]}",
+    "{\"version\":2,\"routes\":[" CELL_QUEUE ("a") "," CELL_QUEUE ("b") "]}",
+    "{\"dcs\":[]}",
+    "{\"version\":1,\"routes\":[{\"name\":7}]}",
+  };
+  /* %1 to %6 are the files with the texts. */
+  static const struct {
+    const char *line;
+    bool has_service;
+    int code;
+    const char *out; /* part of stdout */
+    const char *err; /* part of stderr */
+  } cases[] = {
+    { "config check %1", false, 0, "0 errors, 0 warnings, 0 changes\n", "" },
+    { "config check %2", false, 1, "error zero-limit teams[t].limit: ", "" },
+    { "config check %3", false, 0, "0 errors, 0 warnings, 0 changes\n", "" },
+    { "config check %4", false, 1, "error hidden routes[1].prefix: the queue 'a' has", "" },
+    { "config check %5", false, 1, "error invalid teams: missing\n1 errors", "" },
+    { "config check %6", false, 1, "error invalid routes[0].name: has an unexpected type", "" },
+    { "config check %1 --json", false, 0, "{\"valid\":true,\"findings\":[]}\n", "" },
+    { "config check %5 --json", false, 1,
+      "{\"valid\":false,\"findings\":[{\"severity\":\"error\",\"kind\":\"invalid\","
+      "\"path\":\"teams\",\"text\":\"missing\"}]}\n",
+      "" },
+    { "config check %1 --against %1", false, 0, " 0 changes\n", "" },
+    { "config check %2 --against %1", false, 1,
+      "change changed teams[t].limit.cpu_milli: changed from 2 to 0\n", "" },
+    { "config check %4 --against %3", false, 1, "change added routes[b]: added\n", "" },
+    { "config check %1 --against %3", false, 2, "", "different forms" },
+    { "config check %1 --against %5", false, 1, "", "teams: missing" },
+    { "config check %1 --against /nonexistent", false, 1, "", "nonexistent" },
+    { "config check %3 --against current", true, 2, "", "with files only" },
+    { "config check %1 --against current", false, 3, "", "no response" },
+    { "config check %1 --against current", true, 0,
+      "change changed teams[t].share: changed from 1 to 3\n"
+      "change changed teams[t].limit.cpu_milli: changed from 1 to 2\n"
+      "0 errors, 0 warnings, 2 changes\n",
+      "" },
+    { "config check %1 --against 5", true, 0, "2 changes\n", "" },
+    { "config check %1 --against 4", true, 4, "", "revision 4 is not the current one" },
+  };
+  g_autoptr (Server) server = _server_new ();
+  char *paths[G_N_ELEMENTS (texts)];
+
+  for (guint i = 0; i < G_N_ELEMENTS (texts); i++)
+    paths[i] = _write_file (texts[i]);
+  for (guint i = 0; i < G_N_ELEMENTS (cases); i++) {
+    g_autoptr (GString) line = g_string_new (cases[i].line);
+    g_autofree char *out = NULL;
+    g_autofree char *err = NULL;
+    for (guint j = 0; j < G_N_ELEMENTS (texts); j++) {
+      char name[] = { '%', (char)('1' + j), '\0' };
+      g_string_replace (line, name, paths[j], 0);
+    }
+    g_assert_cmpint (_run (cases[i].has_service ? server : NULL, line->str, &out, &err), ==,
+                     cases[i].code);
+    g_assert_nonnull (strstr (out, cases[i].out));
+    g_assert_nonnull (strstr (err, cases[i].err));
+  }
+  g_assert_cmpuint (server->revision, ==, 5);
+  for (guint i = 0; i < G_N_ELEMENTS (texts); i++) {
+    g_assert_cmpint (g_remove (paths[i]), ==, 0);
+    g_free (paths[i]);
+  }
+}
+
 /* Guards against requests that differ from the documented interface, and output that omits part of
  * a response or sends control characters to the terminal. */
 static void
@@ -415,6 +511,7 @@
   g_test_add_func ("/cli/refusal", test_refusal);
   g_test_add_func ("/cli/edit", test_edit);
   g_test_add_func ("/cli/config-files", test_config_files);
+  g_test_add_func ("/cli/config-check", test_config_check);
   g_test_add_func ("/cli/calls", test_calls);
   return g_test_run ();
 }
--- a/tests/test-config-check.c
+++ b/tests/test-config-check.c
@@ -1,5 +1,6 @@
 #include "vp-config-check.h"
 #include "vp-jobspec.h"
+#include "vp-pf-config.h"
 #include "vp-pf-json.h"
 
 #include <string.h>
@@ -63,6 +64,8 @@
     VpCellConfig *config = vp_pf_decode_config (text, strlen (text), &error);
     VpCellConfig *other
         = against == NULL ? NULL : vp_pf_decode_config (against, strlen (against), NULL);
+    if (config == NULL)
+      vp_pf_config_faults (text, strlen (text), findings);
     if (config != NULL)
       vp_config_check_cell (config, findings);
     if (config != NULL && other != NULL)
@@ -78,7 +81,7 @@
     if (config != NULL && other != NULL)
       vp_config_check_changes (other, config, findings);
   }
-  if (error != NULL)
+  if (error != NULL && findings->len == 0)
     vp_config_check_error (error, findings);
   return findings;
 }
@@ -156,7 +159,14 @@
       "error no-match queues[0].is_public\nwarning no-keys teams[0].keys" },
     { CELL ("3", QUEUES, TEAMS, "36863"), "warning small-body body_max" },
     { CELL ("3", QUEUES, TEAMS, "36864"), "" },
-    { CELL ("3", QUEUES, TEAMS, "\"36864\""), "error invalid " },
+    { CELL ("3", QUEUES, TEAMS, "\"36864\""), "error invalid limits.max_body_bytes" },
+    { WITH_QUEUE (QUEUE ("c", ADVICE ("20", "0.1", "[]"))),
+      "error invalid routes[2].advice.valid_ms" },
+    { WITH_QUEUE ("7"), "error invalid routes[2]" },
+    { WITH_TEAM (TEAM ("a-name-of-48-bytes-which-is-one-more-than-is-legal", "\"g\",7", "")),
+      "error invalid tenants[2].name\nerror invalid tenants[2].api_keys[1]" },
+    { CELL ("-1", QUEUES, TEAMS, "262144"), "error invalid version" },
+    { "{\"routes\":{}}", "error invalid routes" },
     { "{\"routes\":[", "error invalid routes[0]" },
   };
 
@@ -290,6 +300,32 @@
   g_assert_cmpstr (g_array_index (findings, VpFinding, 0).text, ==, "changed from 262144 to 70000");
 }
 
+/* Guards against a path that the operator doesn't find in the document. */
+static void
+test_platform_paths (void)
+{
+  static const struct {
+    const char *path;
+    const char *expected;
+  } cases[] = {
+    { "queues[3].prefix", "routes[3].prefix" },
+    { "queues[a].b].advice_worker_ms", "routes[a].b].advice.period_ms" },
+    { "queues[is_public].is_public", "routes[is_public].public" },
+    { "teams[0].keys", "tenants[0].api_keys" },
+    { "teams[red].cap.mem_mib", "tenants[red].cap.mem_mb" },
+    { "teams[red]", "tenants[red]" },
+    { "keys[da71e267b3b7]", "api_keys[da71e267b3b7]" },
+    { "body_max", "limits.max_body_bytes" },
+    { "version", "version" },
+    { "", "" },
+  };
+
+  for (guint i = 0; i < G_N_ELEMENTS (cases); i++) {
+    g_autofree char *path = vp_pf_config_path (cases[i].path);
+    g_assert_cmpstr (path, ==, cases[i].expected);
+  }
+}
+
 /* Guards against a bound of the largest legal job that no longer holds. */
 static void
 test_largest_job (void)
@@ -333,6 +369,7 @@
   g_test_add_func ("/config-check/changes", test_changes);
   g_test_add_func ("/config-check/no-key-in-clear", test_no_key_in_clear);
   g_test_add_func ("/config-check/texts", test_texts);
+  g_test_add_func ("/config-check/platform-paths", test_platform_paths);
   g_test_add_func ("/config-check/largest-job", test_largest_job);
   return g_test_run ();
 }
