--- a/tests/test-config-check.c
+++ b/tests/test-config-check.c
@@ -271,6 +271,65 @@
     _assert_findings (cases[i].to, cases[i].from, cases[i].expected);
 }
 
+/* Guards against a field of a configuration that is not compared. */
+static void
+test_all_fields (void)
+{
+  static const char cell[]
+      = "{\"version\":2,\"routes\":[{\"name\":\"a\",\"host\":\"h\",\"prefix\":\"/"
+        "\",\"service\":\"s\","
+        "\"priority\":1,\"max_attempts\":1,\"stretch\":1,\"target_latency_ms\":900,\"public\":true,"
+        "\"advice\":{\"decide_ms\":1,\"period_ms\":1,\"valid_ms\":9}}],\"tenants\":[{\"name\":"
+        "\"b\","
+        "\"api_keys\":[\"k\"],\"weight\":1,\"cap\":{\"cpu\":1,\"mem_mb\":1,\"gpu\":1}}]}";
+  static const char other_cell[]
+      = "{\"version\":1,\"routes\":[{\"name\":\"a\",\"host\":\"i\",\"prefix\":\"/"
+        "a\",\"service\":\"t\","
+        "\"priority\":2,\"max_attempts\":2,\"stretch\":2,\"target_latency_ms\":800}],"
+        "\"tenants\":[{\"name\":\"b\",\"api_keys\":[\"k\"],\"weight\":2,"
+        "\"cap\":{\"cpu\":2,\"mem_mb\":2,\"gpu\":2}}],\"limits\":{\"max_body_bytes\":262144}}";
+  static const char own[]
+      = "{\"dcs\":[\"d\"],\"teams\":[{\"name\":\"a\",\"share\":1,\"queue_max\":1,"
+        "\"limit\":{\"cpu_milli\":1,\"mem_mib\":1,\"accel_count\":1}}],\"profiles\":[{\"name\":"
+        "\"p\","
+        "\"kind\":\"gang\",\"priority\":1,\"preemptible\":true,\"open\":true,\"spread\":true,"
+        "\"tries_max\":1,\"deadline_ms\":1,\"task_lease_ms\":1000,\"run_time_max_ms\":1}],"
+        "\"identity_retention_ms\":1000}";
+  static const char other_own[]
+      = "{\"dcs\":[\"d\"],\"teams\":[{\"name\":\"a\",\"share\":2,\"queue_max\":2,"
+        "\"limit\":{\"cpu_milli\":2,\"mem_mib\":2,\"accel_count\":2}}],\"profiles\":[{\"name\":"
+        "\"p\","
+        "\"kind\":\"batch\",\"priority\":2,\"preemptible\":false,\"open\":false,\"spread\":false,"
+        "\"tries_max\":2,\"deadline_ms\":2,\"task_lease_ms\":2000,\"run_time_max_ms\":2}],"
+        "\"identity_retention_ms\":2000}";
+
+  _assert_findings (cell, other_cell,
+                    "change changed queues[a].host\nchange changed queues[a].prefix\n"
+                    "change changed queues[a].service\nchange changed queues[a].priority\n"
+                    "change changed queues[a].attempts_max\nchange changed queues[a].stretch\n"
+                    "change changed queues[a].latency_target_ms\n"
+                    "change changed queues[a].is_public\nchange changed queues[a].has_advice\n"
+                    "change changed queues[a].advice_decide_ms\n"
+                    "change changed queues[a].advice_worker_ms\n"
+                    "change changed queues[a].advice_valid_ms\n"
+                    "change changed teams[b].weight\nchange changed teams[b].cap.cpu_milli\n"
+                    "change changed teams[b].cap.mem_mib\n"
+                    "change changed teams[b].cap.accel_count\nchange changed body_max");
+  _assert_findings (own, other_own,
+                    "change changed teams[a].share\nchange changed teams[a].limit.cpu_milli\n"
+                    "change changed teams[a].limit.mem_mib\n"
+                    "change changed teams[a].limit.accel_count\n"
+                    "change changed teams[a].queue_max\nchange changed profiles[p].kind\n"
+                    "change changed profiles[p].priority\n"
+                    "change changed profiles[p].is_preemptible\n"
+                    "change changed profiles[p].is_open\nchange changed profiles[p].is_spread\n"
+                    "change changed profiles[p].tries_max\n"
+                    "change changed profiles[p].deadline_ms\n"
+                    "change changed profiles[p].task_lease_ms\n"
+                    "change changed profiles[p].run_time_max_ms\n"
+                    "change changed identity_retention_ms");
+}
+
 /* Guards against a key in clear in a finding. */
 static void
 test_no_key_in_clear (void)
@@ -367,6 +426,7 @@
   g_test_add_func ("/config-check/faults", test_faults);
   g_test_add_func ("/config-check/valid-files", test_valid_files);
   g_test_add_func ("/config-check/changes", test_changes);
+  g_test_add_func ("/config-check/all-fields", test_all_fields);
   g_test_add_func ("/config-check/no-key-in-clear", test_no_key_in_clear);
   g_test_add_func ("/config-check/texts", test_texts);
   g_test_add_func ("/config-check/platform-paths", test_platform_paths);
