vp-workerspeed: a step of very many tasks doesn't overshoot

Cause: the weight of a step's tasks on one worker may exceed the 40 runs that are remembered (a step has up to 4,096 tasks). The mean then moved by more than the difference, back and forth, and without bound from a weight of 80. After 20 steps of 2,000 tasks on 24 workers (slowness 0.64 and 1.56) the values were 0.28 to 3.7, with 4,096 tasks 1e-45 to 1e44, which overflows expected ends.

Change: the weight counts as 40 at most.

Result: /slowness/many-tasks, which failed before, passes.

--- a/src/vp-workerlist.h
+++ b/src/vp-workerlist.h
@@ -194,7 +194,7 @@
 bool vp_workerlist_record_failure (VpCellWorker *worker, uint64_t job, int64_t now_ms);
 /* Records a successful run, which resets the counts of failures. */
 void vp_workerlist_record_success (VpCellWorker *worker);
-/* Records a run that took exp(@log_ratio) times as long as on a worker of speed 1, see
+/* Records runs that took exp(@log_ratio) times as long as on a worker of speed 1, see
  * vp-workerspeed.h. */
 void vp_workerlist_record_speed (VpCellWorker *worker, double log_ratio, double weight);
 /* Records the duration @duration_ms of a run on the worker. @mean_ms is the mean duration of other
--- a/src/vp-workerspeed.c
+++ b/src/vp-workerspeed.c
@@ -56,11 +56,13 @@
 vp_workerspeed_record (VpWorkerSpeed *speed, double log_ratio, double weight)
 {
   double known = vp_workerspeed_log (speed);
+  /* More runs than are remembered would move the mean beyond what they show. */
+  double counted = MIN (weight, VP_WORKERSPEED_RUNS_MAX);
   double value = CLAMP (log_ratio, known - VP_WORKERSPEED_LOG_MAX, known + VP_WORKERSPEED_LOG_MAX);
 
   _vp_workerspeed_count (speed, -1);
-  speed->weight = MIN (speed->weight + weight, VP_WORKERSPEED_RUNS_MAX);
-  speed->log_mean += (value - speed->log_mean) * weight / speed->weight;
+  speed->weight = MIN (speed->weight + counted, VP_WORKERSPEED_RUNS_MAX);
+  speed->log_mean += (value - speed->log_mean) * counted / speed->weight;
   _vp_workerspeed_count (speed, 1);
 }
 
--- a/src/vp-workerspeed.h
+++ b/src/vp-workerspeed.h
@@ -34,8 +34,8 @@
 
 /* Makes @kind the prior of the worker. What the worker is known to be counts for the new kind. */
 void vp_workerspeed_set_kind (VpWorkerSpeed *speed, VpKindSpeed *kind);
-/* Records a run that took exp(@log_ratio) times as long as on a worker of speed 1, by an estimate
- * that deserves @weight times the weight of an exact one (at most 1). */
+/* Records runs that took exp(@log_ratio) times as long as on a worker of speed 1, in the geometric
+ * mean. They count as @weight runs whose duration at speed 1 is known exactly. */
 void vp_workerspeed_record (VpWorkerSpeed *speed, double log_ratio, double weight);
 /* Lets new runs count more, after a restart of the worker. */
 void vp_workerspeed_weaken (VpWorkerSpeed *speed);
--- a/tests/test-slowness.c
+++ b/tests/test-slowness.c
@@ -228,6 +228,29 @@
   _teardown (&fixture);
 }
 
+/* Guards against a step of very many tasks that moves the slowness of its workers beyond what it
+ * shows, further with each such step. */
+static void
+test_many_tasks (void)
+{
+  static const uint32_t counts[] = { 100, 1000, 4096 };
+
+  for (guint k = 0; k < G_N_ELEMENTS (counts); k++) {
+    Fixture fixture;
+    _setup (&fixture);
+    for (int i = 0; i < 20; i++) {
+      _run_step (&fixture, counts[k], 0.5, false);
+      if (i < 5)
+        continue;
+      for (uint32_t w = 0; w < 2 * FAST; w++) {
+        g_assert_cmpfloat (_slowness (&fixture, w), >, (w < FAST ? 0.64 : 1.56) / 1.4);
+        g_assert_cmpfloat (_slowness (&fixture, w), <, (w < FAST ? 0.64 : 1.56) * 1.4);
+      }
+    }
+    _teardown (&fixture);
+  }
+}
+
 int
 main (int argc, char *argv[])
 {
@@ -237,5 +260,6 @@
   g_test_add_func ("/slowness/new-worker", test_new_worker);
   g_test_add_func ("/slowness/restart", test_restart);
   g_test_add_func ("/slowness/equal", test_equal);
+  g_test_add_func ("/slowness/many-tasks", test_many_tasks);
   return g_test_run ();
 }
