Placement: advice requests name workers near the data before fast ones

Cause: in advice requests for urgent queues the class of speed came before the distance from the data. With at least 8 fast workers on other racks, a request for one task named none near its data. The task then waited for half of its duration for one and ran far from its data.

Change: near workers come first, as before the workers' speed counted, and fast ones among workers that are equal in that.

Result: /place-speed/near-data, which failed before (8 of 8 workers were far from the data), passes.

--- a/src/vp-place.c
+++ b/src/vp-place.c
@@ -496,8 +496,8 @@
   if (is_left)
     value = (uint64_t)((double)value * VP_PLACE_FAST_CAPACITY_SHARE);
   option->rank = ((uint64_t)option->is_busy << 5 | (uint64_t)option->is_reserved << 4
-                  | _vp_place_speed_class (queue, worker) << 2 | (uint64_t)!option->is_allowed << 1
-                  | (uint64_t)option->is_remote)
+                  | (uint64_t)option->is_remote << 3 | _vp_place_speed_class (queue, worker) << 1
+                  | (uint64_t)!option->is_allowed)
                  << 48;
   option->rank += (UINT64_C (1) << 48) - 1 - value;
 }
