Order of waiting steps: the objective is that of the job's longest chain

A step beside a longer one, on which it doesn't depend, counted as late and then as without value although its job had time: beside a step of 10 s, one of 1 s had 650 instead of 14,150 ms, and after 5.2 s it came after all other work. Its job became late through that.

Result: /stepqueue/parallel, which failed before (without value instead of in time), passes.

--- a/src/vp-joblist.h
+++ b/src/vp-joblist.h
@@ -109,7 +109,7 @@
   int64_t p50_ms;      /* longest chain of steps from this one on */
   int64_t low_ms;      /* the same, with a probability of 0.1 that it is shorter */
   int64_t high_ms;     /* the same, with a probability of 0.1 that it is longer */
-  int64_t done_ms;     /* measured longest chain of the ended steps before this one */
+  int64_t other_ms;    /* by this the longest chain of the job, with ended steps, is longer */
   uint32_t step_count; /* steps in the chain */
 } VpChainForecast;
 
--- a/src/vp-outlook.c
+++ b/src/vp-outlook.c
@@ -62,17 +62,43 @@
   return 1 + sqrt (chain->variance) / MAX (chain->p50_ms, 1);
 }
 
+/* Sets the duration of each ended step in @ranges. */
+static void
+_vp_outlook_measure_ended (const VpJobOccurrence *occurrence, VpForecastRange *ranges)
+{
+  for (uint32_t s = 0; s < occurrence->job->spec->step_count; s++) {
+    const VpJobStep *step = &occurrence->steps[s];
+    if (step->waiting_count + step->assigned_count > 0)
+      continue;
+    /* Durations of runs under an earlier scheduler aren't known. */
+    ranges[s].p50_ms = ranges[s].p90_ms
+        = step->duration_max_ms > 0 ? step->duration_max_ms : step->spec->estimate_ms;
+  }
+}
+
+/* Returns the longest of the chains from all steps. */
+static double
+_vp_outlook_longest_ms (const VpOutlookChain *chains, uint32_t step_count)
+{
+  double longest_ms = 0;
+
+  for (uint32_t s = 0; s < step_count; s++)
+    longest_ms = MAX (longest_ms, chains[s].p50_ms);
+  return longest_ms;
+}
+
 /* Sets the forecast of the longest chain from the step on. */
 static void
 _vp_outlook_forecast_chain (VpJobStep *step, const VpForecast *forecast)
 {
   const VpJobOccurrence *occurrence = step->occurrence;
+  const VpJobSpec *spec = occurrence->job->spec;
   VpForecastRange ranges[VP_JOBSPEC_STEPS_MAX] = { 0 };
   VpOutlookChain chains[VP_JOBSPEC_STEPS_MAX];
   const VpOutlookChain *chain = &chains[step->index];
   double spread;
 
-  for (uint32_t s = 0; s < occurrence->job->spec->step_count; s++) {
+  for (uint32_t s = 0; s < spec->step_count; s++) {
     const VpJobStep *other = &occurrence->steps[s];
     VpForecastKey key;
     if (other->waiting_count + other->assigned_count == 0)
@@ -80,31 +106,16 @@
     vp_jobstep_forecast_key (other, &key);
     _vp_outlook_forecast_step (forecast, &key, &ranges[s]);
   }
-  _vp_outlook_sum_chains (occurrence->job->spec, ranges, chains);
+  /* Steps after this one haven't ended, so the ended ones aren't in its chain. */
+  _vp_outlook_measure_ended (occurrence, ranges);
+  _vp_outlook_sum_chains (spec, ranges, chains);
   spread = _vp_outlook_spread (chain);
   step->chain.p50_ms = (int64_t)chain->p50_ms;
   step->chain.step_count = chain->step_count;
   step->chain.low_ms = (int64_t)(chain->p50_ms / spread);
   step->chain.high_ms = (int64_t)(chain->p50_ms * spread);
-}
-
-/* Sets the length of the longest chain of steps that have ended before the step. */
-static void
-_vp_outlook_measure_done (VpJobStep *step)
-{
-  int64_t ends_ms[VP_JOBSPEC_STEPS_MAX] = { 0 };
-
-  for (uint32_t s = 0; s <= step->index; s++) {
-    const VpJobStep *other = &step->occurrence->steps[s];
-    const GArray *after = other->spec->after;
-    for (guint i = 0; after != NULL && i < after->len; i++)
-      ends_ms[s] = MAX (ends_ms[s], ends_ms[g_array_index (after, uint32_t, i)]);
-    if (s == step->index)
-      break;
-    /* Durations of runs under an earlier scheduler aren't known. */
-    ends_ms[s] += other->duration_max_ms > 0 ? other->duration_max_ms : other->spec->estimate_ms;
-  }
-  step->chain.done_ms = ends_ms[step->index];
+  step->chain.other_ms
+      = (int64_t)(_vp_outlook_longest_ms (chains, spec->step_count) - chain->p50_ms);
 }
 
 /* Returns the time of a typical call to the advice service. */
@@ -138,17 +149,16 @@
    * s with one forecast for each step. */
   if (!chain->is_made) {
     _vp_outlook_forecast_chain (step, forecast);
-    _vp_outlook_measure_done (step);
     step->chain.is_made = true;
   }
   share = queue->stretch - 1;
-  fixed_ms = (double)queue->latency_target_ms + queue->stretch * (double)chain->done_ms
+  fixed_ms = (double)queue->latency_target_ms + queue->stretch * (double)chain->other_ms
              - _vp_outlook_overhead_ms (chain->step_count, queue);
   worthless_fixed_ms
       = VP_OUTLOOK_WORTHLESS_FACTOR
-        * ((double)queue->latency_target_ms + queue->stretch * (double)chain->done_ms);
+        * ((double)queue->latency_target_ms + queue->stretch * (double)chain->other_ms);
   out->objective_ms = queue->latency_target_ms
-                      + (int64_t)(queue->stretch * (double)(chain->done_ms + chain->p50_ms));
+                      + (int64_t)(queue->stretch * (double)(chain->other_ms + chain->p50_ms));
   out->slack_min_ms
       = (int64_t)(fixed_ms + share * (double)(share > 0 ? chain->low_ms : chain->high_ms));
   out->slack_ms = (int64_t)(fixed_ms + share * (double)chain->p50_ms);
--- a/tests/test-stepqueue.c
+++ b/tests/test-stepqueue.c
@@ -284,6 +284,52 @@
   _teardown (&fixture);
 }
 
+/* Guards against a short step beside a long one that counts as late, and later as without value,
+ * although its job has time: the objective of a job follows from its longest chain of steps,
+ * whether they wait, run or have ended. */
+static void
+test_parallel (void)
+{
+  VpWorkerEntry entry = { .id = "worker", .service = "service" };
+  VpStepQueueDesc desc;
+  Fixture fixture;
+  VpJob *job;
+  VpJobStep *steps;
+
+  _setup (&fixture);
+  desc = (VpStepQueueDesc){ .worker_list = fixture.worker_list,
+                            .jobs = fixture.jobs,
+                            .config = fixture.config };
+  job = _add_job (&fixture, 1, "urgent", 2, 1000, NOW_MS - 9000);
+  steps = job->occurrences[0].steps;
+  /* The second step doesn't depend on the first one, which takes 10 s. */
+  g_clear_pointer (&job->spec->steps[1].after, g_array_unref);
+  job->spec->steps[0].estimate_ms = 10000;
+  steps[1].is_ready = true;
+  g_ptr_array_add (fixture.jobs->ready_steps, &steps[1]);
+  vp_jobtask_assign (fixture.jobs, &steps[0].tasks[0],
+                     vp_workerlist_update (fixture.worker_list, &entry), 1, NOW_MS - 8000);
+  for (int i = 0; i < 2; i++) {
+    const VpStepQueueItem *item;
+    vp_stepqueue_setup (&fixture.step_queue, &desc, NOW_MS);
+    g_assert_cmpuint (fixture.step_queue.items->len, ==, 1);
+    item = &g_array_index (fixture.step_queue.items, VpStepQueueItem, 0);
+    g_assert_cmpint (item->lateness, ==, VP_LATENESS_ON_TIME);
+    /* The objective is 15,250 ms, of which 6,250 ms are left. */
+    g_assert_cmpint (item->latest_start_ms, >, NOW_MS + 5000);
+    g_assert_cmpint (item->latest_start_ms, <, NOW_MS + 5250);
+    g_assert_cmpint (job->objective_ms, ==, 15250);
+    vp_stepqueue_shutdown (&fixture.step_queue);
+    if (i == 0) {
+      /* The long step has ended, and the short one is forecast anew. */
+      steps[0].duration_max_ms = 10000;
+      vp_jobtask_end (fixture.jobs, &steps[0].tasks[0], VP_RUN_DONE, 3, NOW_MS);
+      steps[1].chain.is_made = false;
+    }
+  }
+  _teardown (&fixture);
+}
+
 /* Lateness of an occurrence of a repeated job is measured from its due time, not from the
  * submission of the job. */
 static void
@@ -333,6 +379,7 @@
   g_test_add_func ("/stepqueue/stable", test_stable);
   g_test_add_func ("/stepqueue/begun-in-time", test_begun_in_time);
   g_test_add_func ("/stepqueue/occurrence", test_occurrence);
+  g_test_add_func ("/stepqueue/parallel", test_parallel);
   g_test_add_func ("/stepqueue/rate", test_rate);
   return g_test_run ();
 }
