Placement: a step waits for fast workers only if they have room for all its tasks

Cause: if the first task of a step waited for a busy fast worker, none of the others was placed in that decision, however many there were. A step of 50 tasks could wait for one place on a fast worker while slow workers were free, for up to 0.85 times the duration of a task, and be late nevertheless.

Change: a task waits if busy fast workers that would be free in time have room for all waiting tasks of its step, and no task of it runs on a slow worker.

Result: /place-speed/wait-for-room, which failed before (0 instead of 4 of 6 tasks started), passes.

--- a/src/vp-place-speed.c
+++ b/src/vp-place-speed.c
@@ -81,19 +81,55 @@
   return _vp_place_is_fast (worker) ? 0 : vp_place_is_slow (worker) ? 2 : 1;
 }
 
-/* Returns the slot of a fast worker on which a task of the step, which takes @expected_ms on a
- * worker of speed 1, is expected to end before @end_ms, first of all, and the time at which it can
- * start there; NULL: there is none. */
-static VpPlaceSlot *
+/* A search for a busy fast worker. */
+typedef struct {
+  VpPlaceSlot *slot;    /* the one on which a task ends first; NULL: there is none */
+  int64_t start_ms;     /* time at which it can start there */
+  int64_t end_ms;       /* time at which it ends there */
+  uint32_t place_count; /* tasks of the step for which such workers have room altogether */
+} VpPlaceFastSearch;
+
+/* Adds the slot if a task of the step, which takes @expected_ms on a worker of speed 1, is expected
+ * to end there before @end_ms and its job to be in time. */
+static void
+_vp_place_evaluate_fast (const VpPlacePool *pool,
+                         const VpJobStep *step,
+                         VpPlaceSlot *slot,
+                         int64_t expected_ms,
+                         int64_t end_ms,
+                         int64_t now_ms,
+                         VpPlaceFastSearch *search)
+{
+  int64_t available_ms = _vp_place_available_ms (pool, step, slot, now_ms);
+  double slowness = slot->worker->slowness;
+  int64_t fast_end_ms;
+
+  /* One with capacity would have been chosen, unless something else speaks against it. */
+  if (available_ms <= now_ms || available_ms >= end_ms
+      || (double)(available_ms - now_ms) + (double)_vp_place_chain_ms (step) * slowness
+             > (double)_vp_place_left_ms (step, now_ms))
+    return;
+  fast_end_ms = available_ms + (int64_t)((double)expected_ms * slowness);
+  if (fast_end_ms >= end_ms)
+    return;
+  search->place_count += _vp_place_capacity (step, slot->worker, &slot->worker->entry.capacity);
+  if (search->slot != NULL
+      && (fast_end_ms > search->end_ms || (fast_end_ms == search->end_ms && slot > search->slot)))
+    return;
+  search->slot = slot;
+  search->start_ms = available_ms;
+  search->end_ms = fast_end_ms;
+}
+
+/* Looks for fast workers on which a task of the step is expected to end before @end_ms. */
+static void
 _vp_place_find_fast (const VpPlacePool *pool,
                      const VpJobStep *step,
                      int64_t expected_ms,
                      int64_t end_ms,
                      int64_t now_ms,
-                     int64_t *start_ms)
+                     VpPlaceFastSearch *search)
 {
-  int64_t left_ms = _vp_place_left_ms (step, now_ms);
-  VpPlaceSlot *best = NULL;
   GHashTableIter iter;
   gpointer value;
 
@@ -102,26 +138,22 @@
     const VpAdviceRow *row = value;
     VpPlaceSlot *slot
         = _vp_place_is_ticket_valid (row, now_ms) ? _vp_place_find_slot (pool, row) : NULL;
-    int64_t available_ms, fast_end_ms;
-    if (slot == NULL || !_vp_place_is_fast (slot->worker)
-        || !_vp_place_is_eligible (step, slot->worker)
-        || !_vp_place_is_below_spread_max (step, slot->worker, 0))
-      continue;
-    available_ms = _vp_place_available_ms (pool, step, slot, now_ms);
-    /* One with capacity would have been chosen, unless something else speaks against it. */
-    if (available_ms <= now_ms || available_ms >= end_ms
-        || (double)(available_ms - now_ms)
-                   + (double)_vp_place_chain_ms (step) * slot->worker->slowness
-               > (double)left_ms)
-      continue;
-    fast_end_ms = available_ms + (int64_t)((double)expected_ms * slot->worker->slowness);
-    if (fast_end_ms > end_ms || (fast_end_ms == end_ms && (best == NULL || slot > best)))
-      continue;
-    best = slot;
-    end_ms = fast_end_ms;
-    *start_ms = available_ms;
+    if (slot != NULL && _vp_place_is_fast (slot->worker)
+        && _vp_place_is_eligible (step, slot->worker)
+        && _vp_place_is_below_spread_max (step, slot->worker, 0))
+      _vp_place_evaluate_fast (pool, step, slot, expected_ms, end_ms, now_ms, search);
+  }
+}
+
+/* Returns true if a task of the step is assigned to a slow worker. */
+static bool
+_vp_place_has_slow_task (const VpJobStep *step)
+{
+  for (uint32_t i = 0; i < step->spec->task_count; i++) {
+    if (step->tasks[i].worker != NULL && vp_place_is_slow (step->tasks[i].worker))
+      return true;
   }
-  return best;
+  return false;
 }
 
 bool
@@ -135,8 +167,7 @@
   VpResources demand = _vp_place_demand (step);
   double slowness = slow->worker->slowness;
   int64_t expected_ms;
-  VpPlaceSlot *fast;
-  int64_t start_ms;
+  VpPlaceFastSearch search = { 0 };
 
   if (queue->priority != 0 || queue->ignores_speed || !vp_place_is_slow (slow->worker)
       || step->advice == NULL || pool->fast_wait_count >= VP_PLACE_FAST_WAITS_MAX
@@ -148,12 +179,13 @@
   /* Expected durations may be wrong, so the wait is limited to what it can gain. */
   if ((double)(now_ms - step->ready_ms) > (double)expected_ms * (slowness - VP_PLACE_FAST_SLOWNESS))
     return false;
-  fast
-      = _vp_place_find_fast (pool, step, expected_ms,
-                             now_ms + (int64_t)((double)expected_ms * slowness), now_ms, &start_ms);
-  if (fast == NULL)
+  _vp_place_find_fast (pool, step, expected_ms, now_ms + (int64_t)((double)expected_ms * slowness),
+                       now_ms, &search);
+  /* A job is late if one of the step's tasks runs on a slow worker, so all of them wait or none. */
+  if (search.slot == NULL || search.place_count < step->waiting_count
+      || _vp_place_has_slow_task (step))
     return false;
   pool->fast_wait_count++;
-  vp_reservation_add (&fast->reservation, &demand, start_ms);
+  vp_reservation_add (&search.slot->reservation, &demand, search.start_ms);
   return true;
 }
--- a/src/vp-place.h
+++ b/src/vp-place.h
@@ -73,8 +73,9 @@
                             const VpQueueConfig *queue,
                             int64_t now_ms);
 /* Returns true if an urgent task that could start on the worker of @slow, which is slow and makes
- * its job late, is expected to end sooner on a fast worker that is busy now. The capacity there is
- * then reserved for it for the rest of this decision. */
+ * its job late, is expected to end sooner on a fast worker that is busy now, and such workers have
+ * room for all waiting tasks of its step, which then wait as well. The capacity for one task is
+ * then reserved for the rest of this decision. */
 bool vp_place_waits_for_fast (VpPlacePool *pool,
                               const VpJobTask *task,
                               const VpQueueConfig *queue,
--- a/tests/test-place-speed.c
+++ b/tests/test-place-speed.c
@@ -612,6 +612,62 @@
   }
 }
 
+/* Sets the learned slowness of the worker to about exp(@log_slowness). */
+static VpCellWorker *
+_set_speed (Fixture *fixture, uint32_t index, double log_slowness)
+{
+  VpCellWorker *worker = vp_cell_workers (fixture->cell)->workers->pdata[index];
+
+  for (int i = 0; i < 100; i++)
+    vp_workerlist_record_speed (worker, log_slowness, 1);
+  return worker;
+}
+
+/* Lets a step of @count tasks of one core be placed. Its job is late on the slow worker, which is
+ * free, and in time on the fast one, on which a task ends soon. Both have four cores. Returns the
+ * number of tasks that start. */
+static uint32_t
+_start_beside_busy (uint32_t count)
+{
+  Fixture fixture;
+  VpJobStep *step;
+  VpJob *job;
+  uint32_t started_count;
+
+  _setup (&fixture, 2, true);
+  _sync (&fixture);
+  _set_speed (&fixture, 0, 0.7);
+  job = _submit (&fixture, 1, 4000);
+  vp_jobtask_assign (vp_cell_jobs (fixture.cell), &job->occurrences[0].steps[0].tasks[0],
+                     _set_speed (&fixture, 1, -0.7), 1, fixture.now_ms);
+  job = _submit (&fixture, count, 1000);
+  job->arrived_ms -= 800;
+  step = &job->occurrences[0].steps[0];
+  step->advice = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, g_free);
+  step->tickets_expire_ms = fixture.now_ms + 2000;
+  for (uint32_t i = 0; i < 2; i++) {
+    VpAdviceRow *row = g_new0 (VpAdviceRow, 1);
+    g_snprintf (row->worker, sizeof row->worker, "w%u", i);
+    g_strlcpy (row->ticket, "ticket", sizeof row->ticket);
+    row->booted_ms = 1;
+    row->valid_until_ms = fixture.now_ms + 2000;
+    g_hash_table_replace (step->advice, row->worker, row);
+  }
+  _decide (&fixture);
+  started_count = _count_commands (&fixture, VP_COMMAND_START);
+  _teardown (&fixture);
+  return started_count;
+}
+
+/* Guards against a step whose tasks all wait, although a slow worker is free, for a fast one that
+ * has room for a few of them only. */
+static void
+test_wait_for_room (void)
+{
+  g_assert_cmpuint (_start_beside_busy (3), ==, 0);
+  g_assert_cmpuint (_start_beside_busy (6), ==, 4);
+}
+
 /* Guards against batch tasks that wait for fast workers. */
 static void
 test_batch_does_not_wait (void)
@@ -685,6 +741,7 @@
   g_test_add_func ("/place-speed/heavy", test_heavy);
   g_test_add_func ("/place-speed/heavy-urgent", test_heavy_urgent);
   g_test_add_func ("/place-speed/wait", test_wait);
+  g_test_add_func ("/place-speed/wait-for-room", test_wait_for_room);
   g_test_add_func ("/place-speed/batch-does-not-wait", test_batch_does_not_wait);
   g_test_add_func ("/place-speed/near-data", test_near_data);
   g_test_add_func ("/place-speed/equal", test_equal);
