vp-reconcile: one rule for the runs from which durations are learned

Cause: the forecast and the slowness of workers each had a rule of their own. The forecast learned from ends that a probe or an overdue HOLD reported, which may be up to 2 s older; the slowness from ends after a gap without a HOLD, from runs far from their data, for which the worker then counted as slow, and from runs whose start an earlier leader sent, which seem short.

Change: _vp_reconcile_is_measured() decides for both, with worker->is_end_time_unknown and the gap as one condition.

Result: /cell/measured-runs, which failed before in each of its last three rows (the second and third removed in turn to see the last), passes, as do test-cell, test-cell-hold, test-cell-takeover, test-cell-restart and test-place-speed.

--- a/src/vp-outlook.c
+++ b/src/vp-outlook.c
@@ -70,7 +70,7 @@
     const VpJobStep *step = &occurrence->steps[s];
     if (step->waiting_count + step->assigned_count > 0)
       continue;
-    /* Durations of runs under an earlier scheduler aren't known. */
+    /* Not all durations are recorded, see _vp_reconcile_is_measured(). */
     ranges[s].p50_ms = ranges[s].p90_ms
         = step->duration_max_ms > 0 ? step->duration_max_ms : step->spec->estimate_ms;
   }
--- a/src/vp-reconcile.c
+++ b/src/vp-reconcile.c
@@ -109,16 +109,30 @@
 {
   int64_t seen_ms = MAX (worker->list_received_ms, task->started_ms);
 
-  return result->is_late || result->sent_ms - seen_ms > VP_RECONCILE_GAP_MAX_MS;
+  return worker->is_end_time_unknown || result->sent_ms - seen_ms > VP_RECONCILE_GAP_MAX_MS;
 }
 
-/* Records the duration of the successful run. A run that doesn't tell how long the task takes
- * counts only for the detection of stalled tasks: this scheduler hasn't seen the start, the run
- * began from a checkpoint or far from its data, or its end was reported late. */
+/* Returns true if the successful run tells how long the task takes: this scheduler has seen its
+ * start, it didn't begin from a checkpoint or far from its data, and its end wasn't reported late.
+ */
+static bool
+_vp_reconcile_is_measured (const VpCellWorker *worker,
+                           const VpJobTask *task,
+                           const VpCommandResult *result)
+{
+  const VpStepSpec *spec = task->step->spec;
+
+  return task->start_tries > 0 && !task->is_resumed
+         && (spec->rack[0] == '\0' || strcmp (spec->rack, worker->entry.rack) == 0)
+         && !_vp_reconcile_is_end_delayed (worker, task, result);
+}
+
+/* Records the duration of the successful run. One that doesn't tell how long the task takes counts
+ * only for the detection of stalled tasks. */
 static void
 _vp_reconcile_record_duration (VpReconcile *reconcile,
                                const VpCellWorker *worker,
-                               const VpJobTask *task,
+                               VpJobTask *task,
                                const VpCommandResult *result,
                                int64_t now_ms)
 {
@@ -128,9 +142,7 @@
 
   if (spec->is_best_effort || spec->is_long_running)
     return;
-  if (task->start_tries == 0 || task->is_resumed
-      || (spec->rack[0] != '\0' && strcmp (spec->rack, worker->entry.rack) != 0)
-      || _vp_reconcile_is_end_delayed (worker, task, result)) {
+  if (!_vp_reconcile_is_measured (worker, task, result)) {
     vp_forecast_record_limit (reconcile->forecast, task->step->occurrence->job->spec->queue,
                               duration_ms, now_ms);
     return;
@@ -142,6 +154,7 @@
   }
   vp_jobstep_forecast_key (task->step, &key);
   vp_forecast_record (reconcile->forecast, &key, duration_ms, worker->slowness, now_ms);
+  vp_jobstep_record_duration (task->step, worker, duration_ms);
 }
 
 static void
@@ -158,11 +171,6 @@
   if (end == VP_RUN_DONE) {
     vp_workerlist_record_success (worker);
     _vp_reconcile_record_duration (reconcile, worker, task, result, now_ms);
-    if (!task->step->spec->is_best_effort && task->checkpoint[0] == '\0') {
-      /* The time at which a late list arrives says little of how long its runs took. */
-      if (!worker->is_end_time_unknown)
-        vp_jobstep_record_duration (task->step, worker, now_ms - task->started_ms);
-    }
   } else if (end == VP_RUN_FAILED && vp_workerlist_record_failure (worker, job->spec->id, now_ms)) {
     vp_log (now_ms, "worker-quarantined", "worker=%s failed_jobs=%u until_ms=%" G_GINT64_FORMAT,
             worker->entry.id, worker->failed_jobs, worker->avoid_until_ms);
--- a/tests/test-cell.c
+++ b/tests/test-cell.c
@@ -271,6 +271,62 @@
   _teardown (&fixture);
 }
 
+/* Guards against durations that count for the forecast and not for the slowness of workers, or the
+ * other way round: neither learns from runs whose end may have been earlier, or far from their
+ * data. */
+static void
+test_measured_runs (void)
+{
+  static const struct {
+    int64_t wait_ms;    /* from the HOLD to the start of the run */
+    int64_t took_ms;    /* from there to the answer that reports its end */
+    int64_t unheard_ms; /* from the list before that answer to its HOLD; 0: it is the first HOLD */
+    const char *rack;   /* of its data */
+    uint32_t counted;
+  } rows[] = {
+    { 0, 400, 300, "", 1 },
+    { 0, 400, 300, "r0", 1 },
+    { 0, 400, 300, "far", 0 },
+    /* No HOLD waited for its end. */
+    { 0, 1600, 1500, "", 0 },
+    /* The answer was overdue. */
+    { 2900, 400, 0, "", 0 },
+  };
+
+  for (guint i = 0; i < G_N_ELEMENTS (rows); i++) {
+    Fixture fixture;
+    VpCommandResult result;
+    VpEndedEntry ended = { .number = 1, .is_task = true, .run = 1, .end = VP_RUN_DONE };
+    uint64_t before = vp_metrics_get (VP_COUNTER_FORECASTS_ENDED);
+    uint32_t duration_count;
+    VpJob *job;
+    VpJobStep *step;
+    _setup (&fixture, 1, false);
+    _sync (&fixture);
+    fixture.now_ms += 1000;
+    _decide (&fixture);
+    g_assert_cmpuint (_count_commands (&fixture, VP_COMMAND_HOLD), ==, 1);
+    result = _hold_result (&fixture, "w0");
+    fixture.now_ms += rows[i].wait_ms;
+    job = _submit (&fixture, 2, 1000);
+    step = &job->occurrences[0].steps[0];
+    _decide (&fixture);
+    g_strlcpy (job->spec->steps[0].rack, rows[i].rack, sizeof job->spec->steps[0].rack);
+    vp_jobtask_name (&step->tasks[0], &ended.task);
+    if (rows[i].unheard_ms != 0)
+      result.sent_ms = fixture.now_ms + rows[i].unheard_ms;
+    fixture.now_ms += rows[i].took_ms;
+    result.received_ms = fixture.now_ms;
+    g_array_append_val (result.ended, ended);
+    _apply (&fixture, &result);
+    g_assert_cmpuint (step->done_count, ==, 1);
+    duration_count = step->durations == NULL ? 0 : step->durations->len;
+    g_assert_cmpuint (vp_metrics_get (VP_COUNTER_FORECASTS_ENDED) - before, ==, rows[i].counted);
+    g_assert_cmpuint (duration_count, ==, rows[i].counted);
+    _teardown (&fixture);
+  }
+}
+
 /* Guards against one HOLD for each end of a run if the tasks of a worker end one after the other.
  */
 static void
@@ -631,6 +687,7 @@
   g_test_add_func ("/cell/last-answer-after-unlisting", test_last_answer_after_unlisting);
   g_test_add_func ("/cell/unlisted-without-answer", test_unlisted_without_answer);
   g_test_add_func ("/cell/fast-workers", test_fast_workers);
+  g_test_add_func ("/cell/measured-runs", test_measured_runs);
   g_test_add_func ("/cell/hold-interval", test_hold_interval);
   g_test_add_func ("/cell/recorded-runs", test_recorded_runs);
   g_test_add_func ("/cell/start-retry", test_start_retry);
