--- a/tests/test-place.c
+++ b/tests/test-place.c
@@ -197,11 +197,54 @@
   vp_forecast_shutdown (forecast);
 }
 
+/* Guards against an advice request for an urgent step that names fast workers far from its data
+ * instead of those near it: far from it, the task first waits and then takes longer. */
+static void
+test_near_data (void)
+{
+  g_autoptr (VpJobSpec) spec = vp_jobspec_new (1);
+  g_autoptr (GArray) candidates = g_array_new (FALSE, FALSE, sizeof (VpPlaceCandidate));
+  g_autoptr (GHashTable) reservations = g_hash_table_new (g_str_hash, g_str_equal);
+  VpQueueConfig queue = { .name = "urgent", .has_advice = true };
+  VpWorkerList *worker_list = vp_workerlist_setup (6000, 0);
+  VpJobList *jobs = vp_joblist_setup ();
+  VpPlacePool *pool;
+  const VpJobStep *step;
+
+  for (uint32_t i = 0; i < 24; i++) {
+    VpWorkerEntry entry = { .service = "service", .dc = "dc" };
+    VpCellWorker *worker;
+    g_snprintf (entry.id, sizeof entry.id, "w%u", i);
+    entry.capacity = (VpResources){ .cpu_milli = 4000, .mem_mib = 8192 };
+    g_strlcpy (entry.rack, i < 12 ? "far" : "near", sizeof entry.rack);
+    worker = vp_workerlist_update (worker_list, &entry);
+    worker->is_synced = worker->is_reachable = true;
+    worker->slowness = i < 12 ? 0.7 : 1;
+  }
+  spec->id = 1;
+  spec->text = g_strdup ("text");
+  spec->steps[0] = (VpStepSpec){ .task_count = 1,
+                                 .size = { .cpu_milli = 1000, .mem_mib = 100 },
+                                 .rack = "near",
+                                 .estimate_ms = 1000 };
+  step = &vp_joblist_add (jobs, spec, 0, 0)->occurrences[0].steps[0];
+  pool = vp_place_pool_new (worker_list, NULL, "service", 0);
+  vp_place_candidates (pool, step, &queue, 0.5, reservations, 0, candidates);
+  g_assert_cmpuint (candidates->len, >=, 8);
+  for (guint i = 0; i < 8; i++)
+    g_assert_cmpstr (g_array_index (candidates, VpPlaceCandidate, i).worker->entry.rack, ==,
+                     "near");
+  vp_place_pool_free (pool);
+  vp_joblist_shutdown (jobs);
+  vp_workerlist_shutdown (worker_list);
+}
+
 int
 main (int argc, char *argv[])
 {
   g_test_init (&argc, &argv, NULL);
   g_test_add_func ("/place/pick", test_pick);
   g_test_add_func ("/place/remote-wait", test_remote_wait);
+  g_test_add_func ("/place/near-data", test_near_data);
   return g_test_run ();
 }
