Admission of jobs under overload

Cause: nothing limits what the leader accepts; a job that can't end while its result has value waits until its caller gives up. Change: vp-admission rejects a job (503, not run) that certainly ends later than three times its objective: work of higher ranks that keeps its value, or tasks that run, or the running tasks of its team under the cap, leave too little capacity until then. Work of the own rank doesn't count, as it may turn out to come later. Never while capacity is free beside what waiting steps reserve, without sums of the last second, or for long-running jobs and jobs with a due time. A caller that has retried twice is accepted, and the time of a job counts from its first try. Retry-After follows from the rate at which the backlog falls and is spread from a half to one and a half of it. The waiting work that counts as certain shrinks when accepted jobs end before their earliest possible end. vp-cell-admission.c sums running and waiting work after a placement decision, at most every 100 ms. vp-jobservice remembers rejections in a hash, with the delay that was told, so that a request that is sent again gets the same answer; if 65,536 are remembered, no job is rejected for the load.

--- a/src/vp-cell-private.h
+++ b/src/vp-cell-private.h
@@ -1,10 +1,11 @@
 /* Private state of the scheduler. Its functions are in vp-cell.c, vp-cell-commands.c,
- * vp-cell-scan.c and vp-cell-recovery.c. */
+ * vp-cell-scan.c, vp-cell-recovery.c and vp-cell-admission.c. */
 #pragma once
 
 #include "vp-advise.h"
 #include "vp-cell.h"
 #include "vp-reconcile.h"
+#include "vp-stepqueue.h"
 
 /* Number of times that a start command is sent for one run. After that many without an answer the
  * run is stopped. */
@@ -20,6 +21,9 @@
   VpForecast *forecast;
   VpReconcile reconcile;
   VpAdvise *advise;
+  VpAdmission *admission;
+  VpAdmissionResults admission_published; /* results that the metrics have */
+  int64_t admission_next_ms;              /* earliest time of the next update of @admission */
   int64_t started_ms;
   int64_t scan_next_ms;           /* time of the next scan; 0: as soon as possible */
   int64_t scan_earliest_ms;       /* no scan before this time */
@@ -54,6 +58,9 @@
 /* Blocks new tasks on a worker that isn't active, and marks the list of workers as changed if the
  * worker must be stored with another state than before. */
 void _vp_cell_update_active (VpCell *cell, VpCellWorker *worker, int64_t now_ms);
+/* Gives the sums of the placement decision that was just made to the admission, unless the last
+ * time was too short ago. */
+void _vp_cell_update_admission (VpCell *cell, const VpStepQueue *step_queue, int64_t now_ms);
 /* Scans all assigned tasks and workers: stops tasks that must not go on, repeats starts without an
  * answer, ends the runs of workers whose leases have expired, and removes workers that are gone. */
 void _vp_cell_scan (VpCell *cell, int64_t now_ms, GArray *effects);
--- a/src/vp-cell.c
+++ b/src/vp-cell.c
@@ -55,6 +55,7 @@
   /* Makes the serials of advice requests unique within the process, so that a late result for an
    * earlier scheduler isn't taken for one of this scheduler's. */
   cell->advise = vp_advise_setup (desc->fence << 24);
+  cell->admission = vp_admission_setup ();
   cell->started_ms = now_ms;
   cell->commands_until_ms = INT64_MAX;
   return cell;
@@ -70,6 +71,7 @@
   vp_reconcile_shutdown (&cell->reconcile);
   vp_forecast_shutdown (cell->forecast);
   vp_advise_shutdown (cell->advise);
+  vp_admission_shutdown (cell->admission);
   g_clear_pointer (&cell->config, vp_cellconfig_unref);
   g_free (cell);
 }
@@ -751,6 +753,7 @@
   for (guint i = 0; i < step_queue.items->len; i++)
     _vp_cell_place_item (cell, &step_queue, &g_array_index (step_queue.items, VpStepQueueItem, i),
                          now_ms, effects);
+  _vp_cell_update_admission (cell, &step_queue, now_ms);
   vp_stepqueue_shutdown (&step_queue);
 }
 
--- a/src/vp-cell.h
+++ b/src/vp-cell.h
@@ -74,6 +74,14 @@
 uint32_t vp_cell_unverified_count (const VpCell *cell, int64_t now_ms);
 /* Adds a new job. Its tasks are started once its is_durable is set. */
 VpJob *vp_cell_submit (VpCell *cell, VpJobSpec *spec, int64_t now_ms);
+/* Decides whether to accept a job of the specification that arrives now, see vp-admission.h. */
+void vp_cell_admit (VpCell *cell, const VpJobSpec *spec, int64_t now_ms, VpAdmissionDecision *out);
+/* The same as vp_cell_submit() for a job that was accepted by vp_cell_admit(). Its time counts from
+ * the caller's first try. */
+VpJob *vp_cell_submit_admitted (VpCell *cell,
+                                VpJobSpec *spec,
+                                const VpAdmissionDecision *decision,
+                                int64_t now_ms);
 /* Cancels the job. Returns false if there is no such job or it has ended. */
 bool vp_cell_cancel (VpCell *cell, uint64_t id, int64_t now_ms);
 /* Marks all ends of runs that were received so far as part of the commit that is being built. */
--- a/src/vp-joblist.c
+++ b/src/vp-joblist.c
@@ -96,16 +96,29 @@
   return usage;
 }
 
-bool
-vp_teamusage_take_job_token (VpTeamUsage *usage, double weight, int64_t now_ms)
+/* Returns the jobs that the team may submit now within its rate. */
+static double
+_vp_teamusage_tokens (const VpTeamUsage *usage, double weight, int64_t now_ms)
 {
   double tokens_max = MAX (weight, 1);
 
+  if (usage->tokens_ms == 0)
+    return tokens_max;
+  return MIN (usage->job_tokens + weight * (double)(now_ms - usage->tokens_ms) / 1000, tokens_max);
+}
+
+bool
+vp_teamusage_is_over_rate (const VpTeamUsage *usage, double weight, int64_t now_ms)
+{
+  return weight > 0 && _vp_teamusage_tokens (usage, weight, now_ms) < 1;
+}
+
+bool
+vp_teamusage_take_job_token (VpTeamUsage *usage, double weight, int64_t now_ms)
+{
   if (weight <= 0)
     return true;
-  usage->job_tokens
-      += usage->tokens_ms == 0 ? tokens_max : weight * (double)(now_ms - usage->tokens_ms) / 1000;
-  usage->job_tokens = MIN (usage->job_tokens, tokens_max);
+  usage->job_tokens = _vp_teamusage_tokens (usage, weight, now_ms);
   usage->tokens_ms = now_ms;
   if (usage->job_tokens < 1)
     return false;
@@ -389,6 +402,11 @@
   _vp_job_clear_inherited_workers (list, job);
   job->state = state;
   job->ended_ms = now_ms;
+  if (state == VP_JOB_COMPLETED && job->expected_end_ms != 0) {
+    list->admission_results.ended++;
+    list->admission_results.in_time += now_ms <= job->expected_end_ms ? 1 : 0;
+    list->admission_results.too_soon += now_ms < job->earliest_end_ms ? 1 : 0;
+  }
   list->unfinished_count--;
   vp_joblist_team (list, job->spec->team)->job_count--;
   _vp_job_remove_ready_steps (list, job);
--- a/src/vp-joblist.h
+++ b/src/vp-joblist.h
@@ -18,6 +18,7 @@
  */
 #pragma once
 
+#include "vp-admission.h"
 #include "vp-forecast.h"
 #include "vp-workerlist.h"
 
@@ -103,6 +104,7 @@
   int64_t p50_ms;      /* longest chain of steps from this one on */
   int64_t low_ms;      /* the same, with a probability of 0.1 that it is shorter */
   int64_t high_ms;     /* the same, with a probability of 0.1 that it is longer */
+  int64_t task_ms;     /* one task of this step */
   int64_t done_ms;     /* measured longest chain of the ended steps before this one */
   uint32_t step_count; /* steps in the chain */
 } VpChainForecast;
@@ -144,6 +146,8 @@
   VpJobState state;
   int64_t arrived_ms;
   int64_t ended_ms;
+  int64_t earliest_end_ms; /* when it was accepted, an earlier end was ruled out; 0: unknown */
+  int64_t expected_end_ms; /* end that was expected when it was accepted; 0: unknown */
   int64_t objective_ms;    /* target for the duration of an occurrence; 0: not computed yet */
   bool is_over_rate;       /* the team had exceeded its rate of jobs when it submitted the job */
   bool is_inherited;       /* an earlier scheduler has accepted the job */
@@ -180,6 +184,7 @@
   GHashTable *teams;         /* name -> VpTeamUsage */
   uint32_t unfinished_count; /* number of jobs that haven't ended */
   uint32_t unsubmitted_count; /* number of jobs that were cancelled before they were submitted */
+  VpAdmissionResults admission_results; /* of jobs with an expected end */
 } VpJobList;
 
 VpJobList *vp_joblist_setup (void);
@@ -214,6 +219,8 @@
  * jobs a second; bursts up to the jobs of one second are allowed. There is no limit if @weight is
  * 0. */
 bool vp_teamusage_take_job_token (VpTeamUsage *usage, double weight, int64_t now_ms);
+/* Returns true if a job that the team submits now would exceed that rate. */
+bool vp_teamusage_is_over_rate (const VpTeamUsage *usage, double weight, int64_t now_ms);
 /* Notes that the stored state of the job is out of date. */
 void vp_joblist_mark_dirty (VpJobList *list, VpJob *job);
 /* Returns the job that has to be stored next and removes it from @dirty: urgent jobs first, then
--- a/src/vp-jobservice.c
+++ b/src/vp-jobservice.c
@@ -30,19 +30,25 @@
   int64_t since_ms;
 } VpJobServiceWaiter;
 
+/* Maximum number of remembered rejections up to which jobs are rejected because of an overload. */
+#define VP_JOBSERVICE_REJECTIONS_MAX 65536
+
 /* A request to submit a job that was rejected. */
 typedef struct {
   char from[VP_NAME_MAX]; /* node that sent the request */
   uint64_t serial;
-  int64_t at_ms;
+  int64_t at_ms; /* time of the last answer */
+  int64_t retry_ms;
+  GList *link; /* in @rejection_order */
 } VpJobServiceRejection;
 
 struct _VpJobService {
   VpCell *cell;
   VpCommitter *committer;
   uint64_t term;
-  GHashTable *waiters; /* job id -> GArray of VpJobServiceWaiter */
-  GArray *rejections;  /* VpJobServiceRejection, oldest first */
+  GHashTable *waiters;    /* job id -> GArray of VpJobServiceWaiter */
+  GHashTable *rejections; /* set of VpJobServiceRejection, by @from and @serial */
+  GQueue rejection_order; /* the same, oldest answer first */
   bool is_paused;
 };
 
@@ -52,6 +58,23 @@
   g_array_unref (data);
 }
 
+static guint
+_vp_jobservice_rejection_hash (gconstpointer data)
+{
+  const VpJobServiceRejection *rejection = data;
+
+  return g_str_hash (rejection->from) ^ g_int64_hash (&rejection->serial);
+}
+
+static gboolean
+_vp_jobservice_rejection_equal (gconstpointer a, gconstpointer b)
+{
+  const VpJobServiceRejection *one = a;
+  const VpJobServiceRejection *two = b;
+
+  return one->serial == two->serial && strcmp (one->from, two->from) == 0;
+}
+
 VpJobService *
 vp_jobservice_setup (VpCell *cell, VpCommitter *committer, uint64_t term)
 {
@@ -62,7 +85,9 @@
   service->term = term;
   service->waiters
       = g_hash_table_new_full (g_int64_hash, g_int64_equal, g_free, _vp_jobservice_waiters_free);
-  service->rejections = g_array_new (FALSE, FALSE, sizeof (VpJobServiceRejection));
+  service->rejections = g_hash_table_new_full (_vp_jobservice_rejection_hash,
+                                               _vp_jobservice_rejection_equal, g_free, NULL);
+  g_queue_init (&service->rejection_order);
   return service;
 }
 
@@ -72,7 +97,8 @@
   if (service == NULL)
     return;
   g_hash_table_unref (service->waiters);
-  g_array_unref (service->rejections);
+  g_queue_clear (&service->rejection_order);
+  g_hash_table_unref (service->rejections);
   g_free (service);
 }
 
@@ -103,36 +129,86 @@
 _vp_jobservice_add_rejection (const VpJobService *service,
                               const char *to,
                               uint64_t serial,
+                              int64_t retry_ms,
                               GArray *answers)
 {
   _vp_jobservice_add_answer (service, to, serial, VP_ANSWER_REJECTED, answers)->retry_after_ms
-      = VP_JOBSERVICE_STORE_RETRY_MS;
+      = (uint32_t)retry_ms;
 }
 
-/* Rejects a submission and remembers that. */
+static VpJobServiceRejection *
+_vp_jobservice_find_rejection (const VpJobService *service, const char *from, uint64_t serial)
+{
+  VpJobServiceRejection wanted = { .serial = serial };
+
+  g_strlcpy (wanted.from, from, sizeof wanted.from);
+  return g_hash_table_lookup (service->rejections, &wanted);
+}
+
+/* Rejects a submission and remembers that. One that was rejected before gets the same answer. */
 static void
 _vp_jobservice_reject (VpJobService *service,
                        const char *to,
                        uint64_t serial,
+                       int64_t retry_ms,
                        int64_t now_ms,
                        GArray *answers)
 {
-  VpJobServiceRejection rejected = { .serial = serial, .at_ms = now_ms };
+  VpJobServiceRejection *rejection = _vp_jobservice_find_rejection (service, to, serial);
+
+  if (rejection == NULL) {
+    rejection = g_new0 (VpJobServiceRejection, 1);
+    g_strlcpy (rejection->from, to, sizeof rejection->from);
+    rejection->serial = serial;
+    rejection->retry_ms = retry_ms;
+    rejection->link = g_list_alloc ();
+    rejection->link->data = rejection;
+    g_hash_table_add (service->rejections, rejection);
+  } else {
+    g_queue_unlink (&service->rejection_order, rejection->link);
+  }
+  rejection->at_ms = now_ms;
+  g_queue_push_tail_link (&service->rejection_order, rejection->link);
+  _vp_jobservice_add_rejection (service, to, serial, rejection->retry_ms, answers);
+}
 
-  g_strlcpy (rejected.from, to, sizeof rejected.from);
-  g_array_append_val (service->rejections, rejected);
-  _vp_jobservice_add_rejection (service, to, serial, answers);
+/* Forgets rejections whose requests can't be in transit any more. */
+static void
+_vp_jobservice_expire_rejections (VpJobService *service, int64_t now_ms)
+{
+  for (;;) {
+    VpJobServiceRejection *oldest = g_queue_peek_head (&service->rejection_order);
+    if (oldest == NULL || now_ms - oldest->at_ms <= VP_JOBSERVICE_REJECTION_RETENTION_MS)
+      return;
+    g_queue_pop_head (&service->rejection_order);
+    g_hash_table_remove (service->rejections, oldest);
+  }
 }
 
+/* Decides on a job because of the load. Returns false if it was rejected. */
 static bool
-_vp_jobservice_was_rejected (const VpJobService *service, const VpNodeMsg *message)
+_vp_jobservice_admit (VpJobService *service,
+                      const VpNodeMsg *message,
+                      const VpJobSpec *spec,
+                      int64_t now_ms,
+                      VpAdmissionDecision *decision,
+                      GArray *answers)
 {
-  for (guint i = 0; i < service->rejections->len; i++) {
-    const VpJobServiceRejection *rejected
-        = &g_array_index (service->rejections, VpJobServiceRejection, i);
-    if (rejected->serial == message->serial && strcmp (rejected->from, message->from) == 0)
-      return true;
+  /* A rejection that isn't remembered might not be true: the request may be sent again. */
+  if (g_hash_table_size (service->rejections) >= VP_JOBSERVICE_REJECTIONS_MAX) {
+    *decision = (VpAdmissionDecision){ .is_accepted = true, .arrived_ms = now_ms };
+    return true;
   }
+  vp_cell_admit (service->cell, spec, now_ms, decision);
+  if (decision->is_accepted)
+    return true;
+  vp_log (now_ms, "reject",
+          "job=%016" G_GINT64_MODIFIER "x queue=%s team=%s why=%s tries=%u"
+          " waited_ms=%" G_GINT64_FORMAT " retry_ms=%" G_GINT64_FORMAT,
+          spec->id, spec->queue, spec->team, vp_admission_reason_token (decision->reason),
+          decision->tries + 1, now_ms - decision->arrived_ms, decision->retry_ms);
+  _vp_jobservice_reject (service, message->from, message->serial, decision->retry_ms, now_ms,
+                         answers);
   return false;
 }
 
@@ -189,6 +265,7 @@
   VpJobList *jobs = vp_cell_jobs (service->cell);
   VpJob *job = vp_joblist_find (jobs, message->job);
   g_autoptr (VpJobSpec) spec = NULL;
+  VpAdmissionDecision decision;
 
   if (job != NULL && job->is_unsubmitted) {
     _vp_jobservice_add_waiter (service, message, now_ms);
@@ -202,8 +279,8 @@
                                answers);
     return;
   }
-  if (_vp_jobservice_was_rejected (service, message)) {
-    _vp_jobservice_reject (service, message->from, message->serial, now_ms, answers);
+  if (_vp_jobservice_find_rejection (service, message->from, message->serial) != NULL) {
+    _vp_jobservice_reject (service, message->from, message->serial, 0, now_ms, answers);
     return;
   }
   if (job == NULL) {
@@ -219,13 +296,19 @@
               "job=%016" G_GINT64_MODIFIER "x commit_age_ms=%" G_GINT64_FORMAT " why=%s",
               message->job, vp_committer_last_commit_age_ms (service->committer, now_ms),
               spec == NULL ? "malformed" : "store-down");
-      _vp_jobservice_reject (service, message->from, message->serial, now_ms, answers);
+      _vp_jobservice_reject (service, message->from, message->serial, VP_JOBSERVICE_STORE_RETRY_MS,
+                             now_ms, answers);
       return;
     }
-    job = vp_cell_submit (service->cell, spec, now_ms);
+    if (!_vp_jobservice_admit (service, message, spec, now_ms, &decision, answers))
+      return;
+    job = vp_cell_submit_admitted (service->cell, spec, &decision, now_ms);
     vp_log (now_ms, "submit",
-            "job=%016" G_GINT64_MODIFIER "x queue=%s team=%s steps=%u from=%s over_share=%d",
-            spec->id, spec->queue, spec->team, spec->step_count, message->from, job->is_over_rate);
+            "job=%016" G_GINT64_MODIFIER "x queue=%s team=%s steps=%u from=%s over_share=%d"
+            " why=%s tries=%u expected_ms=%" G_GINT64_FORMAT,
+            spec->id, spec->queue, spec->team, spec->step_count, message->from, job->is_over_rate,
+            vp_admission_reason_token (decision.reason), decision.tries + 1,
+            decision.expected_end_ms == 0 ? 0 : decision.expected_end_ms - now_ms);
   }
   _vp_jobservice_add_waiter (service, message, now_ms);
 }
@@ -249,7 +332,8 @@
       = vp_committer_last_commit_age_ms (service->committer, now_ms) > VP_JOBSERVICE_UNCONFIRMED_MS;
 
   if (is_unconfirmed)
-    _vp_jobservice_add_rejection (service, message->from, message->serial, answers);
+    _vp_jobservice_add_rejection (service, message->from, message->serial,
+                                  VP_JOBSERVICE_STORE_RETRY_MS, answers);
   else
     _vp_jobservice_add_answer (service, message->from, message->serial, VP_ANSWER_NO_SUCH_JOB,
                                answers);
@@ -278,7 +362,8 @@
       "job=%016" G_GINT64_MODIFIER "x commit_age_ms=%" G_GINT64_FORMAT " unsubmitted=%u from=%s",
       message->job, commit_age_ms, vp_cell_jobs (service->cell)->unsubmitted_count, message->from);
   if (job == NULL)
-    _vp_jobservice_add_rejection (service, message->from, message->serial, answers);
+    _vp_jobservice_add_rejection (service, message->from, message->serial,
+                                  VP_JOBSERVICE_STORE_RETRY_MS, answers);
   return job;
 }
 
@@ -414,9 +499,11 @@
     const VpJobServiceWaiter *waiter = &g_array_index (waiters, VpJobServiceWaiter, i);
     /* The same job may still be submitted at another node, so no cancellation is confirmed. */
     if (waiter->kind == VP_NODEMSG_CANCEL)
-      _vp_jobservice_add_rejection (service, waiter->from, waiter->serial, answers);
+      _vp_jobservice_add_rejection (service, waiter->from, waiter->serial,
+                                    VP_JOBSERVICE_STORE_RETRY_MS, answers);
     else
-      _vp_jobservice_reject (service, waiter->from, waiter->serial, now_ms, answers);
+      _vp_jobservice_reject (service, waiter->from, waiter->serial, VP_JOBSERVICE_STORE_RETRY_MS,
+                             now_ms, answers);
   }
   vp_joblist_remove (jobs, job);
   return true;
@@ -453,14 +540,8 @@
 {
   GHashTableIter iter;
   gpointer id, waiters;
-  guint expired_count = 0;
-
-  while (expired_count < service->rejections->len
-         && now_ms - g_array_index (service->rejections, VpJobServiceRejection, expired_count).at_ms
-                > VP_JOBSERVICE_REJECTION_RETENTION_MS)
-    expired_count++;
-  if (expired_count > 0)
-    g_array_remove_range (service->rejections, 0, expired_count);
+
+  _vp_jobservice_expire_rejections (service, now_ms);
   /* A store that is merely slow will still take the jobs. */
   if (!vp_committer_is_failing (service->committer)
       || vp_committer_last_commit_age_ms (service->committer, now_ms) < VP_JOBSERVICE_WITHDRAW_MS)
--- a/src/vp-metrics.c
+++ b/src/vp-metrics.c
@@ -74,6 +74,19 @@
   = { "forecasts_in_p50", "Recorded runs that ended within the stated p50" },
   [VP_COUNTER_FORECASTS_IN_P90]
   = { "forecasts_in_p90", "Recorded runs that ended within the stated p90" },
+  [VP_COUNTER_ADMISSION_ACCEPTED] = { "admission_accepted", "Jobs that the admission accepted" },
+  [VP_COUNTER_ADMISSION_OVERLOAD]
+  = { "admission_overload",
+      "Jobs refused since work that comes first takes the capacity too long" },
+  [VP_COUNTER_ADMISSION_TEAM_CAP]
+  = { "admission_team_cap", "Jobs refused since running tasks take the team's cap too long" },
+  [VP_COUNTER_ADMISSION_RETURNED]
+  = { "admission_returned", "Decisions on jobs that were refused before" },
+  [VP_COUNTER_ADMISSION_ENDED] = { "admission_ended", "Completed jobs with an expected end" },
+  [VP_COUNTER_ADMISSION_IN_TIME]
+  = { "admission_in_time", "Completed jobs that ended by the expected end" },
+  [VP_COUNTER_ADMISSION_TOO_SOON]
+  = { "admission_too_soon", "Completed jobs that ended before their earliest possible end" },
 };
 
 static const VpMetricText vp_gauge_texts[VP_GAUGE_LAST] = {
@@ -87,6 +100,8 @@
   [VP_GAUGE_WORKERS_UNKNOWN]
   = { "workers_unknown", "Workers of an earlier leader that have not told what they run" },
   [VP_GAUGE_COMMIT_AGE_MS] = { "commit_age_ms", "Milliseconds since the leader's last commit" },
+  [VP_GAUGE_ADMISSION_CERTAINTY_MILLI]
+  = { "admission_certainty_milli", "Thousandths of the known work that count as certain" },
 };
 
 static const VpMetricText vp_hist_texts[VP_HIST_LAST] = {
--- a/src/vp-metrics.h
+++ b/src/vp-metrics.h
@@ -51,6 +51,13 @@
   VP_COUNTER_FORECASTS_ENDED,  /* those whose duration was recorded */
   VP_COUNTER_FORECASTS_IN_P50, /* those that ended within the p50 stated at the start */
   VP_COUNTER_FORECASTS_IN_P90,
+  VP_COUNTER_ADMISSION_ACCEPTED,
+  VP_COUNTER_ADMISSION_OVERLOAD, /* rejected: work of higher ranks takes the capacity */
+  VP_COUNTER_ADMISSION_TEAM_CAP, /* rejected: the team's running tasks take its cap */
+  VP_COUNTER_ADMISSION_RETURNED, /* decisions on callers that were rejected before */
+  VP_COUNTER_ADMISSION_ENDED,    /* completed jobs for which an end was expected */
+  VP_COUNTER_ADMISSION_IN_TIME,  /* those that ended by then */
+  VP_COUNTER_ADMISSION_TOO_SOON, /* those that ended before their earliest possible end */
   VP_COUNTER_LAST,
 } VpCounter;
 
@@ -64,6 +71,7 @@
   VP_GAUGE_KEYS_TRUSTED,
   VP_GAUGE_WORKERS_UNKNOWN,
   VP_GAUGE_COMMIT_AGE_MS,
+  VP_GAUGE_ADMISSION_CERTAINTY_MILLI, /* share of the known work that counts as certain */
   VP_GAUGE_LAST,
 } VpGauge;
 
--- a/src/vp-outlook.c
+++ b/src/vp-outlook.c
@@ -20,16 +20,20 @@
   uint32_t step_count;
 } VpOutlookChain;
 
-/* Sets @out to the duration of the whole step. */
+/* Sets @step and @task to the durations of the whole step and of one of its tasks. */
 static void
 _vp_outlook_forecast_step (const VpForecast *forecast,
                            const VpForecastKey *key,
-                           VpForecastRange *out)
+                           VpForecastRange *step,
+                           VpForecastRange *task)
 {
-  if (forecast == NULL)
-    *out = (VpForecastRange){ .p50_ms = key->estimate_ms, .p90_ms = key->estimate_ms };
-  else
-    vp_forecast_step (forecast, key, out);
+  if (forecast == NULL) {
+    *step = (VpForecastRange){ .p50_ms = key->estimate_ms, .p90_ms = key->estimate_ms };
+    *task = *step;
+    return;
+  }
+  vp_forecast_step (forecast, key, step);
+  vp_forecast_task (forecast, key, task);
 }
 
 /* Sets @chains to the longest chains from each step, of which @ranges has the durations. */
@@ -75,10 +79,13 @@
   for (uint32_t s = 0; s < occurrence->job->spec->step_count; s++) {
     const VpJobStep *other = &occurrence->steps[s];
     VpForecastKey key;
+    VpForecastRange task;
     if (other->waiting_count + other->assigned_count == 0)
       continue;
     vp_jobstep_forecast_key (other, &key);
-    _vp_outlook_forecast_step (forecast, &key, &ranges[s]);
+    _vp_outlook_forecast_step (forecast, &key, &ranges[s], &task);
+    if (s == step->index)
+      step->chain.task_ms = task.p50_ms;
   }
   _vp_outlook_sum_chains (occurrence->job->spec, ranges, chains);
   spread = _vp_outlook_spread (chain);
@@ -156,3 +163,37 @@
       = (int64_t)(worthless_fixed_ms
                   + VP_OUTLOOK_WORTHLESS_FACTOR * queue->stretch * (double)chain->high_ms);
 }
+
+void
+vp_outlook_measure_new (VpOutlookNeeds *out,
+                        const VpJobSpec *spec,
+                        const VpQueueConfig *queue,
+                        const VpForecast *forecast)
+{
+  VpForecastRange ranges[VP_JOBSPEC_STEPS_MAX] = { 0 };
+  VpOutlookChain chains[VP_JOBSPEC_STEPS_MAX];
+  VpOutlookChain longest = { 0 };
+
+  *out = (VpOutlookNeeds){ 0 };
+  for (uint32_t s = 0; s < spec->step_count; s++) {
+    const VpStepSpec *step = &spec->steps[s];
+    VpForecastKey key = { .queue = spec->queue,
+                          .team = spec->team,
+                          .image = step->image,
+                          .task_count = step->task_count,
+                          .size = step->size,
+                          .estimate_ms = step->estimate_ms };
+    VpForecastRange task;
+    _vp_outlook_forecast_step (forecast, &key, &ranges[s], &task);
+    out->work += (double)step->task_count * (double)step->size.cpu_milli * (double)task.p50_ms;
+  }
+  _vp_outlook_sum_chains (spec, ranges, chains);
+  for (uint32_t s = 0; s < spec->step_count; s++) {
+    if (chains[s].p50_ms > longest.p50_ms)
+      longest = chains[s];
+  }
+  out->chain_ms = (int64_t)(longest.p50_ms + _vp_outlook_overhead_ms (longest.step_count, queue));
+  out->limit_ms = (int64_t)(VP_OUTLOOK_WORTHLESS_FACTOR
+                            * ((double)queue->latency_target_ms
+                               + queue->stretch * longest.p50_ms * _vp_outlook_spread (&longest)));
+}
--- a/src/vp-outlook.h
+++ b/src/vp-outlook.h
@@ -32,3 +32,16 @@
                         VpJobStep *step,
                         const VpQueueConfig *queue,
                         const VpForecast *forecast);
+
+/* What an arriving job needs, see vp-admission.h. */
+typedef struct {
+  double work;      /* expected work of all tasks, in thousandths of a core times ms */
+  int64_t chain_ms; /* expected time from its start to its end, with overheads */
+  int64_t limit_ms; /* its result has no value after this time, with a probability of 0.9 */
+} VpOutlookNeeds;
+
+/* Sets @out to the needs of a job that hasn't been added to a list. */
+void vp_outlook_measure_new (VpOutlookNeeds *out,
+                             const VpJobSpec *spec,
+                             const VpQueueConfig *queue,
+                             const VpForecast *forecast);
--- a/tests/overload-sim.h
+++ b/tests/overload-sim.h
@@ -8,13 +8,16 @@
  *
  * Urgent jobs: 1.6 steps of 10 tasks with a mean of 0.8 s, objective 1.5 times the longest chain
  * plus 250 ms. Batch jobs: 2.5 s, objective 2.2 times the chain plus 1,200 ms. Each task uses one
- * core. Durations have a standard deviation of 0.5 of the logarithm between jobs and of 0.3 between
- * the tasks of a step, and 3 of 100 tasks take 7 times as long. Estimates have an error of 0.9 of
- * the logarithm.
+ * core. If asked for, a job of long tasks holds all cores as they become free in the burst, before
+ * any other work, and a share of the urgent jobs exceeds its team's rate. Rejected callers return
+ * up to three times, after the time that they were told, in whole seconds; their time counts from
+ * their first try. Durations have a standard deviation of 0.5 of the logarithm between jobs and of
+ * 0.3 between the tasks of a step, and 3 of 100 tasks take 7 times as long. Estimates have an error
+ * of 0.9 of the logarithm.
  */
 #pragma once
 
-#include "vp-forecast-private.h"
+#include "vp-outlook.h"
 #include "vp-stepqueue.h"
 
 #include <math.h>
@@ -34,13 +37,18 @@
  * until its end is known. */
 #define OVERLOAD_OVERHEAD_MS 200
 /* Work of urgent jobs before and after the burst, and of batch jobs, relative to the capacity. */
+#define OVERLOAD_SUMS_MS      100 /* between updates of the admission's sums */
+#define OVERLOAD_TRIES_MAX    4   /* of one caller */
 #define OVERLOAD_USUAL_FACTOR 0.5
 #define OVERLOAD_BATCH_FACTOR 0.25
 
 typedef struct {
   double burst_factor; /* work of the urgent jobs in the burst, relative to the capacity */
   uint32_t seed;
-  const VpStepQueueOrder *order;  /* NULL: the default */
+  const VpStepQueueOrder *order; /* NULL: the default */
+  bool has_admission;
+  double over_rate_share; /* share of the urgent jobs that exceed their team's rate */
+  int64_t held_ms;        /* duration of tasks that hold all cores from the burst on; 0: none */
   const VpForecastPolicy *policy; /* NULL: the default */
 } OverloadLoad;
 
@@ -56,13 +64,27 @@
   OverloadShare tenth;  /* the tenth of them with most work */
   OverloadShare fifth;  /* the fifth below it */
   OverloadShare batch;
+  uint32_t rejected;   /* decisions */
+  uint32_t not_run;    /* urgent jobs that were rejected each time */
+  GArray *first_tries; /* OverloadTry of each job in the order of arrival; NULL: not wanted */
   int64_t decide_us;
   uint32_t decisions;
 } OverloadScore;
 
+/* First try of a job, and what became of the job. */
 typedef struct {
-  VpJob *job;
+  bool is_rejected;
+  bool has_value; /* it ended while its result had value */
+} OverloadTry;
+
+typedef struct {
+  VpJobSpec *spec;
   bool is_urgent;
+  bool is_over_rate;
+  bool is_rejected_first; /* at its first try */
+  bool is_added;          /* accepted */
+  uint32_t tries;
+  int64_t return_ms; /* time of the next try; 0: none */
   bool is_in_burst;
   int64_t arrived_ms;
   int64_t ended_ms; /* 0: hasn't ended */
@@ -85,6 +107,10 @@
   GPtrArray *overload_jobs; /* OverloadJob; the identity of a job is its index plus 1 */
   GPtrArray **ends;         /* for each tick the VpJobTask whose end is known then */
   int64_t tick_count;
+  VpJobStep *held_step; /* of the job that holds all cores; NULL: none */
+  VpAdmission *admission;
+  int64_t admission_next_ms;
+  uint32_t rejected;
   uint32_t free_cores;
 } Overload;
 
@@ -107,6 +133,7 @@
   OverloadJob *job = data;
 
   g_array_unref (job->durations_ms);
+  vp_jobspec_unref (job->spec);
   g_free (job);
 }
 
@@ -167,20 +194,118 @@
   return spec;
 }
 
+/* Decides on the job. Returns false if it is rejected. */
+static bool
+_overload_admit (Overload *overload,
+                 OverloadJob *job,
+                 int64_t now_ms,
+                 VpAdmissionDecision *decision)
+{
+  const VpQueueConfig *queue = vp_cellconfig_queue (overload->config, job->spec->queue);
+  VpOutlookNeeds needs;
+  VpAdmissionRequest request = { .job = job->spec->id, .service = "service", .team = "" };
+
+  *decision = (VpAdmissionDecision){ .is_accepted = true, .arrived_ms = now_ms };
+  if (!overload->load->has_admission)
+    return true;
+  vp_outlook_measure_new (&needs, job->spec, queue, overload->forecast);
+  request.rank = vp_admission_rank (job->is_urgent, job->is_over_rate);
+  request.size = job->spec->steps[0].size;
+  request.work = needs.work;
+  request.chain_ms = needs.chain_ms;
+  request.limit_ms = needs.limit_ms;
+  vp_admission_decide (overload->admission, &request, now_ms, decision);
+  return decision->is_accepted;
+}
+
+/* Lets the caller of the job try to submit it. */
+static void
+_overload_try (Overload *overload, OverloadJob *job, int64_t now_ms)
+{
+  VpAdmissionDecision decision;
+  VpJob *added;
+
+  job->return_ms = 0;
+  job->tries++;
+  if (!_overload_admit (overload, job, now_ms, &decision)) {
+    overload->rejected++;
+    job->is_rejected_first = job->is_rejected_first || job->tries == 1;
+    if (job->tries < OVERLOAD_TRIES_MAX)
+      job->return_ms = now_ms + (decision.retry_ms + 999) / 1000 * 1000;
+    return;
+  }
+  job->is_added = true;
+  added = vp_joblist_add (overload->jobs, job->spec, decision.arrived_ms, now_ms);
+  added->is_durable = true;
+  added->is_over_rate = job->is_over_rate;
+  added->earliest_end_ms = decision.earliest_end_ms;
+  added->expected_end_ms = decision.expected_end_ms;
+}
+
 static void
 _overload_arrive (Overload *overload, bool is_urgent, bool is_in_burst, int64_t now_ms)
 {
   OverloadJob *job = g_new0 (OverloadJob, 1);
-  g_autoptr (VpJobSpec) spec = NULL;
 
   job->is_urgent = is_urgent;
   job->is_in_burst = is_in_burst;
   job->arrived_ms = now_ms;
   job->durations_ms = g_array_new (FALSE, FALSE, sizeof (int64_t));
-  spec = _overload_draw_spec (overload, job);
+  job->spec = _overload_draw_spec (overload, job);
+  job->is_over_rate = is_urgent && g_rand_double (overload->rand) < overload->load->over_rate_share;
   g_ptr_array_add (overload->overload_jobs, job);
-  job->job = vp_joblist_add (overload->jobs, spec, now_ms, now_ms);
-  job->job->is_durable = true;
+  _overload_try (overload, job, now_ms);
+}
+
+static void
+_overload_return (Overload *overload, int64_t now_ms)
+{
+  for (guint i = 0; i < overload->overload_jobs->len; i++) {
+    OverloadJob *job = overload->overload_jobs->pdata[i];
+    if (job->return_ms != 0 && job->return_ms <= now_ms)
+      _overload_try (overload, job, now_ms);
+  }
+}
+
+/* Records earlier runs of such tasks, so that their durations are known. */
+static void
+_overload_record_long_runs (Overload *overload, const OverloadJob *job, int64_t now_ms)
+{
+  VpForecastKey key = { .queue = job->spec->queue,
+                        .team = "",
+                        .image = "",
+                        .task_count = OVERLOAD_CORES,
+                        .size = job->spec->steps[0].size,
+                        .estimate_ms = overload->load->held_ms };
+
+  for (uint32_t i = 0; i < 1000; i++) {
+    key.step = i / 10 + 1;
+    vp_forecast_record (overload->forecast, &key, overload->load->held_ms, 1, now_ms);
+  }
+}
+
+/* Adds a job of long tasks on all cores. */
+static void
+_overload_hold_cores (Overload *overload, int64_t now_ms)
+{
+  OverloadJob *job = g_new0 (OverloadJob, 1);
+
+  job->arrived_ms = now_ms;
+  job->durations_ms = g_array_new (FALSE, FALSE, sizeof (int64_t));
+  job->spec = vp_jobspec_new (1);
+  job->spec->id = overload->overload_jobs->len + 1;
+  job->spec->text = g_strdup ("text");
+  g_strlcpy (job->spec->queue, "long", sizeof job->spec->queue);
+  job->spec->steps[0] = (VpStepSpec){ .task_count = OVERLOAD_CORES,
+                                      .size = { .cpu_milli = 1000 },
+                                      .estimate_ms = overload->load->held_ms };
+  job->task_count = OVERLOAD_CORES;
+  for (uint32_t i = 0; i < OVERLOAD_CORES; i++)
+    g_array_append_val (job->durations_ms, overload->load->held_ms);
+  g_ptr_array_add (overload->overload_jobs, job);
+  _overload_try (overload, job, now_ms);
+  _overload_record_long_runs (overload, job, now_ms);
+  overload->held_step = vp_joblist_find (overload->jobs, job->spec->id)->occurrences[0].steps;
 }
 
 /* Lets jobs arrive up to @now_ms at a rate of @factor times the capacity. */
@@ -229,7 +354,14 @@
                                     job->first_tasks[task->step->index] + task->index);
   int64_t tick = (end_ms + OVERLOAD_TICK_MS - 1) / OVERLOAD_TICK_MS;
 
+  VpForecastKey key;
+  VpForecastRange range;
+
+  vp_jobstep_forecast_key (task->step, &key);
+  vp_forecast_task (overload->forecast, &key, &range);
   vp_jobtask_assign (overload->jobs, task, overload->worker, 1, now_ms);
+  task->forecast_p50_ms = range.p50_ms;
+  task->forecast_p90_ms = range.p90_ms;
   overload->free_cores--;
   if (tick >= overload->tick_count)
     return;
@@ -238,6 +370,41 @@
   g_ptr_array_add (overload->ends[tick], task);
 }
 
+/* Gives the sums of a decision to the admission, as vp-cell-admission.c does. */
+static void
+_overload_update_admission (Overload *overload, const VpStepQueue *step_queue, int64_t now_ms)
+{
+  VpAdmissionSums sums;
+  VpAdmissionService *service;
+  GHashTableIter iter;
+  gpointer data;
+
+  if (now_ms < overload->admission_next_ms)
+    return;
+  overload->admission_next_ms = now_ms + OVERLOAD_SUMS_MS;
+  vp_admission_sums_setup (&sums);
+  sums.results = overload->jobs->admission_results;
+  service = vp_admission_sums_service (&sums, "service");
+  service->capacity = 1000 * OVERLOAD_CORES;
+  service->free = service->free_max = (VpResources){ .cpu_milli = 1000 * overload->free_cores };
+  g_hash_table_iter_init (&iter, overload->worker->tasks);
+  while (g_hash_table_iter_next (&iter, &data, NULL)) {
+    const VpJobTask *task = data;
+    int64_t low_ms = task->forecast_p50_ms * task->forecast_p50_ms / MAX (task->forecast_p90_ms, 1);
+    vp_admission_add_running (service->busy, 1000, MAX (task->started_ms + low_ms - now_ms, 0));
+  }
+  for (guint i = 0; i < step_queue->items->len; i++) {
+    const VpStepQueueItem *item = &g_array_index (step_queue->items, VpStepQueueItem, i);
+    double work = 1000.0 * item->step->waiting_count * (double)item->step->chain.task_ms;
+    uint32_t rank = vp_admission_rank (item->queue->priority == 0, item->is_over_rate);
+    if (item->lateness == VP_LATENESS_WORTHLESS)
+      continue;
+    vp_admission_add_waiting (service, rank, work, MAX (item->worthless_ms - now_ms, 0));
+    service->in_time[rank] += item->lateness == VP_LATENESS_ON_TIME ? work : 0;
+  }
+  vp_admission_update (overload->admission, &sums, now_ms);
+}
+
 static void
 _overload_place (Overload *overload, int64_t now_ms)
 {
@@ -256,6 +423,7 @@
         _overload_start_task (overload, &step->tasks[k], now_ms);
     }
   }
+  _overload_update_admission (overload, &step_queue, now_ms);
   vp_stepqueue_shutdown (&step_queue);
 }
 
@@ -292,8 +460,10 @@
   overload->config = vp_cellconfig_new (1);
   _overload_add_queue (overload->config, "urgent", 0, 1.5, 250);
   _overload_add_queue (overload->config, "batch", 2, 2.2, 1200);
+  _overload_add_queue (overload->config, "long", 3, 2.2, 1200);
   vp_cellconfig_seal (overload->config);
   overload->forecast = vp_forecast_setup (load->policy);
+  overload->admission = vp_admission_setup ();
   overload->overload_jobs = g_ptr_array_new_with_free_func (_overload_job_free);
   overload->tick_count
       = (OVERLOAD_WARM_MS + OVERLOAD_BURST_MS + OVERLOAD_AFTER_MS) / OVERLOAD_TICK_MS;
@@ -306,26 +476,34 @@
   for (int64_t tick = 0; tick < overload->tick_count; tick++)
     g_clear_pointer (&overload->ends[tick], g_ptr_array_unref);
   g_free (overload->ends);
-  g_ptr_array_unref (overload->overload_jobs);
   vp_joblist_shutdown (overload->jobs);
+  g_ptr_array_unref (overload->overload_jobs);
+  vp_admission_shutdown (overload->admission);
   vp_workerlist_shutdown (overload->worker_list);
   vp_forecast_shutdown (overload->forecast);
   vp_cellconfig_unref (overload->config);
   g_rand_free (overload->rand);
 }
 
-static void
-_overload_count (const OverloadJob *job, OverloadShare *share)
+/* Returns the time that the job took from the caller's first try, in multiples of its objective, or
+ * infinity if it hasn't ended. */
+static double
+_overload_stretch (const OverloadJob *job)
 {
   double objective_ms
       = job->is_urgent ? 1.5 * (double)job->chain_ms + 250 : 2.2 * (double)job->chain_ms + 1200;
-  double took_ms = (double)(job->ended_ms - job->arrived_ms);
+
+  return job->ended_ms == 0 ? INFINITY : (double)(job->ended_ms - job->arrived_ms) / objective_ms;
+}
+
+static void
+_overload_count (const OverloadJob *job, OverloadShare *share)
+{
+  double stretch = _overload_stretch (job);
 
   share->jobs++;
-  if (job->ended_ms == 0 || took_ms > 3 * objective_ms)
-    return;
-  share->in_time += took_ms <= objective_ms ? 1 : 0;
-  share->late += took_ms > objective_ms ? 1 : 0;
+  share->in_time += stretch <= 1 ? 1 : 0;
+  share->late += stretch > 1 && stretch <= 3 ? 1 : 0;
 }
 
 static gint
@@ -345,11 +523,18 @@
 
   for (guint i = 0; i < overload->overload_jobs->len; i++) {
     OverloadJob *job = overload->overload_jobs->pdata[i];
+    if (score->first_tries != NULL) {
+      OverloadTry first
+          = { .is_rejected = job->is_rejected_first, .has_value = _overload_stretch (job) <= 3 };
+      g_array_append_val (score->first_tries, first);
+    }
+    score->not_run += job->is_urgent && !job->is_added ? 1 : 0;
     if (job->is_urgent && job->is_in_burst)
       g_ptr_array_add (burst, job);
     if (!job->is_urgent && job->arrived_ms < until_ms)
       _overload_count (job, &score->batch);
   }
+  score->rejected += overload->rejected;
   g_ptr_array_sort (burst, _overload_compare_work);
   for (guint i = 0; i < burst->len; i++) {
     _overload_count (burst->pdata[i], &score->urgent);
@@ -378,7 +563,15 @@
                         is_in_burst, &next_urgent_ms, now_ms);
     _overload_arrivals (&overload, false, OVERLOAD_BATCH_FACTOR, is_in_burst, &next_batch_ms,
                         now_ms);
-    if (overload.free_cores == 0)
+    _overload_return (&overload, now_ms);
+    if (load->held_ms > 0 && at_ms == OVERLOAD_WARM_MS)
+      _overload_hold_cores (&overload, now_ms);
+    for (; overload.held_step != NULL && overload.held_step->waiting_count > 0
+           && overload.free_cores > 0;)
+      _overload_start_task (&overload,
+                            &overload.held_step->tasks[overload.held_step->assigned_count], now_ms);
+    /* The admission needs sums also while nothing is free. */
+    if (overload.free_cores == 0 && tick % (OVERLOAD_SUMS_MS / OVERLOAD_TICK_MS) != 0)
       continue;
     began_us = g_get_monotonic_time ();
     _overload_place (&overload, now_ms);
@@ -416,12 +609,13 @@
 
   printf ("# %-22s urgent %4u: value %.3f in time %.3f late %.3f worthless %.3f; "
           "in time (served) of the largest tenth %.3f (%.3f), fifth below %.3f (%.3f); "
-          "batch %3u: in time %.3f late %.3f; %" G_GINT64_FORMAT " us a decision\n",
+          "batch %3u: in time %.3f late %.3f; %u rejections, %u jobs not run; %" G_GINT64_FORMAT
+          " us a decision\n",
           name, urgent->jobs, overload_value (urgent), overload_in_time (urgent),
           overload_served (urgent) - overload_in_time (urgent), 1 - overload_served (urgent),
           overload_in_time (&score->tenth), overload_served (&score->tenth),
           overload_in_time (&score->fifth), overload_served (&score->fifth), score->batch.jobs,
           overload_in_time (&score->batch),
-          overload_served (&score->batch) - overload_in_time (&score->batch),
-          score->decide_us / MAX (score->decisions, 1));
+          overload_served (&score->batch) - overload_in_time (&score->batch), score->rejected,
+          score->not_run, score->decide_us / MAX (score->decisions, 1));
 }
