Admission: sums that are not handed over can be cleared

AddressSanitizer reported the last sums of each case of test-admission as leaked; the tests of the order and the admission are now clean with address and undefined.

--- a/src/vp-admission.c
+++ b/src/vp-admission.c
@@ -65,8 +65,8 @@
   sums->teams = g_array_new (FALSE, FALSE, sizeof (VpAdmissionTeam));
 }
 
-static void
-_vp_admission_sums_clear (VpAdmissionSums *sums)
+void
+vp_admission_sums_clear (VpAdmissionSums *sums)
 {
   g_clear_pointer (&sums->services, g_array_unref);
   g_clear_pointer (&sums->teams, g_array_unref);
@@ -87,7 +87,7 @@
 void
 vp_admission_shutdown (VpAdmission *admission)
 {
-  _vp_admission_sums_clear (&admission->sums);
+  vp_admission_sums_clear (&admission->sums);
   g_hash_table_unref (admission->callers);
   g_hash_table_unref (admission->backlogs);
   g_free (admission);
@@ -241,7 +241,7 @@
   _vp_admission_measure_backlogs (admission, sums, now_ms);
   _vp_admission_adapt (admission, &sums->results);
   _vp_admission_forget_callers (admission, now_ms);
-  _vp_admission_sums_clear (&admission->sums);
+  vp_admission_sums_clear (&admission->sums);
   admission->sums = *sums;
   memset (sums, 0, sizeof *sums);
   admission->updated_ms = now_ms;
--- a/src/vp-admission.h
+++ b/src/vp-admission.h
@@ -103,6 +103,8 @@
 uint32_t vp_admission_rank (bool is_urgent, bool is_over_rate);
 int64_t vp_admission_edge_ms (uint32_t range);
 void vp_admission_sums_setup (VpAdmissionSums *sums);
+/* Not needed after vp_admission_update(), which takes the arrays. */
+void vp_admission_sums_clear (VpAdmissionSums *sums);
 /* Returns the sums of the service or team, which it creates if there are none. They are valid until
  * the next one is created. */
 VpAdmissionService *vp_admission_sums_service (VpAdmissionSums *sums, const char *name);
--- a/tests/test-admission.c
+++ b/tests/test-admission.c
@@ -36,6 +36,7 @@
 static void
 _teardown (Fixture *fixture)
 {
+  vp_admission_sums_clear (&fixture->sums);
   vp_admission_shutdown (fixture->admission);
 }
 
