Order of waiting steps: a result is worthless after three times its expected objective

Cause: with the p90 of the chain, late urgent jobs most of which had no value any more came before batch jobs for longer. Change: the limit takes the p50.

--- a/src/vp-outlook.c
+++ b/src/vp-outlook.c
@@ -138,7 +138,7 @@
                    const VpForecast *forecast)
 {
   const VpChainForecast *chain = &step->chain;
-  double fixed_ms, share, worthless_fixed_ms;
+  double fixed_ms, share;
 
   /* Advice and reservations are made for the first steps of the order, so it has to be stable: with
    * a new forecast every 250 ms wide tasks waited 10.5 s in the replay of test-reservation, and 8.8
@@ -151,17 +151,14 @@
   share = queue->stretch - 1;
   fixed_ms = (double)queue->latency_target_ms + queue->stretch * (double)chain->done_ms
              - _vp_outlook_overhead_ms (chain->step_count, queue);
-  worthless_fixed_ms
-      = VP_OUTLOOK_WORTHLESS_FACTOR
-        * ((double)queue->latency_target_ms + queue->stretch * (double)chain->done_ms);
   out->slack_min_ms
       = (int64_t)(fixed_ms + share * (double)(share > 0 ? chain->low_ms : chain->high_ms));
   out->slack_ms = (int64_t)(fixed_ms + share * (double)chain->p50_ms);
   out->slack_max_ms
       = (int64_t)(fixed_ms + share * (double)(share > 0 ? chain->high_ms : chain->low_ms));
-  out->worthless_ms
-      = (int64_t)(worthless_fixed_ms
-                  + VP_OUTLOOK_WORTHLESS_FACTOR * queue->stretch * (double)chain->high_ms);
+  out->worthless_ms = (int64_t)(VP_OUTLOOK_WORTHLESS_FACTOR
+                                * ((double)queue->latency_target_ms
+                                   + queue->stretch * (double)(chain->done_ms + chain->p50_ms)));
 }
 
 void
--- a/src/vp-outlook.h
+++ b/src/vp-outlook.h
@@ -23,7 +23,7 @@
   int64_t slack_min_ms;
   int64_t slack_ms;
   int64_t slack_max_ms;
-  int64_t worthless_ms; /* after a later start the result has no value, with a probability of 0.9 */
+  int64_t worthless_ms; /* three times the expected objective: the result has no value after it */
 } VpOutlook;
 
 /* Sets @out to the prospects of the job of a ready step. @forecast may be NULL: callers' estimates
