HTTP server: budget for what clients send

A body was kept in an array that doubles, and nothing limited the sum: 1,500 connections that held bodies of 262,000 bytes open took 390 MB. Bodies are now kept in parts of a page each, which are charged to vp-http-budget; a request that finds no memory is refused (503, not run), and the slowest ones are closed. At the limit of connections an idle or stalled one is closed for a new one. Sockets have small buffers, and memory is given back to the system afterwards. A request whose connection is closed by a limit is never posted; before, one that completed at that moment was posted after its 408. Requests whose headers decide against them don't keep their body.

--- a/src/vp-http-budget.c
+++ b/src/vp-http-budget.c
@@ -182,6 +182,13 @@
   budget->peak_bytes = MAX (budget->peak_bytes, _vp_http_budget_held_bytes (budget));
 }
 
+/* Returns true if enough memory was freed to give it back to the system. */
+static bool
+_vp_http_budget_has_freed (const VpHttpBudget *budget)
+{
+  return budget->peak_bytes >= _vp_http_budget_held_bytes (budget) + VP_HTTP_BUDGET_TRIM_BYTES;
+}
+
 static VpHttpBudgetEntry *
 _vp_http_budget_head (const VpHttpBudget *budget, VpHttpPhase phase)
 {
@@ -471,6 +478,8 @@
 
   for (int i = 0; i < VP_HTTP_PHASE_COUNT; i++)
     next_ms = MIN (next_ms, _vp_http_budget_phase_end_ms (budget, (VpHttpPhase)i));
+  if (_vp_http_budget_has_freed (budget))
+    next_ms = MIN (next_ms, budget->trim_next_ms);
   return next_ms;
 }
 
@@ -518,11 +527,9 @@
 bool
 vp_http_budget_is_trim_due (VpHttpBudget *budget, int64_t now_ms)
 {
-  uint64_t held_bytes = _vp_http_budget_held_bytes (budget);
-
-  if (budget->peak_bytes < held_bytes + VP_HTTP_BUDGET_TRIM_BYTES || now_ms < budget->trim_next_ms)
+  if (!_vp_http_budget_has_freed (budget) || now_ms < budget->trim_next_ms)
     return false;
-  budget->peak_bytes = held_bytes;
+  budget->peak_bytes = _vp_http_budget_held_bytes (budget);
   budget->trim_next_ms = now_ms + VP_HTTP_BUDGET_TRIM_MS;
   return true;
 }
--- a/src/vp-http-server-accept.c
+++ b/src/vp-http-server-accept.c
@@ -1,11 +1,14 @@
 #include "vp-http-server-private.h"
+#include "vp-metrics.h"
 #include "vp-net.h"
 
 #include <errno.h>
 #include <linux/filter.h>
+#include <malloc.h>
 #include <poll.h>
 #include <string.h>
 #include <sys/epoll.h>
+#include <sys/ioctl.h>
 #include <unistd.h>
 
 /* Wait at shutdown for handshakes that have begun; a round trip in a data centre takes under 1 ms.
@@ -14,67 +17,237 @@
 /* Interval of the attempts to accept connections at the limit of connections or descriptors. */
 #define VP_HTTP_SERVER_ACCEPT_RETRY_MS 10
 
-/* Sends a 408 response. MHD can't reply to an incomplete request, so the response is written to the
- * socket directly. The call does not block, and MHD writes nothing before the request is complete.
- */
+/* Buffers of a socket in bytes; the kernel uses twice as much, and counts it toward the memory of a
+ * VM. Without a size they grow to some megabytes for a client that doesn't read its answers. */
+#define VP_HTTP_SERVER_RECEIVE_BUFFER 8192
+#define VP_HTTP_SERVER_SEND_BUFFER    16384
+/* Connections that are closed and not yet released by the HTTP threads, above the limit. */
+#define VP_HTTP_SERVER_CLOSING_MAX 64
+/* Connections that are looked at to make room for a new one. */
+#define VP_HTTP_SERVER_VICTIMS_MAX 16
+/* Longest sleep of the watcher thread while connections are open. */
+#define VP_HTTP_SERVER_WATCH_MS 1000
+
+void
+_vp_http_server_count_refused (VpHttpCause cause)
+{
+  static const VpCounter counters[VP_HTTP_CAUSE_COUNT] = {
+    [VP_HTTP_CAUSE_LENGTH] = VP_COUNTER_INTAKE_REFUSED_LENGTH,
+    [VP_HTTP_CAUSE_UNWANTED] = VP_COUNTER_INTAKE_REFUSED_UNWANTED,
+    [VP_HTTP_CAUSE_BYTES] = VP_COUNTER_INTAKE_REFUSED_BYTES,
+    [VP_HTTP_CAUSE_ADDRESS] = VP_COUNTER_INTAKE_REFUSED_ADDRESS,
+  };
+
+  vp_metrics_add (counters[cause], 1);
+}
+
 static void
-_vp_http_server_send_timeout (const VpHttpServerConnection *conn)
+_vp_http_server_count_closed (VpHttpCause cause)
 {
+  static const VpCounter counters[VP_HTTP_CAUSE_COUNT] = {
+    [VP_HTTP_CAUSE_BYTES] = VP_COUNTER_INTAKE_CLOSED_BYTES,
+    [VP_HTTP_CAUSE_CONNECTIONS] = VP_COUNTER_INTAKE_CLOSED_CONNECTIONS,
+    [VP_HTTP_CAUSE_IDLE] = VP_COUNTER_INTAKE_CLOSED_IDLE,
+    [VP_HTTP_CAUSE_RECEIVE] = VP_COUNTER_INTAKE_CLOSED_RECEIVE,
+    [VP_HTTP_CAUSE_SEND] = VP_COUNTER_INTAKE_CLOSED_SEND,
+  };
+
+  vp_metrics_add (counters[cause], 1);
+}
+
+/* Sends the response to a request that is closed before it is complete. MHD can't reply to an
+ * incomplete request, so the response is written to the socket directly. The call does not block,
+ * and MHD writes nothing before the request is complete. */
+static void
+_vp_http_server_send_closed (const VpHttpServerConnection *conn, VpHttpCause cause)
+{
+  const VpHttpServerCall *call = conn->call;
+  VpReason reason = cause == VP_HTTP_CAUSE_RECEIVE ? VP_REASON_SLOW_CLIENT : VP_REASON_OVERLOADED;
+  uint32_t status = vp_reason_http_status (reason);
   g_autoptr (GBytes) body = NULL;
   g_autoptr (GString) text = NULL;
 
-  if (!conn->has_headers)
-    return; /* the connection is idle, or the headers are incomplete */
-  body = vp_request_format_error (VP_REASON_SLOW_CLIENT, NULL);
+  if (!conn->has_headers || call == NULL || conn->entry.phase == VP_HTTP_PHASE_WAITING
+      || conn->entry.phase == VP_HTTP_PHASE_SENDING)
+    return; /* the connection is idle, the headers are incomplete, or MHD replies */
+  body = vp_request_format_error (reason, NULL);
   text = g_string_new (NULL);
   g_string_printf (text,
-                   "HTTP/1.1 408 Request Timeout\r\nContent-Type: application/json\r\n"
-                   "Connection: close\r\nContent-Length: %zu\r\n\r\n",
-                   g_bytes_get_size (body));
+                   "HTTP/1.1 %u %s\r\nContent-Type: application/json\r\n"
+                   "%sConnection: close\r\nContent-Length: %zu\r\n\r\n",
+                   status, status == 408 ? "Request Timeout" : "Service Unavailable",
+                   status == 408 ? "" : "Retry-After: 1\r\n", g_bytes_get_size (body));
   g_string_append_len (text, g_bytes_get_data (body, NULL), (gssize)g_bytes_get_size (body));
   send (conn->fd, text->str, text->len, MSG_DONTWAIT | MSG_NOSIGNAL);
 }
 
-/* Closes the connections whose request was not received in time, and returns the time until the
- * next deadline in milliseconds. */
+void
+_vp_http_server_close (VpHttpServer *http, VpHttpServerConnection *conn, VpHttpCause cause)
+{
+  _vp_http_server_send_closed (conn, cause);
+  if (conn->call != NULL)
+    _vp_http_server_free_body (conn->call);
+  vp_http_budget_close (&http->budget, &conn->entry, cause);
+  _vp_http_server_count_closed (cause);
+  shutdown (conn->fd, SHUT_RDWR);
+}
+
+static bool
+_vp_http_server_has_unread (const VpHttpServerConnection *conn)
+{
+  int size = 0;
+
+  return ioctl (conn->fd, FIONREAD, &size) == 0 && size > 0;
+}
+
+void
+_vp_http_server_close_victim (VpHttpServer *http, VpHttpBudgetEntry *victim, VpHttpCause cause)
+{
+  VpHttpServerConnection *conn = (VpHttpServerConnection *)victim;
+
+  /* This process is slow, and not the client. */
+  if (victim->phase != VP_HTTP_PHASE_SENDING && _vp_http_server_has_unread (conn))
+    vp_http_budget_touch (&http->budget, victim, _vp_http_server_now_ms ());
+  else
+    _vp_http_server_close (http, conn, cause);
+}
+
+/* Closes the connections whose time is over. The lock is held. */
+static void
+_vp_http_server_close_slow (VpHttpServer *http, int64_t now_ms)
+{
+  VpHttpBudgetEntry *entry;
+  VpHttpCause cause;
+
+  while ((entry = vp_http_budget_expired (&http->budget, now_ms, &cause)) != NULL) {
+    bool is_over = entry->is_requesting
+                   && now_ms - entry->began_ms >= http->budget.limits.receive_timeout_ms;
+    /* After a pause of this process, more time is given to clients that have sent meanwhile, except
+     * for the time of the whole request. */
+    if (is_over)
+      _vp_http_server_close (http, (VpHttpServerConnection *)entry, cause);
+    else
+      _vp_http_server_close_victim (http, entry, cause);
+  }
+}
+
+/* Longest time until the next call of _vp_http_server_watch_limits(). Connections that begin a
+ * phase meanwhile may expire earlier than the present ones. The lock is held. */
+static int
+_vp_http_server_watch_wait_ms (const VpHttpServer *http, int64_t now_ms)
+{
+  const VpHttpLimits *limits = &http->budget.limits;
+  int64_t wait_ms = MIN (limits->receive_timeout_ms, limits->send_timeout_ms);
+
+  if (http->connection_count > 0)
+    wait_ms = MIN (wait_ms, VP_HTTP_SERVER_WATCH_MS);
+  wait_ms = MIN (wait_ms, limits->idle_timeout_ms);
+  return (int)CLAMP (vp_http_budget_next_ms (&http->budget) - now_ms, 0, wait_ms);
+}
+
+/* Closes slow clients, and gives memory back to the system. Returns the time until it is to be
+ * called again, in milliseconds. */
 static int
-_vp_http_server_close_slow (VpHttpServer *http)
+_vp_http_server_watch_limits (VpHttpServer *http)
 {
   int64_t now_ms = _vp_http_server_now_ms ();
-  int64_t next_ms = now_ms + 2 * http->desc.client_timeout_ms;
-  GList *head;
+  char text[VP_HTTP_SERVER_REPORT_MAX];
+  bool is_trim_due;
+  int wait_ms;
 
   pthread_mutex_lock (&http->lock);
-  while ((head = g_queue_peek_head_link (&http->receiving)) != NULL) {
-    VpHttpServerConnection *conn = head->data;
-    if (conn->deadline_ms > now_ms) {
-      next_ms = conn->deadline_ms;
-      break;
-    }
-    g_queue_unlink (&http->receiving, head);
-    conn->is_receiving = false;
-    _vp_http_server_send_timeout (conn);
-    shutdown (conn->fd, SHUT_RDWR);
+  _vp_http_server_close_slow (http, now_ms);
+  is_trim_due = vp_http_budget_is_trim_due (&http->budget, now_ms);
+  wait_ms = _vp_http_server_watch_wait_ms (http, now_ms);
+  if (!http->desc.is_bodyless) {
+    vp_metrics_set (VP_GAUGE_INTAKE_CONNECTIONS, http->connection_count);
+    vp_metrics_set (VP_GAUGE_INTAKE_BYTES, (int64_t)http->budget.charged_bytes);
   }
   pthread_mutex_unlock (&http->lock);
-  return (int)(next_ms - now_ms);
+  if (is_trim_due)
+    malloc_trim (0);
+  if (http->desc.is_logging && vp_http_server_report (http, text, sizeof text))
+    g_message ("limits on clients: %s", text);
+  return wait_ms;
+}
+
+/* Number that tells the client's address apart from others. A client has a whole IPv6 /64. */
+static uint64_t
+_vp_http_server_address_id (const struct sockaddr_storage *address)
+{
+  const struct sockaddr_in *v4 = (const struct sockaddr_in *)address;
+  const struct sockaddr_in6 *v6 = (const struct sockaddr_in6 *)address;
+  uint64_t prefix;
+  uint32_t mapped;
+
+  if (address->ss_family == AF_INET)
+    return v4->sin_addr.s_addr;
+  if (IN6_IS_ADDR_V4MAPPED (&v6->sin6_addr)) {
+    memcpy (&mapped, v6->sin6_addr.s6_addr + 12, sizeof mapped);
+    return mapped;
+  }
+  memcpy (&prefix, v6->sin6_addr.s6_addr, sizeof prefix);
+  return prefix;
 }
 
 /* Passes an accepted connection to the HTTP threads. */
 static void
-_vp_http_server_adopt (VpHttpServer *http, int fd, const struct sockaddr *address, socklen_t size)
+_vp_http_server_adopt (VpHttpServer *http,
+                       int fd,
+                       const struct sockaddr_storage *address,
+                       socklen_t size)
 {
+  VpHttpServerConnection *conn = g_new0 (VpHttpServerConnection, 1);
+  bool is_open;
+
+  conn->fd = fd;
   pthread_mutex_lock (&http->lock);
-  http->connection_count++;
-  g_hash_table_add (http->adopted, GINT_TO_POINTER (fd));
+  is_open = vp_http_budget_open (&http->budget, &conn->entry, _vp_http_server_address_id (address),
+                                 _vp_http_server_now_ms ());
+  if (is_open) {
+    http->connection_count++;
+    g_hash_table_insert (http->adopted, GINT_TO_POINTER (fd), conn);
+  }
   pthread_mutex_unlock (&http->lock);
-  if (MHD_add_connection (http->daemon, fd, address, size) == MHD_YES)
+  if (!is_open) {
+    _vp_http_server_count_refused (VP_HTTP_CAUSE_ADDRESS);
+    close (fd);
+    g_free (conn);
+    return;
+  }
+  if (MHD_add_connection (http->daemon, fd, (const struct sockaddr *)address, size) == MHD_YES)
     return;
   g_warning ("can't serve an accepted connection");
   pthread_mutex_lock (&http->lock);
   http->connection_count--;
+  vp_http_budget_remove (&http->budget, &conn->entry);
   g_hash_table_remove (http->adopted, GINT_TO_POINTER (fd));
   pthread_mutex_unlock (&http->lock);
+  g_free (conn);
+}
+
+/* Returns true if another connection may be accepted. At the limit a connection is closed for it if
+ * the kernel has completed one. */
+static bool
+_vp_http_server_make_room (VpHttpServer *http)
+{
+  struct pollfd completed = { .fd = http->listen_fd, .events = POLLIN };
+  VpHttpBudgetEntry *victim;
+  bool has_room;
+
+  pthread_mutex_lock (&http->lock);
+  has_room = vp_http_budget_has_room (&http->budget, _vp_http_server_now_ms (), &victim)
+             && http->connection_count
+                    < http->budget.limits.connections_max + VP_HTTP_SERVER_CLOSING_MAX;
+  for (int i = 0; !has_room && victim != NULL && i < VP_HTTP_SERVER_VICTIMS_MAX; i++) {
+    if (http->connection_count >= http->budget.limits.connections_max + VP_HTTP_SERVER_CLOSING_MAX
+        || poll (&completed, 1, 0) != 1)
+      break;
+    _vp_http_server_close_victim (http, victim, VP_HTTP_CAUSE_CONNECTIONS);
+    has_room = vp_http_budget_has_room (&http->budget, _vp_http_server_now_ms (), &victim);
+  }
+  pthread_mutex_unlock (&http->lock);
+  return has_room;
 }
 
 /* Sets the TTL below which the kernel drops packets to a socket; 0 for no limit. A listening socket
@@ -93,20 +266,16 @@
   return setsockopt (fd, IPPROTO_IP, IP_MINTTL, &ttl, sizeof ttl) == 0;
 }
 
-/* Accepts the connections that the kernel has completed, at most until there are @limit. Returns
+/* Accepts the connections that the kernel has completed, up to the limit if @is_limited. Returns
  * false if some may be left. The accept lock is held. */
 static bool
-_vp_http_server_accept_backlog (VpHttpServer *http, uint32_t limit)
+_vp_http_server_accept_backlog (VpHttpServer *http, bool is_limited)
 {
   for (;;) {
     struct sockaddr_storage address;
     socklen_t size = sizeof address;
-    uint32_t count;
     int fd;
-    pthread_mutex_lock (&http->lock);
-    count = http->connection_count;
-    pthread_mutex_unlock (&http->lock);
-    if (count >= limit)
+    if (is_limited && !_vp_http_server_make_room (http))
       return false;
     fd = accept4 (http->listen_fd, (struct sockaddr *)&address, &size,
                   SOCK_CLOEXEC | SOCK_NONBLOCK);
@@ -114,7 +283,7 @@
     if (fd >= 0 && __atomic_load_n (&http->is_quiesced, __ATOMIC_RELAXED))
       _vp_http_server_set_min_ttl (fd, 0);
     if (fd >= 0)
-      _vp_http_server_adopt (http, fd, (struct sockaddr *)&address, size);
+      _vp_http_server_adopt (http, fd, &address, size);
     else if (errno == EAGAIN || errno == EINVAL)
       return true;
     else if (errno == EMFILE || errno == ENFILE || errno == ENOBUFS || errno == ENOMEM)
@@ -132,7 +301,7 @@
 
   pthread_mutex_lock (&http->accept_lock);
   if (!__atomic_load_n (&http->is_quiesced, __ATOMIC_RELAXED)) {
-    is_complete = _vp_http_server_accept_backlog (http, http->desc.connections_max);
+    is_complete = _vp_http_server_accept_backlog (http, true);
     watch.events = is_complete ? EPOLLIN : 0;
     epoll_ctl (http->epoll_fd, EPOLL_CTL_MOD, http->listen_fd, &watch);
   }
@@ -149,7 +318,7 @@
   bool is_stopping = false;
 
   while (!is_stopping) {
-    int wait_ms = _vp_http_server_close_slow (http);
+    int wait_ms = _vp_http_server_watch_limits (http);
     int count = epoll_wait (http->epoll_fd, events, G_N_ELEMENTS (events),
                             is_accepting ? wait_ms : MIN (wait_ms, VP_HTTP_SERVER_ACCEPT_RETRY_MS));
     if (!is_accepting)
@@ -172,6 +341,8 @@
   const char *text = http->desc.address;
   VpNetAddress address;
   int one = 1;
+  int receive_size = VP_HTTP_SERVER_RECEIVE_BUFFER;
+  int send_size = VP_HTTP_SERVER_SEND_BUFFER;
 
   if (!vp_net_parse_address (text, &address)) {
     errno = EINVAL;
@@ -181,6 +352,9 @@
   if (http->listen_fd < 0)
     return _vp_http_server_set_error (error, "HTTP socket for", text);
   setsockopt (http->listen_fd, SOL_SOCKET, SO_REUSEADDR, &one, sizeof one);
+  /* Accepted sockets inherit the sizes. */
+  setsockopt (http->listen_fd, SOL_SOCKET, SO_RCVBUF, &receive_size, sizeof receive_size);
+  setsockopt (http->listen_fd, SOL_SOCKET, SO_SNDBUF, &send_size, sizeof send_size);
   if (bind (http->listen_fd, &address.any, address.size) != 0
       || listen (http->listen_fd, VP_HTTP_SERVER_BACKLOG) != 0)
     return _vp_http_server_set_error (error, "HTTP listener on", text);
@@ -224,7 +398,7 @@
   int64_t end_ms = now_ms + VP_HTTP_SERVER_HANDSHAKE_MS;
 
   while (now_ms < end_ms) {
-    _vp_http_server_accept_backlog (http, UINT32_MAX);
+    _vp_http_server_accept_backlog (http, false);
     poll (&completed, 1, (int)(end_ms - now_ms));
     now_ms = _vp_http_server_now_ms ();
   }
@@ -250,7 +424,7 @@
   code = errno;
   /* The shutdown of the listening socket would reset these connections, whose callers may have sent
    * a request. */
-  _vp_http_server_accept_backlog (http, UINT32_MAX);
+  _vp_http_server_accept_backlog (http, false);
   /* Without the shutdown of the socket callers would wait instead of being refused. */
   shutdown (http->listen_fd, SHUT_RDWR);
   pthread_mutex_unlock (&http->accept_lock);
--- a/src/vp-http-server.c
+++ b/src/vp-http-server.c
@@ -10,7 +10,6 @@
 #include <unistd.h>
 
 #define VP_HTTP_SERVER_BODY_MAX          262144
-#define VP_HTTP_SERVER_CONNECTIONS_MAX   4096
 #define VP_HTTP_SERVER_CLIENT_TIMEOUT_MS 10000
 #define VP_HTTP_SERVER_THREADS           2
 /* Buffer of a connection in bytes, which limits the headers of a request. With 4,096 connections
@@ -74,7 +73,9 @@
   struct epoll_event wake = { .events = EPOLLIN, .data.u64 = VP_HTTP_SERVER_WAKE_ID };
   struct epoll_event watch = { .events = EPOLLIN, .data.u64 = VP_HTTP_SERVER_LISTEN_ID };
   /* Longer than the time limit of a request, so that slow clients get the 408 response first. */
-  unsigned timeout_s = (unsigned)((3 * http->desc.client_timeout_ms + 999) / 1000);
+  const VpHttpLimits *limits = &http->budget.limits;
+  int64_t timeout_ms = MAX (limits->receive_timeout_ms, limits->idle_timeout_ms);
+  unsigned timeout_s = (unsigned)((MAX (timeout_ms, limits->send_timeout_ms) * 3 / 2 + 999) / 1000);
 
   http->epoll_fd = epoll_create1 (EPOLL_CLOEXEC);
   http->wake_fd = eventfd (0, EFD_CLOEXEC | EFD_NONBLOCK);
@@ -90,17 +91,32 @@
           | MHD_USE_NO_LISTEN_SOCKET,
       0, NULL, NULL, _vp_http_server_on_request, http, MHD_OPTION_THREAD_POOL_SIZE,
       http->desc.thread_count, MHD_OPTION_CONNECTION_LIMIT,
-      (http->desc.connections_max + VP_HTTP_SERVER_BACKLOG + 1) * http->desc.thread_count,
+      (limits->connections_max + VP_HTTP_SERVER_BACKLOG + 1) * http->desc.thread_count,
       MHD_OPTION_CONNECTION_TIMEOUT, timeout_s, MHD_OPTION_CONNECTION_MEMORY_LIMIT,
       (size_t)VP_HTTP_SERVER_CONNECTION_MEMORY, MHD_OPTION_STRICT_FOR_CLIENT, 1,
       MHD_OPTION_NOTIFY_COMPLETED, _vp_http_server_on_completed, http, MHD_OPTION_NOTIFY_CONNECTION,
-      _vp_http_server_on_connection, http, MHD_OPTION_END);
+      _vp_http_server_on_connection, http, MHD_OPTION_URI_LOG_CALLBACK,
+      _vp_http_server_on_request_line, http, MHD_OPTION_END);
   if (http->daemon == NULL)
     return _vp_http_server_set_error (error, "HTTP server on", http->desc.address);
   http->watcher = g_thread_new ("vp-http-watch", _vp_http_server_watch, http);
   return true;
 }
 
+static void
+_vp_http_server_setup_budget (VpHttpServer *http)
+{
+  VpHttpLimits limits = http->desc.limits;
+
+  if (http->desc.connections_max > 0)
+    limits.connections_max = http->desc.connections_max;
+  if (limits.receive_timeout_ms == 0)
+    limits.receive_timeout_ms = 2 * http->desc.client_timeout_ms;
+  if (limits.idle_timeout_ms == 0)
+    limits.idle_timeout_ms = 2 * http->desc.client_timeout_ms;
+  vp_http_budget_setup (&http->budget, &limits);
+}
+
 VpHttpServer *
 vp_http_server_setup (const VpHttpServerDesc *desc, GError **error)
 {
@@ -109,16 +125,14 @@
   http->desc = *desc;
   if (desc->body_max == 0)
     http->desc.body_max = VP_HTTP_SERVER_BODY_MAX;
-  if (desc->connections_max == 0)
-    http->desc.connections_max = VP_HTTP_SERVER_CONNECTIONS_MAX;
   if (desc->client_timeout_ms == 0)
     http->desc.client_timeout_ms = VP_HTTP_SERVER_CLIENT_TIMEOUT_MS;
   if (desc->thread_count == 0)
     http->desc.thread_count = VP_HTTP_SERVER_THREADS;
+  _vp_http_server_setup_budget (http);
   pthread_mutex_init (&http->accept_lock, NULL);
   pthread_mutex_init (&http->lock, NULL);
   vp_sync_cond_setup (&http->flushed);
-  g_queue_init (&http->receiving);
   http->waiting = g_hash_table_new (g_int64_hash, g_int64_equal);
   http->adopted = g_hash_table_new (NULL, NULL);
   http->listen_fd = http->epoll_fd = http->wake_fd = -1;
@@ -128,6 +142,17 @@
   return NULL;
 }
 
+bool
+vp_http_server_report (VpHttpServer *http, char *out, size_t size)
+{
+  bool is_changed;
+
+  pthread_mutex_lock (&http->lock);
+  is_changed = vp_http_budget_report (&http->budget, _vp_http_server_now_ms (), out, size);
+  pthread_mutex_unlock (&http->lock);
+  return is_changed;
+}
+
 uint16_t
 vp_http_server_port (const VpHttpServer *http)
 {
@@ -149,13 +174,19 @@
 static bool
 _vp_http_server_is_receiving (const VpHttpServer *http)
 {
+  static const VpHttpPhase phases[]
+      = { VP_HTTP_PHASE_IDLE, VP_HTTP_PHASE_HEADERS, VP_HTTP_PHASE_SMALL, VP_HTTP_PHASE_LARGE,
+          VP_HTTP_PHASE_DISCARD };
+
   if (g_hash_table_size (http->adopted) > 0)
     return true;
-  for (const GList *l = http->receiving.head; l != NULL; l = l->next) {
-    const VpHttpServerConnection *conn = l->data;
-    int unread_size = 0;
-    if (conn->has_headers || (ioctl (conn->fd, FIONREAD, &unread_size) == 0 && unread_size > 0))
-      return true;
+  for (guint i = 0; i < G_N_ELEMENTS (phases); i++) {
+    for (const GList *l = http->budget.phases[phases[i]].head; l != NULL; l = l->next) {
+      const VpHttpServerConnection *conn = l->data;
+      int unread_size = 0;
+      if (conn->has_headers || (ioctl (conn->fd, FIONREAD, &unread_size) == 0 && unread_size > 0))
+        return true;
+    }
   }
   return false;
 }
@@ -223,6 +254,7 @@
     close (http->wake_fd);
   g_hash_table_unref (http->waiting);
   g_hash_table_unref (http->adopted);
+  vp_http_budget_clear (&http->budget);
   pthread_cond_destroy (&http->flushed);
   pthread_mutex_destroy (&http->lock);
   pthread_mutex_destroy (&http->accept_lock);
--- a/src/vp-http-server.h
+++ b/src/vp-http-server.h
@@ -13,6 +13,7 @@
 #pragma once
 
 #include "vp-event.h"
+#include "vp-http-budget.h"
 
 typedef struct _VpHttpServer VpHttpServer;
 
@@ -26,7 +27,8 @@
   const char *authorization; /* Authorization header, or NULL */
   int64_t deadline_ms;       /* how long the caller waits; 0 if it does not say */
   const char *body;
-  size_t body_size; /* bytes */
+  size_t body_size;     /* bytes */
+  bool is_body_skipped; /* the request has a body that wants_body() has declined */
 } VpHttpRawRequest;
 
 typedef struct {
@@ -36,11 +38,17 @@
   /* If not NULL, it is called for every request on HTTP threads, instead of routing requests by the
    * paths of docs/api.md. It may reply to the handle. */
   void (*on_raw_request) (const VpHttpRawRequest *raw, void *data);
+  /* If not NULL, it is called on HTTP threads when the headers of a request with a body are
+   * complete. If it returns false, the body is discarded as it arrives. */
+  bool (*wants_body) (const VpHttpRawRequest *raw, void *data);
   const char *deadline_header; /* name of the request header with the caller's time-out in
                                   milliseconds, or NULL */
   uint32_t body_max;           /* bytes; 0 for 262,144 */
-  uint32_t connections_max;    /* 0 for 4,096 */
-  int64_t client_timeout_ms;   /* 0 for 10,000 */
+  bool is_bodyless;            /* requests with a body are refused at once */
+  bool is_logging;             /* refusals and closed connections are logged through GLib */
+  uint32_t connections_max;    /* 0 for that of @limits */
+  int64_t client_timeout_ms;   /* 0 for 10,000; the default of the times in @limits is twice it */
+  VpHttpLimits limits;         /* 0 in a field for the default */
   uint32_t thread_count;       /* 0 for 2 */
 } VpHttpServerDesc;
 
@@ -62,6 +70,10 @@
 /* Refuses further requests, waits up to 2 s until those that callers have sent are refused and all
  * replies are written, then closes all connections. Posted requests without a reply are cut off. */
 void vp_http_server_shutdown (VpHttpServer *http);
+/* Writes what was refused and closed since the last report to @out, as key=value pairs. Returns
+ * false if nothing was, or if the last report was a short time ago. May be called from any thread.
+ */
+bool vp_http_server_report (VpHttpServer *http, char *out, size_t size);
 /* Returns the port that the server listens on. It is chosen by the system if the address has port
  * 0. */
 uint16_t vp_http_server_port (const VpHttpServer *http);
--- a/src/vp-metrics.c
+++ b/src/vp-metrics.c
@@ -67,6 +67,26 @@
   = { "tasks_given_up", "Tasks given up since workers crashed under them" },
   [VP_COUNTER_INHERITED_STARTS]
   = { "inherited_starts", "Starts of tasks that an earlier leader may have started" },
+  [VP_COUNTER_INTAKE_REFUSED_LENGTH]
+  = { "intake_refused_length", "Requests refused for the length of their body" },
+  [VP_COUNTER_INTAKE_REFUSED_UNWANTED]
+  = { "intake_refused_unwanted", "Requests refused by their headers, whose body was discarded" },
+  [VP_COUNTER_INTAKE_REFUSED_BYTES]
+  = { "intake_refused_bytes", "Requests refused as no memory for bodies was left" },
+  [VP_COUNTER_INTAKE_REFUSED_ADDRESS]
+  = { "intake_refused_address", "Connections refused as their address had too many" },
+  [VP_COUNTER_INTAKE_REFUSED_NODES]
+  = { "intake_refused_nodes", "Bodies refused for the number of their JSON values" },
+  [VP_COUNTER_INTAKE_CLOSED_BYTES]
+  = { "intake_closed_bytes", "Connections closed to free the memory of their bodies" },
+  [VP_COUNTER_INTAKE_CLOSED_CONNECTIONS]
+  = { "intake_closed_connections", "Connections closed in favour of new ones" },
+  [VP_COUNTER_INTAKE_CLOSED_IDLE]
+  = { "intake_closed_idle", "Connections closed after a time without a request" },
+  [VP_COUNTER_INTAKE_CLOSED_RECEIVE]
+  = { "intake_closed_receive", "Connections closed as a request arrived too slowly" },
+  [VP_COUNTER_INTAKE_CLOSED_SEND]
+  = { "intake_closed_send", "Connections closed as an answer was read too slowly" },
 };
 
 static const VpMetricText vp_gauge_texts[VP_GAUGE_LAST] = {
@@ -80,6 +100,8 @@
   [VP_GAUGE_WORKERS_UNKNOWN]
   = { "workers_unknown", "Workers of an earlier leader that have not told what they run" },
   [VP_GAUGE_COMMIT_AGE_MS] = { "commit_age_ms", "Milliseconds since the leader's last commit" },
+  [VP_GAUGE_INTAKE_CONNECTIONS] = { "intake_connections", "Connections of callers" },
+  [VP_GAUGE_INTAKE_BYTES] = { "intake_bytes", "Bytes of bodies that are being received" },
 };
 
 static const VpMetricText vp_hist_texts[VP_HIST_LAST] = {
