Settings: read the fields of the intake limits

Both daemons refuse unknown fields, so the tests of client floods need these fields before the limits exist. vp-intake-settings reads them once for both. They have no effect yet, except that body_max and connections_max of verbenapulleyd keep theirs; an explicit 0 now stands for their default, too.

--- a/src/vp-settings.c
+++ b/src/vp-settings.c
@@ -9,6 +9,8 @@
   VP_SETTINGS_BYTES_MAX = 1024 * 1024,
   VP_SETTINGS_OPERATORS_MAX = 256,
   VP_SETTINGS_STORES_MAX = 16,
+  VP_SETTINGS_BODY_MAX_DEFAULT = 262144,
+  VP_SETTINGS_CONNECTIONS_MAX_DEFAULT = 4096,
   /* Two heartbeats may be lost before keys are no longer trusted. */
   VP_SETTINGS_HEARTBEATS_PER_KEY_TRUST = 3,
 };
@@ -145,8 +147,12 @@
   _vp_settings_read_operators (json, settings);
   _vp_settings_read_platform (json, settings);
   _vp_settings_read_times (json, settings);
-  settings->body_max = (uint32_t)vp_json_int (json, "body_max", 1024, 1048576, 262144);
-  settings->connections_max = (uint32_t)vp_json_int (json, "connections_max", 8, 65536, 4096);
+  vp_intake_settings_read (json, &settings->intake);
+  settings->body_max
+      = settings->intake.body_max > 0 ? settings->intake.body_max : VP_SETTINGS_BODY_MAX_DEFAULT;
+  settings->connections_max = settings->intake.connections_max > 0
+                                  ? settings->intake.connections_max
+                                  : VP_SETTINGS_CONNECTIONS_MAX_DEFAULT;
   settings->pending_max = (uint32_t)vp_json_int (json, "pending_max", 1, 1000000, 10000);
   settings->is_log_json = vp_json_bool (json, "log_json", false);
   settings->is_learning_addresses = vp_json_bool (json, "learn_addresses", true);
--- a/src/vp-settings.h
+++ b/src/vp-settings.h
@@ -7,7 +7,7 @@
  */
 #pragma once
 
-#include "vp-types.h"
+#include "vp-intake-settings.h"
 
 /* An entry process of the deployment, this one or another. */
 typedef struct {
@@ -42,6 +42,7 @@
   uint32_t connections_max;  /* default 4,096 */
   int64_t client_timeout_ms; /* time-out of slow clients, default 10,000 */
   uint32_t pending_max;      /* unanswered requests in this process, default 10,000 */
+  VpIntakeSettings intake;   /* no effect yet, except for the two fields above */
   bool is_log_json;          /* log lines are JSON objects with GLib's fields */
   /* Setting "learn_addresses": messages to a member go to the address in its last heartbeat. It is
    * off where the members are reached through forwarders; default true. */
--- a/tests/test-docs.c
+++ b/tests/test-docs.c
@@ -76,7 +76,8 @@
   g_autofree char *page = _read_file ("docs/OPERATIONS.md");
   g_autofree char *source = _read_file (path);
   g_autoptr (GRegex) regex
-      = g_regex_new ("(?:vp_json_(?:int|bool|string|name|array|size)|_read_address|_vp_config_int) "
+      = g_regex_new ("(?:vp_json_(?:int|bool|string|name|array|size)|_read_address|_vp_config_int|"
+                     "_vp_intake_settings_int) "
                      "\\(&?\\w+,\\s*\"(\\w+)\"",
                      0, 0, NULL);
   g_autoptr (GMatchInfo) match = NULL;
@@ -100,6 +101,7 @@
   g_test_add_func ("/docs/counters", test_counters);
   g_test_add_func ("/docs/reasons", test_reasons);
   g_test_add_data_func ("/docs/settings", "src/vp-settings.c", test_fields);
+  g_test_add_data_func ("/docs/intake-settings", "src/vp-intake-settings.c", test_fields);
   g_test_add_data_func ("/docs/config", "src/vp-config.c", test_fields);
   return g_test_run ();
 }
--- a/tests/test-settings.c
+++ b/tests/test-settings.c
@@ -34,6 +34,15 @@
     { WITH (",\"heartbeat_ms\":1001"), "heartbeat_ms: must be at most a third" },
     { WITH (",\"config_fresh_ms\":900"), "heartbeat_ms: must be at most a third" },
     { WITH (",\"body_max\":1"), "body_max: must be from" },
+    { WITH (",\"body_max\":0,\"connections_max\":0"), NULL },
+    { WITH (",\"connections_max\":7"), "connections_max: must be from" },
+    { WITH (",\"json_nodes_max\":-1"), "json_nodes_max: must be from" },
+    { WITH (",\"intake_bytes_max\":1048575"), "intake_bytes_max: must be from" },
+    { WITH (",\"memory_mib\":120,\"descriptors_max\":3075,\"intake_bytes_max\":8388608,"
+            "\"intake_small_bytes\":16384,\"connections_per_address_max\":0,"
+            "\"receive_bytes_per_s_min\":1024,\"receive_timeout_ms\":10000,"
+            "\"send_timeout_ms\":10000,\"json_nodes_max\":65536"),
+      NULL },
     { WITH (",\"log_json\":\"yes\""), "log_json: must be true or false" },
     { WITH (",\"operators\":[{\"name\":\"o\",\"key_sha256\":\"x\"}]"),
       "operators[0].key_sha256: must be 64" },
