Intake limits: settings, routes before bodies, values in JSON text

A node checks method, route and key when the headers are complete, and discards a body that can't matter; it still answers such a request by its own configuration. The number of values in a body is checked before it is parsed.

--- a/src/vp-frontend.c
+++ b/src/vp-frontend.c
@@ -121,7 +121,10 @@
 /* Determines the kind of the request. @rest is the path after the queue's prefix. Returns false if
  * the request was replied to at once. */
 static bool
-_vp_frontend_classify (VpFrontendRequest *pending, const char *rest, VpNodeEffects *effects)
+_vp_frontend_classify (VpFrontendRequest *pending,
+                       const char *rest,
+                       int64_t now_ms,
+                       VpNodeEffects *effects)
 {
   VpCallerRequest *request = &pending->request;
 
@@ -140,6 +143,12 @@
                         effects);
     return false;
   }
+  if (request->kind == VP_CALLER_REQUEST_SUBMIT && request->is_body_skipped) {
+    /* The configuration has changed since its headers arrived. */
+    _vp_frontend_reject (request, "body-skipped", VP_FRONTEND_NO_LEADER_RETRY_AFTER_MS, now_ms,
+                         effects);
+    return false;
+  }
   if (request->kind == VP_CALLER_REQUEST_SUBMIT && request->spec == NULL) {
     _vp_frontend_reply (request->handle, VP_REPLY_MALFORMED, effects);
     return false;
@@ -181,7 +190,7 @@
     _vp_frontend_reply (request->handle, VP_REPLY_BAD_KEY, effects);
     return false;
   }
-  if (!_vp_frontend_classify (pending, rest, effects))
+  if (!_vp_frontend_classify (pending, rest, now_ms, effects))
     return false;
   g_strlcpy (pending->queue, queue->name, sizeof pending->queue);
   if (request->spec != NULL) {
--- a/src/vp-http-budget.c
+++ b/src/vp-http-budget.c
@@ -9,12 +9,9 @@
 #define VP_HTTP_BUDGET_BYTES_MAX   ((uint64_t)64 * 1024 * 1024)
 #define VP_HTTP_BUDGET_SMALL_BYTES 16384
 /* Memory of a connection: 8 KiB of libmicrohttpd, its descriptor, and what the kernel holds. */
-#define VP_HTTP_BUDGET_CONNECTION_BYTES ((uint64_t)24 * 1024)
-#define VP_HTTP_BUDGET_CONNECTION_SHARE 4
-/* Descriptors that are not for sockets, and share of the others that callers may use, in percent: a
- * leader of 350 workers holds some 1,000 sockets of workers, the store and other nodes. */
-#define VP_HTTP_BUDGET_DESCRIPTORS_RESERVE 200
-#define VP_HTTP_BUDGET_DESCRIPTORS_PERCENT 35
+#define VP_HTTP_BUDGET_CONNECTION_BYTES    ((uint64_t)24 * 1024)
+#define VP_HTTP_BUDGET_CONNECTION_SHARE    4
+#define VP_HTTP_BUDGET_DESCRIPTORS_RESERVE 200 /* not for sockets */
 #define VP_HTTP_BUDGET_CONNECTIONS_MIN     8
 #define VP_HTTP_BUDGET_CONNECTIONS_MAX     4096
 /* Callers wait 3 s for an answer, and the largest body has 262,144 bytes. */
@@ -47,22 +44,24 @@
 };
 
 static uint32_t
-_vp_http_limits_connections (uint64_t memory_bytes, uint64_t descriptors_max)
+_vp_http_limits_connections (uint64_t memory_bytes, uint64_t descriptors_max, uint32_t percent)
 {
   uint64_t count = VP_HTTP_BUDGET_CONNECTIONS_MAX;
+  uint64_t reserve = MIN (descriptors_max, VP_HTTP_BUDGET_DESCRIPTORS_RESERVE);
 
   if (memory_bytes > 0)
     count = MIN (count,
                  memory_bytes / VP_HTTP_BUDGET_CONNECTION_SHARE / VP_HTTP_BUDGET_CONNECTION_BYTES);
   if (descriptors_max > 0)
-    count
-        = MIN (count, (descriptors_max - MIN (descriptors_max, VP_HTTP_BUDGET_DESCRIPTORS_RESERVE))
-                          * VP_HTTP_BUDGET_DESCRIPTORS_PERCENT / 100);
+    count = MIN (count, (descriptors_max - reserve) * percent / 100);
   return (uint32_t)MAX (count, VP_HTTP_BUDGET_CONNECTIONS_MIN);
 }
 
 void
-vp_http_limits_complete (VpHttpLimits *limits, uint64_t memory_bytes, uint64_t descriptors_max)
+vp_http_limits_complete (VpHttpLimits *limits,
+                         uint64_t memory_bytes,
+                         uint64_t descriptors_max,
+                         uint32_t percent)
 {
   if (limits->bytes_max == 0)
     limits->bytes_max = memory_bytes == 0
@@ -72,7 +71,7 @@
   if (limits->small_bytes == 0)
     limits->small_bytes = VP_HTTP_BUDGET_SMALL_BYTES;
   if (limits->connections_max == 0)
-    limits->connections_max = _vp_http_limits_connections (memory_bytes, descriptors_max);
+    limits->connections_max = _vp_http_limits_connections (memory_bytes, descriptors_max, percent);
   if (limits->receive_bytes_per_s_min == 0)
     limits->receive_bytes_per_s_min = VP_HTTP_BUDGET_RECEIVE_BYTES_PER_S;
   if (limits->receive_timeout_ms == 0)
@@ -88,7 +87,7 @@
 {
   memset (budget, 0, sizeof *budget);
   budget->limits = *limits;
-  vp_http_limits_complete (&budget->limits, 0, 0);
+  vp_http_limits_complete (&budget->limits, 0, 0, 100);
   for (int i = 0; i < VP_HTTP_PHASE_COUNT; i++)
     g_queue_init (&budget->phases[i]);
   g_queue_init (&budget->requests);
--- a/src/vp-http-budget.h
+++ b/src/vp-http-budget.h
@@ -1,7 +1,7 @@
 /* Limits on the input of an HTTP server from clients outside the operators' control: bytes,
  * connections and times. Decides without a network; the caller closes connections and frees bodies.
  *
- *   vp_http_limits_complete (&limits, memory_bytes, descriptors_max);
+ *   vp_http_limits_complete (&limits, memory_bytes, descriptors_max, percent);
  *   vp_http_budget_setup (&budget, &limits);
  *   vp_http_budget_open (&budget, entry, address, now_ms);       // a connection was accepted
  *   vp_http_budget_begin (&budget, entry, now_ms);               // request line
@@ -90,9 +90,12 @@
   int64_t trim_next_ms;
 } VpHttpBudget;
 
-/* Fills in the defaults for a process with @memory_bytes and @descriptors_max; 0: unknown. */
-void
-vp_http_limits_complete (VpHttpLimits *limits, uint64_t memory_bytes, uint64_t descriptors_max);
+/* Fills in the defaults for a server of a process with @memory_bytes and @descriptors_max; 0:
+ * unknown. @percent of the descriptors are for the connections of this server. */
+void vp_http_limits_complete (VpHttpLimits *limits,
+                              uint64_t memory_bytes,
+                              uint64_t descriptors_max,
+                              uint32_t percent);
 
 void vp_http_budget_setup (VpHttpBudget *budget, const VpHttpLimits *limits);
 void vp_http_budget_clear (VpHttpBudget *budget);
--- a/src/vp-http-server-accept.c
+++ b/src/vp-http-server-accept.c
@@ -21,8 +21,9 @@
  * VM. Without a size they grow to some megabytes for a client that doesn't read its answers. */
 #define VP_HTTP_SERVER_RECEIVE_BUFFER 8192
 #define VP_HTTP_SERVER_SEND_BUFFER    16384
-/* Connections that are closed and not yet released by the HTTP threads, above the limit. */
-#define VP_HTTP_SERVER_CLOSING_MAX 64
+/* Share of connections that are closed and not yet released by the HTTP threads, above the limit.
+ */
+#define VP_HTTP_SERVER_CLOSING_SHARE 16
 /* Connections that are looked at to make room for a new one. */
 #define VP_HTTP_SERVER_VICTIMS_MAX 16
 /* Longest sleep of the watcher thread while connections are open. */
@@ -232,20 +233,20 @@
 _vp_http_server_make_room (VpHttpServer *http)
 {
   struct pollfd completed = { .fd = http->listen_fd, .events = POLLIN };
+  uint32_t limit = http->budget.limits.connections_max;
+  uint32_t closing_max = limit / VP_HTTP_SERVER_CLOSING_SHARE + 1;
   VpHttpBudgetEntry *victim;
   bool has_room;
 
   pthread_mutex_lock (&http->lock);
-  has_room = vp_http_budget_has_room (&http->budget, _vp_http_server_now_ms (), &victim)
-             && http->connection_count
-                    < http->budget.limits.connections_max + VP_HTTP_SERVER_CLOSING_MAX;
+  has_room = vp_http_budget_has_room (&http->budget, _vp_http_server_now_ms (), &victim);
   for (int i = 0; !has_room && victim != NULL && i < VP_HTTP_SERVER_VICTIMS_MAX; i++) {
-    if (http->connection_count >= http->budget.limits.connections_max + VP_HTTP_SERVER_CLOSING_MAX
-        || poll (&completed, 1, 0) != 1)
+    if (http->connection_count >= limit + closing_max || poll (&completed, 1, 0) != 1)
       break;
     _vp_http_server_close_victim (http, victim, VP_HTTP_CAUSE_CONNECTIONS);
     has_room = vp_http_budget_has_room (&http->budget, _vp_http_server_now_ms (), &victim);
   }
+  has_room = has_room && http->connection_count < limit + closing_max;
   pthread_mutex_unlock (&http->lock);
   return has_room;
 }
--- a/src/vp-http-server-request.c
+++ b/src/vp-http-server-request.c
@@ -1,4 +1,5 @@
 #include "vp-http-server-private.h"
+#include "vp-json.h"
 #include "vp-metrics.h"
 
 #include <errno.h>
@@ -451,6 +452,12 @@
   body = _vp_http_server_join (chunks, call->body_size);
   if (!is_open)
     return MHD_NO;
+  if (!call->is_refused
+      && !vp_json_check_count (body, call->body_size, http->desc.json_nodes_max)) {
+    _vp_http_server_refuse (call, vp_reason_http_status (VP_REASON_TOO_LARGE), VP_REASON_TOO_LARGE,
+                            "too many values");
+    vp_metrics_add (VP_COUNTER_INTAKE_REFUSED_NODES, 1);
+  }
   if (call->is_refused)
     return _vp_http_server_queue_refusal (http, call);
   if (http->desc.on_raw_request != NULL)
--- a/src/vp-http-server.c
+++ b/src/vp-http-server.c
@@ -9,7 +9,9 @@
 #include <sys/ioctl.h>
 #include <unistd.h>
 
-#define VP_HTTP_SERVER_BODY_MAX          262144
+#define VP_HTTP_SERVER_BODY_MAX 262144
+/* A configuration of 262,144 bytes has up to 14,000. */
+#define VP_HTTP_SERVER_JSON_NODES_MAX    16384
 #define VP_HTTP_SERVER_CLIENT_TIMEOUT_MS 10000
 #define VP_HTTP_SERVER_THREADS           2
 /* Buffer of a connection in bytes, which limits the headers of a request. With 4,096 connections
@@ -127,6 +129,8 @@
     http->desc.body_max = VP_HTTP_SERVER_BODY_MAX;
   if (desc->client_timeout_ms == 0)
     http->desc.client_timeout_ms = VP_HTTP_SERVER_CLIENT_TIMEOUT_MS;
+  if (desc->json_nodes_max == 0)
+    http->desc.json_nodes_max = VP_HTTP_SERVER_JSON_NODES_MAX;
   if (desc->thread_count == 0)
     http->desc.thread_count = VP_HTTP_SERVER_THREADS;
   _vp_http_server_setup_budget (http);
--- a/src/vp-http-server.h
+++ b/src/vp-http-server.h
@@ -48,6 +48,7 @@
   bool is_logging;             /* refusals and closed connections are logged through GLib */
   uint32_t connections_max;    /* 0 for that of @limits */
   int64_t client_timeout_ms;   /* 0 for 10,000; the default of the times in @limits is twice it */
+  uint32_t json_nodes_max;     /* values in the JSON text of a body; 0 for 16,384 */
   VpHttpLimits limits;         /* 0 in a field for the default */
   uint32_t thread_count;       /* 0 for 2 */
 } VpHttpServerDesc;
--- a/src/vp-intake-settings.c
+++ b/src/vp-intake-settings.c
@@ -1,5 +1,9 @@
 #include "vp-intake-settings.h"
 
+#include <string.h>
+#include <sys/resource.h>
+#include <sys/sysinfo.h>
+
 /* Reads an integer that is 0 or from @min to @max. */
 static int64_t
 _vp_intake_settings_int (VpJson *json, const char *field, int64_t min, int64_t max)
@@ -34,3 +38,40 @@
   intake->send_timeout_ms = _vp_intake_settings_int (json, "send_timeout_ms", 100, 600000);
   intake->json_nodes_max = (uint32_t)_vp_intake_settings_int (json, "json_nodes_max", 256, 1 << 20);
 }
+
+static uint64_t
+_vp_intake_settings_memory_bytes (const VpIntakeSettings *intake)
+{
+  struct sysinfo info;
+
+  if (intake->memory_mib > 0)
+    return (uint64_t)intake->memory_mib * 1024 * 1024;
+  return sysinfo (&info) == 0 ? (uint64_t)info.totalram * info.mem_unit : 0;
+}
+
+static uint64_t
+_vp_intake_settings_descriptors (const VpIntakeSettings *intake)
+{
+  struct rlimit limit;
+
+  if (intake->descriptors_max > 0)
+    return intake->descriptors_max;
+  return getrlimit (RLIMIT_NOFILE, &limit) == 0 && limit.rlim_cur != RLIM_INFINITY ? limit.rlim_cur
+                                                                                   : 0;
+}
+
+void
+vp_intake_settings_limits (const VpIntakeSettings *intake, uint32_t percent, VpHttpLimits *out)
+{
+  memset (out, 0, sizeof *out);
+  out->bytes_max = intake->intake_bytes_max;
+  out->small_bytes = intake->intake_small_bytes;
+  out->connections_max = intake->connections_max;
+  out->per_address_max = intake->connections_per_address_max;
+  out->receive_bytes_per_s_min = intake->receive_bytes_per_s_min;
+  vp_http_limits_complete (out, _vp_intake_settings_memory_bytes (intake),
+                           _vp_intake_settings_descriptors (intake), percent);
+  out->receive_timeout_ms = intake->receive_timeout_ms;
+  out->send_timeout_ms = intake->send_timeout_ms;
+  out->idle_timeout_ms = 0;
+}
--- a/src/vp-intake-settings.h
+++ b/src/vp-intake-settings.h
@@ -7,6 +7,7 @@
  */
 #pragma once
 
+#include "vp-http-budget.h"
 #include "vp-json.h"
 
 typedef struct {
@@ -24,3 +25,9 @@
 } VpIntakeSettings;
 
 void vp_intake_settings_read (VpJson *json, VpIntakeSettings *intake);
+/* Fills in the limits of one HTTP server. @percent of the descriptors of the process are for its
+ * connections. Defaults follow from the memory and the descriptors that the settings state, and
+ * otherwise from those of the system. Times that the settings don't state stay 0, as their defaults
+ * follow from the server's time-out. */
+void
+vp_intake_settings_limits (const VpIntakeSettings *intake, uint32_t percent, VpHttpLimits *out);
--- a/src/vp-json-check.c
+++ b/src/vp-json-check.c
@@ -315,3 +315,21 @@
   _vp_json_scan_whitespace (&scan);
   return scan.at == scan.end || _vp_json_scan_set_error (&scan, "text after the end of the value");
 }
+
+bool
+vp_json_check_count (const char *text, size_t size, uint32_t count_max)
+{
+  uint32_t count = 1;
+  bool is_string = false;
+
+  /* In valid text each value but the first follows a comma or the start of an object or array. */
+  for (size_t i = 0; i < size && count <= count_max; i++) {
+    if (is_string && text[i] == '\\')
+      i++;
+    else if (text[i] == '"')
+      is_string = !is_string;
+    else if (!is_string && (text[i] == ',' || text[i] == '{' || text[i] == '['))
+      count++;
+  }
+  return count <= count_max;
+}
--- a/src/vp-json.h
+++ b/src/vp-json.h
@@ -100,6 +100,9 @@
 /* Checks the syntax of JSON text without parsing it into objects, by the rules of vp_json_open().
  * The root may be any value. */
 bool vp_json_check_syntax (const char *text, size_t size, GError **error);
+/* Returns true if @text certainly has at most @count_max values, objects and arrays included. It
+ * takes no memory, so it is called before a body of a client is parsed. */
+bool vp_json_check_count (const char *text, size_t size, uint32_t count_max);
 /* Parses @text with @parser if vp_json_check_syntax() accepts it. All JSON from outside the process
  * has to be parsed by this function or by vp_json_open(), since json-glib alone overflows the stack
  * on deeply nested text and wraps large integers around. */
--- a/src/vp-node-events.h
+++ b/src/vp-node-events.h
@@ -30,7 +30,9 @@
   char path[VP_HOST_MAX * 2];
   char key[VP_KEY_MAX]; /* empty: the request has no key */
   int64_t wait_ms;      /* how long the caller waits for the reply; 0: unknown */
-  VpJobSpec *spec;      /* SUBMIT: the job; NULL: the body is malformed */
+  VpJobSpec *spec;      /* SUBMIT: the job; NULL: the body is malformed or was skipped */
+  /* The body was not kept, as a configuration of that time rejected the request by its headers. */
+  bool is_body_skipped;
 } VpCallerRequest;
 
 typedef enum {
--- a/src/vp-runtime.c
+++ b/src/vp-runtime.c
@@ -19,6 +19,8 @@
 #define VP_RUNTIME_SLEEP_MAX_MS 60000
 /* Longest wait at shutdown for threads that block in a call to the platform. */
 #define VP_RUNTIME_JOIN_TIMEOUT_MS 2000
+/* Descriptors for callers' connections; the others are for peers, workers and the store. */
+#define VP_RUNTIME_CALLERS_PERCENT 70
 #define VP_RUNTIME_RETRY_AFTER_S   1 /* of requests that the reducer did not receive */
 
 typedef struct {
@@ -230,6 +232,7 @@
 _vp_runtime_start_servers (VpRuntime *runtime, GError **error)
 {
   const VpSettings *settings = runtime->settings;
+  VpHttpLimits limits;
 
   runtime->peer = vp_peer_setup (&(VpPeerDesc){ .address = settings->peer_address,
                                                 .member = settings->name,
@@ -243,13 +246,17 @@
     if (strcmp (member->name, settings->name) != 0)
       vp_peer_connect (runtime->peer, member->name, member->peer_address);
   }
+  vp_intake_settings_limits (&settings->intake, VP_RUNTIME_CALLERS_PERCENT, &limits);
+  limits.connections_max = MIN (limits.connections_max, settings->connections_max);
   runtime->http = vp_http_server_setup (
       &(VpHttpServerDesc){ .address = settings->http_address,
                            .post = _vp_runtime_on_event,
                            .data = runtime,
                            .body_max = settings->body_max,
-                           .connections_max = settings->connections_max,
-                           .client_timeout_ms = settings->client_timeout_ms },
+                           .is_logging = true,
+                           .client_timeout_ms = settings->client_timeout_ms,
+                           .json_nodes_max = settings->intake.json_nodes_max,
+                           .limits = limits },
       error);
   return runtime->http != NULL;
 }
--- a/src/vp-settings.h
+++ b/src/vp-settings.h
@@ -39,11 +39,11 @@
   int64_t commit_ms;         /* interval of the ledger's commits, default 300 */
   int64_t vmlist_poll_ms;    /* interval of reads of the VM list, default 2,000 */
   uint32_t body_max;         /* bytes of a request's body, default 262,144 */
-  uint32_t connections_max;  /* default 4,096 */
+  uint32_t connections_max;  /* default 4,096; fewer where descriptors or memory are short */
   int64_t client_timeout_ms; /* time-out of slow clients, default 10,000 */
   uint32_t pending_max;      /* unanswered requests in this process, default 10,000 */
-  VpIntakeSettings intake;   /* no effect yet, except for the two fields above */
-  bool is_log_json;          /* log lines are JSON objects with GLib's fields */
+  VpIntakeSettings intake;
+  bool is_log_json; /* log lines are JSON objects with GLib's fields */
   /* Setting "learn_addresses": messages to a member go to the address in its last heartbeat. It is
    * off where the members are reached through forwarders; default true. */
   bool is_learning_addresses;
--- a/tests/test-http-budget.c
+++ b/tests/test-http-budget.c
@@ -50,17 +50,17 @@
   VpHttpLimits tiny = { 0 };
   VpHttpLimits set = { .bytes_max = 7, .connections_max = 9, .idle_timeout_ms = 11 };
 
-  vp_http_limits_complete (&small, 120 * MIB, 3075);
+  vp_http_limits_complete (&small, 120 * MIB, 3075, 35);
   g_assert_cmpuint (small.bytes_max, ==, 15 * MIB);
   g_assert_cmpuint (small.connections_max, ==, 1006);
   g_assert_cmpuint (small.per_address_max, ==, 0);
-  vp_http_limits_complete (&large, 64 * 1024 * MIB, 1 << 20);
+  vp_http_limits_complete (&large, 64 * 1024 * MIB, 1 << 20, 35);
   g_assert_cmpuint (large.bytes_max, ==, 64 * MIB);
   g_assert_cmpuint (large.connections_max, ==, 4096);
-  vp_http_limits_complete (&tiny, MIB, 100);
+  vp_http_limits_complete (&tiny, MIB, 100, 35);
   g_assert_cmpuint (tiny.bytes_max, ==, MIB);
   g_assert_cmpuint (tiny.connections_max, ==, 8);
-  vp_http_limits_complete (&set, 120 * MIB, 3075);
+  vp_http_limits_complete (&set, 120 * MIB, 3075, 35);
   g_assert_cmpuint (set.bytes_max, ==, 7);
   g_assert_cmpuint (set.connections_max, ==, 9);
   g_assert_cmpint (set.idle_timeout_ms, ==, 11);
