--- a/src/vp-http-server-accept.c
+++ b/src/vp-http-server-accept.c
@@ -87,11 +87,11 @@
 void
 _vp_http_server_close (VpHttpServer *http, VpHttpServerConnection *conn, VpHttpCause cause)
 {
+  _vp_http_server_count_closed (cause);
   _vp_http_server_send_closed (conn, cause);
   if (conn->call != NULL)
     _vp_http_server_free_body (conn->call);
   vp_http_budget_close (&http->budget, &conn->entry, cause);
-  _vp_http_server_count_closed (cause);
   shutdown (conn->fd, SHUT_RDWR);
 }
 
