--- a/soak/callers.c
+++ b/soak/callers.c
@@ -15,7 +15,6 @@
 #define VISIBLE_WITHIN_MS   3000 /* each node must know an accepted job after this time */
 #define CANCEL_LATE_MAX_MS  3000
 #define MEASURE_INTERVAL_MS 10
-#define BODY_MAX            4096
 
 typedef struct {
   Soak *soak;
@@ -40,23 +39,19 @@
   const char *address; /* NULL: a random node for each attempt */
 } Canceller;
 
-typedef struct {
-  uint32_t status; /* 0 without a complete reply */
-  uint32_t retry_after_s;
-  char body[BODY_MAX];
-} Reply;
-
 static GPtrArray *_threads;
 
 static void
-_read_reply (ne_request *request, Reply *reply)
+_read_reply (ne_request *request, SoakReply *reply)
 {
   const char *retry_after = ne_get_response_header (request, "Retry-After");
   size_t size = 0;
   ssize_t count;
 
-  while (size < BODY_MAX - 1
-         && (count = ne_read_response_block (request, reply->body + size, BODY_MAX - 1 - size)) > 0)
+  while (
+      size < SOAK_REPLY_MAX - 1
+      && (count = ne_read_response_block (request, reply->body + size, SOAK_REPLY_MAX - 1 - size))
+             > 0)
     size += (size_t)count;
   reply->body[size] = '\0';
   if (ne_end_request (request) != NE_OK)
@@ -66,13 +61,13 @@
       = retry_after == NULL ? 0 : (uint32_t)g_ascii_strtoull (retry_after, NULL, 10);
 }
 
-static void
-_http_call (const char *address,
-            const char *method,
-            const char *path,
-            const char *key,
-            const char *body,
-            Reply *reply)
+void
+soak_callers_call (const char *address,
+                   const char *method,
+                   const char *path,
+                   const char *key,
+                   const char *body,
+                   SoakReply *reply)
 {
   VpNetAddress net;
   const ne_inet_addr *list[1];
@@ -109,9 +104,9 @@
 uint32_t
 soak_callers_get (const char *address, const char *path, const char *key)
 {
-  Reply reply;
+  SoakReply reply;
 
-  _http_call (address, "GET", path, key, NULL, &reply);
+  soak_callers_call (address, "GET", path, key, NULL, &reply);
   return reply.status;
 }
 
@@ -168,8 +163,8 @@
   return job;
 }
 
-static char *
-_job_json (const SimJob *job)
+char *
+soak_callers_job_json (const SimJob *job)
 {
   const SimJobDesc *desc = &job->desc;
   GString *text = g_string_new (NULL);
@@ -195,11 +190,12 @@
 _submit (Caller *caller, SimJob *job, const char *path)
 {
   Soak *soak = caller->soak;
-  g_autofree char *body = _job_json (job);
-  Reply reply;
+  g_autofree char *body = soak_callers_job_json (job);
+  SoakReply reply;
 
   for (int i = 0; i < TRIES_MAX && !_is_stopping (soak); i++) {
-    _http_call (_random_node_address (soak, caller->rand), "POST", path, SOAK_KEY, body, &reply);
+    soak_callers_call (_random_node_address (soak, caller->rand), "POST", path, SOAK_KEY, body,
+                       &reply);
     if (reply.status == 200) {
       g_mutex_lock (&soak->lock);
       job->is_accepted = true;
@@ -231,12 +227,12 @@
   Canceller *canceller = data;
   Soak *soak = canceller->soak;
   SimJob *job = canceller->job;
-  Reply reply = { 0 };
+  SoakReply reply = { 0 };
 
   while (!_is_stopping (soak)) {
-    _http_call (canceller->address != NULL ? canceller->address
-                                           : _random_node_address (soak, canceller->rand),
-                "DELETE", canceller->path, SOAK_KEY, NULL, &reply);
+    soak_callers_call (canceller->address != NULL ? canceller->address
+                                                  : _random_node_address (soak, canceller->rand),
+                       "DELETE", canceller->path, SOAK_KEY, NULL, &reply);
     if (reply.status == 200 || reply.status == 410)
       break;
     _sleep_ms (POLL_INTERVAL_MS);
@@ -305,12 +301,13 @@
 _poll_until_completed (Caller *caller, const SimJob *job, const char *path, int64_t accepted_ms)
 {
   Soak *soak = caller->soak;
-  Reply reply;
+  SoakReply reply;
 
   while (!_is_stopping (soak)) {
     int64_t faults_ended_ms = __atomic_load_n (&soak->faults_ended_ms, __ATOMIC_SEQ_CST);
     int64_t asked_ms = fake_now_ms ();
-    _http_call (_random_node_address (soak, caller->rand), "GET", path, SOAK_KEY, NULL, &reply);
+    soak_callers_call (_random_node_address (soak, caller->rand), "GET", path, SOAK_KEY, NULL,
+                       &reply);
     if (reply.status == 410 && asked_ms > accepted_ms + VISIBLE_WITHIN_MS)
       soak_fail (soak, "GET %s of an accepted job returned status 410", path);
     if (strstr (reply.body, "\"failed\"") != NULL || strstr (reply.body, "\"cancelled\"") != NULL)
@@ -333,13 +330,13 @@
 _poll_until_cancelled (Caller *caller, const SimJob *job, const char *path)
 {
   Soak *soak = caller->soak;
-  Reply reply;
+  SoakReply reply;
 
   while (!_is_stopping (soak)) {
     int64_t faults_ended_ms = __atomic_load_n (&soak->faults_ended_ms, __ATOMIC_SEQ_CST);
     int64_t asked_ms = fake_now_ms ();
-    _http_call (_random_node_address (soak, caller->cancel_rand), "GET", path, SOAK_KEY, NULL,
-                &reply);
+    soak_callers_call (_random_node_address (soak, caller->cancel_rand), "GET", path, SOAK_KEY,
+                       NULL, &reply);
     if (strstr (reply.body, "\"cancelled\"") != NULL)
       return;
     if (strstr (reply.body, "\"completed\"") != NULL) {
@@ -439,10 +436,10 @@
 _submit_once (gpointer data)
 {
   Canceller *submission = data;
-  g_autofree char *body = _job_json (submission->job);
-  Reply reply;
+  g_autofree char *body = soak_callers_job_json (submission->job);
+  SoakReply reply;
 
-  _http_call (submission->address, "POST", submission->path, SOAK_KEY, body, &reply);
+  soak_callers_call (submission->address, "POST", submission->path, SOAK_KEY, body, &reply);
   g_mutex_lock (&submission->soak->lock);
   submission->job->is_accepted = reply.status == 200;
   submission->soak->accepted_count += reply.status == 200 ? 1 : 0;
