--- a/Makefile
+++ b/Makefile
@@ -9,7 +9,7 @@
 SECONDS ?= 30
 SOAK_SECONDS ?= 300
 SOAK_JOBS ?= 3
-FUZZERS = config grants msg platform request route settings
+FUZZERS = config grants http msg platform request route settings
 
 .PHONY: all deps build check proofs demo bench fuzz soak soak-core format format-check lint clean
 
