Peers: refuse clients of ZeroMQ's first protocol version

Bytes that aren't of ZeroMQ were taken as messages of that version and queued: 320 connections that sent HTTP requests to the peers' port took 180 MB. With a domain set, ZeroMQ closes such connections.

--- a/src/vp-peer.c
+++ b/src/vp-peer.c
@@ -30,6 +30,7 @@
 /* Bytes of a message. A configuration or an answer has up to 1 MiB, the rest is for other fields.
  */
 #define VP_PEER_MESSAGE_MAX ((int64_t)2 * 1024 * 1024)
+#define VP_PEER_ZAP_DOMAIN  "verbenapulley"
 /* Messages that are received before the command queue is checked again. */
 #define VP_PEER_BATCH 64
 
@@ -249,6 +250,10 @@
   _vp_peer_set_option (peer->router, ZMQ_RCVHWM, VP_PEER_RECV_HIGH_WATER);
   _vp_peer_set_option (peer->router, ZMQ_IPV6, peer->desc.address[0] == '[');
   _vp_peer_set_option (peer->router, ZMQ_HANDSHAKE_IVL, VP_PEER_CONNECT_TIMEOUT_MS);
+  /* With a domain, ZeroMQ refuses clients of its first protocol version, as which it takes any
+   * bytes that aren't its own, such as an HTTP request. Nothing else changes, as there is no
+   * handler that authenticates peers. */
+  zmq_setsockopt (peer->router, ZMQ_ZAP_DOMAIN, VP_PEER_ZAP_DOMAIN, strlen (VP_PEER_ZAP_DOMAIN));
   zmq_setsockopt (peer->router, ZMQ_MAXMSGSIZE, &(int64_t){ VP_PEER_MESSAGE_MAX },
                   sizeof (int64_t));
   if (zmq_bind (peer->router, endpoint) != 0
