Peers: silent clients take no descriptors

Each connection to the peers' port took a descriptor until the handshake timed out after 1 s. The listener is made here and handed to ZeroMQ, with TCP_DEFER_ACCEPT: a connection is accepted once its client has sent something, which peers do at once.

--- a/src/vp-peer.c
+++ b/src/vp-peer.c
@@ -6,6 +6,7 @@
 
 #include <errno.h>
 #include <gio/gio.h>
+#include <netinet/tcp.h>
 #include <string.h>
 #include <sys/eventfd.h>
 #include <unistd.h>
@@ -31,6 +32,10 @@
  */
 #define VP_PEER_MESSAGE_MAX ((int64_t)2 * 1024 * 1024)
 #define VP_PEER_ZAP_DOMAIN  "verbenapulley"
+/* Time after which a connection is accepted although its client has sent nothing. */
+#define VP_PEER_SILENT_S 10
+/* Connections that the kernel holds until they are accepted. */
+#define VP_PEER_BACKLOG 1024
 /* Messages that are received before the command queue is checked again. */
 #define VP_PEER_BATCH 64
 
@@ -232,9 +237,30 @@
   return NULL;
 }
 
+/* Returns a listening socket that accepts a connection only when its client has sent something, so
+ * that silent clients take no descriptors. Peers send at once. Returns -1 and sets errno on error.
+ */
+static int
+_vp_peer_listen (const VpNetAddress *address)
+{
+  int one = 1;
+  int wait_s = VP_PEER_SILENT_S;
+  int fd = socket (address->any.sa_family, SOCK_STREAM | SOCK_CLOEXEC | SOCK_NONBLOCK, 0);
+
+  if (fd < 0)
+    return -1;
+  setsockopt (fd, SOL_SOCKET, SO_REUSEADDR, &one, sizeof one);
+  setsockopt (fd, IPPROTO_TCP, TCP_DEFER_ACCEPT, &wait_s, sizeof wait_s);
+  if (bind (fd, &address->any, address->size) == 0 && listen (fd, VP_PEER_BACKLOG) == 0)
+    return fd;
+  close (fd);
+  return -1;
+}
+
 static bool
 _vp_peer_bind (VpPeer *peer, GError **error)
 {
+  int fd;
   g_autofree char *endpoint = g_strdup_printf ("tcp://%s", peer->desc.address);
   char bound[VP_ADDRESS_MAX + 8];
   size_t size = sizeof bound;
@@ -245,7 +271,14 @@
                  peer->desc.address);
     return false;
   }
+  fd = _vp_peer_listen (&address);
+  if (fd < 0) {
+    g_set_error (error, G_IO_ERROR, G_IO_ERROR_FAILED, "peer address %s: %s", peer->desc.address,
+                 g_strerror (errno));
+    return false;
+  }
   peer->router = zmq_socket (peer->context, ZMQ_ROUTER);
+  _vp_peer_set_option (peer->router, ZMQ_USE_FD, fd);
   _vp_peer_set_option (peer->router, ZMQ_LINGER, 0);
   _vp_peer_set_option (peer->router, ZMQ_RCVHWM, VP_PEER_RECV_HIGH_WATER);
   _vp_peer_set_option (peer->router, ZMQ_IPV6, peer->desc.address[0] == '[');
