--- a/src/vp-http-server-request.c
+++ b/src/vp-http-server-request.c
@@ -421,21 +421,18 @@
   return is_open;
 }
 
-/* Joins and frees the parts of a body. */
-static char *
+/* Joins and frees the parts of a body of @size bytes. */
+static GByteArray *
 _vp_http_server_join (VpHttpServerChunk *chunk, size_t size)
 {
-  char *body = g_malloc (size + 1);
-  size_t at = 0;
+  GByteArray *body = g_byte_array_sized_new ((guint)size + 1);
 
   while (chunk != NULL) {
     VpHttpServerChunk *next = chunk->next;
-    memcpy (body + at, chunk->data, chunk->used);
-    at += chunk->used;
+    g_byte_array_append (body, (const guint8 *)chunk->data, chunk->used);
     g_free (chunk);
     chunk = next;
   }
-  body[at] = '\0';
   return body;
 }
 
@@ -444,16 +441,17 @@
 _vp_http_server_finish (VpHttpServer *http, VpHttpServerCall *call)
 {
   g_autoptr (GError) error = NULL;
-  g_autofree char *body = NULL;
+  g_autoptr (GByteArray) body = NULL;
   VpHttpServerChunk *chunks;
   VpRequest *request;
+  const char *data;
   bool is_open = _vp_http_server_end_receiving (http, call, &chunks);
 
   body = _vp_http_server_join (chunks, call->body_size);
+  data = (const char *)body->data;
   if (!is_open)
     return MHD_NO;
-  if (!call->is_refused
-      && !vp_json_check_count (body, call->body_size, http->desc.json_nodes_max)) {
+  if (!call->is_refused && !vp_json_check_count (data, body->len, http->desc.json_nodes_max)) {
     _vp_http_server_refuse (call, vp_reason_http_status (VP_REASON_TOO_LARGE), VP_REASON_TOO_LARGE,
                             "too many values");
     vp_metrics_add (VP_COUNTER_INTAKE_REFUSED_NODES, 1);
@@ -461,8 +459,8 @@
   if (call->is_refused)
     return _vp_http_server_queue_refusal (http, call);
   if (http->desc.on_raw_request != NULL)
-    return _vp_http_server_suspend (http, call, NULL, body, call->body_size);
-  request = vp_http_route_finish (&call->route, body, call->body_size, &error);
+    return _vp_http_server_suspend (http, call, NULL, data, body->len);
+  request = vp_http_route_finish (&call->route, data, body->len, &error);
   if (request == NULL) {
     _vp_http_server_refuse (call, 400, VP_REASON_BAD_REQUEST, error->message);
     return _vp_http_server_queue_refusal (http, call);
--- a/tests/test-frontend.c
+++ b/tests/test-frontend.c
@@ -90,6 +90,31 @@
 
 #define JOB "/q/00000000000000ab"
 
+/* Guards against a valid job that is rejected for good because its body was discarded by an earlier
+ * configuration, in which it had no queue. */
+static void
+test_body_skipped (void)
+{
+  VpCallerRequest request
+      = { .handle = 1, .kind = VP_CALLER_REQUEST_SUBMIT, .is_body_skipped = true };
+  Fixture fixture;
+
+  _setup (&fixture);
+  g_strlcpy (request.host, "host", sizeof request.host);
+  g_strlcpy (request.path, JOB, sizeof request.path);
+  g_strlcpy (request.key, "secret", sizeof request.key);
+  vp_frontend_request (fixture.frontend, &request, fixture.config, fixture.now_ms,
+                       &fixture.effects);
+  _assert_reply (&fixture, VP_REPLY_REJECTED);
+  g_assert_cmpuint (fixture.effects.items[0].reply.retry_after_ms, >, 0);
+  _clear (&fixture);
+  g_strlcpy (request.path, "/other/00000000000000ab", sizeof request.path);
+  vp_frontend_request (fixture.frontend, &request, fixture.config, fixture.now_ms,
+                       &fixture.effects);
+  _assert_reply (&fixture, VP_REPLY_NO_QUEUE);
+  _teardown (&fixture);
+}
+
 /* Requests for an unknown queue, with a wrong key, a malformed job id or an unsupported method are
  * replied to at once. */
 static void
@@ -251,6 +276,7 @@
 {
   g_test_init (&argc, &argv, NULL);
   g_test_add_func ("/frontend/admission", test_admission);
+  g_test_add_func ("/frontend/body-skipped", test_body_skipped);
   g_test_add_func ("/frontend/public", test_public);
   g_test_add_func ("/frontend/no-leader", test_no_leader);
   g_test_add_func ("/frontend/no-answer", test_no_answer);
