HTTP server: a connection that waits for this process isn't slow

After a pause of the process, a connection whose answer was ready and not written yet was closed by the time limit for reading answers. It is closed only if bytes of the answer wait for the client.

--- a/src/vp-http-server-accept.c
+++ b/src/vp-http-server-accept.c
@@ -4,6 +4,7 @@
 
 #include <errno.h>
 #include <linux/filter.h>
+#include <linux/sockios.h>
 #include <malloc.h>
 #include <poll.h>
 #include <string.h>
@@ -95,11 +96,15 @@
   shutdown (conn->fd, SHUT_RDWR);
 }
 
+/* Returns true if this process is slow, and not the client: there are bytes of the client that were
+ * not read, or no bytes of the answer that the client hasn't received. */
 static bool
-_vp_http_server_has_unread (const VpHttpServerConnection *conn)
+_vp_http_server_is_own_delay (const VpHttpServerConnection *conn)
 {
   int size = 0;
 
+  if (conn->entry.phase == VP_HTTP_PHASE_SENDING)
+    return ioctl (conn->fd, SIOCOUTQ, &size) == 0 && size == 0;
   return ioctl (conn->fd, FIONREAD, &size) == 0 && size > 0;
 }
 
@@ -108,8 +113,7 @@
 {
   VpHttpServerConnection *conn = (VpHttpServerConnection *)victim;
 
-  /* This process is slow, and not the client. */
-  if (victim->phase != VP_HTTP_PHASE_SENDING && _vp_http_server_has_unread (conn))
+  if (_vp_http_server_is_own_delay (conn))
     vp_http_budget_touch (&http->budget, victim, _vp_http_server_now_ms ());
   else
     _vp_http_server_close (http, conn, cause);
@@ -222,11 +226,12 @@
     return;
   g_warning ("can't serve an accepted connection");
   pthread_mutex_lock (&http->lock);
-  http->connection_count--;
-  vp_http_budget_remove (&http->budget, &conn->entry);
-  g_hash_table_remove (http->adopted, GINT_TO_POINTER (fd));
+  if (g_hash_table_remove (http->adopted, GINT_TO_POINTER (fd))) {
+    http->connection_count--;
+    vp_http_budget_remove (&http->budget, &conn->entry);
+    g_free (conn);
+  }
   pthread_mutex_unlock (&http->lock);
-  g_free (conn);
 }
 
 /* Returns true if another connection may be accepted. At the limit a connection is closed for it if
