--- a/src/vp-metrics.c
+++ b/src/vp-metrics.c
@@ -97,6 +97,26 @@
   = { "admission_in_time", "Completed jobs that ended by the expected end" },
   [VP_COUNTER_ADMISSION_TOO_SOON]
   = { "admission_too_soon", "Completed jobs that ended before their earliest possible end" },
+  [VP_COUNTER_INTAKE_REFUSED_LENGTH]
+  = { "intake_refused_length", "Requests refused for the length of their body" },
+  [VP_COUNTER_INTAKE_REFUSED_UNWANTED]
+  = { "intake_refused_unwanted", "Requests refused by their headers, whose body was discarded" },
+  [VP_COUNTER_INTAKE_REFUSED_BYTES]
+  = { "intake_refused_bytes", "Requests refused as no memory for bodies was left" },
+  [VP_COUNTER_INTAKE_REFUSED_ADDRESS]
+  = { "intake_refused_address", "Connections refused as their address had too many" },
+  [VP_COUNTER_INTAKE_REFUSED_NODES]
+  = { "intake_refused_nodes", "Bodies refused for the number of their JSON values" },
+  [VP_COUNTER_INTAKE_CLOSED_BYTES]
+  = { "intake_closed_bytes", "Connections closed to free the memory of their bodies" },
+  [VP_COUNTER_INTAKE_CLOSED_CONNECTIONS]
+  = { "intake_closed_connections", "Connections closed in favour of new ones" },
+  [VP_COUNTER_INTAKE_CLOSED_IDLE]
+  = { "intake_closed_idle", "Connections closed after a time without a request" },
+  [VP_COUNTER_INTAKE_CLOSED_RECEIVE]
+  = { "intake_closed_receive", "Connections closed as a request arrived too slowly" },
+  [VP_COUNTER_INTAKE_CLOSED_SEND]
+  = { "intake_closed_send", "Connections closed as an answer was read too slowly" },
 };
 
 static const VpMetricText vp_gauge_texts[VP_GAUGE_LAST] = {
@@ -113,6 +133,8 @@
   [VP_GAUGE_EVACUATED_DCS] = { "evacuated_dcs", "Data centres under evacuation" },
   [VP_GAUGE_ADMISSION_CERTAINTY_MILLI]
   = { "admission_certainty_milli", "Thousandths of the known work that count as certain" },
+  [VP_GAUGE_INTAKE_CONNECTIONS] = { "intake_connections", "Connections of callers" },
+  [VP_GAUGE_INTAKE_BYTES] = { "intake_bytes", "Bytes of bodies that are being received" },
 };
 
 static const VpMetricText vp_hist_texts[VP_HIST_LAST] = {
