Lists of a worker are ordered by its clock where two HOLDs were open

Cause: a worker has up to two open HOLDs. Of their answers the list that was made first may be received last, on the connection of the HOLD that was sent last, so the time of sending doesn't show its age. The run whose end the other answer had reported was taken on again, and its task waited for the next list. If the next run of the task was starting there, the list counted as the answer to its start; the following list, without a run, then ended it without a stop, and the task was started again although the worker might still carry out the unanswered start: two runs at the same time.

Change: of lists whose HOLDs were open at the same time, one with an earlier clock of the worker is taken as overtaken. Of such a list only the ends count, as before.

--- a/src/vp-reconcile.c
+++ b/src/vp-reconcile.c
@@ -346,6 +346,17 @@
   worker->is_restart_unlisted = false;
 }
 
+/* Returns true if a later list of the worker has been handled. Of two HOLDs that were open at the
+ * same time, the one that was sent first may be answered last, as it waits for an end, and its
+ * answer be received first. The worker's clock tells the order of their answers. */
+static bool
+_vp_reconcile_is_overtaken (const VpCellWorker *worker, const VpCommandResult *result)
+{
+  return result->sent_ms < worker->list_sent_ms
+         || (result->sent_ms <= worker->list_received_ms && result->clock_ms > 0
+             && result->clock_ms < worker->list_clock_ms);
+}
+
 bool
 vp_reconcile_handle_list (VpReconcile *reconcile,
                           VpCellWorker *worker,
@@ -372,9 +383,10 @@
   seen_before = worker->last_end_seen;
   _vp_reconcile_handle_ends (reconcile, worker, result, now_ms);
   /* Of a list that was overtaken by a later one, only the ends, which are numbered, are new. */
-  if (result->sent_ms < worker->list_sent_ms)
+  if (_vp_reconcile_is_overtaken (worker, result))
     return false;
   worker->list_sent_ms = result->sent_ms;
+  worker->list_clock_ms = result->clock_ms;
   worker->list_received_ms = result->received_ms;
   _vp_reconcile_handle_running (reconcile, worker, result, listed, now_ms);
   if (result->ended == NULL || result->ended->len < VP_RECONCILE_ENDS_MAX)
--- a/src/vp-workerlist.c
+++ b/src/vp-workerlist.c
@@ -217,6 +217,7 @@
     worker->silent_until_ms = _vp_workerlist_leases_until_ms (worker_list->hold_max_ms, now_ms);
   worker->booted_ms = booted_ms;
   worker->clock_ms = worker->clock_at_ms = worker->lease_end_ms = worker->list_sent_ms = 0;
+  worker->list_clock_ms = 0;
   worker->last_end_seen = worker->last_end_staged = worker->last_end_durable = 0;
   worker->failed_jobs = worker->failed_runs = worker->quarantine_level = 0;
   worker->avoid_until_ms = 0;
--- a/src/vp-workerlist.h
+++ b/src/vp-workerlist.h
@@ -86,6 +86,7 @@
   VpPendingHold overdue_hold; /* an earlier one whose answer was overdue when the last one was sent
                                  and still is */
   int64_t list_sent_ms;       /* sending time of the latest HOLD whose list of runs was handled */
+  int64_t list_clock_ms;      /* the worker's clock in its answer */
   int64_t list_received_ms;   /* time at which its answer was received; 0: none yet */
   int64_t last_answer_ms;     /* time of the last answer */
   int64_t alive_ms;           /* its process hadn't crashed before this time */
--- a/tests/test-cell-hold.c
+++ b/tests/test-cell-hold.c
@@ -434,6 +434,99 @@
   _teardown (&fixture);
 }
 
+/* Lets the worker "w0" report in answer to @first that its only run ended without a result, and
+ * lets its answer to @second, from just before the end, be received up to @delay_ms later. */
+static void
+_end_before_list (Fixture *fixture,
+                  const VpJob *job,
+                  const VpCommand *first,
+                  int64_t first_ms,
+                  const VpCommand *second,
+                  int64_t delay_ms)
+{
+  VpRunningEntry running = { .is_task = true, .task.job = job->spec->id, .run = 1 };
+  VpEndedEntry ended
+      = { .number = 1, .is_task = true, .task.job = job->spec->id, .run = 1, .end = VP_RUN_OTHER };
+  int64_t second_ms = fixture->now_ms;
+  VpCommandResult list, result;
+
+  fixture->now_ms += 10;
+  list = _answer_to (fixture, second, second_ms);
+  g_array_append_val (list.running, running);
+  fixture->now_ms += 10;
+  result = _answer_to (fixture, first, first_ms);
+  g_array_append_val (result.ended, ended);
+  _apply (fixture, &result);
+  for (int64_t until_ms = fixture->now_ms + delay_ms; fixture->now_ms < until_ms;) {
+    fixture->now_ms += 10;
+    _decide (fixture);
+    if (_find_command (fixture, VP_COMMAND_START) != NULL)
+      break;
+  }
+  list.received_ms = fixture->now_ms;
+  _apply (fixture, &list);
+}
+
+/* Guards against a list that was made before the end of a run, but is received after it since its
+ * connection is slower: the run would be taken on again, and its task wait for the next list. */
+static void
+test_list_before_end (void)
+{
+  Fixture fixture;
+  VpCommand first, second;
+  VpJob *job;
+  int64_t first_ms;
+
+  _setup (&fixture, 1, false);
+  _sync (&fixture);
+  job = _run_one (&fixture, 1000);
+  first = _await_hold (&fixture, 1);
+  first_ms = fixture.now_ms;
+  second = _await_hold (&fixture, first.hold);
+  _end_before_list (&fixture, job, &first, first_ms, &second, 0);
+  g_assert_cmpuint (job->assigned_count, ==, 0);
+  fixture.now_ms += 100;
+  _decide (&fixture);
+  g_assert_cmpuint (_count_commands (&fixture, VP_COMMAND_START), ==, 1);
+  _teardown (&fixture);
+}
+
+/* Guards against a task that runs twice: such a list must not count as the answer to the start of
+ * the task's next run, which the worker leaves unanswered and may carry out after it has listed no
+ * run. Only a stop, which the worker keeps, rules that out. */
+static void
+test_list_before_start (void)
+{
+  Fixture fixture;
+  VpCommandResult result;
+  VpCommand first, second, third;
+  VpJob *job;
+  int64_t first_ms;
+  uint32_t stop_count = 0;
+
+  _setup (&fixture, 1, false);
+  _sync (&fixture);
+  job = _run_one (&fixture, 1000);
+  first = _await_hold (&fixture, 1);
+  first_ms = fixture.now_ms;
+  second = _await_hold (&fixture, first.hold);
+  _end_before_list (&fixture, job, &first, first_ms, &second, 50);
+  g_assert_cmpuint (_count_commands (&fixture, VP_COMMAND_START), ==, 1);
+  third = _await_hold (&fixture, second.hold);
+  fixture.now_ms += 10;
+  result = _answer_to (&fixture, &third, fixture.now_ms - 10);
+  _apply (&fixture, &result);
+  g_assert_cmpuint (job->assigned_count, ==, 1);
+  for (int i = 0; i < 100; i++) {
+    fixture.now_ms += 10;
+    _decide (&fixture);
+    stop_count += _count_commands (&fixture, VP_COMMAND_STOP);
+    g_assert_true (_find_command (&fixture, VP_COMMAND_START) == NULL
+                   || _find_command (&fixture, VP_COMMAND_START)->run == 2 || stop_count > 0);
+  }
+  _teardown (&fixture);
+}
+
 /* Guards against an acknowledgement that reaches a later life of the worker: the answer of the
  * earlier life to the first HOLD arrives after that of the later life to the second one. */
 static void
@@ -613,6 +706,8 @@
   g_test_add_func ("/cell-hold/unanswered", test_unanswered_holds);
   g_test_add_func ("/cell-hold/calm", test_calm);
   g_test_add_func ("/cell-hold/lists-out-of-order", test_lists_out_of_order);
+  g_test_add_func ("/cell-hold/list-before-end", test_list_before_end);
+  g_test_add_func ("/cell-hold/list-before-start", test_list_before_start);
   g_test_add_func ("/cell-hold/restart-between-lists", test_restart_between_lists);
   g_test_add_func ("/cell-hold/lost-worker", test_lost_worker);
   g_test_add_func ("/cell-hold/paused-scheduler", test_paused_scheduler);
