--- a/tests/test-pf-store.c
+++ b/tests/test-pf-store.c
@@ -8,6 +8,11 @@
 /* A watch call is answered after this time even without a change. */
 #define WATCH_WAIT_MS 200
 #define TIMEOUT_MS    10000
+/* A watch call on a connection that has fallen silent isn't answered for this time. */
+#define SILENT_MS 6000
+/* Starts are sent up to 2,000 ms after their decision, and none may be sent to a DC later than
+ * 5,000 ms after the request to evacuate it. */
+#define NOTICE_MAX_MS 3000
 
 typedef struct {
   uint64_t revision;
@@ -26,6 +31,7 @@
   uint64_t revision;
   uint64_t compacted_revision; /* changes up to this one can't be watched any more */
   uint32_t watch_count;        /* watch calls with the prefix "op/" */
+  bool is_silent;              /* the connection of the next one of these falls silent */
   GPtrArray *prefixes;         /* char *: prefixes of all lists and watches, without repetitions */
   GPtrArray *sets;             /* char *: posted sets of DCs, in order: "a,b" */
   uint64_t config_version;     /* of the last posted configuration */
@@ -92,6 +98,23 @@
   return _end_items (out);
 }
 
+/* Lets the connection be silent if the test asks for that. */
+static void
+_fall_silent (const char *path, const char *prefix)
+{
+  bool is_silent = false;
+
+  g_mutex_lock (&_test.lock);
+  if (_test.is_silent && strcmp (path, "/api/kv-watch") == 0 && g_strcmp0 (prefix, "op/") == 0) {
+    is_silent = true;
+    _test.is_silent = false;
+    g_cond_broadcast (&_test.changed);
+  }
+  g_mutex_unlock (&_test.lock);
+  if (is_silent)
+    g_usleep (SILENT_MS * 1000);
+}
+
 static enum MHD_Result
 _serve (void *data,
         struct MHD_Connection *connection,
@@ -118,6 +141,7 @@
     *body_size = 0;
     return MHD_YES;
   }
+  _fall_silent (path, prefix);
   g_mutex_lock (&_test.lock);
   if (prefix != NULL
       && !g_ptr_array_find_with_equal_func (_test.prefixes, prefix, g_str_equal, NULL))
@@ -236,6 +260,26 @@
               (unsigned)MHD_get_daemon_info (_test.server, MHD_DAEMON_INFO_BIND_PORT)->port);
 }
 
+/* Guards against starts in a DC after the bound, since a watch call on a connection that falls
+ * silent when it is made delays the request to evacuate the DC. */
+static void
+_test_silent_watch (void)
+{
+  int64_t put_us;
+
+  g_mutex_lock (&_test.lock);
+  _test.is_silent = true;
+  while (_test.is_silent)
+    g_cond_wait (&_test.changed, &_test.lock);
+  g_mutex_unlock (&_test.lock);
+  put_us = g_get_monotonic_time ();
+  _put ("op/evacuate/lami", "{}", false);
+  _assert_next_set ("lami");
+  g_test_message ("noticed after %" G_GINT64_FORMAT " ms",
+                  (g_get_monotonic_time () - put_us) / 1000);
+  g_assert_cmpint (g_get_monotonic_time () - put_us, <, NOTICE_MAX_MS * 1000);
+}
+
 /* Guards against a request to evacuate a DC that isn't noticed or stays in force after its
  * withdrawal, also if the withdrawal is missing from the history; against other keys of the
  * operator that are taken for requests; and against a watch of its own for evacuations, as the
@@ -276,6 +320,7 @@
   g_mutex_unlock (&_test.lock);
   _put ("op/evacuate/suva", NULL, true);
   _assert_next_set ("");
+  _test_silent_watch ();
   vp_pf_store_shutdown (store);
 }
 
