A submission during a repeated cancellation is stored before it is accepted

Cause: a cancellation that is repeated more than 30 s after the first one stores the end again. A submission that arrived while that commit was on its way was noted at once, and the success of the commit counted it as stored: the caller was told that the job was accepted, and the next commit left it out, as its end was durable. The next leader knew no such job.

Change: the submission waits for the commit, as it does during the first cancellation.

--- a/src/vp-jobservice.c
+++ b/src/vp-jobservice.c
@@ -269,8 +269,9 @@
 
   if (job != NULL && job->is_unsubmitted) {
     _vp_jobservice_add_waiter (service, message, now_ms);
-    /* Otherwise the submission is noted once the commit that may be in flight is done. */
-    if (job->is_end_durable)
+    /* Otherwise the submission is noted once the commit that may be in flight is done: its success
+     * would count the present state of the job as stored. */
+    if (job->is_end_durable && !job->is_end_outdated)
       _vp_jobservice_note_submission (service, job, message->queue, now_ms);
     return;
   }
--- a/tests/test-jobservice.c
+++ b/tests/test-jobservice.c
@@ -376,6 +376,33 @@
   _teardown (&fixture);
 }
 
+/* Guards against a submission that is accepted and isn't stored: it arrives while the commit that
+ * stores the repeated cancellation for longer is on its way. */
+static void
+test_submission_during_repeated_cancel (void)
+{
+  Fixture fixture;
+  int64_t again_ms = NOW_MS + 10 + KEPT_MS - 100;
+
+  _setup (&fixture);
+  _request (&fixture, VP_NODEMSG_CANCEL, JOB, 1, NOW_MS + 10);
+  _commit (&fixture, NOW_MS + 20);
+  _request (&fixture, VP_NODEMSG_CANCEL, JOB, 2, again_ms);
+  vp_committer_step (fixture.committer, again_ms + 10, &fixture.effects);
+  _submit (&fixture, 3, again_ms + 15);
+  _commit (&fixture, again_ms + 20);
+  g_assert_cmpuint (fixture.answers->len, ==, 2);
+  _commit (&fixture, again_ms + 50);
+  g_assert_cmpuint (fixture.answers->len, ==, 3);
+  g_assert_cmpint (_answer_kind (&fixture, 2), ==, VP_ANSWER_ACCEPTED);
+  _change_leader (&fixture);
+  _request (&fixture, VP_NODEMSG_QUERY, JOB, 4, NOW_MS + 20);
+  g_assert_cmpint (_answer_kind (&fixture, 0), ==, VP_ANSWER_STATE);
+  g_assert_cmpint (g_array_index (fixture.answers, VpJobServiceAnswer, 0).message.state, ==,
+                   VP_JOB_CANCELLED);
+  _teardown (&fixture);
+}
+
 /* Guards against a write to the store for each repeated cancellation: one that is repeated soon is
  * answered at once, as its end is kept long enough. */
 static void
@@ -502,6 +529,8 @@
   g_test_add_func ("/jobservice/repeated-cancel-is-kept", test_repeated_cancel_is_kept);
   g_test_add_func ("/jobservice/repeated-cancel-of-submitted-job",
                    test_repeated_cancel_of_submitted_job);
+  g_test_add_func ("/jobservice/submission-during-repeated-cancel",
+                   test_submission_during_repeated_cancel);
   g_test_add_func ("/jobservice/repeated-cancel-without-write", test_repeated_cancel_without_write);
   g_test_add_func ("/jobservice/cancels-in-outage", test_cancels_in_outage);
   g_test_add_func ("/jobservice/cancel-of-running-job-in-outage",
