A broken connection of an overdue HOLD shows that the worker lived

Cause: the result of a HOLD that broke off was dropped if it was overdue and the worker had answered another command since.

Change: the time is noted before the decision whether the worker is still reachable.

--- a/src/vp-cell-hold.c
+++ b/src/vp-cell-hold.c
@@ -118,18 +118,19 @@
                                  const VpCommandResult *result,
                                  int64_t now_ms)
 {
+  /* Also the end of an overdue HOLD's connection shows how long the process lived. */
+  if (worker->is_reachable)
+    _vp_cell_handle_broken_hold (worker, hold, result);
   if (result->outcome == VP_COMMAND_UNCERTAIN && now_ms > hold->due_ms
       && (worker->last_answer_ms > hold->due_ms
           || (hold->is_probe && worker->overdue_hold.number != 0)))
     return;
   worker->is_relay_silent = result->is_given_up;
-  if (worker->is_reachable) {
+  if (worker->is_reachable)
     vp_log (now_ms, "worker-unreachable",
             "worker=%s outcome=%s waited_ms=%" G_GINT64_FORMAT " silent_ms=%" G_GINT64_FORMAT,
             worker->entry.id, vp_command_outcome_token (result->outcome),
             result->received_ms - result->sent_ms, now_ms - worker->last_answer_ms);
-    _vp_cell_handle_broken_hold (worker, hold, result);
-  }
   worker->is_reachable = false;
 }
 
