--- a/src/vp-outlook.c
+++ b/src/vp-outlook.c
@@ -20,16 +20,20 @@
   uint32_t step_count;
 } VpOutlookChain;
 
-/* Sets @out to the duration of the whole step. */
+/* Sets @step and @task to the durations of the whole step and of one of its tasks. */
 static void
 _vp_outlook_forecast_step (const VpForecast *forecast,
                            const VpForecastKey *key,
-                           VpForecastRange *out)
+                           VpForecastRange *step,
+                           VpForecastRange *task)
 {
-  if (forecast == NULL)
-    *out = (VpForecastRange){ .p50_ms = key->estimate_ms, .p90_ms = key->estimate_ms };
-  else
-    vp_forecast_step (forecast, key, out);
+  if (forecast == NULL) {
+    *step = (VpForecastRange){ .p50_ms = key->estimate_ms, .p90_ms = key->estimate_ms };
+    *task = *step;
+    return;
+  }
+  vp_forecast_step (forecast, key, step);
+  vp_forecast_task (forecast, key, task);
 }
 
 /* Sets @chains to the longest chains from each step, of which @ranges has the durations. */
@@ -101,10 +105,13 @@
   for (uint32_t s = 0; s < spec->step_count; s++) {
     const VpJobStep *other = &occurrence->steps[s];
     VpForecastKey key;
+    VpForecastRange task;
     if (other->waiting_count + other->assigned_count == 0)
       continue;
     vp_jobstep_forecast_key (other, &key);
-    _vp_outlook_forecast_step (forecast, &key, &ranges[s]);
+    _vp_outlook_forecast_step (forecast, &key, &ranges[s], &task);
+    if (s == step->index)
+      step->chain.task_ms = task.p50_ms;
   }
   /* Steps after this one haven't ended, so the ended ones aren't in its chain. */
   _vp_outlook_measure_ended (occurrence, ranges);
@@ -142,7 +149,7 @@
                    const VpForecast *forecast)
 {
   const VpChainForecast *chain = &step->chain;
-  double fixed_ms, share, worthless_fixed_ms;
+  double fixed_ms, share;
 
   /* Advice and reservations are made for the first steps of the order, so it has to be stable: with
    * a new forecast every 250 ms wide tasks waited 10.5 s in the replay of test-reservation, and 8.8
@@ -154,9 +161,6 @@
   share = queue->stretch - 1;
   fixed_ms = (double)queue->latency_target_ms + queue->stretch * (double)chain->other_ms
              - _vp_outlook_overhead_ms (chain->step_count, queue);
-  worthless_fixed_ms
-      = VP_OUTLOOK_WORTHLESS_FACTOR
-        * ((double)queue->latency_target_ms + queue->stretch * (double)chain->other_ms);
   out->objective_ms = queue->latency_target_ms
                       + (int64_t)(queue->stretch * (double)(chain->other_ms + chain->p50_ms));
   out->slack_min_ms
@@ -164,7 +168,41 @@
   out->slack_ms = (int64_t)(fixed_ms + share * (double)chain->p50_ms);
   out->slack_max_ms
       = (int64_t)(fixed_ms + share * (double)(share > 0 ? chain->high_ms : chain->low_ms));
-  out->worthless_ms
-      = (int64_t)(worthless_fixed_ms
-                  + VP_OUTLOOK_WORTHLESS_FACTOR * queue->stretch * (double)chain->high_ms);
+  out->worthless_ms = (int64_t)(VP_OUTLOOK_WORTHLESS_FACTOR
+                                * ((double)queue->latency_target_ms
+                                   + queue->stretch * (double)(chain->other_ms + chain->p50_ms)));
+}
+
+void
+vp_outlook_measure_new (VpOutlookNeeds *out,
+                        const VpJobSpec *spec,
+                        const VpQueueConfig *queue,
+                        const VpForecast *forecast)
+{
+  VpForecastRange ranges[VP_JOBSPEC_STEPS_MAX] = { 0 };
+  VpOutlookChain chains[VP_JOBSPEC_STEPS_MAX];
+  VpOutlookChain longest = { 0 };
+
+  *out = (VpOutlookNeeds){ 0 };
+  for (uint32_t s = 0; s < spec->step_count; s++) {
+    const VpStepSpec *step = &spec->steps[s];
+    VpForecastKey key = { .queue = spec->queue,
+                          .team = spec->team,
+                          .image = step->image,
+                          .task_count = step->task_count,
+                          .size = step->size,
+                          .estimate_ms = step->estimate_ms };
+    VpForecastRange task;
+    _vp_outlook_forecast_step (forecast, &key, &ranges[s], &task);
+    out->work += (double)step->task_count * (double)step->size.cpu_milli * (double)task.p50_ms;
+  }
+  _vp_outlook_sum_chains (spec, ranges, chains);
+  for (uint32_t s = 0; s < spec->step_count; s++) {
+    if (chains[s].p50_ms > longest.p50_ms)
+      longest = chains[s];
+  }
+  out->chain_ms = (int64_t)(longest.p50_ms + _vp_outlook_overhead_ms (longest.step_count, queue));
+  out->limit_ms = (int64_t)(VP_OUTLOOK_WORTHLESS_FACTOR
+                            * ((double)queue->latency_target_ms
+                               + queue->stretch * longest.p50_ms * _vp_outlook_spread (&longest)));
 }
