--- a/src/vp-outlook.c
+++ b/src/vp-outlook.c
@@ -168,9 +168,7 @@
   out->slack_ms = (int64_t)(fixed_ms + share * (double)chain->p50_ms);
   out->slack_max_ms
       = (int64_t)(fixed_ms + share * (double)(share > 0 ? chain->high_ms : chain->low_ms));
-  out->worthless_ms = (int64_t)(VP_OUTLOOK_WORTHLESS_FACTOR
-                                * ((double)queue->latency_target_ms
-                                   + queue->stretch * (double)(chain->other_ms + chain->p50_ms)));
+  out->worthless_ms = VP_OUTLOOK_WORTHLESS_FACTOR * out->objective_ms;
 }
 
 void
