Names after a review: one factor, one beginning of an occurrence

vp-outlook.h has the factor after which a result has no value, and vp-joblist the time at which an occurrence begins; both stood in two modules. is_late_begun says when it applies.

--- a/src/vp-cell-hold.c
+++ b/src/vp-cell-hold.c
@@ -184,7 +184,7 @@
 }
 
 void
-_vp_cell_ends_acknowledged (VpCellWorker *worker, int64_t now_ms)
+_vp_cell_schedule_acknowledgement (VpCellWorker *worker, int64_t now_ms)
 {
   worker->hold_next_ms = MIN (worker->hold_next_ms,
                               MAX (now_ms, worker->last_answer_ms + VP_CELL_HOLD_INTERVAL_MIN_MS));
--- a/src/vp-cell-private.h
+++ b/src/vp-cell-private.h
@@ -63,7 +63,7 @@
                                   const VpCommandResult *result,
                                   int64_t now_ms);
 /* Makes the next HOLD acknowledge ends that are durable now. */
-void _vp_cell_ends_acknowledged (VpCellWorker *worker, int64_t now_ms);
+void _vp_cell_schedule_acknowledgement (VpCellWorker *worker, int64_t now_ms);
 /* Sends the HOLDs that are due. */
 void _vp_cell_send_holds (VpCell *cell, int64_t now_ms, GArray *effects);
 /* Returns the time at which the next HOLD to the worker is due; INT64_MAX: after a result. */
--- a/src/vp-cell-recovery.c
+++ b/src/vp-cell-recovery.c
@@ -54,7 +54,8 @@
   return !vp_cell_has_complete_state (cell) || !_vp_cell_is_verified_worker (worker, now_ms);
 }
 
-/* Does this for the waiting tasks of one step. Returns true if any may run unlisted. */
+/* Adds the waiting tasks of an ended job's step that may run unlisted to @usage. Returns true if
+ * there are any. */
 static bool
 _vp_cell_count_ended_step (VpCell *cell, VpJobStep *step, VpTeamUsage *usage, int64_t now_ms)
 {
--- a/src/vp-cell.c
+++ b/src/vp-cell.c
@@ -384,7 +384,7 @@
     if (worker->last_end_durable == worker->last_end_staged)
       continue;
     worker->last_end_durable = worker->last_end_staged;
-    _vp_cell_ends_acknowledged (worker, now_ms);
+    _vp_cell_schedule_acknowledgement (worker, now_ms);
   }
 }
 
--- a/src/vp-joblist.c
+++ b/src/vp-joblist.c
@@ -64,6 +64,12 @@
   g_free (list);
 }
 
+int64_t
+vp_occurrence_began_ms (const VpJobOccurrence *occurrence)
+{
+  return occurrence->due_ms != 0 ? occurrence->due_ms : occurrence->job->arrived_ms;
+}
+
 bool
 vp_job_is_ended (const VpJob *job)
 {
--- a/src/vp-joblist.h
+++ b/src/vp-joblist.h
@@ -295,6 +295,8 @@
 /* Sets @out to what is known of the step's tasks before they run. The strings belong to the step.
  */
 void vp_jobstep_forecast_key (const VpJobStep *step, VpForecastKey *out);
+/* Returns the time at which the occurrence was due, or its job arrived. */
+int64_t vp_occurrence_began_ms (const VpJobOccurrence *occurrence);
 bool vp_job_is_ended (const VpJob *job);
 const char *vp_job_state_token (VpJobState state);
 
--- a/src/vp-outlook.c
+++ b/src/vp-outlook.c
@@ -9,8 +9,6 @@
 #define VP_OUTLOOK_STEP_MS 100
 /* Number of workers in a typical advice request, see VP_PLACE_CANDIDATES_MIN. */
 #define VP_OUTLOOK_ADVICE_WORKERS 8
-/* A result has no value once the occurrence has taken more than this many times its objective. */
-#define VP_OUTLOOK_WORTHLESS_FACTOR 3
 
 /* Longest chain of steps from one step on. */
 typedef struct {
--- a/src/vp-outlook.h
+++ b/src/vp-outlook.h
@@ -17,6 +17,9 @@
 #include "vp-cellconfig.h"
 #include "vp-joblist.h"
 
+/* A result has no value once the occurrence has taken more than this many times its objective. */
+#define VP_OUTLOOK_WORTHLESS_FACTOR 3
+
 /* Times count from the beginning of the occurrence. A step that starts by @slack_min_ms meets the
  * objective with a probability of about 0.9, by @slack_ms with 0.5, and by @slack_max_ms with 0.1.
  */
--- a/src/vp-place-speed.c
+++ b/src/vp-place-speed.c
@@ -24,9 +24,8 @@
 _vp_place_left_ms (const VpJobStep *step, int64_t now_ms)
 {
   const VpJobOccurrence *occurrence = step->occurrence;
-  int64_t began_ms = occurrence->due_ms != 0 ? occurrence->due_ms : occurrence->job->arrived_ms;
 
-  return began_ms + occurrence->job->objective_ms - now_ms;
+  return vp_occurrence_began_ms (occurrence) + occurrence->job->objective_ms - now_ms;
 }
 
 /* Returns the expected time of the longest chain of steps from the step on. */
--- a/src/vp-stepqueue.c
+++ b/src/vp-stepqueue.c
@@ -3,9 +3,6 @@
 
 #include <string.h>
 
-/* A step counts as worthless once the occurrence of its job has taken more than this many times its
- * objective. */
-#define VP_STEPQUEUE_WORTHLESS_FACTOR 3
 static guint
 _vp_stepqueue_add_pool (VpStepQueue *step_queue, const char *service, int64_t now_ms)
 {
@@ -43,19 +40,13 @@
     return one->lateness < two->lateness ? -1 : 1;
   if (one->queue->priority != two->queue->priority)
     return one->queue->priority < two->queue->priority ? -1 : 1;
-  if (one->has_begun != two->has_begun)
-    return one->has_begun ? -1 : 1;
+  if (one->is_late_begun != two->is_late_begun)
+    return one->is_late_begun ? -1 : 1;
   return one->latest_start_ms == two->latest_start_ms  ? 0
          : one->latest_start_ms < two->latest_start_ms ? -1
                                                        : 1;
 }
 
-static int64_t
-_vp_stepqueue_began_ms (const VpJobOccurrence *occurrence)
-{
-  return occurrence->due_ms != 0 ? occurrence->due_ms : occurrence->job->arrived_ms;
-}
-
 /* Order by estimates. */
 
 /* Returns the target time from the beginning of an occurrence of the job to its completion. */
@@ -78,15 +69,15 @@
                                 int64_t now_ms)
 {
   VpJobOccurrence *occurrence = item->step->occurrence;
-  int64_t began_ms = _vp_stepqueue_began_ms (occurrence);
+  int64_t began_ms = vp_occurrence_began_ms (occurrence);
   int64_t objective_ms = _vp_stepqueue_objective_ms (occurrence->job, item->queue);
 
   (void)step_queue;
   item->latest_start_ms = began_ms + objective_ms - item->step->critical_path_ms;
-  item->worthless_ms = began_ms + VP_STEPQUEUE_WORTHLESS_FACTOR * objective_ms;
+  item->worthless_ms = began_ms + VP_OUTLOOK_WORTHLESS_FACTOR * objective_ms;
   if (item->step->spec->is_long_running)
     item->lateness = VP_LATENESS_ON_TIME;
-  else if (now_ms - began_ms > VP_STEPQUEUE_WORTHLESS_FACTOR * objective_ms)
+  else if (now_ms - began_ms > VP_OUTLOOK_WORTHLESS_FACTOR * objective_ms)
     item->lateness = VP_LATENESS_WORTHLESS;
   else
     item->lateness = now_ms > item->latest_start_ms ? VP_LATENESS_LATE : VP_LATENESS_ON_TIME;
@@ -122,7 +113,7 @@
                                 int64_t now_ms)
 {
   const VpJobOccurrence *occurrence = item->step->occurrence;
-  int64_t began_ms = _vp_stepqueue_began_ms (occurrence);
+  int64_t began_ms = vp_occurrence_began_ms (occurrence);
   VpOutlook outlook;
 
   vp_outlook_update (&outlook, item->step, item->queue, step_queue->desc.forecast);
@@ -139,7 +130,7 @@
    * after all jobs that have more time, the started ones would have run for nothing. */
   if (item->lateness == VP_LATENESS_DOUBTFUL)
     item->lateness = VP_LATENESS_ON_TIME;
-  item->has_begun = item->lateness == VP_LATENESS_LATE;
+  item->is_late_begun = item->lateness == VP_LATENESS_LATE;
 }
 
 const VpStepQueueOrder vp_stepqueue_forecast_order = { .rate = _vp_stepqueue_rate_by_forecast };
--- a/src/vp-stepqueue.h
+++ b/src/vp-stepqueue.h
@@ -39,7 +39,7 @@
   guint pool; /* index in @pools of the pool of the queue's service */
   VpLateness lateness;
   bool is_over_rate;       /* the job exceeded its team's rate of jobs */
-  bool has_begun;          /* the job is late, and a task of the occurrence was started */
+  bool is_late_begun;      /* the job is late, and a task of the occurrence was started */
   int64_t latest_start_ms; /* latest start that still meets the job's objective */
   int64_t worthless_ms;    /* the result most likely has no value after this time */
 } VpStepQueueItem;
--- a/src/vp-workerlist.h
+++ b/src/vp-workerlist.h
@@ -49,7 +49,7 @@
   int64_t due_ms;    /* its answer is overdue after this time; INT64_MAX: never */
   int64_t probed_ms; /* another one was sent at this time, as this one isn't answered */
   bool is_extra;     /* it was sent while an earlier one was open */
-  bool is_probe;     /* the worker hasn't answered since then */
+  bool is_probe;     /* sent while the worker had answered nothing since the earlier one was due */
   bool is_counted;   /* it counts as unanswered, see vp-holdloss.h */
 } VpPendingHold;
 
