--- a/review/standin-2/cell.c
+++ b/review/standin-2/cell.c
@@ -425,6 +425,7 @@
   job->key = key;
   job->body = g_strdup (body);
   job->tasks = 1;
+  job->cpu_milli = 500;
   g_ptr_array_add (cell->jobs, job);
   _submit (job);
   return job;
--- a/review/standin-2/cell.h
+++ b/review/standin-2/cell.h
@@ -27,7 +27,8 @@
   const char *key;
   char *body;
   JobResult result;
-  uint32_t tasks; /* for the caller to set; 1 */
+  uint32_t tasks;    /* for the caller to set; 1 */
+  int64_t cpu_milli; /* of a task; for the caller to set; 500 */
   uint32_t attempts;
   uint32_t unanswered;
   int64_t accepted_ms;
--- a/review/standin-2/main.c
+++ b/review/standin-2/main.c
@@ -114,23 +114,35 @@
 {
   GPtrArray *jobs = cell_jobs (cell);
   g_autofree int64_t *idle_ms = g_new0 (int64_t, jobs->len);
-  int64_t longest_ms = 0;
+  int64_t longest_ms = 0, highest_milli = 0;
 
   for (int at_ms = 0; at_ms < WINDOW_MS && longest_ms < IDLE_MS; at_ms += SAMPLE_MS) {
+    int64_t used_milli = 0;
     cell_wait (SAMPLE_MS);
+    for (guint i = 0; i < jobs->len; i++) {
+      const Job *job = jobs->pdata[i];
+      for (guint w = 0; w < workers; w++)
+        used_milli += worker_running_count (cell_worker (cell, w), job->id) * job->cpu_milli;
+    }
+    highest_milli = MAX (highest_milli, used_milli);
     for (guint i = 0; i < jobs->len; i++) {
       const Job *job = jobs->pdata[i];
       guint running = 0;
       for (guint w = 0; w < workers; w++)
         running += worker_running_count (cell_worker (cell, w), job->id);
-      if (running > 0 || job->result != JOB_ACCEPTED || job->is_cancelled
-          || strcmp (job->key, KEY_A) != 0 || worker_done_tasks (job->id) >= job->tasks)
+      if (running > 0 || 2 * used_milli >= (int64_t)workers * CELL_CPU_MILLI
+          || job->result != JOB_ACCEPTED || job->is_cancelled || strcmp (job->key, KEY_A) != 0
+          || worker_done_tasks (job->id) >= job->tasks)
         idle_ms[i] = 0;
       else
         idle_ms[i] += SAMPLE_MS;
       longest_ms = MAX (longest_ms, idle_ms[i]);
     }
   }
+  fprintf (cell_record (cell),
+           "result: longest idle time=%" G_GINT64_FORMAT " ms; at most %" G_GINT64_FORMAT
+           " of %u thousandths of a core in use\n",
+           longest_ms, highest_milli, workers * CELL_CPU_MILLI);
   return longest_ms >= IDLE_MS;
 }
 
@@ -150,7 +162,7 @@
                          "\"estimate_ms\":100,\"after\":[0]}]}",
                          TASKS);
   Job *cancelled[CANCELS];
-  const Job *backlog;
+  Job *backlog;
   Job *batch, *second;
   guint accepted, uncompleted, unacked = 0;
   uint32_t left;
@@ -164,8 +176,10 @@
   batch = job_submit (cell, "/lohu930/", KEY_A, batch_body);
   second = job_submit (cell, "/lohu930/", KEY_A, batch_body);
   batch->tasks = second->tasks = TASKS + 1;
+  batch->cpu_milli = second->cpu_milli = 200;
   cell_wait (500);
   backlog = job_submit (cell, "/pufi791/", KEY_B, body);
+  backlog->cpu_milli = 4000;
   cell_wait (5000);
   for (guint i = 0; i < CANCELS; i++)
     job_cancel (cancelled[i]);
@@ -207,7 +221,7 @@
   enum { WORKERS = 6, REPEATS = 100, INTERVAL_MS = 100 };
   g_autofree char *body
       = _repeated_job (4, _has_trouble ? 4096 : 4, REPEATS, unix_now_ms (), INTERVAL_MS);
-  const Job *large;
+  Job *large;
   guint accepted, uncompleted;
   bool is_idle;
 
@@ -215,6 +229,7 @@
     _submit_simple (cell, "ms=20000", 500);
   cell_wait (2000);
   large = job_submit (cell, "/pufi791/", KEY_B, body);
+  large->cpu_milli = 4000;
   cell_wait (45000);
   is_idle = _has_idle_job (cell, WORKERS);
   cell_query_all (cell, QUERY_MS);
