review: case 11, one job takes the cell down for good

The stand-ins of the third review come with it: the store and the workers of the platform as processes, and a small deployment of six nodes of the deploy file, whose memory is watched as the platform does it.

Found: the size of a job is bounded for each step and each job, but not their product. A job of 4.9 KB with 64 steps of 4,096 tasks and 8 repeats is accepted; as its occurrences become due the leader passes 260 MB and is killed, claims again, loads the job and is killed again, some 70 times in a minute. No accepted job is answered any more.

--- /dev/null
+++ b/review/standin-3/deployment.h
@@ -0,0 +1,98 @@
+/* A small deployment for the cases: the stand-ins "store" and "worker" and the nodes of the
+ * project, as processes on addresses 127.X.Y.Z of its own. One thread watches the nodes as the
+ * platform does: one that uses more than its memory is killed, and one that has ended is started
+ * again after a short time.
+ *
+ *   deployment_start (&(DeploymentDesc){ .rack_count = 6, .rack_size = 8 });
+ *   deployment_wait_ready ();
+ *   ... deployment_call(), deployment_kill_worker() ...
+ *   return deployment_finish (is_broken);         // the exit code
+ *
+ * The program must run in the root of the repository. It writes what it sees to record.txt in the
+ * folder of the case, and exits with DEPLOYMENT_CANT_RUN if something of its own fails.
+ */
+#pragma once
+
+#include "call.h"
+
+#include <glib.h>
+
+#define DEPLOYMENT_NODES     6
+#define DEPLOYMENT_CANT_RUN  2
+#define DEPLOYMENT_HOST      "desk.example"
+#define DEPLOYMENT_PREFIX    "/batch/"
+#define DEPLOYMENT_KEY       "key-of-the-team"
+#define DEPLOYMENT_MEMORY_MB 260 /* memory_mb of the users' machines */
+
+typedef struct {
+  const char *folder; /* of the case, below the root of the repository */
+  uint32_t rack_count;
+  uint32_t rack_size;
+  int64_t worker_cpu_milli; /* 0: 16,000 */
+  int64_t worker_mem_mib;   /* 0: 32,768 */
+  int64_t stop_ms;          /* time that a worker takes for a stop */
+  int64_t cap_cpu_milli;    /* cap of the team; 0: none */
+} DeploymentDesc;
+
+typedef struct {
+  uint32_t starts; /* of the process */
+  uint32_t ends;   /* times that it ended by itself, or was killed for its memory */
+  uint64_t peak_mb;
+} DeploymentNode;
+
+void deployment_start (const DeploymentDesc *desc);
+/* Waits until all nodes are ready and the workers had the time to be listed. */
+void deployment_wait_ready (void);
+/* Returns true unless the case runs without its disruption. */
+bool deployment_has_trouble (void);
+/* Adds a line with the time to record.txt. */
+void deployment_record (const char *format, ...) G_GNUC_PRINTF (1, 2);
+/* Unix time in ms. */
+int64_t deployment_now_ms (void);
+void deployment_sleep_ms (int64_t time_ms);
+
+/* Calls METHOD PREFIX + JOB on the node, and records the call and its answer. */
+void deployment_call (uint32_t node,
+                      const char *method,
+                      const char *job,
+                      const char *body,
+                      CallReply *out);
+/* The same on the nodes in turn as a client would, with up to @tries tries, until the answer is
+ * final. */
+void deployment_call_retrying (const char *method,
+                               const char *job,
+                               const char *body,
+                               uint32_t tries,
+                               CallReply *out);
+/* Returns the state in an answer, or "" if there is none. To be freed by the caller. */
+char *deployment_state (const CallReply *reply);
+
+uint32_t deployment_worker_count (void);
+/* Returns the rack of the worker, "r0" and so on. */
+const char *deployment_worker_rack (uint32_t worker);
+/* Kills the process of the worker. */
+void deployment_kill_worker (uint32_t worker);
+/* Starts the worker again, as another one at the same address. */
+void deployment_restart_worker (uint32_t worker);
+
+/* A line of the workers' log. */
+typedef struct {
+  int64_t at_ms;
+  uint32_t worker;
+  char event[8]; /* "start", "stop" or "end" */
+  char task[64]; /* ID.K.STEP.INDEX */
+  uint32_t run;
+  char how[16];
+} DeploymentEvent;
+
+/* Returns all events so far, in the order of their time, as DeploymentEvent. */
+GArray *deployment_events (void);
+
+DeploymentNode deployment_node (uint32_t node);
+/* Sends the signal to the process of the node. */
+void deployment_signal_node (uint32_t node, int signal_number);
+/* Returns the node that leads, as its metrics say, or -1. */
+int32_t deployment_leader (void);
+
+/* Ends all processes, completes record.txt and returns the exit code of the case. */
+int deployment_finish (bool is_broken);
