review: case 14, a job whose progress no value of the store can hold

Found: the progress of a job is one value with two bytes for each task that is due, and no limit. A job of 524,288 tasks makes it larger than the store takes; the commit is repeated for good, ends of runs aren't taken note of any more, and jobs that are accepted then are never shown as completed.

--- a/review/14/case.c
+++ b/review/14/case.c
@@ -1,96 +1,108 @@
-/* Case 14: a cancelled job is being stopped while the leader shuts down. See claim.txt. */
+/* Case 14: a job whose progress doesn't fit into a value of the store. See claim.txt. */
 #include "../standin-3/deployment.h"
 
-#include <signal.h>
 #include <string.h>
 
-#define FIRST    "5c0e7a21d94b3614"
-#define SECOND   "5c0e7a21d94b3615"
-#define TASKS    16
-#define TASK_CPU 1000
-#define CAP_CPU  16000
-/* cap x (1 + quota_overshoot) and one task more. */
-#define LIMIT_CPU (CAP_CPU * 11 / 10 + TASK_CPU)
-#define JOB(work)                                                                                  \
-  "{\"spec\":\"work_ms=" work "\",\"steps\":[{\"count\":16,\"cpu\":1000,\"mem_mb\":256,"           \
-  "\"estimate_ms\":" work "}]}"
-#define START_MS 5000
-#define WAIT_MS  8000
+#define HEAVY       "5c0e7a21d94bff14"
+#define HEAVY_STEPS 64
+#define HEAVY_STEP                                                                                 \
+  "{\"count\":4096,\"cpu\":8000,\"mem_mb\":64,\"estimate_ms\":4000,\"requirements\":\"r0\"}"
+#define PLAIN_SPEC                                                                                 \
+  "{\"spec\":\"work_ms=500\",\"steps\":[{\"count\":2,\"cpu\":1000,\"mem_mb\":256,"                 \
+  "\"estimate_ms\":500}]}"
+#define PLAIN_JOBS  20
+#define HEAVY_AFTER 3 /* plain jobs */
+#define GAP_MS      1000
+#define FIRST_MS    3000  /* from the submission to the first occurrence */
+#define FINISH_MS   14000 /* finish_s */
+#define ACK_MS      4000  /* ack_ms */
 
-/* Returns the most processors that the team had running right after a start. */
-static uint32_t
-_peak_cpu (void)
+static char *
+_heavy_spec (void)
 {
-  g_autoptr (GArray) events = deployment_events ();
-  uint32_t running = 0, peak = 0;
+  GString *text = g_string_new ("{\"spec\":\"work_ms=4000\",\"steps\":[");
 
-  for (guint i = 0; i < events->len; i++) {
-    const DeploymentEvent *event = &g_array_index (events, DeploymentEvent, i);
-    if (strcmp (event->event, "start") == 0)
-      running += TASK_CPU;
-    else if (strcmp (event->event, "end") == 0)
-      running -= TASK_CPU;
-    peak = MAX (peak, running);
-  }
-  return peak;
+  for (uint32_t i = 0; i < HEAVY_STEPS; i++)
+    g_string_append_printf (text, "%s%s", i == 0 ? "" : ",", HEAVY_STEP);
+  g_string_append_printf (text,
+                          "],\"first_ms\":%" G_GINT64_FORMAT ",\"interval_ms\":1000,\"repeats\":2}",
+                          deployment_now_ms () + FIRST_MS);
+  return g_string_free (text, FALSE);
 }
 
-static uint32_t
-_count_starts (const char *job)
+static char *
+_plain_id (uint32_t number)
+{
+  return g_strdup_printf ("5c0e7a21d94b37%02x", number);
+}
+
+/* Returns the share of the ends that workers have listed for ACK_MS and that weren't taken note of.
+ */
+static double
+_unseen_share (void)
 {
   g_autoptr (GArray) events = deployment_events ();
-  uint32_t count = 0;
+  int64_t until_ms = deployment_now_ms () - ACK_MS;
+  uint32_t ended = 0, unseen = 0;
 
   for (guint i = 0; i < events->len; i++) {
     const DeploymentEvent *event = &g_array_index (events, DeploymentEvent, i);
-    count += strcmp (event->event, "start") == 0 && g_str_has_prefix (event->task, job) ? 1 : 0;
+    if (event->at_ms > until_ms)
+      break;
+    if (strcmp (event->event, "end") == 0) {
+      ended++;
+      unseen++;
+    } else if (strcmp (event->event, "seen") == 0) {
+      unseen--;
+    }
   }
-  return count;
+  deployment_record ("%u ends were listed, %u of them weren't taken note of", ended, unseen);
+  return ended == 0 ? 0 : (double)unseen / ended;
 }
 
-static bool
-_wait_starts (const char *job, uint32_t count, int64_t time_ms)
+static uint32_t
+_count_incomplete (const bool *is_accepted)
 {
-  int64_t end_ms = deployment_now_ms () + time_ms;
+  uint32_t count = 0;
 
-  while (deployment_now_ms () < end_ms) {
-    if (_count_starts (job) >= count)
-      return true;
-    deployment_sleep_ms (50);
+  for (uint32_t i = 0; i < PLAIN_JOBS; i++) {
+    g_autofree char *job = _plain_id (i);
+    g_autofree char *state = NULL;
+    CallReply reply;
+    if (!is_accepted[i])
+      continue;
+    deployment_call (i % DEPLOYMENT_NODES, "GET", job, NULL, &reply);
+    state = deployment_state (&reply);
+    count += strcmp (state, "completed") == 0 ? 0 : 1;
   }
-  return false;
+  return count;
 }
 
 int
 main (void)
 {
-  int32_t leader;
-  uint32_t node;
+  bool is_accepted[PLAIN_JOBS] = { false };
+  uint32_t accepted_count = 0;
+  double unseen_share;
   CallReply reply;
 
-  deployment_start (&(DeploymentDesc){ .folder = "review/14",
-                                       .rack_count = 3,
-                                       .rack_size = 8,
-                                       .stop_ms = 900,
-                                       .cap_cpu_milli = CAP_CPU });
+  deployment_start (
+      &(DeploymentDesc){ .folder = "review/14", .rack_count = 3, .rack_size = 8, .stop_ms = 100 });
   deployment_wait_ready ();
-  leader = deployment_leader ();
-  deployment_record ("the leader is node %d", leader);
-  node = leader == 0 ? 1 : 0;
-  deployment_call (node, "POST", FIRST, JOB ("30000"), &reply);
-  if (leader < 0 || reply.status != 200 || !_wait_starts (FIRST, TASKS, START_MS))
-    return deployment_finish (false) + DEPLOYMENT_CANT_RUN;
-  deployment_call (node, "POST", SECOND, JOB ("3000"), &reply);
-  deployment_sleep_ms (1000);
-  deployment_call (node, "DELETE", FIRST, NULL, &reply);
-  if (reply.status != 200)
-    return deployment_finish (false) + DEPLOYMENT_CANT_RUN;
-  if (deployment_has_trouble ())
-    deployment_signal_node ((uint32_t)leader, SIGTERM);
-  if (!_wait_starts (SECOND, TASKS, WAIT_MS))
-    deployment_record ("only %u tasks of the second job have started", _count_starts (SECOND));
-  deployment_sleep_ms (1000);
-  deployment_record ("the team had at most %u running, cap %d, limit of the rule %d", _peak_cpu (),
-                     CAP_CPU, LIMIT_CPU);
-  return deployment_finish (_peak_cpu () > LIMIT_CPU);
+  for (uint32_t i = 0; i < PLAIN_JOBS; i++) {
+    g_autofree char *job = _plain_id (i);
+    if (deployment_has_trouble () && i == HEAVY_AFTER) {
+      g_autofree char *heavy = _heavy_spec ();
+      deployment_call_retrying ("POST", HEAVY, heavy, 4, &reply);
+    }
+    deployment_call (i % DEPLOYMENT_NODES, "POST", job, PLAIN_SPEC, &reply);
+    is_accepted[i] = reply.status == 200;
+    accepted_count += is_accepted[i] ? 1 : 0;
+    deployment_sleep_ms (GAP_MS);
+  }
+  deployment_sleep_ms (FINISH_MS);
+  unseen_share = _unseen_share ();
+  deployment_record ("%u of %d plain jobs were accepted, %u of these aren't shown as completed",
+                     accepted_count, PLAIN_JOBS, _count_incomplete (is_accepted));
+  return deployment_finish (unseen_share > 0.2);
 }
--- a/review/standin-3/deployment.c
+++ b/review/standin-3/deployment.c
@@ -480,6 +480,14 @@
   deployment_record ("worker w%02u is back with another identity", worker);
 }
 
+void
+deployment_toggle_unhealthy (uint32_t worker)
+{
+  kill (_run.workers[worker].pid, SIGUSR1);
+  deployment_record ("worker w%02u of rack %s begins or ceases to answer starts with 503", worker,
+                     _run.workers[worker].rack);
+}
+
 static gint
 _compare_events (gconstpointer a, gconstpointer b)
 {
--- a/review/standin-3/deployment.h
+++ b/review/standin-3/deployment.h
@@ -75,11 +75,14 @@
 /* Starts the worker again, as another one at the same address. */
 void deployment_restart_worker (uint32_t worker);
 
+/* Makes the worker answer starts with 503 from now on, or carry them out again. */
+void deployment_toggle_unhealthy (uint32_t worker);
+
 /* A line of the workers' log. */
 typedef struct {
   int64_t at_ms;
   uint32_t worker;
-  char event[8]; /* "start", "stop" or "end" */
+  char event[8]; /* "start", "stop", "end" or "seen" */
   char task[64]; /* ID.K.STEP.INDEX */
   uint32_t run;
   char how[16];
--- a/review/standin-3/worker.c
+++ b/review/standin-3/worker.c
@@ -3,13 +3,15 @@
  *   worker ID ADDRESS STORE ZONE RACK CPU_MILLI MEM_MIB STOP_MS LOG
  *
  * It writes its entry to STORE (the second address of the stand-in "store") with every heartbeat,
- * carries out commands, and appends a line to LOG for each start, stop and end of a run:
- * TIME WORKER start|stop|end TASK RUN [HOW]. What a run does is in the text of its job, by words:
- * "work_ms=N" (how long it works, 100 without it) or "lasts" (until it is stopped).
+ * carries out commands, and appends a line to LOG for each start, stop and end of a run, and for
+ * each end that was taken note of: TIME WORKER start|stop|end|seen TASK RUN [HOW]. What a run does
+ * is in the text of its job, by words: "work_ms=N" (how long it works, 100 without it) or "lasts"
+ * (until it is stopped).
  */
 #include "call.h"
 #include "fake-http.h"
 
+#include <signal.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
@@ -53,6 +55,15 @@
   int64_t hold_until_ms;
 } _worker;
 
+static volatile sig_atomic_t _is_unhealthy;
+
+static void
+_on_signal (int number)
+{
+  (void)number;
+  _is_unhealthy = !_is_unhealthy;
+}
+
 static int64_t
 _clock_ms (void)
 {
@@ -262,8 +273,10 @@
 
   _extend_lease (in);
   while (_worker.ends->len > 0 && ((const End *)_worker.ends->pdata[0])->number <= seen) {
-    g_free (((End *)_worker.ends->pdata[0])->task);
-    g_free (_worker.ends->pdata[0]);
+    End *end = _worker.ends->pdata[0];
+    _write_log ("seen", end->task, end->run, end->how);
+    g_free (end->task);
+    g_free (end);
     g_ptr_array_remove_index (_worker.ends, 0);
   }
   if (wait_ms <= 0 || _worker.ends->len > 0) {
@@ -285,7 +298,9 @@
     return;
   }
   _worker.fence = fence;
-  if (strcmp (call->path, "/api/run-start") == 0)
+  if (strcmp (call->path, "/api/run-start") == 0 && _is_unhealthy)
+    fake_reply_json (call, 503, _answer (NULL));
+  else if (strcmp (call->path, "/api/run-start") == 0)
     _handle_start (call, in);
   else if (strcmp (call->path, "/api/run-stop") == 0)
     _handle_stop (call, in);
@@ -357,6 +372,7 @@
     perror (argv[9]);
     return EXIT_FAILURE;
   }
+  signal (SIGUSR1, _on_signal);
   _worker.born_ms = fake_now_ms ();
   _worker.runs = g_ptr_array_new ();
   _worker.ends = g_ptr_array_new ();
