--- a/review/standin-3/deployment.c
+++ b/review/standin-3/deployment.c
@@ -64,6 +64,7 @@
   Worker workers[WORKERS_MAX];
   uint32_t worker_count;
   uint32_t next_node;
+  uint32_t config_version;
   FILE *record;
   int64_t began_ms;
   GMutex lock;
@@ -310,27 +311,29 @@
   g_strlcpy (worker->zone, zones[rack % ZONES], sizeof worker->zone);
 }
 
-static void
-_put_config (void)
-{
-  g_autofree char *cap
-      = _run.desc.cap_cpu_milli == 0
-            ? g_strdup ("")
-            : g_strdup_printf (",\"cap\":{\"cpu\":%" G_GINT64_FORMAT "}", _run.desc.cap_cpu_milli);
-  g_autofree char *text = g_strdup_printf (
-      "{\"version\":7,\"routes\":[{\"name\":\"batch\",\"host\":\"" DEPLOYMENT_HOST
-      "\",\"prefix\":\"" DEPLOYMENT_PREFIX "\",\"service\":\"desk\",\"priority\":2,"
-      "\"max_attempts\":3,\"stretch\":2.2,\"target_latency_ms\":1200}],"
-      "\"tenants\":[{\"name\":\"team\",\"api_keys\":[\"" DEPLOYMENT_KEY "\"],\"weight\":100%s}],"
-      "\"services\":[{\"name\":\"desk\",\"rejects_overload\":false}],"
-      "\"limits\":{\"max_body_bytes\":262144}}",
-      cap);
+void
+deployment_put_config (bool has_queue)
+{
+  static const char queue[]
+      = "{\"name\":\"batch\",\"host\":\"" DEPLOYMENT_HOST "\",\"prefix\":\"" DEPLOYMENT_PREFIX
+        "\",\"service\":\"desk\",\"priority\":2,\"max_attempts\":3,\"stretch\":2.2,"
+        "\"target_latency_ms\":1200}";
+  g_autofree char *text = NULL;
   CallReply reply;
 
+  _run.config_version += 3;
+  text = g_strdup_printf ("{\"version\":%u,\"routes\":[%s],"
+                          "\"tenants\":[{\"name\":\"team\",\"api_keys\":[\"" DEPLOYMENT_KEY
+                          "\"],\"weight\":100}],"
+                          "\"services\":[{\"name\":\"desk\",\"rejects_overload\":false}],"
+                          "\"limits\":{\"max_body_bytes\":262144}}",
+                          _run.config_version, has_queue ? queue : "");
   call_http (_run.store_own,
              &(CallRequest){ .method = "POST", .path = "/put/op/config", .body = text }, &reply);
   if (reply.status != 200)
     _fail ("the store stand-in doesn't answer");
+  deployment_record ("operator: version %u, %s the queue", _run.config_version,
+                     has_queue ? "with" : "without");
 }
 
 static void
@@ -370,7 +373,7 @@
     _fail ("build the deploy file and the stand-ins first");
   _choose_prefix ();
   _start_store ();
-  _put_config ();
+  deployment_put_config (true);
   for (uint32_t i = 0; i < _run.worker_count; i++) {
     _setup_worker (i);
     _start_worker (i);
--- a/review/standin-3/deployment.h
+++ b/review/standin-3/deployment.h
@@ -31,7 +31,6 @@
   int64_t worker_cpu_milli; /* 0: 16,000 */
   int64_t worker_mem_mib;   /* 0: 32,768 */
   int64_t stop_ms;          /* time that a worker takes for a stop */
-  int64_t cap_cpu_milli;    /* cap of the team; 0: none */
 } DeploymentDesc;
 
 typedef struct {
@@ -41,6 +40,8 @@
 } DeploymentNode;
 
 void deployment_start (const DeploymentDesc *desc);
+/* Lets the operator write the next version of the configuration, with or without the queue. */
+void deployment_put_config (bool has_queue);
 /* Waits until all nodes are ready and the workers had the time to be listed. */
 void deployment_wait_ready (void);
 /* Returns true unless the case runs without its disruption. */
@@ -82,10 +83,10 @@
 typedef struct {
   int64_t at_ms;
   uint32_t worker;
-  char event[8]; /* "start", "stop", "end" or "seen" */
+  char event[8]; /* "start", "stop", "end", "seen" or "given" */
   char task[64]; /* ID.K.STEP.INDEX */
   uint32_t run;
-  char how[16];
+  char how[128]; /* how a run has ended, or its checkpoint */
 } DeploymentEvent;
 
 /* Returns all events so far, in the order of their time, as DeploymentEvent. */
--- a/review/standin-3/worker.c
+++ b/review/standin-3/worker.c
@@ -4,7 +4,8 @@
  *
  * It writes its entry to STORE (the second address of the stand-in "store") with every heartbeat,
  * carries out commands, and appends a line to LOG for each start, stop and end of a run, and for
- * each end that was taken note of: TIME WORKER start|stop|end|seen TASK RUN [HOW]. What a run does
+ * each end that was taken note of: TIME WORKER start|stop|end|seen TASK RUN [HOW]. A start with a
+ * checkpoint has a line "given" before, with the checkpoint. What a run does
  * is in the text of its job, by words: "work_ms=N" (how long it works, 100 without it) or "lasts"
  * (until it is stopped).
  */
@@ -23,12 +24,18 @@
 #define ENDS_MAX        500
 #define WORK_DEFAULT_MS 100
 #define KIND            "a"
+/* A new checkpoint each second: TASK/RUN/SECOND, filled up to this size. */
+#define CHECKPOINT_BYTES 100
+#define CHECKPOINT_MS    1000
 
 typedef struct {
   char *task;
   uint32_t run;
   int64_t ends_ms;    /* time at which its work is done; INT64_MAX: it lasts */
   int64_t stopped_ms; /* time at which a stop takes effect; 0: none */
+  int64_t began_ms;
+  bool is_failing;
+  bool is_saving;
 } Run;
 
 typedef struct {
@@ -161,11 +168,28 @@
 
   *run = (Run){ .task = g_strdup (task),
                 .run = number,
+                .began_ms = fake_now_ms (),
+                .is_failing = number == 1 && strstr (spec, "fails") != NULL,
+                .is_saving = strstr (spec, "saves") != NULL,
                 .ends_ms = work_ms == INT64_MAX ? INT64_MAX : fake_now_ms () + work_ms };
   g_ptr_array_add (_worker.runs, run);
   _write_log ("start", task, number, "");
 }
 
+/* Returns the newest checkpoint of the run, to be freed by the caller. */
+static char *
+_checkpoint (const Run *run)
+{
+  int64_t second = (fake_now_ms () - run->began_ms) / CHECKPOINT_MS;
+  g_autofree char *text = NULL;
+  g_autofree char *fill = g_strnfill (CHECKPOINT_BYTES, '0');
+
+  if (!run->is_saving || second == 0)
+    return g_strdup ("");
+  text = g_strdup_printf ("%s/%u/%" G_GINT64_FORMAT "/%s", run->task, run->run, second, fill);
+  return g_strndup (text, CHECKPOINT_BYTES);
+}
+
 /* Answers. */
 
 static JsonObject *
@@ -189,9 +213,10 @@
   for (guint i = 0; i < _worker.runs->len; i++) {
     const Run *run = _worker.runs->pdata[i];
     JsonArray *row = json_array_new ();
+    g_autofree char *checkpoint = _checkpoint (run);
     json_array_add_string_element (row, run->task);
     json_array_add_int_element (row, run->run);
-    json_array_add_string_element (row, "");
+    json_array_add_string_element (row, checkpoint);
     json_array_add_int_element (row, 100);
     json_array_add_int_element (row, 0);
     json_array_add_array_element (running, row);
@@ -226,6 +251,7 @@
 _handle_start (FakeRequest *call, JsonObject *in)
 {
   const char *task = fake_json_string (in, "task", "");
+  const char *checkpoint = fake_json_string (in, "checkpoint", "");
   uint32_t run = (uint32_t)fake_json_int (in, "run", 0);
   const char *reason = NULL;
 
@@ -235,6 +261,8 @@
     reason = "old";
   if (reason == NULL || strcmp (reason, "old") == 0)
     _extend_lease (in);
+  if (reason == NULL && checkpoint[0] != '\0' && _find_run (task, run) == NULL)
+    _write_log ("given", task, run, checkpoint);
   if (reason == NULL && _find_run (task, run) == NULL)
     _start_run (task, run, fake_json_string (in, "spec", ""));
   fake_reply_json (call, reason == NULL ? 200 : 409, _answer (reason));
@@ -341,7 +369,7 @@
     else if (run->stopped_ms != 0 && now_ms >= run->stopped_ms)
       _end_run (i, "stopped");
     else if (run->stopped_ms == 0 && now_ms >= run->ends_ms)
-      _end_run (i, "done");
+      _end_run (i, run->is_failing ? "failed" : "done");
     else
       i++;
   }
