--- a/review/14/case.c
+++ b/review/14/case.c
@@ -1,79 +1,48 @@
-/* Case 14: a job whose progress doesn't fit into a value of the store. See claim.txt. */
+/* Case 14: a task goes on from a checkpoint that it never had. See claim.txt. */
 #include "../standin-3/deployment.h"
 
 #include <string.h>
 
-#define HEAVY       "5c0e7a21d94bff14"
-#define HEAVY_STEPS 64
-#define HEAVY_STEP                                                                                 \
-  "{\"count\":4096,\"cpu\":8000,\"mem_mb\":64,\"estimate_ms\":4000,\"requirements\":\"r0\"}"
-#define PLAIN_SPEC                                                                                 \
-  "{\"spec\":\"work_ms=500\",\"steps\":[{\"count\":2,\"cpu\":1000,\"mem_mb\":256,"                 \
-  "\"estimate_ms\":500}]}"
-#define PLAIN_JOBS  20
-#define HEAVY_AFTER 3 /* plain jobs */
-#define GAP_MS      1000
-#define FIRST_MS    3000  /* from the submission to the first occurrence */
-#define FINISH_MS   14000 /* finish_s */
-#define ACK_MS      4000  /* ack_ms */
+#define JOB "5c0e7a21d94b3614"
+#define SPEC                                                                                       \
+  "{\"spec\":\"work_ms=8000 saves\",\"steps\":[{\"count\":1,\"cpu\":1000,\"mem_mb\":256,"          \
+  "\"estimate_ms\":8000,\"checkpointing\":true}]}"
+#define CHECKPOINT_BYTES 100   /* as in the stand-in of the workers */
+#define RUN_MS           3500  /* until the crash */
+#define WAIT_MS          14000 /* for the next start */
 
-static char *
-_heavy_spec (void)
-{
-  GString *text = g_string_new ("{\"spec\":\"work_ms=4000\",\"steps\":[");
-
-  for (uint32_t i = 0; i < HEAVY_STEPS; i++)
-    g_string_append_printf (text, "%s%s", i == 0 ? "" : ",", HEAVY_STEP);
-  g_string_append_printf (text,
-                          "],\"first_ms\":%" G_GINT64_FORMAT ",\"interval_ms\":1000,\"repeats\":2}",
-                          deployment_now_ms () + FIRST_MS);
-  return g_string_free (text, FALSE);
-}
-
-static char *
-_plain_id (uint32_t number)
-{
-  return g_strdup_printf ("5c0e7a21d94b37%02x", number);
-}
-
-/* Returns the share of the ends that workers have listed for ACK_MS and that weren't taken note of.
- */
-static double
-_unseen_share (void)
+/* Returns the worker of the last start, or -1. */
+static int32_t
+_last_worker (void)
 {
   g_autoptr (GArray) events = deployment_events ();
-  int64_t until_ms = deployment_now_ms () - ACK_MS;
-  uint32_t ended = 0, unseen = 0;
+  int32_t worker = -1;
 
   for (guint i = 0; i < events->len; i++) {
     const DeploymentEvent *event = &g_array_index (events, DeploymentEvent, i);
-    if (event->at_ms > until_ms)
-      break;
-    if (strcmp (event->event, "end") == 0) {
-      ended++;
-      unseen++;
-    } else if (strcmp (event->event, "seen") == 0) {
-      unseen--;
-    }
+    if (strcmp (event->event, "start") == 0)
+      worker = (int32_t)event->worker;
   }
-  deployment_record ("%u ends were listed, %u of them weren't taken note of", ended, unseen);
-  return ended == 0 ? 0 : (double)unseen / ended;
+  return worker;
 }
 
+/* Counts the starts with a checkpoint, and those with one that no run of the task has given. */
 static uint32_t
-_count_incomplete (const bool *is_accepted)
+_count_given (uint32_t *foreign)
 {
+  g_autoptr (GArray) events = deployment_events ();
   uint32_t count = 0;
 
-  for (uint32_t i = 0; i < PLAIN_JOBS; i++) {
-    g_autofree char *job = _plain_id (i);
-    g_autofree char *state = NULL;
-    CallReply reply;
-    if (!is_accepted[i])
+  *foreign = 0;
+  for (guint i = 0; i < events->len; i++) {
+    const DeploymentEvent *event = &g_array_index (events, DeploymentEvent, i);
+    if (strcmp (event->event, "given") != 0)
       continue;
-    deployment_call (i % DEPLOYMENT_NODES, "GET", job, NULL, &reply);
-    state = deployment_state (&reply);
-    count += strcmp (state, "completed") == 0 ? 0 : 1;
+    count++;
+    if (strlen (event->how) != CHECKPOINT_BYTES || !g_str_has_prefix (event->how, event->task))
+      (*foreign)++;
+    deployment_record ("run %u starts with a checkpoint of %zu bytes: %s", event->run,
+                       strlen (event->how), event->how);
   }
   return count;
 }
@@ -81,28 +50,23 @@
 int
 main (void)
 {
-  bool is_accepted[PLAIN_JOBS] = { false };
-  uint32_t accepted_count = 0;
-  double unseen_share;
+  uint32_t given, foreign;
   CallReply reply;
 
   deployment_start (
-      &(DeploymentDesc){ .folder = "review/14", .rack_count = 3, .rack_size = 8, .stop_ms = 100 });
+      &(DeploymentDesc){ .folder = "review/14", .rack_count = 4, .rack_size = 2, .stop_ms = 100 });
   deployment_wait_ready ();
-  for (uint32_t i = 0; i < PLAIN_JOBS; i++) {
-    g_autofree char *job = _plain_id (i);
-    if (deployment_has_trouble () && i == HEAVY_AFTER) {
-      g_autofree char *heavy = _heavy_spec ();
-      deployment_call_retrying ("POST", HEAVY, heavy, 4, &reply);
-    }
-    deployment_call (i % DEPLOYMENT_NODES, "POST", job, PLAIN_SPEC, &reply);
-    is_accepted[i] = reply.status == 200;
-    accepted_count += is_accepted[i] ? 1 : 0;
-    deployment_sleep_ms (GAP_MS);
-  }
-  deployment_sleep_ms (FINISH_MS);
-  unseen_share = _unseen_share ();
-  deployment_record ("%u of %d plain jobs were accepted, %u of these aren't shown as completed",
-                     accepted_count, PLAIN_JOBS, _count_incomplete (is_accepted));
-  return deployment_finish (unseen_share > 0.2);
+  deployment_call_retrying ("POST", JOB, SPEC, 4, &reply);
+  if (reply.status != 200)
+    return deployment_finish (false) + DEPLOYMENT_CANT_RUN;
+  deployment_sleep_ms (RUN_MS);
+  if (_last_worker () < 0)
+    return deployment_finish (false) + DEPLOYMENT_CANT_RUN;
+  if (deployment_has_trouble ())
+    deployment_kill_worker ((uint32_t)_last_worker ());
+  deployment_sleep_ms (WAIT_MS);
+  given = _count_given (&foreign);
+  deployment_record ("%u starts had a checkpoint, %u of these one that the task never had", given,
+                     foreign);
+  return deployment_finish (foreign > 0);
 }
