--- a/review/standin-3/deployment.c
+++ b/review/standin-3/deployment.c
@@ -424,9 +424,9 @@
   };
 
   call_http (address, &request, out);
-  deployment_record ("client: %s %s at %s, body of %zu bytes: %u %s", method, path,
-                     _run.nodes[node].name, body == NULL ? 0 : strlen (body), out->status,
-                     out->body);
+  deployment_record ("client: %s %s at %s, body of %zu bytes %.300s: %u %s", method, path,
+                     _run.nodes[node].name, body == NULL ? 0 : strlen (body),
+                     body == NULL ? "" : body, out->status, out->body);
 }
 
 void
