--- a/review/standin-3/deployment.c
+++ b/review/standin-3/deployment.c
@@ -411,11 +411,11 @@
 /* Clients. */
 
 void
-deployment_call (uint32_t node,
-                 const char *method,
-                 const char *job,
-                 const char *body,
-                 CallReply *out)
+deployment_call_quietly (uint32_t node,
+                         const char *method,
+                         const char *job,
+                         const char *body,
+                         CallReply *out)
 {
   g_autofree char *address = g_strdup_printf ("%s:%d", _run.nodes[node].host, CALLERS_PORT);
   g_autofree char *path = g_strconcat (DEPLOYMENT_PREFIX, job, NULL);
@@ -424,8 +424,18 @@
   };
 
   call_http (address, &request, out);
-  deployment_record ("client: %s %s at %s, body of %zu bytes %.300s: %u %s", method, path,
-                     _run.nodes[node].name, body == NULL ? 0 : strlen (body),
+}
+
+void
+deployment_call (uint32_t node,
+                 const char *method,
+                 const char *job,
+                 const char *body,
+                 CallReply *out)
+{
+  deployment_call_quietly (node, method, job, body, out);
+  deployment_record ("client: %s " DEPLOYMENT_PREFIX "%s at %s, body of %zu bytes %.300s: %u %s",
+                     method, job, _run.nodes[node].name, body == NULL ? 0 : strlen (body),
                      body == NULL ? "" : body, out->status, out->body);
 }
 
--- a/review/standin-3/deployment.h
+++ b/review/standin-3/deployment.h
@@ -58,8 +58,14 @@
                       const char *job,
                       const char *body,
                       CallReply *out);
-/* The same on the nodes in turn as a client would, with up to @tries tries, until the answer is
- * final. */
+/* The same without a record, from any thread. */
+void deployment_call_quietly (uint32_t node,
+                              const char *method,
+                              const char *job,
+                              const char *body,
+                              CallReply *out);
+/* The same as deployment_call() on the nodes in turn as a client would, with up to @tries tries,
+ * until the answer is final. */
 void deployment_call_retrying (const char *method,
                                const char *job,
                                const char *body,
