review: case 13, the leader's entry in the store is lost for good

A write of the entry that is done late replaces the one under the renewed lease, and goes with the first lease; nothing writes it again. Processes that start later don't know the leader.

--- a/review/13/case.c
+++ b/review/13/case.c
@@ -1,87 +1,93 @@
-/* Case 13: a job whose workers crash some times, and that is shown as failed. See claim.txt. */
+/* Case 13: the store carries out a write of the leader's entry late, and the entry is gone for
+ * good. See claim.txt. */
 #include "../standin-3/deployment.h"
 
-#include <string.h>
+#include <signal.h>
 
-#define JOB "5c0e7a21d94b3613"
+#define JOBS  DEPLOYMENT_NODES
+#define JOB_F "5c0e7a21d94b362%u"
 #define SPEC                                                                                       \
-  "{\"spec\":\"work_ms=4000\",\"steps\":[{\"count\":1,\"cpu\":2000,\"mem_mb\":512,"                \
-  "\"estimate_ms\":4000,\"requirements\":\"r0\"}]}"
-#define CRASHES   5
-#define RUN_MS    1500 /* from a start to the crash */
-#define DOWN_MS   1500
-#define WAIT_MS   15000 /* for the next start */
-#define FINISH_MS 14000 /* finish_s */
+  "{\"spec\":\"work_ms=1000\",\"steps\":[{\"count\":1,\"cpu\":1000,\"mem_mb\":256,"                \
+  "\"estimate_ms\":1000}]}"
+#define DONE_MS      3000  /* until the jobs have ended */
+#define LATE_MS      2500  /* of a late write; the pages name 1 to 6 s */
+#define GONE_MS      9000  /* until all is settled after the kill */
+#define GAP_MS       3000  /* between two restarts */
+#define FINISH_MS    14000 /* finish_s */
+#define CLIENT_TRIES 5     /* of a client, each at another node */
 
-/* Returns the number of starts, and the worker of the last one. */
-static uint32_t
-_count_starts (uint32_t *worker)
+/* Asks for the job as a client whose first try goes to node @first, at ready nodes in turn. Returns
+ * true if it gets an answer. */
+static bool
+_ask (const char *job, uint32_t first)
 {
-  g_autoptr (GArray) events = deployment_events ();
-  uint32_t count = 0;
+  uint32_t tries = 0;
 
-  for (guint i = 0; i < events->len; i++) {
-    const DeploymentEvent *event = &g_array_index (events, DeploymentEvent, i);
-    if (strcmp (event->event, "start") != 0)
+  for (uint32_t i = 0; i < DEPLOYMENT_NODES && tries < CLIENT_TRIES; i++) {
+    uint32_t node = (first + i) % DEPLOYMENT_NODES;
+    CallReply reply;
+    if (!deployment_is_ready (node))
       continue;
-    count++;
-    *worker = event->worker;
+    tries++;
+    deployment_call (node, "GET", job, NULL, &reply);
+    if (reply.status == 200)
+      return true;
   }
-  return count;
+  return false;
 }
 
 static uint32_t
-_count_failed_ends (void)
+_count_unanswered (void)
 {
-  g_autoptr (GArray) events = deployment_events ();
   uint32_t count = 0;
 
-  for (guint i = 0; i < events->len; i++) {
-    const DeploymentEvent *event = &g_array_index (events, DeploymentEvent, i);
-    count += strcmp (event->event, "end") == 0 && strcmp (event->how, "failed") == 0 ? 1 : 0;
+  for (uint32_t i = 0; i < JOBS; i++) {
+    g_autofree char *job = g_strdup_printf (JOB_F, i);
+    count += _ask (job, i) ? 0 : 1;
   }
   return count;
 }
 
-/* Returns false if start @number doesn't come in time. */
-static bool
-_wait_start (uint32_t number, uint32_t *worker)
-{
-  int64_t end_ms = deployment_now_ms () + WAIT_MS;
-
-  while (deployment_now_ms () < end_ms) {
-    if (_count_starts (worker) >= number)
-      return true;
-    deployment_sleep_ms (20);
-  }
-  return false;
-}
-
 int
 main (void)
 {
-  g_autofree char *state = NULL;
-  uint32_t worker = 0;
-  CallReply reply;
+  uint32_t before, after;
+  int32_t leader;
 
   deployment_start (
       &(DeploymentDesc){ .folder = "review/13", .rack_count = 4, .rack_size = 2, .stop_ms = 100 });
   deployment_wait_ready ();
-  deployment_call_retrying ("POST", JOB, SPEC, 4, &reply);
-  if (reply.status != 200)
+  for (uint32_t i = 0; i < JOBS; i++) {
+    g_autofree char *job = g_strdup_printf (JOB_F, i);
+    CallReply reply;
+    deployment_call_retrying ("POST", job, SPEC, CLIENT_TRIES, &reply);
+    if (reply.status != 200)
+      return deployment_finish (false) + DEPLOYMENT_CANT_RUN;
+  }
+  deployment_sleep_ms (DONE_MS);
+  before = _count_unanswered ();
+  leader = deployment_leader ();
+  if (leader < 0 || before > 0)
     return deployment_finish (false) + DEPLOYMENT_CANT_RUN;
-  for (uint32_t i = 0; deployment_has_trouble () && i < CRASHES; i++) {
-    if (!_wait_start (i + 1, &worker))
-      break;
-    deployment_sleep_ms (RUN_MS);
-    deployment_kill_worker (worker);
-    deployment_sleep_ms (DOWN_MS);
-    deployment_restart_worker (worker);
+  if (deployment_has_trouble ())
+    deployment_delay_entry ((uint32_t)leader, LATE_MS);
+  for (uint32_t i = 0; i < DEPLOYMENT_NODES; i++)
+    deployment_signal_node (i, SIGKILL);
+  deployment_sleep_ms (GONE_MS);
+  deployment_record ("node %d led before the kill, node %d leads; the entry of the first %s",
+                     leader, deployment_leader (),
+                     deployment_is_listed ((uint32_t)leader) ? "stands in the store" : "is gone");
+  for (int32_t i = 0; i < DEPLOYMENT_NODES; i++) {
+    if (i == leader)
+      continue;
+    deployment_signal_node ((uint32_t)i, SIGTERM);
+    deployment_sleep_ms (GAP_MS);
   }
   deployment_sleep_ms (FINISH_MS);
-  deployment_call_retrying ("GET", JOB, NULL, 4, &reply);
-  state = deployment_state (&reply);
-  deployment_record ("the job is shown as \"%s\" after %u starts, of which %u ended failed", state,
-                     _count_starts (&worker), _count_failed_ends ());
-  return deployment_finish (strcmp (state, "failed") == 0 && _count_failed_ends () < 3);
+  after = _count_unanswered ();
+  deployment_record ("%u of %u jobs get no answer at %u ready nodes each; node %d leads, its entry"
+                     " %s",
+                     after, JOBS, CLIENT_TRIES, deployment_leader (),
+                     deployment_is_listed ((uint32_t)leader) ? "stands" : "is gone");
+  return deployment_finish (after > 0);
 }
--- a/review/standin-3/deployment.c
+++ b/review/standin-3/deployment.c
@@ -561,6 +561,43 @@
   deployment_record ("%s gets signal %d", _run.nodes[node].name, signal_number);
 }
 
+void
+deployment_delay_entry (uint32_t node, int64_t late_ms)
+{
+  g_autofree char *path = g_strconcat ("/late/vp/member/", _run.nodes[node].name, NULL);
+  g_autofree char *text = g_strdup_printf ("%" G_GINT64_FORMAT, late_ms);
+  CallReply reply;
+
+  call_http (_run.store_own, &(CallRequest){ .method = "POST", .path = path, .body = text },
+             &reply);
+  if (reply.status != 200)
+    _fail ("the store stand-in doesn't answer");
+  deployment_record (
+      "store: the next write of the entry of %s will be done %s ms late, its answer is"
+      " lost",
+      _run.nodes[node].name, text);
+}
+
+bool
+deployment_is_ready (uint32_t node)
+{
+  g_autofree char *address = g_strdup_printf ("%s:%d", _run.nodes[node].host, READY_PORT);
+  CallReply reply;
+
+  call_http (address, &(CallRequest){ .method = "GET", .path = "/api/readyz" }, &reply);
+  return reply.status == 200;
+}
+
+bool
+deployment_is_listed (uint32_t node)
+{
+  g_autofree char *path = g_strconcat ("/api/kv-key?key=vp/member/", _run.nodes[node].name, NULL);
+  CallReply reply;
+
+  call_http (_run.store, &(CallRequest){ .method = "GET", .path = path }, &reply);
+  return reply.status == 200;
+}
+
 int32_t
 deployment_leader (void)
 {
--- a/review/standin-3/deployment.h
+++ b/review/standin-3/deployment.h
@@ -101,6 +101,13 @@
 DeploymentNode deployment_node (uint32_t node);
 /* Sends the signal to the process of the node. */
 void deployment_signal_node (uint32_t node, int signal_number);
+/* Lets the store carry out the next write of the node's own entry @late_ms later, without an answer
+ * until then. */
+void deployment_delay_entry (uint32_t node, int64_t late_ms);
+/* Returns true if the node says that it is ready. */
+bool deployment_is_ready (uint32_t node);
+/* Returns true if the store's list of members has the node. */
+bool deployment_is_listed (uint32_t node);
 /* Returns the node that leads, as its metrics say, or -1. */
 int32_t deployment_leader (void);
 
--- a/review/standin-3/store.c
+++ b/review/standin-3/store.c
@@ -4,7 +4,8 @@
  *
  * The system calls the first address. At the second one, workers and the operator write:
  * POST /put/KEY stores the body under KEY, and entries under servers/ go after three heartbeats
- * without another write.
+ * without another write. POST /late/KEY, with a time in ms as body, lets the store carry out the
+ * next write of KEY that much later, and leave it unanswered until then.
  */
 #include "fake-http.h"
 
@@ -53,6 +54,8 @@
   int64_t revision;
   int64_t dropped_revision; /* events up to this one are gone */
   int64_t last_lease;
+  char *late_key; /* NULL: none */
+  int64_t late_ms;
 } _store;
 
 static void
@@ -332,6 +335,41 @@
   g_clear_pointer (&change, json_object_unref);
 }
 
+static bool
+_sets_late_key (FakeRequest *call)
+{
+  JsonObject *change = _store.late_key == NULL ? NULL : fake_request_json (call);
+  JsonArray *sets = change == NULL ? NULL : _array (change, "set_keys");
+  bool is_late = false;
+
+  for (guint i = 0; i < _length (sets); i++)
+    is_late = is_late
+              || strcmp (fake_json_string (json_array_get_object_element (sets, i), "key", ""),
+                         _store.late_key)
+                     == 0;
+  g_clear_pointer (&change, json_object_unref);
+  return is_late;
+}
+
+static void
+_transact_late (void *data)
+{
+  fprintf (stderr, "%" G_GINT64_FORMAT " late write\n", fake_now_ms ());
+  _transact (data);
+}
+
+static void
+_transact_or_wait (FakeRequest *call)
+{
+  if (!_sets_late_key (call)) {
+    _transact (call);
+    return;
+  }
+  fprintf (stderr, "%" G_GINT64_FORMAT " the write of %s waits\n", fake_now_ms (), _store.late_key);
+  g_clear_pointer (&_store.late_key, g_free);
+  fake_timer_add (fake_now_ms () + _store.late_ms, _transact_late, call);
+}
+
 /* Leases. */
 
 static void
@@ -455,7 +493,7 @@
   else if (fake_request_is (call, "GET", "/api/kv-watch", &rest))
     _start_watch (call);
   else if (fake_request_is (call, "POST", "/api/kv-txn", &rest))
-    _transact (call);
+    _transact_or_wait (call);
   else if (fake_request_is (call, "POST", "/api/kv-lease", &rest))
     _grant_lease (call);
   else if (fake_request_is (call, "POST", "/api/kv-keep/", &rest))
@@ -473,6 +511,14 @@
   const char *key;
 
   (void)data;
+  if (fake_request_is (call, "POST", "/late/", &key)) {
+    text = g_strndup ((const char *)call->body->data, call->body->len);
+    g_free (_store.late_key);
+    _store.late_key = g_strdup (key);
+    _store.late_ms = g_ascii_strtoll (text, NULL, 10);
+    fake_reply_json (call, 200, json_object_new ());
+    return;
+  }
   if (!fake_request_is (call, "POST", "/put/", &key)) {
     fake_reply_json (call, 404, json_object_new ());
     return;
