registration: a late write doesn't take a node's entry away

Cause: a write of the node's entry without an answer was repeated under another lease. Carried out after the repetition, the first copy put the entry back under the first lease, which nobody renewed, and it ended with that. The node renewed the second lease and never looked at its entry, so nodes that started later didn't find the leader.

The store of the soak refuses writes under ended leases and shows leases in watches, as the platform does.

--- a/soak/store.c
+++ b/soak/store.c
@@ -81,11 +81,14 @@
 {
   Item *before = g_tree_lookup (store->items, key);
   Item *item = _item_new (key, value, store->revision);
+  Item *event;
 
   item->lease = lease;
   if (before != NULL)
     item->created_revision = before->created_revision;
-  g_ptr_array_add (store->events, _item_new (key, value, store->revision));
+  event = _item_new (key, value, store->revision);
+  event->lease = lease;
+  g_ptr_array_add (store->events, event);
   g_tree_replace (store->items, item->key, item);
 }
 
@@ -273,6 +276,20 @@
   return NULL;
 }
 
+/* Returns true if the change sets a key under a lease that has ended. */
+static bool
+_has_ended_lease (const SoakStore *store, JsonObject *change)
+{
+  JsonArray *sets = _array_member (change, "set_keys");
+
+  for (guint i = 0; i < _array_length (sets); i++) {
+    int64_t lease = fake_json_int (json_array_get_object_element (sets, i), "lease", 0);
+    if (lease != 0 && !g_hash_table_contains (store->leases, &lease))
+      return true;
+  }
+  return false;
+}
+
 /* Applies the change if its conditions are met. No reply is sent if @call is NULL. */
 static void
 _apply_transaction (Endpoint *endpoint, JsonObject *change, FakeRequest *call)
@@ -290,6 +307,11 @@
       json_array_unref (rows);
     return;
   }
+  if (_has_ended_lease (store, change)) {
+    if (call != NULL)
+      fake_reply_json (call, 404, json_object_new ());
+    return;
+  }
   store->revision++;
   for (guint i = 0; i < _array_length (sets); i++) {
     JsonObject *row = json_array_get_object_element (sets, i);
--- a/tests/test-pf-store.c
+++ b/tests/test-pf-store.c
@@ -1,7 +1,9 @@
-/* Watches of the platform's store, against a stand-in on a loopback address. */
+/* Watches of the platform's store and the node's own entry there, against a stand-in on a loopback
+ * address. */
 #include "vp-net.h"
 #include "vp-pf-json.h"
 #include "vp-pf-store.h"
+#include "vp-registration.h"
 #include "vp-sync.h"
 
 #include <microhttpd.h>
@@ -15,11 +17,19 @@
 /* Starts are sent up to 2,000 ms after their decision, and none may be sent to a DC later than
  * 5,000 ms after the request to evacuate it. */
 #define NOTICE_MAX_MS 3000
+#define ENTRY_KEY     "vp/member/n1"
+#define ENTRY_ADDRESS "127.0.0.1:1"
+/* A late write is carried out this long after it has arrived, when the next one has been answered,
+ * and its lease would still last. */
+#define LATE_MS 2000
+/* Time after which a lease that isn't renewed has ended, and a margin. */
+#define LEASE_GONE_MS 5000
 
 typedef struct {
   uint64_t revision;
   char *key;
   char *value; /* NULL: the key was removed */
+  uint64_t lease;
 } Change;
 
 /* The stand-in and what the client has posted. */
@@ -38,10 +48,14 @@
   GPtrArray *sets;             /* char *: posted sets of DCs, in order: "a,b" */
   uint64_t config_version;     /* of the last posted configuration */
   uint32_t empty_pages;        /* the next lists are empty pages that announce another one */
+  GArray *lease_ends_us;       /* int64_t: ends of the leases 1, 2 and so on; 0: ended */
+  uint64_t entry_lease;        /* lease of ENTRY_KEY, the only key that has one */
+  bool is_next_write_late;
+  uint32_t write_count; /* writes that were carried out */
 } _test = { .lock = PTHREAD_MUTEX_INITIALIZER };
 
 static void
-_append_item (GString *out, uint64_t revision, const char *key, const char *value)
+_append_item (GString *out, uint64_t revision, const char *key, const char *value, uint64_t lease)
 {
   g_autofree char *data
       = value == NULL ? NULL : g_base64_encode ((const guchar *)value, strlen (value));
@@ -53,7 +67,7 @@
   if (value == NULL)
     g_string_append (out, "\"removed\":true}");
   else
-    g_string_append_printf (out, "\"value\":\"%s\"}", data);
+    g_string_append_printf (out, "\"value\":\"%s\",\"lease\":%" G_GUINT64_FORMAT "}", data, lease);
 }
 
 static char *
@@ -64,6 +78,91 @@
   return g_string_free (out, FALSE);
 }
 
+/* Sets the key under the lease; a NULL value removes it. The lock is held. */
+static void
+_change (const char *key, const char *value, uint64_t lease)
+{
+  Change change = { .key = g_strdup (key), .value = g_strdup (value), .lease = lease };
+
+  change.revision = ++_test.revision;
+  g_array_append_val (_test.changes, change);
+  if (value == NULL)
+    g_hash_table_remove (_test.values, key);
+  else
+    g_hash_table_replace (_test.values, g_strdup (key), g_strdup (value));
+  if (strcmp (key, ENTRY_KEY) == 0)
+    _test.entry_lease = lease;
+  pthread_cond_broadcast (&_test.changed);
+}
+
+/* Sets the key; NULL removes it. The change isn't reported by watches if @is_compacted. */
+static void
+_put (const char *key, const char *value, bool is_compacted)
+{
+  pthread_mutex_lock (&_test.lock);
+  _change (key, value, 0);
+  if (is_compacted)
+    _test.compacted_revision = _test.revision;
+  pthread_mutex_unlock (&_test.lock);
+}
+
+/* Returns the end of the lease, or NULL if it has ended. With it the entry goes. */
+static int64_t *
+_lease_end (uint64_t lease)
+{
+  int64_t *end_us = lease == 0 || lease > _test.lease_ends_us->len
+                        ? NULL
+                        : &g_array_index (_test.lease_ends_us, int64_t, lease - 1);
+
+  if (end_us == NULL || *end_us == 0 || g_get_monotonic_time () < *end_us)
+    return end_us == NULL || *end_us == 0 ? NULL : end_us;
+  *end_us = 0;
+  if (_test.entry_lease == lease)
+    _change (ENTRY_KEY, NULL, 0);
+  return NULL;
+}
+
+/* Grants a lease that lasts for as long as the entry of a node. */
+static uint64_t
+_grant_lease (void)
+{
+  int64_t end_us = g_get_monotonic_time () + VP_REGISTRATION_TTL_MS * 1000;
+
+  g_array_append_val (_test.lease_ends_us, end_us);
+  return _test.lease_ends_us->len;
+}
+
+/* Carries out the call at @path and returns the body of its answer, or NULL for a lease that has
+ * ended. */
+static char *
+_write (const char *path, const char *body)
+{
+  const char *lease_text = strstr (body, "\"lease\":");
+  uint64_t lease
+      = lease_text == NULL ? 0 : g_ascii_strtoull (lease_text + strlen ("\"lease\":"), NULL, 10);
+  int64_t *end_us;
+
+  if (strcmp (path, "/api/kv-lease") == 0)
+    return g_strdup_printf ("{\"lease\":%" G_GUINT64_FORMAT "}", _grant_lease ());
+  if (g_str_has_prefix (path, "/api/kv-keep/")) {
+    end_us = _lease_end (g_ascii_strtoull (path + strlen ("/api/kv-keep/"), NULL, 10));
+    if (end_us != NULL)
+      *end_us = g_get_monotonic_time () + VP_REGISTRATION_TTL_MS * 1000;
+    return end_us == NULL ? NULL : g_strdup ("{}");
+  }
+  if (_test.is_next_write_late) {
+    _test.is_next_write_late = false;
+    pthread_mutex_unlock (&_test.lock);
+    g_usleep (LATE_MS * 1000);
+    pthread_mutex_lock (&_test.lock);
+  }
+  if (_lease_end (lease) == NULL)
+    return NULL;
+  _test.write_count++;
+  _change (ENTRY_KEY, ENTRY_ADDRESS, lease);
+  return g_strdup_printf ("{\"revision\":%" G_GUINT64_FORMAT "}", _test.revision);
+}
+
 static char *
 _list (const char *prefix)
 {
@@ -79,7 +178,8 @@
   g_hash_table_iter_init (&iter, _test.values);
   while (g_hash_table_iter_next (&iter, &key, &value)) {
     if (g_str_has_prefix (key, prefix))
-      _append_item (out, _test.revision, key, value);
+      _append_item (out, _test.revision, key, value,
+                    strcmp (key, ENTRY_KEY) == 0 ? _test.entry_lease : 0);
   }
   return _end_items (out);
 }
@@ -101,7 +201,7 @@
   for (guint i = 0; i < _test.changes->len; i++) {
     const Change *change = &g_array_index (_test.changes, Change, i);
     if (change->revision > after && g_str_has_prefix (change->key, prefix))
-      _append_item (out, change->revision, change->key, change->value);
+      _append_item (out, change->revision, change->key, change->value, change->lease);
   }
   return _end_items (out);
 }
@@ -141,16 +241,17 @@
   unsigned status = 503;
 
   (void)data;
-  (void)method;
   (void)version;
-  (void)body;
   if (*state == NULL || *body_size > 0) {
-    *state = &_test;
+    if (*state == NULL)
+      *state = g_string_new (NULL);
+    g_string_append_len (*state, body, (gssize)*body_size);
     *body_size = 0;
     return MHD_YES;
   }
   _fall_silent (path, prefix);
   pthread_mutex_lock (&_test.lock);
+  _lease_end (_test.entry_lease);
   if (prefix != NULL
       && !g_ptr_array_find_with_equal_func (_test.prefixes, prefix, g_str_equal, NULL))
     g_ptr_array_add (_test.prefixes, g_strdup (prefix));
@@ -161,8 +262,12 @@
     _test.watch_count += strcmp (prefix, "op/") == 0 ? 1 : 0;
     text = _watch (prefix, g_ascii_strtoull (after, NULL, 10));
     status = text == NULL ? 410 : 200;
+  } else if (strcmp (method, "POST") == 0) {
+    text = _write (path, ((GString *)*state)->str);
+    status = text == NULL ? 404 : 200;
   }
   pthread_mutex_unlock (&_test.lock);
+  g_string_free (*state, TRUE);
   if (text == NULL)
     text = g_strdup ("{}");
   response = MHD_create_response_from_buffer (strlen (text), text, MHD_RESPMEM_MUST_COPY);
@@ -172,25 +277,6 @@
   return result;
 }
 
-/* Sets the key; NULL removes it. The change isn't reported by watches if @is_compacted. */
-static void
-_put (const char *key, const char *value, bool is_compacted)
-{
-  Change change = { .key = g_strdup (key), .value = g_strdup (value) };
-
-  pthread_mutex_lock (&_test.lock);
-  change.revision = ++_test.revision;
-  g_array_append_val (_test.changes, change);
-  if (value == NULL)
-    g_hash_table_remove (_test.values, key);
-  else
-    g_hash_table_replace (_test.values, g_strdup (key), g_strdup (value));
-  if (is_compacted)
-    _test.compacted_revision = _test.revision;
-  pthread_cond_broadcast (&_test.changed);
-  pthread_mutex_unlock (&_test.lock);
-}
-
 static gint
 _compare_texts (gconstpointer a, gconstpointer b)
 {
@@ -263,6 +349,8 @@
   _test.changes = g_array_new (FALSE, FALSE, sizeof (Change));
   _test.prefixes = g_ptr_array_new ();
   _test.sets = g_ptr_array_new ();
+  _test.lease_ends_us = g_array_new (FALSE, FALSE, sizeof (int64_t));
+  _test.entry_lease = _test.compacted_revision = _test.write_count = 0;
   _test.revision = 1;
   _test.server
       = MHD_start_daemon (MHD_USE_INTERNAL_POLLING_THREAD | MHD_USE_THREAD_PER_CONNECTION, 0, NULL,
@@ -272,6 +360,48 @@
               (unsigned)MHD_get_daemon_info (_test.server, MHD_DAEMON_INFO_BIND_PORT)->port);
 }
 
+/* Waits until @count writes were carried out, and asserts that the entry is there from then on
+ * until leases of now have ended. */
+static void
+_assert_entry_stays (uint32_t count)
+{
+  int64_t end_us = g_get_monotonic_time () + TIMEOUT_MS * 1000;
+
+  pthread_mutex_lock (&_test.lock);
+  while (_test.write_count < count && vp_sync_cond_wait_until (&_test.changed, &_test.lock, end_us))
+    continue;
+  g_assert_cmpuint (_test.write_count, ==, count);
+  end_us = g_get_monotonic_time () + LEASE_GONE_MS * 1000;
+  while (g_get_monotonic_time () < end_us) {
+    vp_sync_cond_wait_until (&_test.changed, &_test.lock, g_get_monotonic_time () + 10000);
+    _lease_end (_test.entry_lease);
+    g_assert_true (g_hash_table_contains (_test.values, ENTRY_KEY));
+  }
+  g_assert_cmpuint (_test.write_count, ==, count);
+  pthread_mutex_unlock (&_test.lock);
+}
+
+/* Guards against an entry that is gone for good, so that processes that start later don't find this
+ * one: a write of it is carried out late, after it was sent again, or after an earlier process of
+ * this name has sent it under a lease that nobody renews. */
+static void
+test_late_entry (void)
+{
+  static VpPfStore *store; /* not freed at its shutdown, as its threads may be in a call */
+
+  _setup ();
+  _test.is_next_write_late = true;
+  store = vp_pf_store_setup (&(VpPfStoreDesc){
+      .address = _test.address, .name = "n1", .peer_address = ENTRY_ADDRESS, .post = _post });
+  _assert_entry_stays (2);
+  pthread_mutex_lock (&_test.lock);
+  _change (ENTRY_KEY, ENTRY_ADDRESS, _grant_lease ());
+  pthread_mutex_unlock (&_test.lock);
+  _assert_entry_stays (3);
+  vp_pf_store_shutdown (store);
+  MHD_stop_daemon (_test.server);
+}
+
 /* Guards against starts in a DC after the bound, since a watch call on a connection that falls
  * silent when it is made delays the request to evacuate the DC. */
 static void
@@ -331,7 +461,7 @@
   _put ("op/evacuate/nadi", "{}", false);
   _put ("op/wave/nadi", "{}", false);
   store = vp_pf_store_setup (&(VpPfStoreDesc){
-      .address = _test.address, .name = "n1", .peer_address = "127.0.0.1:1", .post = _post });
+      .address = _test.address, .name = "n1", .peer_address = ENTRY_ADDRESS, .post = _post });
   _assert_next_set ("nadi");
   _put ("op/evacuate/suva", "{}", false);
   _assert_next_set ("nadi,suva");
@@ -367,5 +497,6 @@
   /* The key that names no DC is warned of. */
   g_log_set_always_fatal (G_LOG_FATAL_MASK);
   g_test_add_func ("/pf-store/operator-keys", test_operator_keys);
+  g_test_add_func ("/pf-store/late-entry", test_late_entry);
   return g_test_run ();
 }
