node: ready only with an address of the leader

Cause: what a node is and can do with others was taken from the pings that it receives, or from the record, and neither needs an address of the sender. Nodes without the leader's entry followed it and were ready, and "sent" requests to nobody. The same belief let a leader choose a process that isn't listed yet as relay, whose commands were lost, or for an advice call, lost for 2.5 s.

The `ready` line of the log shows it.

--- a/src/vp-members.c
+++ b/src/vp-members.c
@@ -92,6 +92,12 @@
   return now_ms - member->ping_received_ms < VP_MEMBERS_REACHABLE_TIMEOUT_MS;
 }
 
+bool
+vp_member_has_address (const VpMemberState *member)
+{
+  return member->address[0] != '\0';
+}
+
 bool
 vp_members_remove_stale (GHashTable *members, int64_t now_ms)
 {
@@ -228,7 +234,8 @@
   while (g_hash_table_iter_next (&iter, NULL, &value)) {
     VpMemberState *member = value;
     int64_t free_ms = MAX (member->advice_until_ms, now_ms);
-    if (vp_member_is_reachable (member, now_ms) && free_ms < before_ms) {
+    if (vp_member_is_reachable (member, now_ms) && vp_member_has_address (member)
+        && free_ms < before_ms) {
       best = member;
       before_ms = free_ms;
     }
--- a/src/vp-members.h
+++ b/src/vp-members.h
@@ -48,6 +48,9 @@
 int64_t vp_member_delay_ms (const VpMemberState *member, int64_t sent_ms, int64_t now_ms);
 /* Returns true if a ping of the member arrived a short time ago. */
 bool vp_member_is_reachable (const VpMemberState *member, int64_t now_ms);
+/* Returns true if messages can be sent to the member. Its own pings need no address of it, so they
+ * may arrive before it is listed, or although its entry is lost. */
+bool vp_member_has_address (const VpMemberState *member);
 /* Removes members that are no longer listed and have been silent for long. Returns true if any were
  * removed. */
 bool vp_members_remove_stale (GHashTable *members, int64_t now_ms);
--- a/src/vp-node.c
+++ b/src/vp-node.c
@@ -587,6 +587,17 @@
          && vp_members_is_cut_off (node->members, now_ms);
 }
 
+/* Returns true if requests can be sent to the leader. The record and the leader's pings tell its
+ * name only. */
+static bool
+_vp_node_reaches_leader (const VpNode *node)
+{
+  const VpMemberState *leader = g_hash_table_lookup (node->members, node->election.leader);
+
+  return node->election.state == VP_ELECTION_LEADER
+         || (leader != NULL && vp_member_has_address (leader));
+}
+
 /* Returns true if a leader is known that may be able to serve. A leader that can't write and is cut
  * off from most processes together with this one can't serve. */
 static bool
@@ -595,7 +606,7 @@
   int64_t store_failing_ms = node->cell == NULL ? node->election.store_failing_ms
                                                 : _vp_node_store_failing_ms (node, now_ms);
 
-  return vp_election_knows_leader (&node->election, now_ms)
+  return vp_election_knows_leader (&node->election, now_ms) && _vp_node_reaches_leader (node)
          && (store_failing_ms < VP_NODE_ISOLATED_LEADER_MS || !_vp_node_is_cut_off (node, now_ms));
 }
 
@@ -632,9 +643,10 @@
     return;
   node->is_ready = is_ready;
   node->unready_since_ms = now_ms;
-  vp_log (now_ms, "ready", "is_ready=%d config=%d leader=%s stopping=%d", is_ready,
-          node->config != NULL, node->election.leader[0] == '\0' ? "-" : node->election.leader,
-          node->is_stopping);
+  vp_log (now_ms, "ready", "is_ready=%d config=%d leader=%s reaches_leader=%d stopping=%d",
+          is_ready, node->config != NULL,
+          node->election.leader[0] == '\0' ? "-" : node->election.leader,
+          _vp_node_reaches_leader (node), node->is_stopping);
   vp_node_effects_add (effects, VP_NODE_EFFECT_SET_READY)->is_on = is_ready;
 }
 
--- a/src/vp-relay.c
+++ b/src/vp-relay.c
@@ -269,7 +269,8 @@
   while (g_hash_table_iter_next (&iter, NULL, &value)) {
     const VpMemberState *member = value;
     VpRelayProcess *process;
-    if (!vp_member_is_reachable (member, now_ms) || member->is_stopping)
+    if (!vp_member_is_reachable (member, now_ms) || !vp_member_has_address (member)
+        || member->is_stopping)
       continue;
     process = _vp_relay_get_process (relay, member);
     if (now_ms >= process->avoid_until_ms)
--- a/tests/test-members.c
+++ b/tests/test-members.c
@@ -103,6 +103,22 @@
   g_assert_cmpstr (vp_members_successor (members, NOW_MS)->name, ==, "node-002");
 }
 
+/* Guards against advice calls that are passed to nobody: the pings of a process arrive before its
+ * address is listed. */
+static void
+test_least_busy (void)
+{
+  g_autoptr (GHashTable) members = vp_members_new ();
+  VpMemberState *member = vp_members_get (members, "node-001");
+  VpNodeMsg ping = { .kind = VP_NODEMSG_PING };
+
+  vp_member_handle_ping (member, &ping, NOW_MS);
+  g_assert_null (vp_members_least_busy (members, NOW_MS + 100, NOW_MS));
+  g_strlcpy (member->address, "127.0.0.1:1", sizeof member->address);
+  g_assert_true (vp_members_least_busy (members, NOW_MS + 100, NOW_MS) == member);
+  g_assert_null (vp_members_least_busy (members, NOW_MS, NOW_MS));
+}
+
 /* The oldest echo of all members counts, also of unlisted ones, and the echo of a member never
  * moves back. */
 static void
@@ -180,6 +196,7 @@
   g_test_add_func ("/members/partners-are-mutual", test_partners_are_mutual);
   g_test_add_func ("/members/cut-off-by-partners", test_cut_off_by_partners);
   g_test_add_func ("/members/successor", test_successor);
+  g_test_add_func ("/members/least-busy", test_least_busy);
   g_test_add_func ("/members/echo", test_echo);
   g_test_add_func ("/members/delay", test_delay);
   g_test_add_func ("/members/short-texts", test_short_texts);
