cell: a job doesn't fail by the limit of a queue that is missing

The operator had written a configuration without the queue meanwhile.

Cause: vp_cellconfig_attempts_max() returned 1 for a queue that isn't in the configuration, and each failed run is judged by that at once. The check that a new configuration brings left such jobs alone since; the ends of runs didn't.

Change: without its queue no number of failed runs is known to be too many. Failures are counted and stored, and judged when the queue is back, by the limit that it then has. Nothing is started before, so BUDGET holds. Gangs, which were placed without a look at their members' failures, ask the same function as other tasks.

--- a/src/vp-cell-recovery.c
+++ b/src/vp-cell-recovery.c
@@ -135,10 +135,8 @@
   steps = g_ptr_array_copy (cell->jobs->ready_steps, NULL, NULL);
   for (guint i = 0; i < steps->len; i++) {
     VpJobStep *step = steps->pdata[i];
-    const char *queue = step->occurrence->job->spec->queue;
-    uint32_t attempts_max = vp_cellconfig_attempts_max (cell->config, queue);
-    if (vp_cellconfig_queue (cell->config, queue) == NULL)
-      continue;
+    uint32_t attempts_max
+        = vp_cellconfig_attempts_max (cell->config, step->occurrence->job->spec->queue);
     for (uint32_t t = 0; t < step->spec->task_count; t++)
       vp_jobtask_check_failures (cell->jobs, &step->tasks[t], attempts_max, now_ms);
   }
--- a/src/vp-cell.c
+++ b/src/vp-cell.c
@@ -420,15 +420,25 @@
 
 /* Placement. */
 
+/* Returns true if the task has failed as often as its queue allows. Its job normally fails before
+ * that is asked; _vp_cell_check_failures() passes over steps that become ready later. */
+static bool
+_vp_cell_is_exhausted (const VpCell *cell, const VpJobTask *task)
+{
+  return task->failures > 0 && !task->step->spec->is_long_running
+         && task->failures >= vp_cellconfig_attempts_max (cell->config,
+                                                          task->step->occurrence->job->spec->queue);
+}
+
 /* Returns false while a run of the waiting task that an earlier scheduler started may exist on a
- * worker that hasn't listed its runs, or if the job has ended. The task is given up, and its job
- * fails, if it has crashed too many workers. */
+ * worker that hasn't listed its runs, or if the job has ended or the task has failed too often. The
+ * task is given up, and its job fails, if it has crashed too many workers. */
 static bool
 _vp_cell_may_start (VpCell *cell, VpJobTask *task, int64_t now_ms)
 {
   const VpCellWorker *worker;
 
-  if (vp_job_is_ended (task->step->occurrence->job)
+  if (vp_job_is_ended (task->step->occurrence->job) || _vp_cell_is_exhausted (cell, task)
       || _vp_cell_may_run_unlisted (cell, task, now_ms))
     return false;
   if (vp_text_is_empty (task->inherited_worker))
@@ -599,16 +609,13 @@
                       int64_t now_ms,
                       GArray *effects)
 {
-  uint32_t attempts_max
-      = vp_cellconfig_attempts_max (cell->config, step->occurrence->job->spec->queue);
   bool is_placed = true;
 
   for (uint32_t i = 0; i < step->spec->task_count && step->waiting_count > 0; i++) {
     VpJobTask *task = &step->tasks[i];
     VpPlaceSlot *slot;
     if (task->phase != VP_PHASE_WAITING || now_ms < task->not_before_ms
-        || !_vp_cell_may_start (cell, task, now_ms)
-        || (task->failures >= attempts_max && !step->spec->is_long_running))
+        || !_vp_cell_may_start (cell, task, now_ms))
       continue;
     if (!_vp_cell_is_below_cap (cell, step, 1))
       return true;
--- a/src/vp-cellconfig.c
+++ b/src/vp-cellconfig.c
@@ -131,12 +131,11 @@
 uint32_t
 vp_cellconfig_attempts_max (const VpCellConfig *config, const char *queue)
 {
-  const VpQueueConfig *found;
+  const VpQueueConfig *found = config == NULL ? NULL : vp_cellconfig_queue (config, queue);
 
-  if (config == NULL)
+  if (found == NULL)
     return UINT32_MAX;
-  found = vp_cellconfig_queue (config, queue);
-  return found == NULL || found->attempts_max == 0 ? 1 : found->attempts_max;
+  return MAX (found->attempts_max, 1);
 }
 
 int64_t
--- a/src/vp-cellconfig.h
+++ b/src/vp-cellconfig.h
@@ -81,8 +81,8 @@
                                           const char **rest);
 /* Returns NULL if there is no queue of that name. */
 const VpQueueConfig *vp_cellconfig_queue (const VpCellConfig *config, const char *name);
-/* Returns the number of failed runs of one task after which its job fails; 1 for an unknown queue.
- * Without a configuration (@config is NULL) no number of them is known to be too many. */
+/* Returns the number of failed runs of one task after which its job fails. Without a configuration
+ * (@config is NULL), or if the queue isn't in it, no number of them is known to be too many. */
 uint32_t vp_cellconfig_attempts_max (const VpCellConfig *config, const char *queue);
 /* Returns the time that the advice service takes to answer a call for @worker_count workers. */
 int64_t vp_cellconfig_advice_ms (const VpQueueConfig *queue, uint32_t worker_count);
--- a/tests/cell-fixture.h
+++ b/tests/cell-fixture.h
@@ -21,6 +21,7 @@
   GArray *effects; /* VpCellEffect of the last decision */
   int64_t now_ms;
   uint64_t last_job;
+  uint64_t last_end; /* number of the last end that a worker has reported */
 } Fixture;
 
 static inline void
