cell: accepted jobs go on without their queue or team

Callers saw: jobs stood still while their queue was missing from the configuration, for good if it never came back. Without its team, a team's jobs were started beyond any cap.

Cause: accepted work looks up its queue and team by name in the newest configuration, at each decision: service, priority, objective and advice of the queue, cap and weight of the team. The operator judges new requests by that; accepted jobs aren't new.

Change: vp-jobconfig adds to the newest configuration what it lacks of the queues and teams that accepted jobs name, as the last one with them had it. The leader stores these rows (vp/config) in the commit that accepts the first job of one, so that they outlive changes of leader and a restart of all processes. The limit of failed runs isn't kept, as the queue may come back with another one: no job fails by it, and a task that has failed waits.

--- a/src/vp-cell-private.h
+++ b/src/vp-cell-private.h
@@ -6,6 +6,7 @@
 #include "vp-advise.h"
 #include "vp-cell.h"
 #include "vp-holdloss.h"
+#include "vp-jobconfig.h"
 #include "vp-reconcile.h"
 #include "vp-stepqueue.h"
 
@@ -17,7 +18,8 @@
 
 struct _VpCell {
   VpCellDesc desc;
-  VpCellConfig *config;
+  VpJobConfig job_config;
+  const VpCellConfig *config; /* of @job_config; NULL: there is none yet */
   VpWorkerList *worker_list;
   VpJobList *jobs;
   VpForecast *forecast;
--- a/src/vp-cell.c
+++ b/src/vp-cell.c
@@ -56,18 +56,23 @@
   vp_forecast_shutdown (cell->forecast);
   vp_advise_shutdown (cell->advise);
   vp_admission_shutdown (cell->admission);
-  g_clear_pointer (&cell->config, vp_cellconfig_unref);
+  vp_jobconfig_clear (&cell->job_config);
   g_free (cell);
 }
 
+/* Notes that the configuration of jobs has changed. */
+static void
+_vp_cell_update_config (VpCell *cell)
+{
+  cell->config = cell->reconcile.config = cell->job_config.config;
+  cell->has_unchecked_failures = true;
+}
+
 void
 vp_cell_set_config (VpCell *cell, VpCellConfig *config)
 {
-  vp_cellconfig_ref (config);
-  cell->has_unchecked_failures = true;
-  g_clear_pointer (&cell->config, vp_cellconfig_unref);
-  cell->config = config;
-  cell->reconcile.config = config;
+  vp_jobconfig_set (&cell->job_config, config, cell->jobs);
+  _vp_cell_update_config (cell);
 }
 
 bool
@@ -393,6 +398,31 @@
   }
 }
 
+bool
+vp_cell_has_unstaged_config (const VpCell *cell)
+{
+  return cell->job_config.is_unstaged;
+}
+
+GVariant *
+vp_cell_stage_config (VpCell *cell)
+{
+  return vp_jobconfig_stage (&cell->job_config, cell->jobs);
+}
+
+void
+vp_cell_unstage_config (VpCell *cell)
+{
+  cell->job_config.is_unstaged = true;
+}
+
+void
+vp_cell_load_config (VpCell *cell, GVariant *stored)
+{
+  vp_jobconfig_load (&cell->job_config, stored, cell->jobs);
+  _vp_cell_update_config (cell);
+}
+
 VpJob *
 vp_cell_submit (VpCell *cell, VpJobSpec *spec, int64_t now_ms)
 {
@@ -401,6 +431,7 @@
   VpJob *job = vp_joblist_add (cell->jobs, spec, now_ms, now_ms);
 
   vp_joblist_mark_dirty (cell->jobs, job);
+  vp_jobconfig_note_job (&cell->job_config, spec);
   if (team != NULL)
     job->is_over_rate = !vp_teamusage_take_job_token (vp_joblist_team (cell->jobs, spec->team),
                                                       team->weight, now_ms);
@@ -420,25 +451,29 @@
 
 /* Placement. */
 
-/* Returns true if the task has failed as often as its queue allows. Its job normally fails before
- * that is asked; _vp_cell_check_failures() passes over steps that become ready later. */
+/* Returns true unless the task has failed as often as its queue allows, or has failed and that
+ * number isn't known, as the queue is missing from the configuration. A job with the first normally
+ * fails before, but _vp_cell_check_failures() passes over steps that become ready later. */
 static bool
-_vp_cell_is_exhausted (const VpCell *cell, const VpJobTask *task)
+_vp_cell_may_run_again (const VpCell *cell, const VpJobTask *task)
 {
-  return task->failures > 0 && !task->step->spec->is_long_running
-         && task->failures >= vp_cellconfig_attempts_max (cell->config,
-                                                          task->step->occurrence->job->spec->queue);
+  const VpQueueConfig *queue;
+
+  if (task->failures == 0 || task->step->spec->is_long_running)
+    return true;
+  queue = vp_cellconfig_queue (cell->config, task->step->occurrence->job->spec->queue);
+  return queue != NULL && !queue->is_kept && task->failures < MAX (queue->attempts_max, 1);
 }
 
 /* Returns false while a run of the waiting task that an earlier scheduler started may exist on a
- * worker that hasn't listed its runs, or if the job has ended or the task has failed too often. The
+ * worker that hasn't listed its runs, or if the job has ended or the task may not run again. The
  * task is given up, and its job fails, if it has crashed too many workers. */
 static bool
 _vp_cell_may_start (VpCell *cell, VpJobTask *task, int64_t now_ms)
 {
   const VpCellWorker *worker;
 
-  if (vp_job_is_ended (task->step->occurrence->job) || _vp_cell_is_exhausted (cell, task)
+  if (vp_job_is_ended (task->step->occurrence->job) || !_vp_cell_may_run_again (cell, task)
       || _vp_cell_may_run_unlisted (cell, task, now_ms))
     return false;
   if (vp_text_is_empty (task->inherited_worker))
--- a/src/vp-cell.h
+++ b/src/vp-cell.h
@@ -50,7 +50,10 @@
 VpCell *vp_cell_setup (const VpCellDesc *desc, int64_t now_ms);
 void vp_cell_shutdown (VpCell *cell);
 /* Takes a reference to @config, which replaces the previous configuration. Before the first one no
- * task is started, no job fails for the number of its failures, and what runs goes on. */
+ * task is started, no job fails for the number of its failures, and what runs goes on. Accepted
+ * jobs of a queue or team that it lacks go on as the last configuration had these, see
+ * vp-jobconfig.h. A job of a queue that was never known waits in the same way as without a
+ * configuration. */
 void vp_cell_set_config (VpCell *cell, VpCellConfig *config);
 bool vp_cell_has_config (const VpCell *cell);
 /* The list of jobs and the list of workers belong to the scheduler. */
@@ -119,6 +122,14 @@
 /* Loads the list of workers that the previous scheduler stored. @stored is NULL if the list can't
  * be read. */
 void vp_cell_load_workers (VpCell *cell, GVariant *stored);
+/* Returns true if accepted jobs name queues or teams that aren't stored as they are in force. */
+bool vp_cell_has_unstaged_config (const VpCell *cell);
+/* Returns these for the commit that is being built, as a floating value of VP_JOBCONFIG_TYPE. */
+GVariant *vp_cell_stage_config (VpCell *cell);
+/* Reports that the commit failed, so that they have to be staged again. */
+void vp_cell_unstage_config (VpCell *cell);
+/* Loads what the previous scheduler stored of them, after all jobs; NULL: nothing. */
+void vp_cell_load_config (VpCell *cell, GVariant *stored);
 /* Appends the commands and advice requests that are due, as VpCellEffect, to @effects. The caller
  * owns them and frees each one with vp_cell_effect_clear(). */
 void vp_cell_decide (VpCell *cell, int64_t now_ms, GArray *effects);
--- a/src/vp-cellconfig.c
+++ b/src/vp-cellconfig.c
@@ -133,7 +133,7 @@
 {
   const VpQueueConfig *found = config == NULL ? NULL : vp_cellconfig_queue (config, queue);
 
-  if (found == NULL)
+  if (found == NULL || found->is_kept)
     return UINT32_MAX;
   return MAX (found->attempts_max, 1);
 }
--- a/src/vp-cellconfig.h
+++ b/src/vp-cellconfig.h
@@ -34,12 +34,14 @@
                                0 uses the same workers */
   bool ignores_speed;       /* workers are chosen as if all were alike in advice requests, for
                                comparisons */
+  bool is_kept;             /* of an earlier configuration, see vp-jobconfig.h */
 } VpQueueConfig;
 
 typedef struct {
   const char *name;
   double weight;   /* rate of jobs that the team may submit, in jobs a second; 0: no limit */
   VpResources cap; /* limit of the total size of running tasks; 0 in a field: no limit */
+  bool is_kept;    /* of an earlier configuration, see vp-jobconfig.h */
 } VpTeamConfig;
 
 /* A key that was added more than once. The team that added it last has it. */
@@ -82,7 +84,7 @@
 /* Returns NULL if there is no queue of that name. */
 const VpQueueConfig *vp_cellconfig_queue (const VpCellConfig *config, const char *name);
 /* Returns the number of failed runs of one task after which its job fails. Without a configuration
- * (@config is NULL), or if the queue isn't in it, no number of them is known to be too many. */
+ * (@config is NULL), or if the queue isn't in it or is a kept one, none is known to be too many. */
 uint32_t vp_cellconfig_attempts_max (const VpCellConfig *config, const char *queue);
 /* Returns the time that the advice service takes to answer a call for @worker_count workers. */
 int64_t vp_cellconfig_advice_ms (const VpQueueConfig *queue, uint32_t worker_count);
--- a/src/vp-committer.c
+++ b/src/vp-committer.c
@@ -1,4 +1,5 @@
 #include "vp-committer.h"
+#include "vp-jobconfig.h"
 #include "vp-log.h"
 #include "vp-metrics.h"
 
@@ -65,6 +66,7 @@
   int64_t round_began_ms;
   size_t round_bytes;          /* size of the values that the round has written */
   bool includes_worker_list;   /* the commit includes the list of workers */
+  bool includes_config;        /* the commit includes the configuration of jobs */
   int64_t worker_list_next_ms; /* earliest time of the next write of the list of workers */
   bool is_in_flight;           /* the commit was sent and not answered yet */
   uint32_t copies;             /* copies sent since the last answer */
@@ -157,16 +159,30 @@
   return worker_list == NULL ? 1 : 0;
 }
 
+/* @values is NULL if nothing was read. */
+static uint32_t
+_vp_committer_load_config (VpCommitter *committer, const GPtrArray *values)
+{
+  bool is_stored = values != NULL && values->len > 0;
+  g_autoptr (GVariant) config
+      = vp_node_variant_from_bytes (is_stored ? values->pdata[0] : NULL, VP_JOBCONFIG_TYPE);
+
+  vp_cell_load_config (committer->desc.cell, config);
+  return is_stored && config == NULL ? 1 : 0;
+}
+
 uint32_t
 vp_committer_load (VpCommitter *committer, const VpStoreLoadResult *loaded, int64_t now_ms)
 {
-  return _vp_committer_load_worker_list (committer, loaded->workers)
-         + _vp_committer_load_values (committer, loaded->ended, VP_JOB_END_TYPE,
-                                      _vp_committer_decode_end, now_ms)
-         + _vp_committer_load_values (committer, loaded->jobs, VP_JOB_TYPE,
-                                      _vp_committer_decode_job, now_ms)
-         + _vp_committer_load_values (committer, loaded->progress, VP_PROGRESS_TYPE,
-                                      vp_joblist_decode_progress, now_ms);
+  uint32_t bad_count = _vp_committer_load_worker_list (committer, loaded->workers)
+                       + _vp_committer_load_values (committer, loaded->ended, VP_JOB_END_TYPE,
+                                                    _vp_committer_decode_end, now_ms)
+                       + _vp_committer_load_values (committer, loaded->jobs, VP_JOB_TYPE,
+                                                    _vp_committer_decode_job, now_ms)
+                       + _vp_committer_load_values (committer, loaded->progress, VP_PROGRESS_TYPE,
+                                                    vp_joblist_decode_progress, now_ms);
+
+  return bad_count + _vp_committer_load_config (committer, loaded->config);
 }
 
 /* Returns the key of the value that is stored for a job below @prefix. */
@@ -332,7 +348,7 @@
       (vp_joblist_has_urgent (jobs) || (committer->has_round && !g_queue_is_empty (&jobs->dirty)))
       && size < VP_COMMITTER_BYTES_MAX
       && write->keys->len + write->removed->len + VP_COMMITTER_ENTRIES_PER_JOB
-                 + committer->includes_worker_list
+                 + committer->includes_worker_list + committer->includes_config
              <= VP_COMMITTER_ENTRIES_MAX)
     size += _vp_committer_add_job (committer, vp_joblist_take_dirty (jobs));
   committer->round_bytes += size;
@@ -358,6 +374,8 @@
   g_array_set_size (committer->included_jobs, 0);
   _vp_committer_purge_ended (committer, now_ms);
   committer->includes_worker_list = _vp_committer_is_worker_list_due (committer, now_ms);
+  /* A job is accepted together with the queue and the team that it names. */
+  committer->includes_config = vp_cell_has_unstaged_config (committer->desc.cell);
   if (!committer->has_round && _vp_committer_is_round_due (committer, now_ms))
     _vp_committer_begin_round (committer, now_ms);
   _vp_committer_add_jobs (committer);
@@ -372,6 +390,8 @@
         write, g_strdup ("workers"),
         vp_cell_stage_workers (committer->desc.cell, committer->is_complete, now_ms));
   }
+  if (committer->includes_config)
+    _vp_committer_set_key (write, g_strdup ("config"), vp_cell_stage_config (committer->desc.cell));
   committer->is_last = committer->is_finishing && committer->is_complete;
   record.commit++;
   /* A leader that doesn't know what runs on all workers can't declare the stored jobs complete. */
@@ -493,6 +513,8 @@
   committer->has_round = false;
   if (committer->includes_worker_list)
     vp_cell_unstage_workers (committer->desc.cell);
+  if (committer->includes_config)
+    vp_cell_unstage_config (committer->desc.cell);
   for (guint i = 0; i < committer->included_jobs->len; i++) {
     VpJob *job = vp_joblist_find (jobs, g_array_index (committer->included_jobs, uint64_t, i));
     if (job != NULL)
--- a/src/vp-node-events.c
+++ b/src/vp-node-events.c
@@ -87,6 +87,7 @@
     g_clear_pointer (&event->loaded.jobs, g_ptr_array_unref);
     g_clear_pointer (&event->loaded.progress, g_ptr_array_unref);
     g_clear_pointer (&event->loaded.workers, g_ptr_array_unref);
+    g_clear_pointer (&event->loaded.config, g_ptr_array_unref);
     break;
   case VP_NODE_EVENT_COMMAND_RESULT:
     vp_command_result_clear (&event->command);
--- a/src/vp-node-events.h
+++ b/src/vp-node-events.h
@@ -95,6 +95,7 @@
   GPtrArray *jobs;     /* GBytes *: accepted jobs */
   GPtrArray *progress; /* GBytes *: progress of jobs */
   GPtrArray *workers;  /* GBytes *: a single list of the workers that may be in use, or nothing */
+  GPtrArray *config;   /* GBytes *: a single VP_JOBCONFIG_TYPE, or nothing; NULL: nothing */
 } VpStoreLoadResult;
 
 typedef enum {
--- a/tests/simcell.c
+++ b/tests/simcell.c
@@ -271,6 +271,7 @@
   loaded->jobs = simcell_store_values_with_prefix (&sim->store, "job/");
   loaded->progress = simcell_store_values_with_prefix (&sim->store, "progress/");
   loaded->workers = simcell_store_values_with_prefix (&sim->store, "workers");
+  loaded->config = simcell_store_values_with_prefix (&sim->store, "config");
 }
 
 /* Workers. */
@@ -883,15 +884,16 @@
 
 /* Setup and the functions for tests. */
 
+/* @attempts_max is 0 for a configuration without the queue. */
 static VpCellConfig *
-_conf_new (const SimCellDesc *desc)
+_conf_new (const SimCellDesc *desc, uint64_t version, uint32_t attempts_max)
 {
-  VpCellConfig *config = vp_cellconfig_new (1);
+  VpCellConfig *config = vp_cellconfig_new (version);
   VpQueueConfig queue = { .name = "q",
                           .host = "host",
                           .prefix = "/q/",
                           .service = "service",
-                          .attempts_max = desc->attempts_max == 0 ? 3 : desc->attempts_max,
+                          .attempts_max = attempts_max,
                           .stretch = 2,
                           .latency_target_ms = 500,
                           .has_advice = desc->has_advice,
@@ -900,7 +902,8 @@
                           .advice_valid_ms = TICKET_VALID_MS };
   VpTeamConfig team = { .name = "team", .weight = 1 };
 
-  g_array_append_val (config->queues, queue);
+  if (attempts_max > 0)
+    g_array_append_val (config->queues, queue);
   g_array_append_val (config->teams, team);
   vp_cellconfig_add_key (config, "key", 0);
   vp_cellconfig_seal (config);
@@ -922,7 +925,7 @@
   simcell_store_setup (&sim->store);
   sim->jobs.by_id = g_hash_table_new_full (g_int64_hash, g_int64_equal, NULL, simcell_jobs_free);
   sim->pending_calls = g_hash_table_new_full (g_int64_hash, g_int64_equal, g_free, NULL);
-  sim->config = _conf_new (desc);
+  sim->config = _conf_new (desc, 1, desc->attempts_max == 0 ? 3 : desc->attempts_max);
   sim->desc.dc_count = MAX (desc->dc_count, 1);
   sim->dc_partitioned_until_ms = g_array_new (FALSE, TRUE, sizeof (int64_t));
   g_array_set_size (sim->dc_partitioned_until_ms, sim->desc.dc_count);
@@ -1157,6 +1160,17 @@
     simcell_give_config (sim, i);
 }
 
+void
+simcell_set_queue (SimCell *sim, uint32_t attempts_max)
+{
+  VpCellConfig *config = _conf_new (&sim->desc, sim->config->version + 1, attempts_max);
+
+  vp_cellconfig_unref (sim->config);
+  sim->config = config;
+  for (guint i = 0; i < sim->nodes->len; i++)
+    simcell_give_config (sim, i);
+}
+
 void
 simcell_give_config (SimCell *sim, uint32_t node)
 {
--- a/tests/simcell.h
+++ b/tests/simcell.h
@@ -65,6 +65,8 @@
 
 /* Whether nodes that start can read no configuration. Those that run get it when that ends. */
 void simcell_hide_config (SimCell *sim, bool is_hidden);
+/* Writes the next configuration, in which the queue has @attempts_max, or is missing with 0. */
+void simcell_set_queue (SimCell *sim, uint32_t attempts_max);
 /* Gives the configuration to one node that runs. */
 void simcell_give_config (SimCell *sim, uint32_t node);
 
--- a/tests/test-committer.c
+++ b/tests/test-committer.c
@@ -130,6 +130,30 @@
   _teardown_committer (&fixture);
 }
 
+/* Guards against an accepted job whose queue a later scheduler may not know: the queue is stored by
+ * the same commit, and again if that had no effect, but not with each job. */
+static void
+test_config_with_job (void)
+{
+  CommitFixture fixture;
+
+  _setup_committer (&fixture, 0);
+  for (uint64_t id = 101; id <= 103; id++) {
+    g_autoptr (VpJobSpec) spec = vp_jobspec_new (1);
+    bool is_last = id == 103;
+    spec->id = id;
+    spec->queue = "q";
+    spec->team = "team";
+    spec->steps[0].task_count = 1;
+    vp_cell_submit (fixture.cell.cell, spec, fixture.cell.now_ms);
+    fixture.cell.now_ms += 100;
+    g_assert_true (_has_key (_commit (&fixture), "job/"));
+    g_assert_cmpint (_has_key (&fixture.effects.items[0].write, "config"), ==, !is_last);
+    _finish_commit (&fixture, id == 101 ? VP_WRITE_UNAVAILABLE : VP_WRITE_OK);
+  }
+  _teardown_committer (&fixture);
+}
+
 /* Guards against ends that are never acknowledged since some job always has changes to store. */
 static void
 test_ends_become_durable (void)
@@ -260,6 +284,7 @@
   g_test_init (&argc, &argv, NULL);
   g_test_add_func ("/committer/progress-share", test_progress_share);
   g_test_add_func ("/committer/new-job-at-once", test_new_job_at_once);
+  g_test_add_func ("/committer/config-with-job", test_config_with_job);
   g_test_add_func ("/committer/ends-become-durable", test_ends_become_durable);
   g_test_add_func ("/committer/reverted-round", test_reverted_round);
   g_test_add_func ("/committer/cancelled-job-in-flight", test_cancelled_job_in_flight);
