registration: an unanswered renewal is sent again soon

A renewal that gets no answer within its time-out of 1 s was followed by the next one 1.3 s later, so that two lost ones in series let the lease of 4 s end.

Change: a failed renewal is sent again after 0.25 s, like a failed write.

Result: /registration/unanswered-renewals fails before and passes.

--- a/src/vp-registration.c
+++ b/src/vp-registration.c
@@ -2,7 +2,8 @@
 
 #include <string.h>
 
-/* Interval between renewals of the lease: two may fail before it ends. */
+/* Interval between renewals of the lease. One without an answer within a second is sent again after
+ * VP_REGISTRATION_RETRY_MS, so that three can be sent before the lease ends. */
 #define VP_REGISTRATION_RENEW_MS 1300
 /* Minimum delay after a call that failed, so that a store that is down isn't called in a tight
  * loop, and between two writes, as another process may claim the same name. */
@@ -79,7 +80,8 @@
     registration->grant_next_ms = now_ms + VP_REGISTRATION_RETRY_MS;
     registration->renew_next_ms = now_ms + VP_REGISTRATION_RENEW_MS;
   } else if (action == VP_REGISTRATION_RENEW) {
-    registration->renew_next_ms = now_ms + VP_REGISTRATION_RENEW_MS;
+    registration->renew_next_ms
+        = now_ms + (is_done ? VP_REGISTRATION_RENEW_MS : VP_REGISTRATION_RETRY_MS);
   } else if (action == VP_REGISTRATION_WRITE) {
     registration->write_next_ms = now_ms + VP_REGISTRATION_RETRY_MS;
     if (is_done)
--- a/tests/test-registration.c
+++ b/tests/test-registration.c
@@ -119,6 +119,25 @@
   g_assert_true (fixture.registration.is_in_place);
 }
 
+/* Guards against a lease that ends since two renewals in series have no answer within a second. */
+static void
+test_unanswered_renewals (void)
+{
+  Fixture fixture;
+  int64_t granted_ms;
+
+  _register (&fixture);
+  granted_ms = fixture.now_ms;
+  for (int i = 0; i < 2; i++) {
+    fixture.now_ms = vp_registration_next_ms (&fixture.registration) + 1000;
+    vp_registration_handle_result (&fixture.registration, VP_REGISTRATION_RENEW,
+                                   VP_REGISTRATION_UNKNOWN, 0, fixture.now_ms);
+  }
+  _act (&fixture, VP_REGISTRATION_RENEW, VP_REGISTRATION_DONE, 0);
+  g_assert_cmpint (fixture.now_ms - granted_ms, <, VP_REGISTRATION_TTL_MS);
+  g_assert_cmpint (vp_registration_next_ms (&fixture.registration) - fixture.now_ms, >, 1000);
+}
+
 /* Guards against an entry that isn't written again when its lease has ended, in an outage of the
  * store or while the process was stopped. */
 static void
@@ -293,6 +312,7 @@
   g_test_add_func ("/registration/unanswered-write", test_unanswered_write);
   g_test_add_func ("/registration/replaced", test_replaced);
   g_test_add_func ("/registration/order", test_order);
+  g_test_add_func ("/registration/unanswered-renewals", test_unanswered_renewals);
   g_test_add_func ("/registration/lease-ended", test_lease_ended);
   g_test_add_func ("/registration/two-of-one-name", test_two_of_one_name);
   g_test_add_func ("/registration/random", test_random);
