soak: a queue is dropped for some seconds, again and again

The soak's configurations always had the queues of its jobs, so it could see neither jobs that fail or stand still while their queue is missing nor what callers get meanwhile. While nodes may not have it, 404 is allowed for it; its accepted jobs must complete as before.

--- a/soak/callers.c
+++ b/soak/callers.c
@@ -185,6 +185,14 @@
   return g_string_free (text, FALSE);
 }
 
+/* Returns true if the response may be that of a node without the queue of the path. */
+static bool
+_is_queue_missing (const Soak *soak, const char *path, const SoakReply *reply)
+{
+  return reply->status == 404 && g_str_has_prefix (path, "/plain/")
+         && fake_now_ms () < __atomic_load_n (&soak->queue_missing_ms, __ATOMIC_SEQ_CST);
+}
+
 /* Returns true if the job was accepted. */
 static bool
 _submit (Caller *caller, SimJob *job, const char *path)
@@ -207,6 +215,10 @@
       _sleep_ms (MIN (reply.retry_after_s, RETRY_AFTER_MAX_S) * 1000 + 50);
       continue;
     }
+    if (_is_queue_missing (soak, path, &reply)) {
+      _sleep_ms (POLL_INTERVAL_MS);
+      continue;
+    }
     if (reply.status != 0 && reply.status != 504)
       soak_fail (soak, "POST %s returned status %u", path, reply.status);
     job->is_outcome_unknown = true;
@@ -360,11 +372,13 @@
 static void
 _check_unknown_key (const Caller *caller)
 {
-  uint32_t status = soak_callers_get (_random_node_address (caller->soak, caller->rand), "/plain/",
-                                      "no-such-key");
+  SoakReply reply;
 
-  if (status != 401 && status != 503 && status != 0)
-    soak_fail (caller->soak, "a request with an unknown key returned status %u", status);
+  soak_callers_call (_random_node_address (caller->soak, caller->rand), "GET", "/plain/",
+                     "no-such-key", NULL, &reply);
+  if (reply.status != 401 && reply.status != 503 && reply.status != 0
+      && !_is_queue_missing (caller->soak, "/plain/", &reply))
+    soak_fail (caller->soak, "a request with an unknown key returned status %u", reply.status);
 }
 
 static CancelTime
--- a/soak/soak.c
+++ b/soak/soak.c
@@ -63,11 +63,13 @@
   GRand *rand;
   GRand *odd_entry_rand; /* of its own, so that the faults of a seed don't depend on odd entries */
   GRand *series_rand;    /* of its own for the same reason */
+  GRand *queue_rand;     /* likewise */
   bool has_series;       /* leaders change in series, and relays carry the commands */
   bool kills_leader;     /* before a measurement */
   Node nodes[SOAK_NODES_MAX];
   SoakWorkers *workers;
   uint32_t config_version;
+  bool is_queue_dropped; /* the queue "plain" is missing from the configuration */
   uint32_t fault_count;
   int64_t fault_end_ms;
 } _run;
@@ -261,8 +263,8 @@
  * product ever had for one. */
 #define LONG_TEXT_BYTES 300
 
-/* Writes a configuration with two constant queues and one queue named after its version, which
- * shows whether a node has applied this version. */
+/* Writes a configuration with two constant queues, of which one may be dropped, and one queue named
+ * after its version, which shows whether a node has applied this version. */
 static void
 _write_config (void)
 {
@@ -279,13 +281,35 @@
   _run.config_version += 3;
   name = g_strdup_printf ("extra-%u", _run.config_version);
   extra = g_strdup_printf (queue, name, name, long_text, 1, "");
-  text = g_strdup_printf ("{\"version\":%u,\"routes\":[%s,%s,%s],\"tenants\":[{\"name\":\"team%s\","
-                          "\"api_keys\":[\"" SOAK_KEY "\"],\"weight\":100}],"
-                          "\"limits\":{\"max_body_bytes\":262144}}",
-                          _run.config_version, plain, advised, extra, long_text);
+  text
+      = g_strdup_printf ("{\"version\":%u,\"routes\":[%s%s%s,%s],\"tenants\":[{\"name\":\"team%s\","
+                         "\"api_keys\":[\"" SOAK_KEY "\"],\"weight\":100}],"
+                         "\"limits\":{\"max_body_bytes\":262144}}",
+                         _run.config_version, _run.is_queue_dropped ? "" : plain,
+                         _run.is_queue_dropped ? "" : ",", advised, extra, long_text);
   soak_store_put (_run.soak.store, "op/config", text);
 }
 
+/* Drops the queue "plain" for some seconds, again and again; its accepted jobs go on. */
+static void
+_toggle_queue (void *data)
+{
+  int64_t now_ms = fake_now_ms ();
+  int64_t for_ms = g_rand_int_range (_run.queue_rand, FAULT_DURATION_MIN_MS, FAULT_DURATION_MAX_MS);
+
+  (void)data;
+  if (!_run.is_queue_dropped && now_ms > _run.fault_end_ms)
+    return;
+  _run.is_queue_dropped = !_run.is_queue_dropped;
+  soak_log ("queue is_dropped=%d", _run.is_queue_dropped);
+  _write_config ();
+  /* A node that is paused or cut off gets the next configuration late. */
+  if (_run.is_queue_dropped)
+    __atomic_store_n (&_run.soak.queue_missing_ms,
+                      now_ms + for_ms + FAULT_DURATION_MAX_MS + CONFIG_APPLY_MS, __ATOMIC_SEQ_CST);
+  fake_timer_add (now_ms + for_ms, _toggle_queue, NULL);
+}
+
 /* Odd entries. */
 
 static void _put_odd_entry (void *data);
@@ -795,6 +819,7 @@
   _run.rand = g_rand_new_with_seed (soak->seed);
   _run.series_rand = g_rand_new_with_seed (soak->seed);
   _run.odd_entry_rand = g_rand_new_with_seed (soak->seed);
+  _run.queue_rand = g_rand_new_with_seed (soak->seed);
   g_mutex_init (&soak->lock);
   fake_setup ();
   now_ms = fake_now_ms ();
@@ -823,6 +848,7 @@
   fake_timer_add (now_ms + WARMUP_MS, (FakeTimerFunc)(void *)soak_callers_start, soak);
   fake_timer_add (now_ms + WARMUP_MS, _inject_fault, NULL);
   _schedule_odd_entry (now_ms + WARMUP_MS);
+  fake_timer_add (now_ms + 2 * WARMUP_MS, _toggle_queue, NULL);
   soak_evacuations_start (soak, now_ms + WARMUP_MS, _run.fault_end_ms);
   fake_timer_add (_run.fault_end_ms + FAULT_DURATION_MAX_MS + CONFIG_APPLY_MS, _end_fault_phase,
                   NULL);
--- a/soak/soak.h
+++ b/soak/soak.h
@@ -40,6 +40,7 @@
   GHashTable *cancel_unknown;     /* ids of jobs whose cancellation was answered 410 */
   uint32_t measured_count;        /* jobs of a measurement; 0: faults are injected */
   int64_t paused_until_ms;        /* a paused process is in touch again after this time */
+  int64_t queue_missing_ms;       /* until then a node may not have the queue "plain"; atomic */
   SimCellEvacuations evacuations; /* used by the event loop only */
   int64_t store_outage_ms;        /* latest time at which a node didn't reach the store */
   bool is_stopping;               /* tells the callers to return; atomic */
