--- a/tests/simcell-fixture.h
+++ b/tests/simcell-fixture.h
@@ -32,3 +32,18 @@
   g_assert_cmpint (simcell_job_state (sim, job), ==, VP_JOB_COMPLETED);
   g_assert_true (simcell_is_job_accepted (sim, job));
 }
+
+/* Gives the node a configuration with one public queue. */
+static inline void
+_configure (VpNode *node, int64_t now_ms, VpNodeEffects *effects)
+{
+  VpNodeEvent config = { .kind = VP_NODE_EVENT_CONFIG };
+  VpQueueConfig queue = { .name = "q", .host = "host", .prefix = "/q/", .is_public = true };
+
+  config.config.config = vp_cellconfig_new (1);
+  config.config.text = g_bytes_new_static ("{}", 2);
+  g_array_append_val (config.config.config->queues, queue);
+  vp_cellconfig_seal (config.config.config);
+  vp_node_apply (node, &config, now_ms, effects);
+  vp_node_event_clear (&config);
+}
--- a/tests/test-cell-config.c
+++ b/tests/test-cell-config.c
@@ -30,6 +30,20 @@
   return job;
 }
 
+/* Sets up a scheduler that takes over with a worker while the queue is missing. */
+static void
+_take_over_without_queue (Fixture *fixture)
+{
+  VpWorkerEntry entry = _worker_entry (0);
+
+  _setup (fixture, 1, false);
+  vp_cell_shutdown (fixture->cell);
+  fixture->cell = vp_cell_setup (&(VpCellDesc){ .fence = 7, .hold_max_ms = 6000 }, fixture->now_ms);
+  _set_attempts_max (fixture, 2, 0);
+  vp_cell_worker_listed (fixture->cell, &entry, fixture->now_ms);
+  vp_cell_worker_list_complete (fixture->cell);
+}
+
 static void
 _decide_later (Fixture *fixture)
 {
@@ -44,15 +58,9 @@
 test_queue_missing (void)
 {
   Fixture fixture;
-  VpWorkerEntry entry = _worker_entry (0);
   VpJob *job;
 
-  _setup (&fixture, 1, false);
-  vp_cell_shutdown (fixture.cell);
-  fixture.cell = vp_cell_setup (&(VpCellDesc){ .fence = 7, .hold_max_ms = 6000 }, fixture.now_ms);
-  _set_attempts_max (&fixture, 2, 0);
-  vp_cell_worker_listed (fixture.cell, &entry, fixture.now_ms);
-  vp_cell_worker_list_complete (fixture.cell);
+  _take_over_without_queue (&fixture);
   job = _load_failed_job (&fixture);
   for (int i = 0; i < 5; i++)
     _decide_later (&fixture);
@@ -167,14 +175,8 @@
 {
   for (uint32_t attempts_max = 1; attempts_max <= 3; attempts_max++) {
     Fixture fixture;
-    VpWorkerEntry entry = _worker_entry (0);
     VpJob *job;
-    _setup (&fixture, 1, false);
-    vp_cell_shutdown (fixture.cell);
-    fixture.cell = vp_cell_setup (&(VpCellDesc){ .fence = 7, .hold_max_ms = 6000 }, fixture.now_ms);
-    _set_attempts_max (&fixture, 2, 0);
-    vp_cell_worker_listed (fixture.cell, &entry, fixture.now_ms);
-    vp_cell_worker_list_complete (fixture.cell);
+    _take_over_without_queue (&fixture);
     job = _submit (&fixture, 1, 1000);
     job->is_inherited = true;
     _end_run (&fixture, job, 0, 1, VP_RUN_FAILED);
--- a/tests/test-node-ready.c
+++ b/tests/test-node-ready.c
@@ -1,5 +1,5 @@
 /* When a node tells the load balancer that it is ready, and what callers get while it isn't. */
-#include "vp-node.h"
+#include "simcell-fixture.h"
 
 #define LEADER "other"
 /* Longer than requests wait for a leader, and shorter than their callers wait. */
@@ -72,19 +72,6 @@
   _apply (fixture, &request);
 }
 
-static void
-_configure (Fixture *fixture)
-{
-  VpNodeEvent config = { .kind = VP_NODE_EVENT_CONFIG };
-  VpQueueConfig queue = { .name = "q", .host = "host", .prefix = "/q/", .is_public = true };
-
-  config.config.config = vp_cellconfig_new (1);
-  config.config.text = g_bytes_new_static ("{}", 2);
-  g_array_append_val (config.config.config->queues, queue);
-  vp_cellconfig_seal (config.config.config);
-  _apply (fixture, &config);
-}
-
 /* Guards against a node that is ready, and holds each request until its caller gives up, while it
  * hears the leader but has no address to send to, as the leader's entry is missing. */
 static void
@@ -96,7 +83,7 @@
 
   fixture.node = vp_node_setup (
       &(VpNodeDesc){ .name = "node", .hold_max_ms = 6000, .grace_ms = 6000 }, fixture.now_ms);
-  _configure (&fixture);
+  _configure (fixture.node, fixture.now_ms, &fixture.effects);
   _run (&fixture, 1000);
   g_assert_false (fixture.is_ready);
   _ask (&fixture);
--- a/tests/test-node.c
+++ b/tests/test-node.c
@@ -51,21 +51,6 @@
   return false;
 }
 
-/* Gives the node a configuration with one public queue. */
-static void
-_configure (VpNode *node, int64_t now_ms, VpNodeEffects *effects)
-{
-  VpNodeEvent config = { .kind = VP_NODE_EVENT_CONFIG };
-  VpQueueConfig queue = { .name = "q", .host = "host", .prefix = "/q/", .is_public = true };
-
-  config.config.config = vp_cellconfig_new (1);
-  config.config.text = g_bytes_new_static ("{}", 2);
-  g_array_append_val (config.config.config->queues, queue);
-  vp_cellconfig_seal (config.config.config);
-  vp_node_apply (node, &config, now_ms, effects);
-  vp_node_event_clear (&config);
-}
-
 /* Returns a configured node that knows of no other node. */
 static VpNode *
 _lone_node (int64_t now_ms, VpNodeEffects *effects)
