jobconfig: settings that change while no job names the queue are stored again

Found by reading the diff: the stored settings of a queue were compared with a new configuration only if jobs named the queue then. Later jobs found the queue stored and took that for its present settings, so that a leader that started after the queue was dropped would have used those of before.

Change: each new configuration is compared with all that is stored.

Result: /jobconfig/changed-while-unused fails before and passes.

--- a/src/vp-jobconfig.c
+++ b/src/vp-jobconfig.c
@@ -120,48 +120,64 @@
   return g_variant_equal (first, second);
 }
 
-/* Returns true if the configuration has the queue and it isn't stored as it is there. */
 static bool
-_vp_jobconfig_is_queue_unstored (const VpJobConfig *job_config, const char *name)
+_vp_jobconfig_has_stored_queue (const VpJobConfig *job_config, const char *name)
 {
-  const VpQueueConfig *queue = vp_cellconfig_queue (job_config->config, name);
-  const VpQueueConfig *stored
-      = job_config->stored == NULL ? NULL : vp_cellconfig_queue (job_config->stored, name);
-
-  return queue != NULL
-         && (stored == NULL
-             || !_vp_jobconfig_is_same_row (_vp_jobconfig_encode_queue (queue),
-                                            _vp_jobconfig_encode_queue (stored)));
+  return job_config->stored != NULL && vp_cellconfig_queue (job_config->stored, name) != NULL;
 }
 
-/* The same for a team. */
 static bool
-_vp_jobconfig_is_team_unstored (const VpJobConfig *job_config, const char *name)
+_vp_jobconfig_has_stored_team (const VpJobConfig *job_config, const char *name)
 {
-  const VpTeamConfig *team = vp_cellconfig_team (job_config->config, name);
-  const VpTeamConfig *stored
-      = job_config->stored == NULL ? NULL : vp_cellconfig_team (job_config->stored, name);
-
-  return team != NULL
-         && (stored == NULL
-             || !_vp_jobconfig_is_same_row (_vp_jobconfig_encode_team (team),
-                                            _vp_jobconfig_encode_team (stored)));
+  return job_config->stored != NULL && vp_cellconfig_team (job_config->stored, name) != NULL;
 }
 
-static void
-_vp_jobconfig_check_stored (VpJobConfig *job_config, const VpJobConfigNames *names)
+/* Returns true if the configuration has a queue or a team that jobs name and that isn't stored. */
+static bool
+_vp_jobconfig_lacks_stored (const VpJobConfig *job_config, const VpJobConfigNames *names)
 {
   GHashTableIter iter;
   gpointer name;
 
-  if (job_config->config == NULL)
-    return;
   g_hash_table_iter_init (&iter, names->queues);
-  while (!job_config->is_unstaged && g_hash_table_iter_next (&iter, &name, NULL))
-    job_config->is_unstaged = _vp_jobconfig_is_queue_unstored (job_config, name);
+  while (g_hash_table_iter_next (&iter, &name, NULL)) {
+    if (!_vp_jobconfig_has_stored_queue (job_config, name)
+        && vp_cellconfig_queue (job_config->config, name) != NULL)
+      return true;
+  }
   g_hash_table_iter_init (&iter, names->teams);
-  while (!job_config->is_unstaged && g_hash_table_iter_next (&iter, &name, NULL))
-    job_config->is_unstaged = _vp_jobconfig_is_team_unstored (job_config, name);
+  while (g_hash_table_iter_next (&iter, &name, NULL)) {
+    if (!_vp_jobconfig_has_stored_team (job_config, name)
+        && vp_cellconfig_team (job_config->config, name) != NULL)
+      return true;
+  }
+  return false;
+}
+
+/* Returns true if the configuration has a stored queue or team with other settings, also if no job
+ * names it at present. */
+static bool
+_vp_jobconfig_is_stored_outdated (const VpJobConfig *job_config)
+{
+  const VpCellConfig *stored = job_config->stored;
+
+  for (guint i = 0; stored != NULL && i < stored->queues->len; i++) {
+    const VpQueueConfig *row = &g_array_index (stored->queues, VpQueueConfig, i);
+    const VpQueueConfig *queue = vp_cellconfig_queue (job_config->config, row->name);
+    if (queue != NULL
+        && !_vp_jobconfig_is_same_row (_vp_jobconfig_encode_queue (queue),
+                                       _vp_jobconfig_encode_queue (row)))
+      return true;
+  }
+  for (guint i = 0; stored != NULL && i < stored->teams->len; i++) {
+    const VpTeamConfig *row = &g_array_index (stored->teams, VpTeamConfig, i);
+    const VpTeamConfig *team = vp_cellconfig_team (job_config->config, row->name);
+    if (team != NULL
+        && !_vp_jobconfig_is_same_row (_vp_jobconfig_encode_team (team),
+                                       _vp_jobconfig_encode_team (row)))
+      return true;
+  }
+  return false;
 }
 
 /* Kept rows. */
@@ -238,11 +254,13 @@
   return out;
 }
 
-void
-vp_jobconfig_set (VpJobConfig *job_config, VpCellConfig *config, const VpJobList *jobs)
+/* Puts @config in force, with the rows of @earlier that are to be kept. */
+static void
+_vp_jobconfig_use (VpJobConfig *job_config,
+                   VpCellConfig *config,
+                   const VpCellConfig *earlier,
+                   const VpJobList *jobs)
 {
-  const VpCellConfig *earlier
-      = job_config->config == NULL ? job_config->stored : job_config->config;
   VpJobConfigNames names;
   VpCellConfig *merged;
 
@@ -250,41 +268,42 @@
   merged = _vp_jobconfig_merge (config, earlier, &names);
   g_clear_pointer (&job_config->config, vp_cellconfig_unref);
   job_config->config = merged;
-  _vp_jobconfig_check_stored (job_config, &names);
+  job_config->is_unstaged = job_config->is_unstaged
+                            || _vp_jobconfig_lacks_stored (job_config, &names)
+                            || _vp_jobconfig_is_stored_outdated (job_config);
   _vp_jobconfig_names_clear (&names);
 }
 
 void
-vp_jobconfig_load (VpJobConfig *job_config, GVariant *stored, const VpJobList *jobs)
+vp_jobconfig_set (VpJobConfig *job_config, VpCellConfig *config, const VpJobList *jobs)
 {
-  VpJobConfigNames names;
-  VpCellConfig *merged;
+  _vp_jobconfig_use (job_config, config,
+                     job_config->config == NULL ? job_config->stored : job_config->config, jobs);
+}
 
+void
+vp_jobconfig_load (VpJobConfig *job_config, GVariant *stored, const VpJobList *jobs)
+{
   g_clear_pointer (&job_config->stored, vp_cellconfig_unref);
   job_config->stored = stored == NULL ? NULL : _vp_jobconfig_decode (stored);
-  if (job_config->config == NULL)
-    return;
-  _vp_jobconfig_names_setup (&names, jobs);
-  merged = _vp_jobconfig_merge (job_config->config, job_config->stored, &names);
-  vp_cellconfig_unref (job_config->config);
-  job_config->config = merged;
-  _vp_jobconfig_check_stored (job_config, &names);
-  _vp_jobconfig_names_clear (&names);
+  if (job_config->config != NULL)
+    _vp_jobconfig_use (job_config, job_config->config, job_config->stored, jobs);
 }
 
 void
 vp_jobconfig_note_job (VpJobConfig *job_config, const VpJobSpec *spec)
 {
-  const VpCellConfig *stored = job_config->stored;
+  const char *queue = vp_text (spec->queue);
+  const char *team = vp_text (spec->team);
 
-  if (job_config->config == NULL || job_config->is_unstaged || job_config->is_full)
+  if (job_config->config == NULL || job_config->is_full)
     return;
-  /* A row that is stored is stored as the configuration has it, or @is_unstaged would be set. */
-  job_config->is_unstaged
-      = (vp_cellconfig_queue (job_config->config, vp_text (spec->queue)) != NULL
-         && (stored == NULL || vp_cellconfig_queue (stored, vp_text (spec->queue)) == NULL))
-        || (vp_cellconfig_team (job_config->config, vp_text (spec->team)) != NULL
-            && (stored == NULL || vp_cellconfig_team (stored, vp_text (spec->team)) == NULL));
+  /* What is stored has the present settings, or @is_unstaged is set already. */
+  job_config->is_unstaged = job_config->is_unstaged
+                            || (vp_cellconfig_queue (job_config->config, queue) != NULL
+                                && !_vp_jobconfig_has_stored_queue (job_config, queue))
+                            || (vp_cellconfig_team (job_config->config, team) != NULL
+                                && !_vp_jobconfig_has_stored_team (job_config, team));
 }
 
 /* Adds the row, a floating value, to @out if there is room for it. */
--- a/src/vp-jobconfig.h
+++ b/src/vp-jobconfig.h
@@ -31,7 +31,7 @@
 typedef struct {
   VpCellConfig *config; /* for looking up by name only; NULL: there is none yet */
   VpCellConfig *stored; /* the rows that were staged or loaded last; NULL: none */
-  bool is_unstaged;     /* jobs name rows that aren't in @stored, or differ there */
+  bool is_unstaged;     /* @stored lacks what jobs name, or has other settings */
   bool is_full;         /* @stored has no room for more rows */
 } VpJobConfig;
 
--- a/tests/test-jobconfig.c
+++ b/tests/test-jobconfig.c
@@ -5,8 +5,8 @@
 #define CAP_MILLI 3000
 #define LONG_NAME 300000 /* bytes; two of them don't fit into the stored form */
 
-/* Returns a configuration with a team "team" and the queues @names, separated by commas. With an
- * empty list there is neither. */
+/* Returns a configuration with a team "team" and the queues @names, separated by commas, with a
+ * stretch of 1.5. With an empty list there is neither. */
 static VpCellConfig *
 _config (uint64_t version, const char *names)
 {
@@ -126,6 +126,33 @@
   vp_joblist_shutdown (jobs);
 }
 
+/* Guards against settings that are stored as they were before a change, which came while no job
+ * named the queue. */
+static void
+test_changed_while_unused (void)
+{
+  VpJobList *jobs = vp_joblist_setup ();
+  VpJobConfig job_config = { 0 };
+  VpCellConfig *changed = _config (2, "a");
+  VpJob *job = _add_job (jobs, 1, "a");
+  g_autoptr (GVariant) stored = NULL;
+
+  g_array_index (changed->queues, VpQueueConfig, 0).stretch = 7;
+  _set (&job_config, jobs, 1, "a");
+  stored = g_variant_ref_sink (vp_jobconfig_stage (&job_config, jobs));
+  vp_joblist_cancel (jobs, job, 2);
+  vp_jobconfig_set (&job_config, changed, jobs);
+  vp_jobconfig_note_job (&job_config, _add_job (jobs, 2, "a")->spec);
+  g_assert_true (job_config.is_unstaged);
+  g_variant_unref (stored);
+  stored = g_variant_ref_sink (vp_jobconfig_stage (&job_config, jobs));
+  g_assert_cmpfloat (vp_cellconfig_queue (job_config.stored, "a")->stretch, ==, 7);
+  g_assert_false (job_config.is_unstaged);
+  vp_cellconfig_unref (changed);
+  vp_jobconfig_clear (&job_config);
+  vp_joblist_shutdown (jobs);
+}
+
 /* Guards against a value that the store refuses for its size, with which no commit would succeed
  * any more. */
 static void
@@ -198,6 +225,7 @@
   g_test_init (&argc, &argv, NULL);
   g_test_add_func ("/jobconfig/kept", test_kept);
   g_test_add_func ("/jobconfig/stored", test_stored);
+  g_test_add_func ("/jobconfig/changed-while-unused", test_changed_while_unused);
   g_test_add_func ("/jobconfig/full", test_full);
   g_test_add_func ("/jobconfig/team-dropped", test_team_dropped);
   return g_test_run ();
