metrics: lost entries of a node, and queues kept for accepted jobs

Operators couldn't see either: entries_lost counts how often a node's entry in the store was gone or replaced, kept_queues shows at the leader how many queues the configuration lacks that accepted jobs still need.

--- a/src/vp-cell.c
+++ b/src/vp-cell.c
@@ -81,6 +81,12 @@
   return cell->config != NULL;
 }
 
+uint32_t
+vp_cell_kept_queue_count (const VpCell *cell)
+{
+  return cell->job_config.kept_count;
+}
+
 VpJobList *
 vp_cell_jobs (VpCell *cell)
 {
--- a/src/vp-cell.h
+++ b/src/vp-cell.h
@@ -56,6 +56,8 @@
  * configuration. */
 void vp_cell_set_config (VpCell *cell, VpCellConfig *config);
 bool vp_cell_has_config (const VpCell *cell);
+/* Number of queues that the configuration lacks and that are kept for accepted jobs. */
+uint32_t vp_cell_kept_queue_count (const VpCell *cell);
 /* The list of jobs and the list of workers belong to the scheduler. */
 VpJobList *vp_cell_jobs (VpCell *cell);
 const VpWorkerList *vp_cell_workers (const VpCell *cell);
--- a/src/vp-jobconfig.c
+++ b/src/vp-jobconfig.c
@@ -226,6 +226,16 @@
   }
 }
 
+static uint32_t
+_vp_jobconfig_count_kept (const VpCellConfig *config)
+{
+  uint32_t count = 0;
+
+  for (guint i = 0; i < config->queues->len; i++)
+    count += g_array_index (config->queues, VpQueueConfig, i).is_kept ? 1 : 0;
+  return count;
+}
+
 /* Returns a reference to @config, or a copy of it with the rows of @earlier that are to be kept. */
 static VpCellConfig *
 _vp_jobconfig_merge (VpCellConfig *config,
@@ -268,6 +278,7 @@
   merged = _vp_jobconfig_merge (config, earlier, &names);
   g_clear_pointer (&job_config->config, vp_cellconfig_unref);
   job_config->config = merged;
+  job_config->kept_count = _vp_jobconfig_count_kept (merged);
   job_config->is_unstaged = job_config->is_unstaged
                             || _vp_jobconfig_lacks_stored (job_config, &names)
                             || _vp_jobconfig_is_stored_outdated (job_config);
--- a/src/vp-jobconfig.h
+++ b/src/vp-jobconfig.h
@@ -33,6 +33,7 @@
   VpCellConfig *stored; /* the rows that were staged or loaded last; NULL: none */
   bool is_unstaged;     /* @stored lacks what jobs name, or has other settings */
   bool is_full;         /* @stored has no room for more rows */
+  uint32_t kept_count;  /* queues that the newest configuration lacks */
 } VpJobConfig;
 
 void vp_jobconfig_clear (VpJobConfig *job_config);
--- a/src/vp-metrics.c
+++ b/src/vp-metrics.c
@@ -117,6 +117,8 @@
   = { "intake_closed_receive", "Connections closed as a request arrived too slowly" },
   [VP_COUNTER_INTAKE_CLOSED_SEND]
   = { "intake_closed_send", "Connections closed as an answer was read too slowly" },
+  [VP_COUNTER_ENTRIES_LOST]
+  = { "entries_lost", "Times that this process's entry in the store was gone or replaced" },
 };
 
 static const VpMetricText vp_gauge_texts[VP_GAUGE_LAST] = {
@@ -133,6 +135,8 @@
   = { "workers_unknown", "Workers of an earlier leader that have not told what they run" },
   [VP_GAUGE_COMMIT_AGE_MS] = { "commit_age_ms", "Milliseconds since the leader's last commit" },
   [VP_GAUGE_EVACUATED_DCS] = { "evacuated_dcs", "Data centres under evacuation" },
+  [VP_GAUGE_KEPT_QUEUES]
+  = { "kept_queues", "Queues of accepted jobs that the configuration lacks" },
   [VP_GAUGE_ADMISSION_CERTAINTY_MILLI]
   = { "admission_certainty_milli", "Thousandths of the known work that count as certain" },
   [VP_GAUGE_INTAKE_CONNECTIONS] = { "intake_connections", "Connections of callers" },
--- a/src/vp-metrics.h
+++ b/src/vp-metrics.h
@@ -74,6 +74,7 @@
   VP_COUNTER_INTAKE_CLOSED_IDLE,
   VP_COUNTER_INTAKE_CLOSED_RECEIVE,
   VP_COUNTER_INTAKE_CLOSED_SEND,
+  VP_COUNTER_ENTRIES_LOST, /* times that this process's entry in the store was gone or replaced */
   VP_COUNTER_LAST,
 } VpCounter;
 
@@ -89,6 +90,7 @@
   VP_GAUGE_WORKERS_UNKNOWN,
   VP_GAUGE_COMMIT_AGE_MS,
   VP_GAUGE_EVACUATED_DCS,
+  VP_GAUGE_KEPT_QUEUES,               /* queues of accepted jobs that the configuration lacks */
   VP_GAUGE_ADMISSION_CERTAINTY_MILLI, /* share of the known work that counts as certain */
   VP_GAUGE_INTAKE_CONNECTIONS,
   VP_GAUGE_INTAKE_BYTES,
--- a/src/vp-node-members.c
+++ b/src/vp-node-members.c
@@ -41,6 +41,8 @@
   vp_metrics_set (VP_GAUGE_PENDING, vp_frontend_open_count (node->frontend));
   vp_metrics_set (VP_GAUGE_QUEUED, jobs == NULL ? 0 : jobs->unfinished_count);
   vp_metrics_set (VP_GAUGE_RUNNING, assigned_count);
+  vp_metrics_set (VP_GAUGE_KEPT_QUEUES,
+                  node->cell == NULL ? 0 : vp_cell_kept_queue_count (node->cell));
   vp_metrics_set (VP_GAUGE_WORKERS,
                   node->cell == NULL ? 0 : vp_cell_workers (node->cell)->workers->len);
   vp_metrics_set (VP_GAUGE_WORKERS_UNKNOWN,
