--- a/tests/test-cell-config.c
+++ b/tests/test-cell-config.c
@@ -145,7 +145,7 @@
   for (uint32_t attempts_max = 1; attempts_max <= 2; attempts_max++) {
     Fixture fixture;
     VpJob *job;
-    VpCommand starts[2];
+    VpCommand starts[2] = { 0 };
     _setup (&fixture, 1, false);
     _sync (&fixture);
     job = _submit (&fixture, 2, 1000);
--- a/tests/test-jobconfig.c
+++ b/tests/test-jobconfig.c
@@ -135,17 +135,15 @@
   VpJobConfig job_config = { 0 };
   VpCellConfig *changed = _config (2, "a");
   VpJob *job = _add_job (jobs, 1, "a");
-  g_autoptr (GVariant) stored = NULL;
 
   g_array_index (changed->queues, VpQueueConfig, 0).stretch = 7;
   _set (&job_config, jobs, 1, "a");
-  stored = g_variant_ref_sink (vp_jobconfig_stage (&job_config, jobs));
+  g_variant_unref (g_variant_ref_sink (vp_jobconfig_stage (&job_config, jobs)));
   vp_joblist_cancel (jobs, job, 2);
   vp_jobconfig_set (&job_config, changed, jobs);
   vp_jobconfig_note_job (&job_config, _add_job (jobs, 2, "a")->spec);
   g_assert_true (job_config.is_unstaged);
-  g_variant_unref (stored);
-  stored = g_variant_ref_sink (vp_jobconfig_stage (&job_config, jobs));
+  g_variant_unref (g_variant_ref_sink (vp_jobconfig_stage (&job_config, jobs)));
   g_assert_cmpfloat (vp_cellconfig_queue (job_config.stored, "a")->stretch, ==, 7);
   g_assert_false (job_config.is_unstaged);
   vp_cellconfig_unref (changed);
