--- a/tests/test-pf-store.c
+++ b/tests/test-pf-store.c
@@ -335,6 +335,18 @@
   pthread_mutex_unlock (&_test.lock);
 }
 
+/* Change. */
+static void
+_change_clear (gpointer data)
+{
+  Change *change = data;
+
+  g_free (change->key);
+  g_free (change->value);
+}
+
+/* Starts an empty stand-in. The tables are kept from test to test, as threads of the store of
+ * before may still post. */
 static void
 _setup (void)
 {
@@ -345,11 +357,17 @@
    * GLib's locks. */
   g_assert_cmpuint (vp_pf_decode_number ("{\"a\":1}", 7, "a"), ==, 1);
   g_assert_true (vp_net_parse_address ("127.0.0.1:0", &any));
-  _test.values = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
-  _test.changes = g_array_new (FALSE, FALSE, sizeof (Change));
-  _test.prefixes = g_ptr_array_new ();
-  _test.sets = g_ptr_array_new ();
-  _test.lease_ends_us = g_array_new (FALSE, FALSE, sizeof (int64_t));
+  if (_test.values == NULL) {
+    _test.values = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
+    _test.changes = g_array_new (FALSE, FALSE, sizeof (Change));
+    g_array_set_clear_func (_test.changes, _change_clear);
+    _test.prefixes = g_ptr_array_new ();
+    _test.sets = g_ptr_array_new ();
+    _test.lease_ends_us = g_array_new (FALSE, FALSE, sizeof (int64_t));
+  }
+  g_hash_table_remove_all (_test.values);
+  g_array_set_size (_test.changes, 0);
+  g_array_set_size (_test.lease_ends_us, 0);
   _test.entry_lease = _test.compacted_revision = _test.write_count = 0;
   _test.revision = 1;
   _test.server
